Add settings files, inventory, operator API, command line and the model (not yet composed)

Cause: operators need checked files, an API and a command line; the core protocol needs a specification that is explored exhaustively. Change: YAML reader with positions, inventory difference, operator listener, command registry; four small specifications with wrong variants, explored through xstate/graph.

--- /dev/null
+++ b/model/explore.ts
@@ -0,0 +1,109 @@
+import { fromTransition } from 'xstate';
+import { getAdjacencyMap } from 'xstate/graph';
+import type { Exploration, Specification, Step } from './types.js';
+
+/** Transitions beyond which an exploration is refused as too large. */
+const MAX_TRANSITIONS = 2_000_000;
+
+interface Vertex<State> {
+  state: State;
+  depth: number;
+  parent?: string;
+  step?: Step;
+}
+
+/**
+ * Explores a specification. The right protocol is explored exhaustively. A wrong variant is
+ * explored breadth first until the invariant that it breaks fails, which gives a shortest trace.
+ * The library enumerates the states; traces come from a search over its adjacency map.
+ *
+ * @param specification - the protocol
+ * @param variant - id of a wrong variant, or undefined for the right protocol
+ */
+export function explore<State>(specification: Specification<State>, variant?: string): Exploration {
+  const logic = fromTransition<State, Step, never, undefined>(
+    (state, step) => specification.next(state, step, variant),
+    specification.initial,
+  );
+  const keys = new WeakMap<object, string>();
+  const keyOf = (state: State): string => {
+    const known = keys.get(state as object);
+    if (known !== undefined) return known;
+    const key = JSON.stringify(state);
+    keys.set(state as object, key);
+    return key;
+  };
+  const target = specification.wrongVariants.find(({ id }) => id === variant)?.breaks;
+  const goal = specification.invariants.find(({ id }) => id === target);
+  let isGoalReached = false;
+  let transitions = 0;
+  const seen = new Set([keyOf(specification.initial)]);
+  const map: AdjacencyMap<State> = getAdjacencyMap(logic, {
+    events: (snapshot) => {
+      isGoalReached ||= goal?.holds(snapshot.context) === false;
+      return isGoalReached ? [] : specification.steps(snapshot.context, variant);
+    },
+    // The library keeps one queue element for each transition. Following only the first transition
+    // into each state keeps the queue short and still reaches every state by a shortest path.
+    filterEvents: (snapshot, step) => {
+      transitions += 1;
+      const key = keyOf(specification.next(snapshot.context, step, variant));
+      const isNew = !seen.has(key);
+      seen.add(key);
+      return isNew;
+    },
+    serializeState: (snapshot) => keyOf(snapshot.context) as never,
+    serializeEvent: (event) => JSON.stringify(event) as never,
+    limit: MAX_TRANSITIONS,
+  }) as never;
+  const vertices = breadthFirst<State>(map, specification.initial, keyOf);
+  const list = [...vertices.values()];
+  const violations = specification.invariants.flatMap((invariant) => {
+    const broken = list.find((vertex) => !invariant.holds(vertex.state));
+    return broken ? [{ invariant: invariant.id, trace: traceTo(vertices, broken) }] : [];
+  });
+  return {
+    specification: specification.id,
+    variant,
+    states: list.length,
+    transitions,
+    depth: list.at(-1)?.depth ?? 0,
+    violations,
+  };
+}
+
+type AdjacencyMap<State> = Record<
+  string,
+  { transitions: Record<string, { event: Step; state: { context: State } }> }
+>;
+
+function breadthFirst<State>(
+  map: AdjacencyMap<State>,
+  initial: State,
+  keyOf: (state: State) => string,
+): Map<string, Vertex<State>> {
+  const vertices = new Map<string, Vertex<State>>();
+  vertices.set(keyOf(initial), { state: initial, depth: 0 });
+  // A Map iterates over entries added during the iteration, so it serves as the queue.
+  for (const [key, vertex] of vertices) {
+    for (const { event, state } of Object.values(map[key]?.transitions ?? {})) {
+      const next = keyOf(state.context);
+      if (vertices.has(next)) continue;
+      vertices.set(next, {
+        state: state.context,
+        depth: vertex.depth + 1,
+        parent: key,
+        step: event,
+      });
+    }
+  }
+  return vertices;
+}
+
+function traceTo<State>(vertices: Map<string, Vertex<State>>, end: Vertex<State>): Step[] {
+  const steps: Step[] = [];
+  for (let at: Vertex<State> | undefined = end; at?.step; at = vertices.get(at.parent ?? '')) {
+    steps.unshift(at.step);
+  }
+  return steps;
+}
--- /dev/null
+++ b/src/cli/commands/apply.ts
@@ -0,0 +1,126 @@
+import { createHash } from 'node:crypto';
+import { systemClock } from '../../clock/index.js';
+import type { Commit, ConfigSnapshot } from '../../configuration/index.js';
+import {
+  diffInventory,
+  formatDifference,
+  readInventory,
+  type Inventory,
+} from '../../inventory/index.js';
+import { OperatorErrorCode, type StatusAnswer } from '../../operators/index.js';
+import { createOperatorClient, type OperatorClient } from '../operatorClient.js';
+import { authorOf } from './listings.js';
+import {
+  CliError,
+  ExitCode,
+  type CommandDefinition,
+  type CommandFlags,
+  type CommandOutput,
+} from '../types.js';
+
+/** Longest wait for all members with `--wait`, in milliseconds: the bound for a change. */
+const IN_FORCE_BOUND_MS = 8_000;
+
+const POLL_MS = 50;
+
+/** Applies an inventory file. */
+export const applyCommand: CommandDefinition = {
+  id: 'apply',
+  summary: 'apply an inventory file',
+  usage: 'burdocknotch apply FILE [--dry-run] [--wait] [--author NAME] [--change-id ID]',
+  examples: [
+    'burdocknotch apply inventory.yaml --dry-run   # show the difference only',
+    'burdocknotch apply inventory.yaml --wait      # wait until every member has it in force',
+    'burdocknotch apply inventory.yaml --change-id 2026-12-04-racks   # safe to repeat',
+  ],
+  async run({ args, flags }, output) {
+    const [file] = args;
+    if (file === undefined) throw new CliError('usage', 'apply needs a FILE', ExitCode.Usage);
+    const inventory = await readInventory(file);
+    if (inventory.isErr) throw new CliError('invalid', inventory.error.message, ExitCode.Usage);
+    const client = await createOperatorClient(flags);
+    const current = await client.get<ConfigSnapshot>('/v1/config');
+    const differences = diffInventory(current, inventory.value);
+    if (!flags.json) for (const line of differences) output.print(formatDifference(line));
+    if (flags.dryRun) {
+      report(output, flags, { base: current.version, changes: differences.length, dryRun: true });
+      return ExitCode.Success;
+    }
+    if (differences.length === 0 && flags.changeId === undefined) {
+      report(output, flags, { version: current.version, alreadyApplied: true });
+      return ExitCode.Success;
+    }
+    const body = {
+      changeId: flags.changeId ?? defaultChangeId(inventory.value, current.version),
+      author: authorOf(flags),
+      base: inventory.value.baseVersion ?? current.version,
+      changes: differences.map((line) => line.change),
+    };
+    const commit = await submit(client, body);
+    report(output, flags, { ...commit, changeId: body.changeId });
+    if (flags.wait) await waitUntilInForce(client, commit.version, flags, output);
+    return ExitCode.Success;
+  },
+};
+
+async function submit(client: OperatorClient, body: { changeId: string }): Promise<Commit> {
+  try {
+    return await client.post<Commit>('/v1/config/changes', body);
+  } catch (err) {
+    const isUnknown =
+      err instanceof CliError &&
+      ['unreachable', OperatorErrorCode.OutcomeUnknown].includes(err.code);
+    if (!isUnknown) throw err;
+    const hint = `run the same command with --change-id ${body.changeId} to learn the outcome; it is never applied twice`;
+    throw new CliError(err.code, `${err.message}; ${hint}`, err.exitCode);
+  }
+}
+
+/** The same file against the same version is the same change. */
+function defaultChangeId(inventory: Inventory, version: number): string {
+  const hash = createHash('sha256')
+    .update(JSON.stringify([version, inventory]))
+    .digest('hex');
+  return `apply-${hash.slice(0, 24)}`;
+}
+
+function report(output: CommandOutput, flags: CommandFlags, answer: Record<string, unknown>): void {
+  if (flags.json) {
+    output.print(JSON.stringify(answer));
+  } else if (answer.dryRun === true) {
+    output.print(
+      `${String(answer.changes)} changes against version ${String(answer.base)}; nothing was applied`,
+    );
+  } else if (answer.alreadyApplied === true) {
+    output.print(`already in force (version ${String(answer.version)}); nothing was applied`);
+  } else {
+    output.print(
+      `accepted as version ${String(answer.version)} (change ${String(answer.changeId)})`,
+    );
+  }
+}
+
+async function waitUntilInForce(
+  client: OperatorClient,
+  version: number,
+  flags: CommandFlags,
+  output: CommandOutput,
+): Promise<void> {
+  const start = systemClock.now();
+  for (;;) {
+    const status = await client.get<StatusAnswer>('/v1/status');
+    const behind = status.members.filter((member) => member.configVersion < version);
+    if (status.configVersion >= version && behind.length === 0) {
+      const elapsedMs = Math.round(systemClock.now() - start);
+      if (!flags.json)
+        output.print(`in force on all ${status.members.length + 1} members after ${elapsedMs} ms`);
+      return;
+    }
+    if (systemClock.now() - start > IN_FORCE_BOUND_MS) {
+      const names = behind.map((member) => member.name).join(', ');
+      const message = `version ${version} is not in force on ${names} after ${IN_FORCE_BOUND_MS} ms`;
+      throw new CliError('not_in_force', message, ExitCode.Refused);
+    }
+    await systemClock.sleep(POLL_MS);
+  }
+}
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -18,6 +18,8 @@
   Move = 'move',
   /** System-owned: a maintenance wave. */
   Wave = 'wave',
+  /** System-owned: the newest change made by an operator; a single entity. */
+  OperatorChange = 'operatorChange',
 }
 
 /** A service that callers address. */
@@ -154,6 +156,20 @@
   reason?: string;
 }
 
+/** Id of the only entity of kind OperatorChange. */
+export const LAST_OPERATOR_CHANGE = 'last';
+
+/**
+ * The newest change made by an operator. Operators conflict only with each other, although the
+ * controllers commit versions in between.
+ */
+export interface OperatorChange {
+  id: typeof LAST_OPERATOR_CHANGE;
+  version: number;
+  changeId: string;
+  author: string;
+}
+
 /** Entity type of each kind. */
 export interface EntityOfKind {
   [EntityKind.Service]: Service;
@@ -165,6 +181,7 @@
   [EntityKind.Stop]: Stop;
   [EntityKind.Move]: Move;
   [EntityKind.Wave]: Wave;
+  [EntityKind.OperatorChange]: OperatorChange;
 }
 
 /** Insert or replacement of one entity, or its deletion when `value` is absent. */
--- /dev/null
+++ b/src/operators/changes.ts
@@ -0,0 +1,182 @@
+import { randomUUID } from 'node:crypto';
+import {
+  ConfigErrorCode,
+  EntityKind,
+  LAST_OPERATOR_CHANGE,
+  MoveState,
+  WaveState,
+  type Commit,
+  type EntityChange,
+  type OperatorChange,
+  type Wave,
+} from '../configuration/index.js';
+import { commitOrThrow } from './answers.js';
+import type { OperatorDeps } from './deps.js';
+import { OperatorError, OperatorErrorCode, type ChangeRequest, type WaveRequest } from './types.js';
+
+/** Kinds that operators may change directly. */
+const OPERATOR_KINDS: ReadonlySet<EntityKind> = new Set([
+  EntityKind.Service,
+  EntityKind.Pool,
+  EntityKind.Team,
+  EntityKind.Vm,
+]);
+
+/** How often a change decided by this process is decided again after a conflict. */
+const MAX_DECISIONS = 5;
+
+/**
+ * Commits a change set from an operator. It conflicts only with other operators: versions that
+ * controllers committed after the base do not matter. A changed home pool of a known VM becomes a
+ * requested move, so that the VM is drained before it changes pools.
+ *
+ * @throws OperatorError when the change is refused; nothing was applied then, except for
+ *   OutcomeUnknown
+ */
+export async function applyChanges(deps: OperatorDeps, body: ChangeRequest): Promise<Commit> {
+  for (const { kind, id } of body.changes) {
+    if (OPERATOR_KINDS.has(kind)) continue;
+    const message = `${kind} ${id} belongs to the system and cannot be applied`;
+    throw new OperatorError(OperatorErrorCode.Invalid, message);
+  }
+  const { author, changeId } = body;
+  const changes = body.changes as EntityChange[];
+  const winner = () => operatorWinner(deps, body.base);
+  if (winner()) return resolveOldChange(deps, body, changes);
+  return decide(deps, author, changeId, () => {
+    const won = winner();
+    if (won) throw conflict(won);
+    const moves = changes.flatMap((change) => requestedMove(deps, change) ?? []);
+    return [...changes, ...moves, operatorChange(deps, changeId, author)];
+  });
+}
+
+/** The operator change that came after `base`, if any. */
+function operatorWinner(deps: OperatorDeps, base: number): OperatorChange | undefined {
+  const last = deps.view.get(EntityKind.OperatorChange, LAST_OPERATOR_CHANGE);
+  return last && last.version > base ? last : undefined;
+}
+
+/** A change whose base is outdated is either one that was committed before, or a conflict. */
+async function resolveOldChange(
+  deps: OperatorDeps,
+  body: ChangeRequest,
+  changes: EntityChange[],
+): Promise<Commit> {
+  const { base, changeId, author } = body;
+  const result = await deps.commit(base, { changeId, author, changes });
+  const won = operatorWinner(deps, base);
+  if (result.isErr && result.error.code === ConfigErrorCode.Conflict && won) throw conflict(won);
+  return commitOrThrow(result);
+}
+
+function conflict(won: OperatorChange): OperatorError {
+  const { version, author, changeId } = won;
+  const message = `version ${version} by ${author} was applied first; nothing was changed`;
+  return new OperatorError(OperatorErrorCode.Conflict, message, {
+    winner: { version, author, changeId },
+  });
+}
+
+function operatorChange(deps: OperatorDeps, changeId: string, author: string): EntityChange {
+  const version = deps.view.version + 1;
+  const value: OperatorChange = { id: LAST_OPERATOR_CHANGE, version, changeId, author };
+  return { kind: EntityKind.OperatorChange, id: LAST_OPERATOR_CHANGE, value };
+}
+
+function requestedMove(deps: OperatorDeps, change: EntityChange): EntityChange | undefined {
+  if (change.kind !== EntityKind.Vm || !change.value) return undefined;
+  const current = deps.view.poolOf(change.id);
+  const known = deps.view.get(EntityKind.Vm, change.id);
+  if (!known || current === undefined || known.pool === change.value.pool) return undefined;
+  if (current === change.value.pool) return undefined;
+  return moveChange(change.id, current, change.value.pool);
+}
+
+function moveChange(vm: string, from: string, to: string): EntityChange {
+  return {
+    kind: EntityKind.Move,
+    id: vm,
+    value: { id: vm, from, to, state: MoveState.Requested },
+  };
+}
+
+/** Requests the move of one VM to another pool. */
+export function requestMove(
+  deps: OperatorDeps,
+  vm: string,
+  pool: string,
+  author: string,
+): Promise<Commit> {
+  return decide(deps, author, randomUUID(), () => {
+    const from = deps.view.poolOf(vm);
+    if (from === undefined) throw new OperatorError(OperatorErrorCode.NotFound, `no VM ${vm}`);
+    if (!deps.view.get(EntityKind.Pool, pool)) {
+      throw new OperatorError(OperatorErrorCode.NotFound, `no pool ${pool}`);
+    }
+    if (from === pool) {
+      throw new OperatorError(OperatorErrorCode.Invalid, `VM ${vm} is in pool ${pool} already`);
+    }
+    if (deps.view.get(EntityKind.Move, vm)) {
+      throw new OperatorError(OperatorErrorCode.Conflict, `VM ${vm} is being moved already`);
+    }
+    if (deps.view.get(EntityKind.Stop, vm)) {
+      throw new OperatorError(OperatorErrorCode.Conflict, `VM ${vm} is being stopped`);
+    }
+    return [moveChange(vm, from, pool)];
+  });
+}
+
+/** Plans and starts a maintenance wave. */
+export function startWave(deps: OperatorDeps, body: WaveRequest): Promise<Commit> {
+  return decide(deps, body.author, randomUUID(), () => {
+    if (deps.view.get(EntityKind.Wave, body.id)) {
+      throw new OperatorError(OperatorErrorCode.Conflict, `wave ${body.id} exists already`);
+    }
+    const plan = deps.planWave(body.selection);
+    const [first] = plan.impossible;
+    if (first) {
+      const message = `no plan can stop VM ${first.vm}: ${first.reason}`;
+      throw new OperatorError(OperatorErrorCode.Invalid, message, { impossible: plan.impossible });
+    }
+    if (plan.batches.length === 0) {
+      throw new OperatorError(OperatorErrorCode.Invalid, 'the selection names no VM');
+    }
+    const wave: Wave = { id: body.id, state: WaveState.Running, batches: plan.batches, done: [] };
+    return [{ kind: EntityKind.Wave, id: body.id, value: wave }];
+  });
+}
+
+/** Pauses or resumes a wave. */
+export function setWaveState(
+  deps: OperatorDeps,
+  id: string,
+  state: WaveState,
+  author: string,
+): Promise<Commit> {
+  return decide(deps, author, randomUUID(), () => {
+    const wave = deps.view.get(EntityKind.Wave, id);
+    if (!wave) throw new OperatorError(OperatorErrorCode.NotFound, `no wave ${id}`);
+    if (wave.state === WaveState.Finished) {
+      throw new OperatorError(OperatorErrorCode.Invalid, `wave ${id} is finished`);
+    }
+    const reason = state === WaveState.Paused ? `paused by ${author}` : undefined;
+    return [{ kind: EntityKind.Wave, id, value: { ...wave, state, reason } }];
+  });
+}
+
+/** Decides against the version in force and commits; decides again after a conflict. */
+async function decide(
+  deps: OperatorDeps,
+  author: string,
+  changeId: string,
+  changesNow: () => EntityChange[],
+): Promise<Commit> {
+  for (let decision = 1; ; decision++) {
+    const base = deps.view.version;
+    const result = await deps.commit(base, { changeId, author, changes: changesNow() });
+    const isConflict = result.isErr && result.error.code === ConfigErrorCode.Conflict;
+    if (!isConflict || decision === MAX_DECISIONS) return commitOrThrow(result);
+    await deps.clock.sleep(50 * decision);
+  }
+}
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,6 @@
+export { operatorsSchema, type OperatorsSettings } from './defaults.js';
+export type { JobLine, OperatorDeps, PlannedWave, Readiness } from './deps.js';
+export { startOperatorListener } from './operatorListener.js';
+export { isAway } from './status.js';
+export { isAuthorized } from './auth.js';
+export * from './types.js';
--- /dev/null
+++ b/src/settings/types.ts
@@ -0,0 +1,39 @@
+import { BaseError } from '../errors/index.js';
+
+/** One thing that is wrong in a YAML file. */
+export interface SettingsProblem {
+  file: string;
+  /** 1-based; 0 when the file could not be read. */
+  line: number;
+  /** Dotted path of the key, empty for the whole document. */
+  path: string;
+  found: string;
+  expected: string;
+}
+
+/** Codes of {@link SettingsError}. */
+export enum SettingsErrorCode {
+  /** The file could not be read. */
+  Unreadable = 'unreadable',
+  /** The file is not valid YAML. */
+  Syntax = 'syntax',
+  /** The file does not meet the schema or a rule across entries. */
+  Invalid = 'invalid',
+}
+
+/** A settings or inventory file was refused. */
+export class SettingsError extends BaseError<SettingsErrorCode> {
+  readonly problems: readonly SettingsProblem[];
+
+  constructor(code: SettingsErrorCode, problems: readonly SettingsProblem[]) {
+    super(code, problems.map(formatProblem).join('\n'));
+    this.problems = problems;
+  }
+}
+
+/** Formats a problem as `file:line: path: found ..., expected ...`. */
+export function formatProblem(problem: SettingsProblem): string {
+  const where = problem.line > 0 ? `${problem.file}:${problem.line}` : problem.file;
+  const path = problem.path === '' ? '' : `${problem.path}: `;
+  return `${where}: ${path}found ${problem.found}, expected ${problem.expected}`;
+}
--- /dev/null
+++ b/src/settings/yamlDocument.ts
@@ -0,0 +1,139 @@
+import { readFile } from 'node:fs/promises';
+import { Result } from 'true-myth';
+import {
+  isMap,
+  isPair,
+  isScalar,
+  LineCounter,
+  parseDocument,
+  type Document,
+  type Node,
+} from 'yaml';
+import type { z } from 'zod';
+import { messageOf } from '../errors/index.js';
+import { SettingsError, SettingsErrorCode, type SettingsProblem } from './types.js';
+
+/** Path of a value inside a document. */
+export type ValuePath = readonly PropertyKey[];
+
+/** A parsed YAML file that can tell the line of each value. */
+export interface YamlFile<T> {
+  value: T;
+  /** Line of the value at a path, or of its nearest existing parent. */
+  lineOf(path: ValuePath): number;
+}
+
+/** Longest rendering of a found value in a message, in characters. */
+const MAX_FOUND_LENGTH = 60;
+
+/**
+ * Reads a YAML file and checks it against a schema.
+ *
+ * @param file - path of the file, used in messages
+ * @param schema - schema of the whole document
+ * @returns the parsed value, or every problem with its file and line
+ */
+export async function readYamlFile<T>(
+  file: string,
+  schema: z.ZodType<T>,
+): Promise<Result<YamlFile<T>, SettingsError>> {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch (err) {
+    const problem = { file, line: 0, path: '', found: messageOf(err), expected: 'a readable file' };
+    return Result.err(new SettingsError(SettingsErrorCode.Unreadable, [problem]));
+  }
+  return parseYaml(file, text, schema);
+}
+
+/** Parses YAML text and checks it against a schema; see {@link readYamlFile}. */
+export function parseYaml<T>(
+  file: string,
+  text: string,
+  schema: z.ZodType<T>,
+): Result<YamlFile<T>, SettingsError> {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines, uniqueKeys: true });
+  if (document.errors.length > 0) {
+    const problems = document.errors.map((err) => ({
+      file,
+      line: err.linePos?.[0].line ?? 0,
+      path: '',
+      found: err.message.split('\n')[0] ?? err.code,
+      expected: 'valid YAML',
+    }));
+    return Result.err(new SettingsError(SettingsErrorCode.Syntax, problems));
+  }
+  const lineOf = (path: ValuePath) => lineOfPath(document, lines, path);
+  const raw: unknown = document.toJS() ?? {};
+  const checked = schema.safeParse(raw, { reportInput: true });
+  if (checked.success) return Result.ok({ value: checked.data, lineOf });
+  const problems = checked.error.issues.flatMap((issue) => toProblems(file, issue, lineOf));
+  return Result.err(new SettingsError(SettingsErrorCode.Invalid, problems));
+}
+
+function toProblems(
+  file: string,
+  issue: z.core.$ZodIssue,
+  lineOf: (path: ValuePath) => number,
+): SettingsProblem[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => {
+      const path = [...issue.path, key];
+      return {
+        file,
+        line: lineOf(path),
+        path: path.join('.'),
+        found: `unknown key "${key}"`,
+        expected: 'only documented keys',
+      };
+    });
+  }
+  const path = issue.path.join('.');
+  const found = issue.code === 'custom' ? 'a value that breaks a rule' : render(issue.input);
+  return [{ file, line: lineOf(issue.path), path, found, expected: expectation(issue) }];
+}
+
+function expectation(issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type':
+      return `${issue.expected} (quantities are plain numbers in the unit of the key)`;
+    case 'too_small':
+      return `at least ${issue.minimum.toString()}`;
+    case 'too_big':
+      return `at most ${issue.maximum.toString()}`;
+    case 'invalid_value':
+      return `one of ${issue.values.map(String).join(', ')}`;
+    default:
+      return issue.message;
+  }
+}
+
+function render(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  const text = JSON.stringify(value);
+  return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}...` : text;
+}
+
+function lineOfPath(document: Document, lines: LineCounter, path: ValuePath): number {
+  for (let length = path.length; length > 0; length--) {
+    const offset = offsetOf(document, path.slice(0, length));
+    if (offset !== undefined) return lines.linePos(offset).line;
+  }
+  return 1;
+}
+
+function offsetOf(document: Document, path: ValuePath): number | undefined {
+  const key = path.at(-1);
+  const parent = document.getIn(path.slice(0, -1), true);
+  if (isMap(parent)) {
+    const pair = parent.items.find(
+      (item) => isPair(item) && isScalar(item.key) && item.key.value === key,
+    );
+    const keyNode = pair?.key as Node | undefined;
+    return keyNode?.range?.[0];
+  }
+  const node = document.getIn(path, true) as Node | undefined;
+  return node?.range?.[0];
+}
