Add the scheduler with learned size classes and weighted fair queues

Cause: the owner of an executor needs bounded queues, team quotas and an order in which long work does not hold back short work. Change: createScheduler with one line per urgency and size class, deficit round robin over teams, refusal on arrival by estimated wait, size classes learned from what has run, bounds on the slots of medium and long work per executor and per pool, and demotion of what outlives its class. The policy is an entry of a registry of plain functions. Ruled out: believing declared run times for operations that never ran (they start as medium at least); refusing on the expected run time while a slot is free (a slow operation would never be learned as fast again).

--- /dev/null
+++ b/src/scheduling/runTimes.ts
@@ -0,0 +1,141 @@
+import { LinkedList, type ListNode } from './linkedList.js';
+
+/** What has been learned about the run times of one operation, in milliseconds. */
+export interface RunTimeEstimate {
+  meanMs: number;
+  /** Quantile that decides the size class. */
+  classMs: number;
+  /** Quantile that must fit before the deadline. */
+  admissionMs: number;
+}
+
+/** Options of {@link RunTimeTable}. */
+export interface RunTimeOptions {
+  maxOperations: number;
+  learningWindow: number;
+  classQuantile: number;
+  admissionQuantile: number;
+  /** Called when the least recently used operation is dropped. */
+  onEvict: () => void;
+}
+
+/** Buckets are spaced by the square root of two and start at 1 ms; the last one starts at 12 min. */
+const BUCKETS_PER_OCTAVE = 2;
+const BUCKET_COUNT = 40;
+
+/** Keys are cut to this length in characters, so that the table is bounded in bytes too. */
+const MAX_KEY_LENGTH = 256;
+
+interface LearnedOperation {
+  key: string;
+  counts: Float64Array;
+  total: number;
+  estimate: RunTimeEstimate;
+}
+
+function bucketOf(ms: number): number {
+  if (ms <= 1) return 0;
+  return Math.min(BUCKET_COUNT - 1, Math.ceil(Math.log2(ms) * BUCKETS_PER_OCTAVE));
+}
+
+function upperBoundOf(bucket: number): number {
+  return 2 ** (bucket / BUCKETS_PER_OCTAVE);
+}
+
+/**
+ * Run times learned per (service, operation) as histograms on a logarithmic scale with decaying
+ * counts. A quantile of it moves neither with declared run times nor with a few stragglers.
+ */
+export class RunTimeTable {
+  readonly #options: RunTimeOptions;
+  readonly #nodes = new Map<string, ListNode<LearnedOperation>>();
+  /** Least recently used first. */
+  readonly #byUse = new LinkedList<LearnedOperation>();
+
+  constructor(options: RunTimeOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#nodes.size;
+  }
+
+  /** What is known about an operation; undefined when it has not run. */
+  estimate(service: string, operation: string): RunTimeEstimate | undefined {
+    const node = this.#nodes.get(keyOf(service, operation));
+    if (!node) return undefined;
+    this.#byUse.moveToBack(node);
+    return node.value.estimate;
+  }
+
+  /**
+   * Records a run time.
+   *
+   * @param ranMs - run time in milliseconds
+   * @param supersedesMs - earlier, incomplete run time recorded for the same run
+   */
+  observe(service: string, operation: string, ranMs: number, supersedesMs?: number): void {
+    const learned = this.#getOrCreate(keyOf(service, operation));
+    if (supersedesMs === undefined) decay(learned, 1 - 1 / this.#options.learningWindow);
+    else removeCount(learned, bucketOf(supersedesMs));
+    const bucket = bucketOf(ranMs);
+    learned.counts[bucket] = (learned.counts[bucket] ?? 0) + 1;
+    learned.total += 1;
+    learned.estimate = {
+      meanMs: meanOf(learned),
+      classMs: quantileOf(learned, this.#options.classQuantile),
+      admissionMs: quantileOf(learned, this.#options.admissionQuantile),
+    };
+  }
+
+  #getOrCreate(key: string): LearnedOperation {
+    const existing = this.#nodes.get(key);
+    if (existing) {
+      this.#byUse.moveToBack(existing);
+      return existing.value;
+    }
+    const oldest = this.#byUse.first;
+    if (oldest && this.#nodes.size >= this.#options.maxOperations) {
+      this.#byUse.remove(oldest);
+      this.#nodes.delete(oldest.value.key);
+      this.#options.onEvict();
+    }
+    const estimate = { meanMs: 0, classMs: 0, admissionMs: 0 };
+    const learned = { key, counts: new Float64Array(BUCKET_COUNT), total: 0, estimate };
+    this.#nodes.set(key, this.#byUse.pushBack(learned));
+    return learned;
+  }
+}
+
+function keyOf(service: string, operation: string): string {
+  return `${service} ${operation}`.slice(0, MAX_KEY_LENGTH);
+}
+
+function decay(learned: LearnedOperation, factor: number): void {
+  for (let i = 0; i < BUCKET_COUNT; i++) learned.counts[i] = (learned.counts[i] ?? 0) * factor;
+  learned.total *= factor;
+}
+
+function removeCount(learned: LearnedOperation, bucket: number): void {
+  const removed = Math.min(1, learned.counts[bucket] ?? 0);
+  learned.counts[bucket] = (learned.counts[bucket] ?? 0) - removed;
+  learned.total -= removed;
+}
+
+function meanOf(learned: LearnedOperation): number {
+  let sum = 0;
+  for (let i = 0; i < BUCKET_COUNT; i++) {
+    // The middle of a bucket on the logarithmic scale.
+    sum += (learned.counts[i] ?? 0) * upperBoundOf(i - 0.5);
+  }
+  return sum / learned.total;
+}
+
+function quantileOf(learned: LearnedOperation, quantile: number): number {
+  let remaining = quantile * learned.total;
+  for (let i = 0; i < BUCKET_COUNT; i++) {
+    remaining -= learned.counts[i] ?? 0;
+    if (remaining <= 0) return upperBoundOf(i);
+  }
+  return upperBoundOf(BUCKET_COUNT - 1);
+}
--- /dev/null
+++ b/src/scheduling/scheduler.spec.ts
@@ -0,0 +1,570 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type { Result } from 'true-myth';
+import type { Service, Team } from '../configuration/index.js';
+import { Metrics } from '../metrics/index.js';
+import { createVirtualClock, type VirtualClock } from '../testing/index.js';
+import {
+  AdmissionReason,
+  createScheduler,
+  schedulingPolicies,
+  SchedulingPolicyId,
+  schedulingSchema,
+  SizeClass,
+  type AdmissionError,
+  type Scheduler,
+  type SchedulerOptions,
+  type SchedulingPolicy,
+  type SlotGrant,
+  type WorkItem,
+} from './index.js';
+
+const SEED = 20240;
+const SLOTS = 8;
+const learned = schedulingPolicies[SchedulingPolicyId.LearnedClasses];
+
+type Create = (options: SchedulerOptions) => Scheduler;
+
+interface Rig {
+  clock: VirtualClock;
+  metrics: Metrics;
+  scheduler: Scheduler;
+  teams: Map<string, Team>;
+  item: (change?: Partial<WorkItem>) => WorkItem;
+}
+
+function createRig(options: Partial<SchedulerOptions> = {}, create: Create = createScheduler): Rig {
+  const clock = createVirtualClock();
+  const metrics = new Metrics();
+  const services = new Map<string, Service>(
+    ['draws', 'exports'].map((id) => [
+      id,
+      { id, pool: id, maxQueued: 40, spill: true, minAvailableSlots: 0 },
+    ]),
+  );
+  const quota = { maxQueued: 30, maxRunning: 100, maxUrgent: 2, maxJobs: 1 };
+  const teams = new Map<string, Team>([
+    ['a', { id: 'a', weight: 1, ...quota }],
+    ['b', { id: 'b', weight: 3, ...quota }],
+  ]);
+  const scheduler = create({
+    clock,
+    metrics,
+    settings: schedulingSchema.parse({}),
+    service: (id) => services.get(id),
+    team: (id) => teams.get(id),
+    choose: (candidates) => candidates[0],
+    ...options,
+  });
+  scheduler.setExecutors([{ vm: 'vm1', service: 'draws', slots: SLOTS }]);
+  let count = 0;
+  const item = (change: Partial<WorkItem> = {}): WorkItem => ({
+    requestId: `r${(count += 1)}`,
+    service: 'draws',
+    team: 'a',
+    urgent: false,
+    operation: 'draw',
+    deadline: clock.now() + 60_000,
+    signal: new AbortController().signal,
+    ...change,
+  });
+  return { clock, metrics, scheduler, teams, item };
+}
+
+/** Collects grants and refusals in the order in which they arrive. */
+function track(rig: Rig) {
+  const grants: { item: WorkItem; grant: SlotGrant }[] = [];
+  const refusals = new Map<string, AdmissionError>();
+  const submit = (change: Partial<WorkItem> = {}): WorkItem => {
+    const item = rig.item(change);
+    void rig.scheduler.submit(item).then((result) => {
+      if (result.isOk) grants.push({ item, grant: result.value });
+      else refusals.set(item.requestId, result.error);
+    });
+    return item;
+  };
+  return { grants, refusals, submit };
+}
+
+/** Lets an operation run a few times so that its run time is known. */
+async function teach(rig: Rig, operation: string, ranMs: number): Promise<void> {
+  for (let i = 0; i < 8; i++) {
+    const result = await rig.scheduler.submit(rig.item({ operation }));
+    if (result.isOk) result.value.release(ranMs);
+  }
+}
+
+async function fillSlots(rig: Rig, operation = 'draw'): Promise<SlotGrant[]> {
+  await teach(rig, operation, 50);
+  const held: SlotGrant[] = [];
+  for (let i = 0; i < SLOTS; i++) {
+    const result = await rig.scheduler.submit(rig.item({ operation }));
+    if (result.isOk) held.push(result.value);
+  }
+  return held;
+}
+
+const refusals: {
+  reason: AdmissionReason;
+  arrange?: (rig: Rig) => unknown;
+  change?: (rig: Rig) => Partial<WorkItem>;
+}[] = [
+  { reason: AdmissionReason.UnknownService, change: () => ({ service: 'x' }) },
+  { reason: AdmissionReason.UnknownTeam, change: () => ({ team: 'x' }) },
+  { reason: AdmissionReason.NoBackend, change: () => ({ service: 'exports' }) },
+  { reason: AdmissionReason.NoBackend, change: () => ({ avoid: new Set(['vm1']) }) },
+  { reason: AdmissionReason.DeadlineExpired, change: () => ({ deadline: 0 }) },
+  { reason: AdmissionReason.Cancelled, change: () => ({ signal: AbortSignal.abort() }) },
+  {
+    reason: AdmissionReason.ShuttingDown,
+    arrange: (rig) => {
+      rig.scheduler.close();
+    },
+  },
+  {
+    reason: AdmissionReason.DeadlineUnmeetable,
+    arrange: (rig) => fillSlots(rig),
+    change: (rig) => ({ deadline: rig.clock.now() + 20 }),
+  },
+];
+
+for (const { reason, arrange, change } of refusals) {
+  test(`refuses with ${reason}: ${String(change)}`, async (t) => {
+    const rig = createRig();
+    await arrange?.(rig);
+    const result = await rig.scheduler.submit(rig.item(change?.(rig)));
+    t.true(result.isErr && result.error.code === reason);
+    t.true(result.isErr && result.error.retryAfterMs >= 1);
+    const counter = await rig.metrics.registry.getSingleMetricAsString(
+      'burdocknotch_scheduling_refused_total',
+    );
+    t.true(counter.includes(`reason="${reason}"} 1`));
+  });
+}
+
+test('retry-after of a refusal is long enough for the same request to be admitted then', async (t) => {
+  const rig = createRig();
+  const tracked = track(rig);
+  const held = await fillSlots(rig);
+  for (let i = 0; i < 24; i++) tracked.submit();
+  const budgetMs = 150;
+  const first = await rig.scheduler.submit(rig.item({ deadline: rig.clock.now() + budgetMs }));
+  t.true(first.isErr && first.error.code === AdmissionReason.DeadlineUnmeetable);
+  const retryAfterMs = first.isErr ? first.error.retryAfterMs : 0;
+  const runFor = async (ms: number) => {
+    await rig.clock.advance(ms);
+    const batch = [...held.splice(0), ...tracked.grants.splice(0).map(({ grant }) => grant)];
+    for (const grant of batch) grant.release(50);
+  };
+  for (let passedMs = 0; passedMs < retryAfterMs; passedMs += 50) await runFor(50);
+  const again = rig.scheduler.submit(rig.item({ deadline: rig.clock.now() + budgetMs }));
+  await runFor(50);
+  await runFor(50);
+  t.true((await again).isOk);
+});
+
+const leaves: { name: string; reason: AdmissionReason; act: (rig: Rig) => Promise<void> }[] = [
+  {
+    name: 'its deadline passes',
+    reason: AdmissionReason.DeadlineExpired,
+    act: (rig) => rig.clock.advance(60_000),
+  },
+  {
+    name: 'the last executor leaves',
+    reason: AdmissionReason.NoBackend,
+    act: async (rig) => {
+      rig.scheduler.setExecutors([]);
+      await rig.clock.advance(0);
+    },
+  },
+  {
+    name: 'the scheduler closes',
+    reason: AdmissionReason.ShuttingDown,
+    act: async (rig) => {
+      rig.scheduler.close();
+      await rig.clock.advance(0);
+    },
+  },
+];
+
+for (const { name, reason, act } of leaves) {
+  test(`a waiting item leaves the queue at once when ${name}`, async (t) => {
+    const rig = createRig();
+    const { submit, refusals: refused } = track(rig);
+    await fillSlots(rig);
+    const waiting = submit();
+    t.is(rig.scheduler.load()[0]?.queued, 1);
+    await act(rig);
+    t.is(refused.get(waiting.requestId)?.code, reason);
+    t.is(rig.scheduler.load()[0]?.queued ?? 0, 0);
+  });
+}
+
+const orders: {
+  name: string;
+  policy: SchedulingPolicyId;
+  items: Partial<WorkItem>[];
+  guaranteedSlotShare?: number;
+  expected: number[];
+}[] = [
+  {
+    name: 'learned classes put short work first, whatever was declared',
+    policy: SchedulingPolicyId.LearnedClasses,
+    items: [
+      { operation: 'slow', declaredMs: 1 },
+      { operation: 'draw', declaredMs: 1e6 },
+    ],
+    expected: [1, 0],
+  },
+  {
+    name: 'longer work goes first up to its guaranteed slots, here one',
+    policy: SchedulingPolicyId.LearnedClasses,
+    items: [{}, { operation: 'slow' }, { operation: 'slow' }],
+    guaranteedSlotShare: 1 / 16,
+    expected: [1, 0, 2],
+  },
+  {
+    name: 'declared classes believe the caller',
+    policy: SchedulingPolicyId.DeclaredClasses,
+    items: [
+      { operation: 'draw', declaredMs: 500 },
+      { operation: 'slow', declaredMs: 1 },
+    ],
+    expected: [1, 0],
+  },
+  {
+    name: 'first come first served keeps the order of arrival',
+    policy: SchedulingPolicyId.FirstComeFirstServed,
+    items: [{ operation: 'slow' }, { urgent: true }, {}],
+    expected: [0, 1, 2],
+  },
+  {
+    name: 'urgent work goes first within its quota of two',
+    policy: SchedulingPolicyId.LearnedClasses,
+    items: [{}, { urgent: true }, { urgent: true }, { urgent: true }],
+    expected: [1, 2, 0, 3],
+  },
+];
+
+for (const { name, policy, items, expected, guaranteedSlotShare = 0 } of orders) {
+  test(name, async (t) => {
+    const settings = schedulingSchema.parse({ policy, guaranteedSlotShare });
+    const rig = createRig({ settings });
+    await teach(rig, 'slow', 500);
+    const held = await fillSlots(rig);
+    const { submit, grants } = track(rig);
+    const ids = items.map((change) => submit(change).requestId);
+    for (const grant of held.splice(0, items.length)) grant.release(20);
+    await rig.clock.advance(0);
+    t.deepEqual(
+      grants.map(({ item }) => ids.indexOf(item.requestId)),
+      expected,
+    );
+  });
+}
+
+/** Starts of team b (weight 3) out of 24 while team a (weight 1), which came first, waits too. */
+async function startsOfHeavierTeam(policy: SchedulingPolicy): Promise<number> {
+  const rig = createRig({ policy });
+  const held = await fillSlots(rig);
+  const { submit, grants } = track(rig);
+  for (let i = 0; i < 20; i++) submit({ team: 'a' });
+  for (let i = 0; i < 20; i++) submit({ team: 'b' });
+  for (let i = 0; i < 24; i++) {
+    const next = held.shift() ?? grants[i - SLOTS]?.grant;
+    next?.release(50);
+    await rig.clock.advance(0);
+  }
+  return grants.filter(({ item }) => item.team === 'b').length;
+}
+
+test('teams share slots by weight within one round; one line for all teams would not', async (t) => {
+  const isFair = (starts: number) => Math.abs(starts - 18) <= 2;
+  t.true(isFair(await startsOfHeavierTeam(learned)));
+  t.false(isFair(await startsOfHeavierTeam({ ...learned, flowKey: () => '' })));
+});
+
+test('a team at its running quota holds back only itself', async (t) => {
+  const rig = createRig();
+  const quota = { weight: 1, maxQueued: 30, maxRunning: 1, maxUrgent: 2, maxJobs: 1 };
+  rig.teams.set('a', { id: 'a', ...quota });
+  const { submit, grants } = track(rig);
+  submit();
+  submit();
+  submit({ team: 'b' });
+  await rig.clock.advance(0);
+  t.deepEqual(
+    grants.map(({ item }) => item.team),
+    ['a', 'b'],
+  );
+  grants[0]?.grant.release(1);
+  await rig.clock.advance(0);
+  t.is(grants.length, 3);
+});
+
+/** Most slots that a flood of long work of an operation unknown so far holds, half of it waiting. */
+async function longSlotsAfterFlood(policy: SchedulingPolicy): Promise<number> {
+  const rig = createRig({ policy });
+  const { submit, grants } = track(rig);
+  for (let i = 0; i < 20; i++) submit({ operation: 'unknown', declaredMs: 1 });
+  await rig.clock.advance(2_000);
+  for (const { grant } of grants.splice(0, 4)) grant.release(2_000);
+  await rig.clock.advance(0);
+  return grants.length;
+}
+
+test('work that outlives its class counts as long from then on', async (t) => {
+  t.is(await longSlotsAfterFlood(learned), 3);
+  t.true((await longSlotsAfterFlood({ ...learned, outlivesAfterMs: () => Infinity })) > 3);
+});
+
+test('long work holds a bounded share of slots and of the queue, short work the rest', async (t) => {
+  const rig = createRig();
+  await teach(rig, 'draw', 20);
+  await teach(rig, 'export', 5_000);
+  const { submit, grants, refusals: refused } = track(rig);
+  const deadline = rig.clock.now() + 600_000;
+  for (let i = 0; i < 28; i++) submit({ operation: 'export', deadline });
+  await rig.clock.advance(0);
+  t.is(grants.length, 3);
+  t.is(refused.size, 28 - 3 - 20);
+  const short = await rig.scheduler.submit(rig.item());
+  t.true(short.isOk && short.value.waitedMs === 0 && short.value.sizeClass === SizeClass.Short);
+});
+
+test('an item waits for an executor it does not avoid and holds back no other', async (t) => {
+  const rig = createRig();
+  rig.scheduler.setExecutors([
+    { vm: 'vm1', service: 'draws', slots: 1 },
+    { vm: 'vm2', service: 'draws', slots: 2 },
+  ]);
+  await teach(rig, 'draw', 20);
+  const { submit, grants } = track(rig);
+  submit();
+  submit({ avoid: new Set(['vm2']) });
+  submit();
+  await rig.clock.advance(0);
+  t.is(grants.length, 2);
+  grants[0]?.grant.release(20);
+  await rig.clock.advance(0);
+  t.deepEqual(
+    grants.map(({ grant }) => grant.vm),
+    ['vm1', 'vm2', 'vm1'],
+  );
+});
+
+test('items wait while no executor may be chosen and start once one may', async (t) => {
+  let usable = false;
+  const rig = createRig({ choose: (candidates) => (usable ? candidates[0] : undefined) });
+  const { submit, grants } = track(rig);
+  submit();
+  await rig.clock.advance(1_000);
+  t.is(grants.length, 0);
+  usable = true;
+  await rig.clock.advance(50);
+  t.is(grants.length, 1);
+});
+
+test('every queue is bounded, and a full one refuses with its reason', async (t) => {
+  const rig = createRig();
+  const { submit, refusals: refused } = track(rig);
+  const deadline = 1e9;
+  for (let i = 0; i < 60; i++) submit({ team: 'a', deadline });
+  for (let i = 0; i < 60; i++) submit({ team: 'b', deadline });
+  await rig.clock.advance(0);
+  const codes = [...refused.values()].map((err) => err.code);
+  t.is(rig.scheduler.load()[0]?.queued, 40);
+  t.is(codes.filter((code) => code === AdmissionReason.TeamQueueFull).length, 60 - 6 - 30);
+  t.is(codes.filter((code) => code === AdmissionReason.ServiceQueueFull).length, 60 - 10);
+});
+
+test('items that avoid the only free executor count against the queue limit', async (t) => {
+  const rig = createRig();
+  rig.scheduler.setExecutors([
+    { vm: 'vm1', service: 'draws', slots: 1 },
+    { vm: 'vm2', service: 'draws', slots: 1 },
+  ]);
+  const { submit, refusals: refused } = track(rig);
+  for (let i = 0; i < 60; i++) submit({ avoid: new Set(['vm2']), deadline: 1e9 });
+  await rig.clock.advance(0);
+  t.is(rig.scheduler.load()[0]?.queued, 30);
+  t.is(refused.size, 29);
+});
+
+type Step =
+  | {
+      kind: 'submit';
+      team: string;
+      operation: string;
+      urgent: boolean;
+      budgetMs: number;
+      avoid: boolean;
+    }
+  | { kind: 'cancel'; index: number }
+  | { kind: 'release'; index: number }
+  | { kind: 'advance'; ms: number }
+  | { kind: 'executors'; vms: string[] };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('submit' as const),
+      team: fc.constantFrom('a', 'b'),
+      operation: fc.constantFrom('draw', 'export', 'other'),
+      urgent: fc.boolean(),
+      budgetMs: fc.integer({ min: 1, max: 5_000 }),
+      avoid: fc.boolean(),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc
+      .nat(50)
+      .chain((index): fc.Arbitrary<Step> =>
+        fc.constantFrom({ kind: 'cancel', index }, { kind: 'release', index }),
+      ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('advance' as const),
+      ms: fc.integer({ min: 1, max: 2_000 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('executors' as const),
+      vms: fc.subarray(['vm1', 'vm2', 'vm3']),
+    }),
+  },
+);
+
+/** Runs steps against a scheduler and names the first rule it breaks. */
+async function findFault(steps: Step[], create: Create): Promise<string | undefined> {
+  const rig = createRig({}, create);
+  const settled = new Map<string, number>();
+  const callers: AbortController[] = [];
+  const grants: SlotGrant[] = [];
+  const held = new Map<string, number>();
+  let fault: string | undefined;
+  const onSettled = (item: WorkItem, result: Result<SlotGrant, AdmissionError>) => {
+    settled.set(item.requestId, (settled.get(item.requestId) ?? 0) + 1);
+    if (!result.isOk) return;
+    const { vm } = result.value;
+    grants.push(result.value);
+    held.set(vm, (held.get(vm) ?? 0) + 1);
+    if ((held.get(vm) ?? 0) > 2) fault ??= `more than 2 slots in use on ${vm}`;
+    if (item.avoid?.has(vm)) fault ??= `${vm} is used although the item avoids it`;
+    if (item.deadline <= rig.clock.now()) fault ??= 'an item starts after its deadline';
+  };
+  const release = (index: number) => {
+    const grant = grants.splice(index % Math.max(1, grants.length), 1)[0];
+    if (!grant) return;
+    held.set(grant.vm, (held.get(grant.vm) ?? 0) - 1);
+    grant.release(grant.vm.length * 20);
+    grant.release(1);
+  };
+  const own = (vms: string[]) => {
+    rig.scheduler.setExecutors(vms.map((vm) => ({ vm, service: 'draws', slots: 2 })));
+  };
+  own(['vm1', 'vm2']);
+  let submitted = 0;
+  for (const step of steps) {
+    if (step.kind === 'submit') {
+      const caller = new AbortController();
+      callers.push(caller);
+      const avoid = step.avoid ? new Set(['vm1']) : undefined;
+      const deadline = rig.clock.now() + step.budgetMs;
+      const item = rig.item({ ...step, avoid, deadline, signal: caller.signal });
+      submitted += 1;
+      void rig.scheduler.submit(item).then((result) => {
+        onSettled(item, result);
+      });
+    } else if (step.kind === 'cancel') callers[step.index % Math.max(1, callers.length)]?.abort();
+    else if (step.kind === 'release') release(step.index);
+    else if (step.kind === 'advance') await rig.clock.advance(step.ms);
+    else own(step.vms);
+    await rig.clock.advance(0);
+  }
+  own(['vm1', 'vm2']);
+  while (grants.length > 0) {
+    release(0);
+    await rig.clock.advance(0);
+  }
+  await rig.clock.advance(6_000);
+  while (grants.length > 0) release(0);
+  const load = rig.scheduler.load()[0];
+  if (settled.size !== submitted) fault ??= `${submitted - settled.size} items were lost`;
+  if ([...settled.values()].some((count) => count !== 1)) fault ??= 'an item settled twice';
+  if (load?.freeSlots !== 4) fault ??= `${load?.freeSlots ?? 0} of 4 slots are free at the end`;
+  if (load?.queued !== 0) fault ??= `${load?.queued ?? 0} items wait at the end`;
+  return fault;
+}
+
+/** A scheduler whose grants or answers are changed, to show that the checks notice. */
+function withBrokenSubmit(
+  breakIt: (
+    result: Result<SlotGrant, AdmissionError>,
+  ) => Promise<Result<SlotGrant, AdmissionError>>,
+): Create {
+  return (options) => {
+    const inner = createScheduler(options);
+    return {
+      submit: (item) => inner.submit(item).then(breakIt),
+      setExecutors: (executors) => {
+        inner.setExecutors(executors);
+      },
+      load: () => inner.load(),
+      estimateWaitMs: (service, operation) => inner.estimateWaitMs(service, operation),
+      close: () => {
+        inner.close();
+      },
+    };
+  };
+}
+
+const variants: { name: string; create: Create; isSound: boolean }[] = [
+  { name: 'the scheduler', create: createScheduler, isSound: true },
+  {
+    name: 'a variant that never releases slots',
+    create: withBrokenSubmit((result) =>
+      Promise.resolve(result.map((grant) => ({ ...grant, release: () => undefined }))),
+    ),
+    isSound: false,
+  },
+  {
+    name: 'a variant that loses refused items',
+    create: withBrokenSubmit((result) =>
+      result.isErr ? new Promise(() => undefined) : Promise.resolve(result),
+    ),
+    isSound: false,
+  },
+  {
+    name: 'a variant that ignores the bound on slots',
+    create: (options) => {
+      const inner = createScheduler(options);
+      const setExecutors: Scheduler['setExecutors'] = (executors) => {
+        inner.setExecutors(executors.map((executor) => ({ ...executor, slots: 5 })));
+      };
+      const submit: Scheduler['submit'] = (item) => inner.submit(item);
+      return { ...inner, submit, setExecutors, load: () => inner.load() };
+    },
+    isSound: false,
+  },
+];
+
+for (const { name, create, isSound } of variants) {
+  test(`any order of events: ${name} is ${isSound ? 'sound' : 'found out'}`, async (t) => {
+    const property = fc.asyncProperty(
+      fc.array(stepArbitrary, { minLength: 20, maxLength: 120 }),
+      async (steps) => {
+        const fault = await findFault(steps, create);
+        if (fault) throw new Error(fault);
+      },
+    );
+    const details = await fc.check(property, { seed: SEED, numRuns: 150, endOnFailure: true });
+    t.is(!details.failed, isSound, fc.defaultReportMessage(details) ?? `seed ${SEED}`);
+  });
+}
--- /dev/null
+++ b/src/scheduling/slotTable.ts
@@ -0,0 +1,130 @@
+import { sizeClasses, type SlotShares } from './policies.js';
+import { SizeClass, type ExecutorSlots } from './types.js';
+
+/** Slots of one executor and what holds them. */
+export interface ExecutorState {
+  spec: ExecutorSlots;
+  /** False once the executor left; its entry goes with the last grant. */
+  owned: boolean;
+  busy: number;
+  /** Busy slots by the class of what runs in them. */
+  held: Record<SizeClass, number>;
+}
+
+/** Slots by service, over usable executors. */
+export interface SlotCount {
+  slots: number;
+  busy: number;
+}
+
+/** A share of slots as a count; a share above zero is at least one slot. */
+function slotLimit(slots: number, share: number): number {
+  return share > 0 ? Math.max(1, Math.floor(slots * share)) : 0;
+}
+
+/** Slots held by a class and all longer ones. */
+function heldFrom(state: ExecutorState, sizeClass: SizeClass): number {
+  return sizeClasses
+    .slice(sizeClasses.indexOf(sizeClass))
+    .reduce((sum, each) => sum + state.held[each], 0);
+}
+
+/** Slots of the executors that this process owns. */
+export class SlotTable {
+  readonly #byVm = new Map<string, ExecutorState>();
+  readonly #byService = new Map<string, ExecutorState[]>();
+  readonly #usable: (vm: string) => boolean;
+
+  /** @param usable - whether new work may go to a VM at all */
+  constructor(usable: (vm: string) => boolean) {
+    this.#usable = usable;
+  }
+
+  /** Replaces the owned executors; what runs on the others stays counted until released. */
+  setExecutors(executors: readonly ExecutorSlots[]): void {
+    for (const state of this.#byVm.values()) state.owned = false;
+    this.#byService.clear();
+    for (const spec of executors) this.#adopt(spec);
+    for (const state of [...this.#byVm.values()]) this.#forgetIfUnused(state);
+  }
+
+  services(): string[] {
+    return [...this.#byService.keys()];
+  }
+
+  busySlots(vm: string): number {
+    return this.#byVm.get(vm)?.busy ?? 0;
+  }
+
+  /** Executors of a service that may get new work, whether or not they have a free slot. */
+  usableExecutors(service: string): ExecutorState[] {
+    return (this.#byService.get(service) ?? []).filter((state) => this.#usable(state.spec.vm));
+  }
+
+  /** Executors with a slot for the class within the bounds of its shares. */
+  candidates(service: string, sizeClass: SizeClass, shares: SlotShares): ExecutorState[] {
+    const states = this.usableExecutors(service);
+    const slots = states.reduce((sum, state) => sum + state.spec.slots, 0);
+    if (this.held(states, sizeClass) >= slotLimit(slots, shares.most)) return [];
+    return states.filter(
+      (state) =>
+        state.busy < state.spec.slots &&
+        heldFrom(state, sizeClass) < slotLimit(state.spec.slots, shares.mostPerExecutor),
+    );
+  }
+
+  /** Whether a class holds fewer slots than it is guaranteed. */
+  isBelowGuarantee(service: string, sizeClass: SizeClass, shares: SlotShares): boolean {
+    const states = this.usableExecutors(service);
+    const slots = states.reduce((sum, state) => sum + state.spec.slots, 0);
+    return this.held(states, sizeClass) < Math.floor(slots * shares.guaranteed);
+  }
+
+  /** Slots held by a class and all longer ones. */
+  held(states: readonly ExecutorState[], sizeClass: SizeClass): number {
+    return states.reduce((sum, state) => sum + heldFrom(state, sizeClass), 0);
+  }
+
+  count(service: string): SlotCount {
+    const states = this.usableExecutors(service);
+    return {
+      slots: states.reduce((sum, state) => sum + state.spec.slots, 0),
+      busy: states.reduce((sum, state) => sum + Math.min(state.busy, state.spec.slots), 0),
+    };
+  }
+
+  hold(state: ExecutorState, sizeClass: SizeClass): void {
+    state.busy += 1;
+    state.held[sizeClass] += 1;
+  }
+
+  reclassify(state: ExecutorState, from: SizeClass, to: SizeClass): void {
+    state.held[from] -= 1;
+    state.held[to] += 1;
+  }
+
+  release(state: ExecutorState, sizeClass: SizeClass): void {
+    state.busy -= 1;
+    state.held[sizeClass] -= 1;
+    this.#forgetIfUnused(state);
+  }
+
+  #adopt(spec: ExecutorSlots): void {
+    const state = this.#byVm.get(spec.vm) ?? {
+      spec,
+      owned: true,
+      busy: 0,
+      held: { [SizeClass.Short]: 0, [SizeClass.Medium]: 0, [SizeClass.Long]: 0 },
+    };
+    state.spec = spec;
+    state.owned = true;
+    this.#byVm.set(spec.vm, state);
+    const states = this.#byService.get(spec.service);
+    if (states) states.push(state);
+    else this.#byService.set(spec.service, [state]);
+  }
+
+  #forgetIfUnused(state: ExecutorState): void {
+    if (!state.owned && state.busy === 0) this.#byVm.delete(state.spec.vm);
+  }
+}
--- /dev/null
+++ b/src/scheduling/structures.spec.ts
@@ -0,0 +1,74 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { createVirtualClock } from '../testing/index.js';
+import { RunTimeTable } from './runTimes.js';
+import { TimerQueue, type DueEntry } from './timerQueue.js';
+
+const SEED = 20240;
+
+function createTable(onEvict = () => undefined as unknown) {
+  return new RunTimeTable({
+    maxOperations: 100,
+    learningWindow: 64,
+    classQuantile: 0.8,
+    admissionQuantile: 0.9,
+    onEvict: () => void onEvict(),
+  });
+}
+
+test('the table of run times keeps the operations used last and counts what it drops', (t) => {
+  let evicted = 0;
+  const table = createTable(() => (evicted += 1));
+  for (let i = 0; i < 100; i++) table.observe('s', `op${i}`, 10);
+  table.estimate('s', 'op0');
+  for (let i = 100; i < 150; i++) table.observe('s', `op${i}`, 10);
+  t.is(table.size, 100);
+  t.is(evicted, 50);
+  t.truthy(table.estimate('s', 'op0'));
+  t.is(table.estimate('s', 'op1'), undefined);
+});
+
+const learnt: { name: string; runs: number[]; classMs: [number, number] }[] = [
+  { name: 'steady runs', runs: Array<number>(50).fill(20), classMs: [20, 30] },
+  {
+    name: 'a straggler in twenty leaves the class alone',
+    runs: Array.from({ length: 100 }, (_, i) => (i % 20 === 0 ? 60_000 : 20)),
+    classMs: [20, 30],
+  },
+  {
+    name: 'an operation that became slow is learned again',
+    runs: [...Array<number>(200).fill(20), ...Array<number>(64).fill(5_000)],
+    classMs: [5_000, 7_500],
+  },
+];
+
+for (const { name, runs, classMs } of learnt) {
+  test(`run times: ${name}`, (t) => {
+    const table = createTable();
+    for (const ms of runs) table.observe('s', 'op', ms);
+    const estimate = table.estimate('s', 'op')?.classMs ?? 0;
+    t.true(estimate >= classMs[0] && estimate <= classMs[1], `${estimate} ms`);
+  });
+}
+
+test('a timer queue reports entries in due order and never removed ones', async (t) => {
+  const entries = fc.array(fc.record({ dueAt: fc.nat(1_000), isRemoved: fc.boolean() }));
+  const property = fc.asyncProperty(entries, async (list) => {
+    const clock = createVirtualClock();
+    const seen: { dueAt: number; at: number }[] = [];
+    const queue = new TimerQueue<number>(clock, (dueAt) => seen.push({ dueAt, at: clock.now() }));
+    const added: DueEntry<number>[] = list.map(({ dueAt }) => queue.add(dueAt, dueAt));
+    added.forEach((entry, i) => {
+      if (list[i]?.isRemoved) queue.remove(entry);
+    });
+    await clock.advance(2_000);
+    const expected = list.filter((entry) => !entry.isRemoved).map((entry) => entry.dueAt);
+    t.deepEqual(
+      seen.map((entry) => entry.at),
+      expected.sort((a, b) => a - b),
+    );
+    t.true(seen.every((entry) => entry.at === entry.dueAt));
+    t.is(queue.size, 0);
+  });
+  await fc.assert(property, { seed: SEED, numRuns: 100 });
+});
--- /dev/null
+++ b/src/scheduling/timerQueue.ts
@@ -0,0 +1,118 @@
+import type { Clock, Timer } from '../clock/index.js';
+
+/** Position of a value in a {@link TimerQueue}. */
+export interface DueEntry<T> {
+  readonly value: T;
+  readonly dueAt: number;
+  /** Index in the heap; -1 when removed. */
+  index: number;
+}
+
+/**
+ * Values ordered by due time in a binary heap behind a single timer. Adding and removing are
+ * O(log n).
+ */
+export class TimerQueue<T> {
+  readonly #clock: Clock;
+  readonly #onDue: (value: T) => void;
+  readonly #heap: DueEntry<T>[] = [];
+  #timer: Timer | undefined;
+  #timerAt = Infinity;
+
+  constructor(clock: Clock, onDue: (value: T) => void) {
+    this.#clock = clock;
+    this.#onDue = onDue;
+  }
+
+  get size(): number {
+    return this.#heap.length;
+  }
+
+  /**
+   * Adds a value.
+   *
+   * @param dueAt - monotonic time in milliseconds; Infinity is never due
+   */
+  add(dueAt: number, value: T): DueEntry<T> {
+    const entry: DueEntry<T> = { value, dueAt, index: this.#heap.length };
+    this.#heap.push(entry);
+    this.#siftUp(entry);
+    this.#arm();
+    return entry;
+  }
+
+  /** Removes an entry. Does nothing when it is no longer in the queue. */
+  remove(entry: DueEntry<T>): void {
+    const index = entry.index;
+    if (index < 0) return;
+    entry.index = -1;
+    const last = this.#heap.pop();
+    if (!last || last === entry) return;
+    this.#place(last, index);
+    this.#siftUp(last);
+    this.#siftDown(last);
+  }
+
+  /** Removes everything and stops the timer. */
+  clear(): void {
+    for (const entry of this.#heap) entry.index = -1;
+    this.#heap.length = 0;
+    this.#timer?.cancel();
+    this.#timer = undefined;
+    this.#timerAt = Infinity;
+  }
+
+  #arm(): void {
+    const earliest = this.#heap[0]?.dueAt ?? Infinity;
+    // A timer that fires too early arms itself again, so removals never have to move it.
+    if (earliest >= this.#timerAt) return;
+    this.#timer?.cancel();
+    this.#timerAt = earliest;
+    const delayMs = Math.max(0, Math.ceil(earliest - this.#clock.now()));
+    this.#timer = this.#clock.setTimer(Math.min(delayMs, MAX_TIMER_MS), () => {
+      this.#fire();
+    });
+  }
+
+  #fire(): void {
+    this.#timer = undefined;
+    this.#timerAt = Infinity;
+    const now = this.#clock.now();
+    for (let next = this.#heap[0]; next && next.dueAt <= now; next = this.#heap[0]) {
+      this.remove(next);
+      this.#onDue(next.value);
+    }
+    this.#arm();
+  }
+
+  #place(entry: DueEntry<T>, index: number): void {
+    this.#heap[index] = entry;
+    entry.index = index;
+  }
+
+  #siftUp(entry: DueEntry<T>): void {
+    while (entry.index > 0) {
+      const parentIndex = (entry.index - 1) >> 1;
+      const parent = this.#heap[parentIndex];
+      if (!parent || parent.dueAt <= entry.dueAt) return;
+      this.#place(parent, entry.index);
+      this.#place(entry, parentIndex);
+    }
+  }
+
+  #siftDown(entry: DueEntry<T>): void {
+    while (true) {
+      const left = this.#heap[2 * entry.index + 1];
+      const right = this.#heap[2 * entry.index + 2];
+      if (!left) return;
+      const child = right && right.dueAt < left.dueAt ? right : left;
+      if (entry.dueAt <= child.dueAt) return;
+      const childIndex = child.index;
+      this.#place(child, entry.index);
+      this.#place(entry, childIndex);
+    }
+  }
+}
+
+/** Longest delay that Node's timers accept, in milliseconds; larger ones fire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
