--- /dev/null
+++ b/src/backends/health.spec.ts
@@ -0,0 +1,245 @@
+import test from 'ava';
+import { createEventBus, EventName, LeavingSign } from '../events/index.js';
+import { EntityKind, VmState, type ConfigView } from '../configuration/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { Metrics } from '../metrics/index.js';
+import { createRandom } from '../random/index.js';
+import { createVirtualClock } from '../testing/index.js';
+import {
+  BackendError,
+  BackendErrorCode,
+  backendsSchema,
+  createBackendHealth,
+  createChooser,
+  createLeavingSet,
+  createUsable,
+} from './index.js';
+
+const SEED = 20240;
+const VMS = Array.from({ length: 6 }, (_, i) => `vm${i}`);
+const EXECUTORS = VMS.map((vm) => ({ vm, service: 'draws', slots: 8 }));
+
+function createRig(probe: (vm: string) => boolean = () => false) {
+  const clock = createVirtualClock();
+  const lifecycle = new Lifecycle('test');
+  const health = createBackendHealth({
+    clock,
+    random: createRandom(SEED),
+    metrics: new Metrics(),
+    settings: backendsSchema.parse({}),
+    lifecycle,
+    probe: (vm) => Promise.resolve(probe(vm)),
+  });
+  health.setExecutors(EXECUTORS);
+  const attempt = (vm: string, code?: BackendErrorCode, status = 200) => {
+    health.started(vm);
+    health.record(vm, code && new BackendError(code, 'failed', true), status, 10);
+  };
+  const ejected = () => VMS.filter((vm) => health.weight(vm) === 0);
+  return { clock, lifecycle, health, attempt, ejected };
+}
+
+type Rig = ReturnType<typeof createRig>;
+
+function repeat(count: number, act: (i: number) => void): void {
+  for (let i = 0; i < count; i++) act(i);
+}
+
+const ejections: { name: string; act: (rig: Rig) => unknown; ejected: string[] }[] = [
+  {
+    name: 'an executor that fails everything',
+    act: (rig) => {
+      repeat(10, () => {
+        for (const vm of VMS)
+          rig.attempt(vm, vm === 'vm1' ? BackendErrorCode.Truncated : undefined);
+      });
+    },
+    ejected: ['vm1'],
+  },
+  {
+    name: 'an executor that answers everything with a server error',
+    act: (rig) => {
+      repeat(10, () => {
+        for (const vm of VMS) rig.attempt(vm, undefined, vm === 'vm1' ? 500 : 200);
+      });
+    },
+    ejected: ['vm1'],
+  },
+  {
+    name: 'an executor that stalls while the others answer',
+    act: async (rig) => {
+      repeat(8, () => {
+        rig.health.started('vm1');
+      });
+      await rig.clock.advance(3_000);
+      repeat(25, () => {
+        rig.attempt('vm2');
+      });
+    },
+    ejected: ['vm1'],
+  },
+  {
+    name: 'nothing while a few long requests run',
+    act: async (rig) => {
+      repeat(4, () => {
+        rig.health.started('vm1');
+      });
+      await rig.clock.advance(60_000);
+      repeat(25, () => {
+        rig.attempt('vm2');
+      });
+    },
+    ejected: [],
+  },
+  {
+    name: 'nothing when all fail alike',
+    act: (rig) => {
+      repeat(20, () => {
+        for (const vm of VMS) rig.attempt(vm, BackendErrorCode.Timeout);
+      });
+    },
+    ejected: [],
+  },
+  {
+    name: 'at most a third of the pool',
+    act: (rig) => {
+      repeat(40, () => {
+        for (const vm of VMS) rig.attempt(vm, vm > 'vm2' ? BackendErrorCode.Crossed : undefined);
+      });
+    },
+    ejected: ['vm3', 'vm4'],
+  },
+  {
+    name: 'nothing for ends that do not speak against the executor',
+    act: (rig) => {
+      repeat(20, () => {
+        rig.attempt('vm1', BackendErrorCode.Cancelled);
+        rig.attempt('vm1', BackendErrorCode.NotStarted);
+      });
+    },
+    ejected: [],
+  },
+];
+
+for (const { name, act, ejected } of ejections) {
+  test(`ejects ${name}`, async (t) => {
+    const rig = createRig();
+    await act(rig);
+    t.deepEqual(rig.ejected(), ejected);
+  });
+}
+
+test('an ejected executor returns through probes and slow start', async (t) => {
+  let isWell = false;
+  const rig = createRig(() => isWell);
+  const fail = () => {
+    repeat(10, () => {
+      rig.attempt('vm1', BackendErrorCode.ConnectionLost);
+    });
+  };
+  fail();
+  await rig.clock.advance(30_000);
+  t.is(rig.health.weight('vm1'), 0);
+  isWell = true;
+  while (rig.health.weight('vm1') === 0) await rig.clock.advance(1_000);
+  t.true(rig.health.weight('vm1') <= 0.2);
+  await rig.clock.advance(5_000);
+  t.true(rig.health.weight('vm1') > 0.4 && rig.health.weight('vm1') < 1);
+  await rig.clock.advance(10_000);
+  t.is(rig.health.weight('vm1'), 1);
+  await rig.lifecycle.close();
+});
+
+/** Picks per VM out of 1,000 while `vm0` is always idle and the others hold `busy` slots. */
+function picksOfIdle(weight: (vm: string) => number, busy: number): number {
+  const choose = createChooser({ random: createRandom(SEED), weight, isLeaving: () => false });
+  let picks = 0;
+  repeat(1_000, () => {
+    if (choose(EXECUTORS, (vm) => (vm === 'vm0' ? 0 : busy))?.vm === 'vm0') picks += 1;
+  });
+  return picks;
+}
+
+test('the executor with less outstanding work is preferred, with a random element', (t) => {
+  const picks = picksOfIdle(() => 1, 5);
+  // One of two random candidates out of six is the idle one with probability one third.
+  t.true(picks > 280 && picks < 390, String(picks));
+});
+
+test('an executor that fails fast does not attract work; without its weight it would', (t) => {
+  const rig = createRig();
+  repeat(4, () => {
+    rig.attempt('vm0', BackendErrorCode.ConnectionLost);
+  });
+  t.is(
+    picksOfIdle((vm) => rig.health.weight(vm), 6),
+    0,
+  );
+  t.true(picksOfIdle(() => 1, 6) > 0);
+});
+
+test('a lowered weight limits the slots in use even when the others are full', (t) => {
+  const weight = (vm: string) => (vm === 'vm0' ? 0.25 : 1);
+  const choose = createChooser({ random: createRandom(SEED), weight, isLeaving: () => false });
+  t.is(choose(EXECUTORS, (vm) => (vm === 'vm0' ? 1 : 8))?.vm, 'vm0');
+  t.is(
+    choose(EXECUTORS, (vm) => (vm === 'vm0' ? 2 : 8)),
+    undefined,
+  );
+});
+
+test('leaving VMs get nothing new, from the first sign until they are back', async (t) => {
+  const { clock, lifecycle } = createRig();
+  const bus = createEventBus();
+  const away = new Set<string>();
+  const view: ConfigView = {
+    version: 1,
+    get: () => undefined,
+    list: (kind) =>
+      (kind === EntityKind.VmStatus
+        ? [...away].map((id) => ({ id, state: VmState.Leaving }))
+        : []) as never,
+    poolOf: () => undefined,
+    vmsOfPool: () => [],
+  };
+  const settings = backendsSchema.parse({ maxLeaving: 10 });
+  const metrics = new Metrics();
+  const leaving = createLeavingSet({ clock, bus, view, metrics, settings, lifecycle });
+  const usable = createUsable({
+    random: createRandom(SEED),
+    weight: () => 1,
+    isLeaving: (vm) => leaving.has(vm),
+  });
+  const inForce = async (...vms: string[]) => {
+    away.clear();
+    for (const vm of vms) away.add(vm);
+    await bus.emit(EventName.ConfigInForce, { version: 2 });
+  };
+
+  await bus.emit(EventName.VmLeaving, { vm: 'vm1', sign: LeavingSign.VmList });
+  t.false(usable('vm1'));
+  await inForce('vm1');
+  await clock.advance(60_000);
+  t.false(usable('vm1'));
+  await inForce();
+  t.true(usable('vm1'));
+
+  leaving.add('vm2', LeavingSign.OwnRefusal);
+  t.false(usable('vm2'));
+  await clock.advance(5_000);
+  t.true(usable('vm2'));
+
+  repeat(20, (i) => {
+    leaving.add(`other${i}`, LeavingSign.VmList);
+  });
+  t.is(
+    VMS.length +
+      20 -
+      [...VMS, ...Array.from({ length: 20 }, (_, i) => `other${i}`)].filter(usable).length,
+    10,
+  );
+  const counter = await metrics.registry.getSingleMetricAsString(
+    'burdocknotch_backend_leaving_dropped_total',
+  );
+  t.regex(counter, /total 10$/m);
+});
--- a/src/backends/types.ts
+++ b/src/backends/types.ts
@@ -54,6 +54,8 @@
   /** The caller went away after sending. */
   Cancelled = 'cancelled',
   UnknownVm = 'unknown_vm',
+  /** The request cannot be written as HTTP, such as for a header with a line break. */
+  InvalidRequest = 'invalid_request',
 }
 
 /** An attempt at a backend server failed. */
