Add the configuration store, history and cross checks

Cause: every part decides against one versioned configuration and changes it by compare-and-set, and none of this existed.

--- /dev/null
+++ b/src/configuration/checks.ts
@@ -0,0 +1,287 @@
+import { EntityState, entityKinds, type IndexedConfigView } from './entities.js';
+import { ConfigProblemCode, type ConfigProblem } from './problems.js';
+import { entitySchemas } from './schema.js';
+import {
+  EntityKind,
+  WaveState,
+  type ChangeSet,
+  type ConfigSnapshot,
+  type ConfigView,
+  type EntityChange,
+  type EntityOfKind,
+  type Vm,
+} from './types.js';
+
+/** Most changes in one change set; 10,000 VMs take about 2 MB in the version row. */
+export const MAX_CHANGES = 10_000;
+
+type Rule = (view: IndexedConfigView) => ConfigProblem[];
+
+/** Cross rules, in the order in which their problems are listed. */
+const rules: readonly Rule[] = [
+  checkServices,
+  checkPoolRules,
+  checkVms,
+  checkExecutors,
+  checkVmReferences,
+  checkPoolReferences,
+  checkStops,
+];
+
+/**
+ * Checks a whole configuration: the schema of each entity and the rules between entities.
+ *
+ * @returns the problems found, empty when the configuration is sound
+ */
+export function checkConfiguration(snapshot: ConfigSnapshot): ConfigProblem[] {
+  const problems = [...checkEntities(snapshot), ...checkDuplicates(snapshot)];
+  const state = new EntityState();
+  state.reset(snapshot);
+  return [...problems, ...checkRules(state)];
+}
+
+/**
+ * Checks a change set against the configuration that it is meant for. Problems that the
+ * configuration has already, and that the change set leaves as they are, are not reported.
+ *
+ * @returns the problems that the change set would cause, empty when it may be committed
+ */
+export function checkChangeSet(view: ConfigView, changeSet: ChangeSet): ConfigProblem[] {
+  const { changes } = changeSet;
+  if (changes.length > MAX_CHANGES) {
+    const message = `change set ${changeSet.changeId} has ${changes.length} changes, at most ${MAX_CHANGES} are allowed`;
+    return changes
+      .slice(0, 1)
+      .map(({ kind, id }) => problem(ConfigProblemCode.TooManyChanges, kind, id, message));
+  }
+  const own = [...changes.flatMap(checkChange), ...checkRepeatedChanges(changes)];
+  if (own.length > 0) return own;
+  const before = copyOf(view);
+  const known = new Set(checkRules(before).map(problemKey));
+  before.apply(changeSet, view.version + 1);
+  const caused = checkRules(before).filter((found) => !known.has(problemKey(found)));
+  return [...caused, ...changes.flatMap((change) => checkPlannedWave(before, change))];
+}
+
+function checkRules(view: IndexedConfigView): ConfigProblem[] {
+  return rules.flatMap((rule) => rule(view));
+}
+
+function copyOf(view: ConfigView): EntityState {
+  const state = new EntityState();
+  const entities = Object.fromEntries(entityKinds.map((kind) => [kind, view.list(kind)]));
+  state.reset({ version: view.version, entities: entities as ConfigSnapshot['entities'] });
+  return state;
+}
+
+function checkEntities(snapshot: ConfigSnapshot): ConfigProblem[] {
+  return entityKinds.flatMap((kind) =>
+    snapshot.entities[kind].flatMap((entity) => checkEntity(kind, entity.id, entity)),
+  );
+}
+
+function checkEntity(kind: EntityKind, id: string, value: unknown): ConfigProblem[] {
+  const parsed = entitySchemas[kind].safeParse(value);
+  if (parsed.success) return [];
+  return parsed.error.issues.map(({ path, message }) => {
+    const text = `${kind} ${id}: ${path.join('.')}: ${message}`;
+    return problem(ConfigProblemCode.InvalidEntity, kind, id, text);
+  });
+}
+
+function checkChange({ kind, id, value }: EntityChange): ConfigProblem[] {
+  if (!value) return [];
+  if (value.id !== id) {
+    const message = `change of ${kind} ${id} carries an entity with id ${value.id}`;
+    return [problem(ConfigProblemCode.IdMismatch, kind, id, message)];
+  }
+  return checkEntity(kind, id, value);
+}
+
+/** A change set lists each entity once; the order of changes then has no meaning. */
+function checkRepeatedChanges(changes: readonly EntityChange[]): ConfigProblem[] {
+  const seen = new Map<string, EntityChange>();
+  return changes.flatMap((change) => {
+    const key = `${change.kind}/${change.id}`;
+    const first = seen.get(key);
+    seen.set(key, change);
+    return first
+      ? [duplicate(change.kind, change.id, poolIn(first.value), poolIn(change.value))]
+      : [];
+  });
+}
+
+function checkDuplicates(snapshot: ConfigSnapshot): ConfigProblem[] {
+  return entityKinds.flatMap((kind) => {
+    const seen = new Map<string, EntityOfKind[EntityKind]>();
+    return snapshot.entities[kind].flatMap((entity) => {
+      const first = seen.get(entity.id);
+      seen.set(entity.id, entity);
+      return first ? [duplicate(kind, entity.id, poolIn(first), poolIn(entity))] : [];
+    });
+  });
+}
+
+function poolIn(entity: EntityOfKind[EntityKind] | undefined): string | undefined {
+  return entity && 'pool' in entity ? entity.pool : undefined;
+}
+
+function duplicate(
+  kind: EntityKind,
+  id: string,
+  first: string | undefined,
+  second: string | undefined,
+): ConfigProblem {
+  const ofVm = kind === EntityKind.Vm || kind === EntityKind.Assignment;
+  if (ofVm && first && second && first !== second) {
+    const message = `VM ${id} is in pools ${first} and ${second}; a VM is in one pool`;
+    return problem(ConfigProblemCode.VmInTwoPools, kind, id, message);
+  }
+  const message = `${kind} ${id} is listed more than once`;
+  return problem(ConfigProblemCode.DuplicateId, kind, id, message);
+}
+
+function checkServices(view: IndexedConfigView): ConfigProblem[] {
+  const serviceOfPool = new Map<string, string>();
+  return view.list(EntityKind.Service).flatMap((service) => {
+    const { id, pool } = service;
+    const report = (code: ConfigProblemCode, message: string) =>
+      problem(code, EntityKind.Service, id, `service ${id}: ${message}`);
+    if (!view.get(EntityKind.Pool, pool)) {
+      return [report(ConfigProblemCode.UnknownPool, `pool ${pool} does not exist`)];
+    }
+    const problems: ConfigProblem[] = [];
+    const other = serviceOfPool.get(pool);
+    serviceOfPool.set(pool, id);
+    if (other) {
+      const message = `pool ${pool} already serves ${other}`;
+      problems.push(report(ConfigProblemCode.PoolServesTwoServices, message));
+    }
+    const executors = view.vmsOfPool(pool).flatMap((vm) => vm.executor ?? []);
+    const slots = executors.reduce((sum, executor) => sum + executor.slots, 0);
+    if (executors.length === 0) {
+      const message = `pool ${pool} has no VM with an executor`;
+      problems.push(report(ConfigProblemCode.ServiceWithoutVms, message));
+    } else if (slots < service.minAvailableSlots) {
+      const message = `minAvailableSlots is ${service.minAvailableSlots}, pool ${pool} has ${slots} slots`;
+      problems.push(report(ConfigProblemCode.UnsatisfiableRule, message));
+    }
+    return problems;
+  });
+}
+
+function checkPoolRules(view: IndexedConfigView): ConfigProblem[] {
+  return view.list(EntityKind.Pool).flatMap(({ id, minAvailable }) => {
+    const size = view.vmsOfPool(id).length;
+    if (minAvailable <= size) return [];
+    const message = `pool ${id}: minAvailable is ${minAvailable}, the pool has ${size} VMs`;
+    return [problem(ConfigProblemCode.UnsatisfiableRule, EntityKind.Pool, id, message)];
+  });
+}
+
+function checkVms(view: IndexedConfigView): ConfigProblem[] {
+  return view
+    .list(EntityKind.Vm)
+    .flatMap(({ id, pool }) => checkPoolExists(view, EntityKind.Vm, id, pool));
+}
+
+function checkExecutors(view: IndexedConfigView): ConfigProblem[] {
+  const vmOfAddress = new Map<string, Vm>();
+  return view.list(EntityKind.Vm).flatMap((vm) => {
+    if (!vm.executor) return [];
+    const address = `${vm.executor.host}:${vm.executor.port}`;
+    const other = vmOfAddress.get(address);
+    vmOfAddress.set(address, vm);
+    if (!other) return [];
+    const message = `VM ${vm.id}: executor address ${address} is that of VM ${other.id}`;
+    return [problem(ConfigProblemCode.DuplicateExecutor, EntityKind.Vm, vm.id, message)];
+  });
+}
+
+const kindsAboutVms = [
+  EntityKind.Assignment,
+  EntityKind.VmStatus,
+  EntityKind.Stop,
+  EntityKind.Move,
+] as const;
+
+function checkVmReferences(view: IndexedConfigView): ConfigProblem[] {
+  return kindsAboutVms.flatMap((kind) =>
+    view.list(kind).flatMap(({ id }) => {
+      if (view.get(EntityKind.Vm, id)) return [];
+      const message = `${kind} ${id}: VM ${id} does not exist`;
+      return [problem(ConfigProblemCode.UnknownVm, kind, id, message)];
+    }),
+  );
+}
+
+function checkPoolReferences(view: IndexedConfigView): ConfigProblem[] {
+  const ofAssignments = view
+    .list(EntityKind.Assignment)
+    .flatMap(({ id, pool }) => checkPoolExists(view, EntityKind.Assignment, id, pool));
+  const ofMoves = view.list(EntityKind.Move).flatMap(({ id, from, to }) => {
+    const unknown = [from, to].flatMap((pool) => checkPoolExists(view, EntityKind.Move, id, pool));
+    if (from !== to) return unknown;
+    const message = `move of VM ${id}: it is in pool ${to} already`;
+    return [...unknown, problem(ConfigProblemCode.MoveToSamePool, EntityKind.Move, id, message)];
+  });
+  return [...ofAssignments, ...ofMoves];
+}
+
+function checkPoolExists(
+  view: IndexedConfigView,
+  kind: EntityKind,
+  id: string,
+  pool: string,
+): ConfigProblem[] {
+  if (view.get(EntityKind.Pool, pool)) return [];
+  const message = `${kind} ${id}: pool ${pool} does not exist`;
+  return [problem(ConfigProblemCode.UnknownPool, kind, id, message)];
+}
+
+function checkStops(view: IndexedConfigView): ConfigProblem[] {
+  return view.list(EntityKind.Stop).flatMap(({ id, wave }) => {
+    if (view.get(EntityKind.Wave, wave)) return [];
+    const message = `stop of VM ${id}: wave ${wave} does not exist`;
+    return [problem(ConfigProblemCode.UnknownWave, EntityKind.Stop, id, message)];
+  });
+}
+
+/**
+ * VMs of a wave are checked only when the wave is planned. VMs that are replaced later stay in
+ * its batches and are skipped.
+ */
+function checkPlannedWave(view: IndexedConfigView, change: EntityChange): ConfigProblem[] {
+  if (change.kind !== EntityKind.Wave || change.value?.state !== WaveState.Planned) return [];
+  const { id, batches } = change.value;
+  const vms = batches.flat();
+  const unknown = vms.filter((vm) => !view.get(EntityKind.Vm, vm));
+  const seen = new Set<string>();
+  const repeated = vms.filter((vm) => seen.size === seen.add(vm).size);
+  return [
+    ...unknown.map((vm) =>
+      problem(ConfigProblemCode.UnknownVm, EntityKind.Wave, id, `wave ${id}: no VM ${vm} exists`),
+    ),
+    ...repeated.map((vm) =>
+      problem(
+        ConfigProblemCode.DuplicateId,
+        EntityKind.Wave,
+        id,
+        `wave ${id}: VM ${vm} is repeated`,
+      ),
+    ),
+  ];
+}
+
+function problem(
+  code: ConfigProblemCode,
+  kind: EntityKind,
+  id: string,
+  message: string,
+): ConfigProblem {
+  return { code, kind, id, message };
+}
+
+function problemKey({ code, kind, id, message }: ConfigProblem): string {
+  return `${code}/${kind}/${id}/${message}`;
+}
--- /dev/null
+++ b/src/configuration/history.ts
@@ -0,0 +1,342 @@
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import type { Logger } from '../logger/index.js';
+import type { Metrics } from '../metrics/index.js';
+import {
+  PlatformError,
+  PlatformErrorCode,
+  type Condition,
+  type PlatformResult,
+  type Row,
+  type Table,
+} from '../platform/index.js';
+import type { Random } from '../random/index.js';
+import { EntityState, emptySnapshot } from './entities.js';
+import { EMPTY_HASH, chainHash, changeSetDigest } from './hashing.js';
+import {
+  HEAD_KEY,
+  VERSION_PREFIX,
+  changeKey,
+  snapshotPartKey,
+  snapshotPrefix,
+  versionKey,
+} from './rowKeys.js';
+import { joinSnapshot, splitSnapshot } from './snapshotParts.js';
+import {
+  ConfigError,
+  ConfigErrorCode,
+  type ChangeSet,
+  type Commit,
+  type ConfigDelta,
+  type ConfigHead,
+  type ConfigHistory,
+  type ConfigSnapshot,
+} from './types.js';
+
+/** Options of {@link createConfigHistory}. */
+export interface ConfigHistoryOptions {
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  metrics: Metrics;
+  /** Versions between snapshots. */
+  snapshotInterval: number;
+  /** Rows per scan. */
+  pageSize: number;
+  /** Most attempts at one commit. */
+  maxAttempts: number;
+  /** Delay before the first retry in milliseconds, doubled for each further one, full jitter. */
+  backoffBaseMs: number;
+}
+
+/** Default limits of {@link createConfigHistory}. */
+export const configHistoryDefaults = {
+  snapshotInterval: 1_000,
+  pageSize: 200,
+  maxAttempts: 6,
+  backoffBaseMs: 50,
+};
+
+/** A history that writes snapshots in the background. */
+export interface TableConfigHistory extends ConfigHistory {
+  /** Resolves when no snapshot is being written. */
+  idle(): Promise<void>;
+}
+
+interface ChangeRow {
+  version: number;
+  digest: string;
+}
+
+interface SnapshotPartRow {
+  /** Number of parts of the snapshot. */
+  parts: number;
+  /** Hash chain at the version of the snapshot. */
+  hash: string;
+  snapshot: ConfigSnapshot;
+}
+
+interface HeadState {
+  head: ConfigHead;
+  rowVersion: number;
+}
+
+/** Outcome of one attempt at a commit; `retry` when it must be decided again. */
+type Attempt =
+  { done: Result<Commit, ConfigError> } | { retry: PlatformError | undefined; maybeSent: boolean };
+
+const EMPTY_HEAD: ConfigHead = { version: 0, snapshotVersion: 0, hash: EMPTY_HASH };
+
+/** Codes after which a transaction may have taken effect. */
+const UNCERTAIN = new Set([PlatformErrorCode.OutcomeUnknown, PlatformErrorCode.BadAnswer]);
+
+/** Creates the versioned history in the platform's table. */
+export function createConfigHistory(
+  table: Table,
+  options: ConfigHistoryOptions,
+): TableConfigHistory {
+  const { clock, random, logger, metrics } = options;
+  const commits = metrics.counter('config_commits_total', 'Attempts at commits by result', [
+    'result',
+  ]);
+  let snapshotTask: Promise<void> | undefined;
+
+  async function readHead(): PlatformResult<HeadState> {
+    const row = await table.get(HEAD_KEY);
+    return row.map((found) => ({
+      head: (found?.value as ConfigHead | undefined) ?? EMPTY_HEAD,
+      rowVersion: found?.version ?? 0,
+    }));
+  }
+
+  async function readChange(changeId: string): PlatformResult<ChangeRow | undefined> {
+    return (await table.get(changeKey(changeId))).map((row) => row?.value as ChangeRow | undefined);
+  }
+
+  async function attempt(base: number, changeSet: ChangeSet, extra: Condition[]): Promise<Attempt> {
+    const state = await readHead();
+    if (state.isErr) return { retry: state.error, maybeSent: false };
+    const { head, rowVersion } = state.value;
+    if (head.version !== base) return resolveMovedHead(head, changeSet, base);
+    const delta: ConfigDelta = { ...changeSet, version: base + 1 };
+    const change: ChangeRow = { version: delta.version, digest: changeSetDigest(changeSet) };
+    const nextHead = { ...head, version: delta.version, hash: chainHash(head.hash, delta) };
+    const written = await table.transact(
+      [
+        { key: HEAD_KEY, version: rowVersion },
+        { key: changeKey(changeSet.changeId), version: 0 },
+        ...extra,
+      ],
+      [
+        { key: versionKey(delta.version), value: delta },
+        { key: changeKey(changeSet.changeId), value: change },
+        { key: HEAD_KEY, value: nextHead },
+      ],
+    );
+    if (written.isOk) {
+      if (delta.version - head.snapshotVersion >= options.snapshotInterval) startSnapshot();
+      return { done: Result.ok({ version: delta.version, alreadyApplied: false }) };
+    }
+    return resolveFailure(written.error, changeSet, extra);
+  }
+
+  /** The head is read before the change row, so an absent change row means it can't appear. */
+  async function resolveMovedHead(
+    head: ConfigHead,
+    changeSet: ChangeSet,
+    base: number,
+  ): Promise<Attempt> {
+    const change = await readChange(changeSet.changeId);
+    if (change.isErr) return { retry: change.error, maybeSent: false };
+    if (change.value) return { done: appliedBefore(change.value, changeSet) };
+    const row = await table.get(versionKey(head.version));
+    if (row.isErr) return { retry: row.error, maybeSent: false };
+    const author = (row.value?.value as ConfigDelta | undefined)?.author ?? '';
+    const message = `change ${changeSet.changeId} was decided against version ${base}; version ${head.version} by ${author} was committed first`;
+    const winner = { version: head.version, author };
+    const err = new ConfigError(ConfigErrorCode.Conflict, message, undefined, winner);
+    return { done: Result.err(err) };
+  }
+
+  async function resolveFailure(
+    err: PlatformError,
+    changeSet: ChangeSet,
+    extra: Condition[],
+  ): Promise<Attempt> {
+    if (err.code !== PlatformErrorCode.ConditionFailed) {
+      return { retry: err, maybeSent: UNCERTAIN.has(err.code) };
+    }
+    const isExtra = extra.some(({ key }) => key === err.failedKey);
+    const isChange = err.failedKey === changeKey(changeSet.changeId);
+    if (!isExtra && !isChange) return { retry: undefined, maybeSent: false };
+    const change = await readChange(changeSet.changeId);
+    if (change.isErr) return { retry: change.error, maybeSent: false };
+    if (change.value) return { done: appliedBefore(change.value, changeSet) };
+    if (!isExtra) return { retry: undefined, maybeSent: false };
+    const message = `change ${changeSet.changeId}: condition on row ${err.failedKey ?? ''} did not hold`;
+    return { done: Result.err(new ConfigError(ConfigErrorCode.ConditionFailed, message, err)) };
+  }
+
+  function startSnapshot(): void {
+    snapshotTask ??= writeSnapshot().finally(() => (snapshotTask = undefined));
+  }
+
+  async function writeSnapshot(): Promise<void> {
+    const result = await trySnapshot();
+    if (result.isOk) return;
+    // The next commit tries again, because the head still names the older snapshot.
+    logger.warn({ event: 'config_snapshot_failed', error: result.error.message });
+  }
+
+  async function trySnapshot(): PlatformResult<void> {
+    const loaded = await loadWithHash();
+    if (loaded.isErr) return Result.err(loaded.error);
+    const { snapshot, hash } = loaded.value;
+    const parts = splitSnapshot(snapshot);
+    for (const [index, part] of parts.entries()) {
+      const value: SnapshotPartRow = { parts: parts.length, hash, snapshot: part };
+      const key = snapshotPartKey(snapshot.version, index);
+      const written = await table.transact([], [{ key, value }]);
+      if (written.isErr) return written;
+    }
+    return announceSnapshot(snapshot.version);
+  }
+
+  async function announceSnapshot(version: number): PlatformResult<void> {
+    for (let tries = 0; tries < options.maxAttempts; tries++) {
+      const state = await readHead();
+      if (state.isErr) return Result.err(state.error);
+      const { head, rowVersion } = state.value;
+      if (head.snapshotVersion >= version) return Result.ok(undefined);
+      const written = await table.transact(
+        [{ key: HEAD_KEY, version: rowVersion }],
+        [{ key: HEAD_KEY, value: { ...head, snapshotVersion: version } }],
+      );
+      if (written.isOk || written.error.code !== PlatformErrorCode.ConditionFailed) return written;
+    }
+    const message = `head changed during ${options.maxAttempts} attempts to announce a snapshot`;
+    return Result.err(new PlatformError(PlatformErrorCode.ConditionFailed, message));
+  }
+
+  async function readSnapshot(
+    version: number,
+  ): PlatformResult<{ snapshot: ConfigSnapshot; hash: string }> {
+    if (version === 0) return Result.ok({ snapshot: emptySnapshot(), hash: EMPTY_HASH });
+    const rows = await scanAll(snapshotPrefix(version), Number.POSITIVE_INFINITY);
+    if (rows.isErr) return Result.err(rows.error);
+    const parts = rows.value.map((row) => row.value as SnapshotPartRow);
+    const first = parts[0];
+    if (first?.parts !== parts.length) {
+      return badAnswer(`snapshot ${version} has ${parts.length} of ${first?.parts ?? 0} parts`);
+    }
+    const snapshots = parts.map((part) => part.snapshot);
+    return Result.ok({ snapshot: joinSnapshot(version, snapshots), hash: first.hash });
+  }
+
+  async function scanAll(prefix: string, limit: number, after?: string): PlatformResult<Row[]> {
+    const rows: Row[] = [];
+    let from = after;
+    while (rows.length < limit) {
+      const wanted = Math.min(options.pageSize, limit - rows.length);
+      const page = await table.scan(prefix, wanted, from);
+      if (page.isErr) return Result.err(page.error);
+      rows.push(...page.value.rows);
+      from = page.value.next;
+      if (from === undefined) break;
+    }
+    return Result.ok(rows);
+  }
+
+  async function deltasAfter(version: number, limit: number): PlatformResult<ConfigDelta[]> {
+    const rows = await scanAll(VERSION_PREFIX, limit, versionKey(version));
+    if (rows.isErr) return Result.err(rows.error);
+    const deltas = rows.value.map((row) => row.value as ConfigDelta);
+    const gap = deltas.findIndex((delta, index) => delta.version !== version + index + 1);
+    if (gap >= 0) return badAnswer(`version row ${version + gap + 1} is missing`);
+    return Result.ok(deltas);
+  }
+
+  async function loadWithHash(): PlatformResult<{ snapshot: ConfigSnapshot; hash: string }> {
+    const state = await readHead();
+    if (state.isErr) return Result.err(state.error);
+    const { head } = state.value;
+    const start = await readSnapshot(head.snapshotVersion);
+    if (start.isErr) return start;
+    const deltas = await deltasAfter(head.snapshotVersion, head.version - head.snapshotVersion);
+    if (deltas.isErr) return Result.err(deltas.error);
+    const entities = new EntityState();
+    entities.reset(start.value.snapshot);
+    let { hash } = start.value;
+    for (const delta of deltas.value) {
+      entities.apply(delta, delta.version);
+      hash = chainHash(hash, delta);
+    }
+    if (entities.version !== head.version || hash !== head.hash) {
+      return badAnswer(`the rows up to version ${head.version} do not give the head's hash`);
+    }
+    return Result.ok({ snapshot: entities.snapshot(), hash });
+  }
+
+  async function commit(
+    base: number,
+    changeSet: ChangeSet,
+    extra: Condition[] = [],
+  ): Promise<Result<Commit, ConfigError>> {
+    let mayBeApplied = false;
+    let lastError: PlatformError | undefined;
+    for (let tries = 0; tries < options.maxAttempts; tries++) {
+      if (tries > 0) await clock.sleep(random.next() * options.backoffBaseMs * 2 ** tries);
+      const outcome = await attempt(base, changeSet, extra);
+      if ('done' in outcome) return counted(outcome.done, mayBeApplied);
+      lastError = outcome.retry;
+      mayBeApplied ||= outcome.maybeSent;
+      // Nothing was sent, so the author can be told at once; otherwise the outcome is sought.
+      if (lastError && !mayBeApplied) break;
+    }
+    return counted(Result.err(givenUp(changeSet, mayBeApplied, lastError)), mayBeApplied);
+  }
+
+  function counted(
+    result: Result<Commit, ConfigError>,
+    wasUncertain: boolean,
+  ): Result<Commit, ConfigError> {
+    commits.inc({ result: result.isOk ? 'committed' : result.error.code });
+    if (!result.isOk || !wasUncertain) return result;
+    // The change was applied by this call; only the first answer was lost.
+    return Result.ok({ ...result.value, alreadyApplied: false });
+  }
+
+  return {
+    head: async () => (await readHead()).map(({ head }) => head),
+    commit,
+    deltasAfter,
+    load: async () => (await loadWithHash()).map(({ snapshot }) => snapshot),
+    idle: () => snapshotTask ?? Promise.resolve(),
+  };
+}
+
+function appliedBefore(change: ChangeRow, changeSet: ChangeSet): Result<Commit, ConfigError> {
+  if (change.digest === changeSetDigest(changeSet)) {
+    return Result.ok({ version: change.version, alreadyApplied: true });
+  }
+  const message = `change id ${changeSet.changeId} was used for another change in version ${change.version}`;
+  return Result.err(new ConfigError(ConfigErrorCode.Invalid, message));
+}
+
+function givenUp(
+  changeSet: ChangeSet,
+  mayBeApplied: boolean,
+  cause: PlatformError | undefined,
+): ConfigError {
+  const reason = cause?.message ?? 'the head row kept changing';
+  if (mayBeApplied) {
+    const message = `the outcome of change ${changeSet.changeId} could not be read back: ${reason}`;
+    return new ConfigError(ConfigErrorCode.OutcomeUnknown, message, cause);
+  }
+  const message = `change ${changeSet.changeId} was not committed: ${reason}`;
+  return new ConfigError(ConfigErrorCode.PlatformUnavailable, message, cause);
+}
+
+function badAnswer<T>(message: string): Result<T, PlatformError> {
+  return Result.err(new PlatformError(PlatformErrorCode.BadAnswer, message));
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,1 +1,42 @@
 export * from './types.js';
+export {
+  assignmentSchema,
+  entitySchemas,
+  executorSchema,
+  idSchema,
+  moveSchema,
+  poolSchema,
+  serviceSchema,
+  stopSchema,
+  teamSchema,
+  vmSchema,
+  vmStatusSchema,
+  waveSchema,
+} from './schema.js';
+export {
+  EntityState,
+  emptyEntities,
+  emptySnapshot,
+  entityKinds,
+  type IndexedConfigView,
+} from './entities.js';
+export {
+  Adoption,
+  AdoptionSource,
+  configStoreDefaults,
+  createConfigStore,
+  type AdoptionListener,
+  type ConfigStore,
+  type ConfigStoreOptions,
+} from './store.js';
+export {
+  configHistoryDefaults,
+  createConfigHistory,
+  type ConfigHistoryOptions,
+  type TableConfigHistory,
+} from './history.js';
+export { HEAD_KEY, changeKey, snapshotPartKey, snapshotPrefix, versionKey } from './rowKeys.js';
+export { ConfigProblemCode, type ConfigProblem } from './problems.js';
+export { MAX_CHANGES, checkChangeSet, checkConfiguration } from './checks.js';
+export { createCommitter, type CommitAndAdopt } from './committer.js';
+export { joinSnapshot, splitSnapshot } from './snapshotParts.js';
