--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -170,6 +170,10 @@
   TooLarge = 'too_large',
   BadFrame = 'bad_frame',
   HandshakeFailed = 'handshake_failed',
+  /** The peer listener could not be opened. */
+  ListenFailed = 'listen_failed',
+  /** The shared secret is missing or too short. */
+  WeakSecret = 'weak_secret',
 }
 
 /** Sending to or talking with a peer failed. */
@@ -188,6 +192,8 @@
   connected(): readonly MemberInfo[];
   /** Adds a member to connect to. */
   addMember(member: MemberInfo): void;
+  /** Adds an address to connect to while no link to a member at this address is up. */
+  addSeed?(host: string, port: number): void;
   /** Closes the link to a member and stops reconnecting. */
   removeMember(name: string): void;
   /**
