Add the membership

Cause: entry processes need to know who is alive, who owns an executor, and each other's version and load. Change: heartbeats with hooks for version, load and draining VMs; Alive, Suspect and Removed by silence on the monotonic clock; a process that was paused gives every member a fresh period; discovery by seeds, digests and, without any link, the member rows; Leave; rendezvous ownership; MembersChanged. Heartbeats say whether the sender hears the receiver, so that a link that works in one direction only is used by neither side. Removed members stay link targets for an hour. Ruled out: closing links of removed members for good, because both zones would do so in a long partition and nobody would dial after it heals; whole digests in each heartbeat, whose size grows with the square of the members. Each scenario except Leave fails for the settings named beside it; ownership fails for a choice by modulo. Conclusion: owners and live members are available to scheduling, requests and the controller.

--- /dev/null
+++ b/src/membership/defaults.ts
@@ -0,0 +1,49 @@
+import { z } from 'zod';
+
+const milliseconds = (value: number, description: string) =>
+  z.int().min(1).default(value).describe(`${description}, in milliseconds`);
+
+/** Settings of the membership. */
+export const membershipSchema = z.strictObject({
+  seeds: z
+    .array(
+      z.strictObject({
+        host: z.string().min(1).describe('IP address of a peer listener'),
+        port: z.int().min(1).max(65_535).describe('TCP port of a peer listener'),
+      }),
+    )
+    .default([])
+    .describe('Peer listeners to contact first; the process itself may be listed'),
+  zoneHeartbeatMs: milliseconds(500, 'Time between heartbeats to members of the own zone'),
+  remoteHeartbeatMs: milliseconds(1_000, 'Time between heartbeats to members of other zones'),
+  suspectAfterMs: milliseconds(3_000, 'Silence after which a member is Suspect'),
+  removeAfterMs: milliseconds(10_000, 'Silence after which a member is removed'),
+  sweepIntervalMs: milliseconds(250, 'Time between checks for silent members'),
+  pauseThresholdMs: milliseconds(
+    2_000,
+    'Lateness of a check from which this process counts as paused and gives members a fresh period',
+  ),
+  forgetAfterMs: milliseconds(
+    3_600_000,
+    'Time during which links to removed members are still attempted',
+  ),
+  tableFallbackMs: milliseconds(
+    2_000,
+    'Time without any link after which member rows are read from the platform',
+  ),
+  tableFallbackMaxMs: milliseconds(60_000, 'Longest time between reads of the member rows'),
+  registrationMs: milliseconds(60_000, 'Time between checks of the own member row'),
+  digestSize: z
+    .int()
+    .min(0)
+    .default(2)
+    .describe('Members named in each heartbeat for discovery; all are named when a link comes up'),
+  maxMembers: z
+    .int()
+    .min(1)
+    .default(2_048)
+    .describe('Most members known at once; further ones are refused'),
+});
+
+/** Settings of the membership. */
+export type MembershipSettings = z.infer<typeof membershipSchema>;
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,1 +1,18 @@
 export * from './types.js';
+export { membershipSchema, type MembershipSettings } from './defaults.js';
+export { rendezvousOwner } from './rendezvous.js';
+export { MAX_GONE, MemberTable, type MemberEntry } from './memberTable.js';
+export {
+  MEMBER_PREFIX,
+  deregisterMember,
+  memberKey,
+  registerMember,
+  registeredMembers,
+} from './registration.js';
+export {
+  createMembership,
+  type HeartbeatListener,
+  type HeartbeatSources,
+  type MembershipOptions,
+  type RunningMembership,
+} from './membership.js';
--- /dev/null
+++ b/src/membership/memberTable.ts
@@ -0,0 +1,158 @@
+import type { HeartbeatMessage, MemberInfo } from '../peers/index.js';
+import { MemberState, type Member } from './types.js';
+
+/** Most incarnations remembered as gone; the oldest are forgotten first. */
+export const MAX_GONE = 1_024;
+
+/** A member with what is needed to judge its heartbeats. */
+export interface MemberEntry extends Member {
+  /** Sequence of the newest heartbeat. */
+  sequence: number;
+  /** Whether the member hears this process, by its own account. */
+  hearsUs: boolean;
+}
+
+interface Candidate {
+  info: MemberInfo;
+  since: number;
+}
+
+/** Times in milliseconds after which silence counts. */
+export interface SilenceLimits {
+  suspectAfterMs: number;
+  removeAfterMs: number;
+  forgetAfterMs: number;
+}
+
+/** What a check for silent members found. */
+export interface SweepResult {
+  removed: MemberInfo[];
+  forgotten: MemberInfo[];
+}
+
+/** Members, candidates that are only known by name and address, and incarnations that are gone. */
+export class MemberTable {
+  readonly #entries = new Map<string, MemberEntry>();
+  readonly #candidates = new Map<string, Candidate>();
+  readonly #gone = new Set<string>();
+  readonly #maxMembers: number;
+
+  constructor(maxMembers: number) {
+    this.#maxMembers = maxMembers;
+  }
+
+  get(name: string): MemberEntry | undefined {
+    return this.#entries.get(name);
+  }
+
+  entries(): MemberEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Whether an incarnation left or was replaced. */
+  isGone(incarnation: string): boolean {
+    return this.#gone.has(incarnation);
+  }
+
+  /**
+   * Records a sign of life.
+   *
+   * @returns the entry, or undefined when the incarnation is gone or the table is full
+   */
+  note(info: MemberInfo, now: number): MemberEntry | undefined {
+    if (this.#gone.has(info.incarnation)) return undefined;
+    const known = this.#entries.get(info.name);
+    if (known?.info.incarnation === info.incarnation) {
+      known.lastHeardAt = now;
+      return known;
+    }
+    if (known) this.drop(info.name);
+    if (!this.#candidates.delete(info.name) && this.#isFull()) return undefined;
+    const entry: MemberEntry = {
+      info,
+      state: MemberState.Alive,
+      lastHeardAt: now,
+      configVersion: 0,
+      load: [],
+      draining: [],
+      sequence: -1,
+      hearsUs: true,
+    };
+    this.#entries.set(info.name, entry);
+    return entry;
+  }
+
+  /** Takes over a heartbeat. Returns false when it is older than one taken over before. */
+  update(entry: MemberEntry, message: HeartbeatMessage): boolean {
+    if (message.sequence <= entry.sequence) return false;
+    entry.sequence = message.sequence;
+    entry.configVersion = message.configVersion;
+    entry.load = message.load;
+    entry.draining = message.draining;
+    entry.hearsUs = message.hears !== false;
+    if (entry.hearsUs) entry.state = MemberState.Alive;
+    return true;
+  }
+
+  /** Other members that listened at the address of a new one; an address has one listener. */
+  formerAt({ name, host, port }: MemberInfo): MemberInfo[] {
+    if (port === 0) return [];
+    return this.entries()
+      .map(({ info }) => info)
+      .filter((info) => info.name !== name && info.host === host && info.port === port);
+  }
+
+  /** Records a member that others know. Returns whether it is new and should be contacted. */
+  addCandidate(info: MemberInfo, now: number): boolean {
+    if (this.#gone.has(info.incarnation) || this.#entries.has(info.name)) return false;
+    const known = this.#candidates.get(info.name);
+    if (!known && this.#isFull()) return false;
+    this.#candidates.set(info.name, { info, since: now });
+    return known?.info.incarnation !== info.incarnation;
+  }
+
+  /** Removes a member whose incarnation will not come back. */
+  drop(name: string): void {
+    const entry = this.#entries.get(name);
+    this.#candidates.delete(name);
+    if (!entry) return;
+    this.#entries.delete(name);
+    this.#gone.add(entry.info.incarnation);
+    const [oldest] = this.#gone;
+    if (this.#gone.size > MAX_GONE && oldest !== undefined) this.#gone.delete(oldest);
+  }
+
+  /** Gives every member a fresh period of silence. */
+  refreshAll(now: number): void {
+    for (const entry of this.#entries.values()) {
+      entry.lastHeardAt = now;
+      entry.hearsUs = true;
+    }
+  }
+
+  /** Suspects and removes silent members. A removed member stays a candidate for a while. */
+  sweep(now: number, limits: SilenceLimits): SweepResult {
+    const result: SweepResult = { removed: [], forgotten: [] };
+    for (const [name, { info, since }] of this.#candidates) {
+      if (now - since < limits.forgetAfterMs) continue;
+      this.#candidates.delete(name);
+      result.forgotten.push(info);
+    }
+    for (const [name, entry] of this.#entries) {
+      const silence = now - entry.lastHeardAt;
+      if (silence >= limits.removeAfterMs) {
+        this.#entries.delete(name);
+        this.#candidates.set(name, { info: entry.info, since: now });
+        result.removed.push(entry.info);
+        continue;
+      }
+      const isUsable = entry.hearsUs && silence < limits.suspectAfterMs;
+      entry.state = isUsable ? MemberState.Alive : MemberState.Suspect;
+    }
+    return result;
+  }
+
+  #isFull(): boolean {
+    return this.#entries.size + this.#candidates.size >= this.#maxMembers;
+  }
+}
--- /dev/null
+++ b/src/membership/membership.spec.ts
@@ -0,0 +1,341 @@
+import test from 'ava';
+import { EventName, createEventBus } from '../events/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { Metrics } from '../metrics/index.js';
+import type { MemberInfo } from '../peers/index.js';
+import { createRandom } from '../random/index.js';
+import {
+  FakePeerHub,
+  FakePlatform,
+  createVirtualClock,
+  type VirtualClock,
+} from '../testing/index.js';
+import { createPausableProcess } from '../testing/pausableProcess.js';
+import {
+  MAX_GONE,
+  MemberState,
+  MemberTable,
+  createMembership,
+  memberKey,
+  membershipSchema,
+  registerMember,
+  rendezvousOwner,
+  type MembershipSettings,
+  type RunningMembership,
+} from './index.js';
+
+const settings = membershipSchema.parse({});
+
+interface Node {
+  membership: RunningMembership;
+  lifecycle: Lifecycle;
+  pause: () => void;
+  resume: () => void;
+  changes: number[];
+  stop: () => Promise<void>;
+}
+
+interface Fleet {
+  clock: VirtualClock;
+  hub: FakePeerHub;
+  platform: FakePlatform;
+  nodes: Map<string, Node>;
+  join: (info: MemberInfo, overrides?: Partial<MembershipSettings>) => Node;
+  node: (name: string) => Node;
+}
+
+function info(name: string, incarnation = name, port = 0): MemberInfo {
+  return { name, incarnation, zone: `z${name.charAt(0)}`, host: '10.0.0.1', port, startedAt: 0 };
+}
+
+/** Members named by zone and number: a0, a1, a2 in zone za, b0, b1, b2 in zone zb. */
+const names = ['a0', 'a1', 'a2', 'b0', 'b1', 'b2'];
+
+function createFleet(): Fleet {
+  const clock = createVirtualClock();
+  const hub = new FakePeerHub(clock, () => 1);
+  const platform = new FakePlatform(clock);
+  const nodes = new Map<string, Node>();
+  const join: Fleet['join'] = (self, overrides = {}) => {
+    const process = createPausableProcess(clock);
+    const events = createEventBus();
+    const changes: number[] = [];
+    events.on(EventName.MembersChanged, ({ live }) => void changes.push(live));
+    const membership = createMembership({
+      network: process.wrap(hub.join(self)),
+      settings: { ...settings, ...overrides },
+      heartbeat: {
+        configVersion: () => 7,
+        load: () => [{ service: 's', slots: 8, freeSlots: 3, queued: 1 }],
+        draining: () => [{ vm: 'v', inFlight: 2 }],
+      },
+      table: platform.client().table,
+      clock: process.clock,
+      random: createRandom(nodes.size + 1),
+      events,
+      logger: silentLogger,
+      metrics: new Metrics(),
+    });
+    const lifecycle = new Lifecycle(self.name);
+    const task = membership.run(lifecycle);
+    const stop = async () => {
+      hub.leave(self.name);
+      await lifecycle.close();
+      await task;
+    };
+    const node: Node = { membership, lifecycle, changes, stop, ...process };
+    nodes.set(self.name, node);
+    return node;
+  };
+  const node = (name: string) => {
+    const found = nodes.get(name);
+    if (!found) throw new Error(`no node ${name}`);
+    return found;
+  };
+  return { clock, hub, platform, nodes, join, node };
+}
+
+function cut(fleet: Fleet, from: string[], to: string[], on: boolean): void {
+  for (const a of from) for (const b of to) if (a !== b) fleet.hub.setLossy(a, b, on);
+}
+
+/** How a member is seen from another one: its state, or `gone`. */
+function seen(fleet: Fleet, by: string, of: string): string {
+  return fleet.node(by).membership.member(of)?.state ?? 'gone';
+}
+
+function views(fleet: Fleet, pairs: [string, string][]): string[] {
+  return pairs.map(([by, of]) => seen(fleet, by, of));
+}
+
+/** Whether all members see each other as Alive. */
+function isWhole(fleet: Fleet): boolean {
+  return names.every((by) => names.every((of) => by === of || seen(fleet, by, of) === 'alive'));
+}
+
+interface Scenario {
+  title: string;
+  run: (fleet: Fleet) => Promise<unknown>;
+  expected: unknown;
+  /** Settings with which the scenario must fail. */
+  brokenBy: Partial<MembershipSettings>;
+}
+
+const zoneA = ['a0', 'a1', 'a2'];
+const zoneB = ['b0', 'b1', 'b2'];
+
+const scenarios: Scenario[] = [
+  {
+    title: 'a silent member is Suspect after 3 s and removed after 10 s',
+    brokenBy: { suspectAfterMs: 9_000 },
+    run: async (fleet) => {
+      cut(fleet, ['a1'], names, true);
+      const states: string[] = [];
+      for (const ms of [2_000, 2_000, 4_500, 2_500]) {
+        await fleet.clock.advance(ms);
+        states.push(seen(fleet, 'a0', 'a1'));
+      }
+      return states;
+    },
+    expected: ['alive', 'suspect', 'suspect', 'gone'],
+  },
+  {
+    title: 'a cut in one direction makes both sides suspect each other, and nobody else',
+    brokenBy: { suspectAfterMs: 60_000 },
+    run: async (fleet) => {
+      cut(fleet, ['a0'], ['b0'], true);
+      await fleet.clock.advance(5_000);
+      return views(fleet, [
+        ['a0', 'b0'],
+        ['b0', 'a0'],
+        ['a0', 'b1'],
+        ['b1', 'a0'],
+      ]);
+    },
+    expected: ['suspect', 'suspect', 'alive', 'alive'],
+  },
+  {
+    title: 'a member that was paused suspects nobody, and is taken back',
+    brokenBy: { pauseThresholdMs: 60_000 },
+    run: async (fleet) => {
+      fleet.node('a0').pause();
+      await fleet.clock.advance(6_000);
+      const whilePaused = seen(fleet, 'a1', 'a0');
+      const before = fleet.node('a0').changes.length;
+      fleet.node('a0').resume();
+      const liveAtOnce = fleet.node('a0').membership.liveMembers('za').length;
+      await fleet.clock.advance(2_000);
+      return [whilePaused, liveAtOnce, fleet.node('a0').changes.length - before, isWhole(fleet)];
+    },
+    expected: ['suspect', 3, 0, true],
+  },
+  {
+    title: 'a pause longer than the removal time removes nobody either',
+    brokenBy: { pauseThresholdMs: 60_000 },
+    run: async (fleet) => {
+      fleet.node('a0').pause();
+      await fleet.clock.advance(15_000);
+      const whilePaused = seen(fleet, 'a1', 'a0');
+      const before = fleet.node('a0').changes.length;
+      fleet.node('a0').resume();
+      await fleet.clock.advance(2_000);
+      return [whilePaused, fleet.node('a0').changes.length - before, isWhole(fleet)];
+    },
+    expected: ['gone', 0, true],
+  },
+  {
+    title: 'a cut between zones splits the members and heals by itself',
+    brokenBy: { removeAfterMs: 120_000 },
+    run: async (fleet) => {
+      cut(fleet, zoneA, zoneB, true);
+      cut(fleet, zoneB, zoneA, true);
+      await fleet.clock.advance(60_000);
+      const split = views(fleet, [
+        ['a0', 'b0'],
+        ['b0', 'a0'],
+        ['a0', 'a1'],
+        ['b0', 'b1'],
+      ]);
+      cut(fleet, zoneA, zoneB, false);
+      cut(fleet, zoneB, zoneA, false);
+      await fleet.clock.advance(3_000);
+      return [split, isWhole(fleet)];
+    },
+    expected: [['gone', 'gone', 'alive', 'alive'], true],
+  },
+  {
+    title: 'a member that leaves is gone at once and stays gone',
+    brokenBy: {},
+    run: async (fleet) => {
+      await Promise.all([fleet.node('a1').membership.leave(), fleet.clock.advance(10)]);
+      const atOnce = seen(fleet, 'b2', 'a1');
+      await fleet.clock.advance(2_000);
+      const owners = [...Array(50).keys()].map((vm) =>
+        fleet.node('a0').membership.ownerOf('za', `vm${vm}`),
+      );
+      const row = fleet.platform.rows.has(memberKey(info('a1')));
+      return [atOnce, seen(fleet, 'b2', 'a1'), owners.includes('a1'), row];
+    },
+    expected: ['gone', 'gone', false, false],
+  },
+];
+
+async function wholeFleet(overrides: Partial<MembershipSettings> = {}): Promise<Fleet> {
+  const fleet = createFleet();
+  for (const name of names) fleet.join(info(name), overrides);
+  await fleet.clock.advance(3_000);
+  return fleet;
+}
+
+async function stopAll(fleet: Fleet): Promise<void> {
+  await Promise.all([...fleet.nodes.values()].map(({ stop }) => stop()));
+}
+
+// Each scenario guards against owners and forwarding targets that are wrong for longer than stated.
+for (const { title, run, expected, brokenBy } of scenarios) {
+  test(`membership: ${title}`, async (t) => {
+    const fleet = await wholeFleet();
+    t.true(isWhole(fleet));
+    t.deepEqual(await run(fleet), expected);
+    await stopAll(fleet);
+    if (Object.keys(brokenBy).length === 0) return;
+    const broken = await wholeFleet(brokenBy);
+    t.notDeepEqual(await run(broken), expected);
+    await stopAll(broken);
+  });
+}
+
+// Guards against work and request ids addressed to a process that no longer exists.
+test('a replaced VM is a new member', async (t) => {
+  const fleet = createFleet();
+  const observer = fleet.join(info('a0'));
+  const former = fleet.join(info('a1', 'old', 7400));
+  await fleet.clock.advance(1_500);
+  await former.stop();
+  fleet.join(info('a1', 'new', 7400));
+  await fleet.clock.advance(1_500);
+  t.is(observer.membership.member('a1')?.info.incarnation, 'new');
+  t.deepEqual(
+    observer.membership.liveMembers('za').map(({ incarnation }) => incarnation),
+    ['a0', 'new'],
+  );
+  // Another name at the same address: the listener of the former member is gone.
+  await fleet.node('a1').stop();
+  fleet.join(info('a9', 'other', 7400));
+  await fleet.clock.advance(10);
+  t.is(observer.membership.member('a1'), undefined);
+  t.is(observer.membership.member('a9')?.state, MemberState.Alive);
+  await stopAll(fleet);
+});
+
+test('heartbeats carry version, load and draining VMs', async (t) => {
+  const fleet = await wholeFleet();
+  const member = fleet.node('a0').membership.member('b0');
+  t.is(member?.configVersion, 7);
+  t.deepEqual(member?.load, [{ service: 's', slots: 8, freeSlots: 3, queued: 1 }]);
+  t.deepEqual(member?.draining, [{ vm: 'v', inFlight: 2 }]);
+  await stopAll(fleet);
+});
+
+// Guards against a process that stays alone because no seed answers.
+test('member rows are read while no link is up', async (t) => {
+  const clock = createVirtualClock();
+  const { table } = new FakePlatform(clock).client();
+  await registerMember(table, info('b0'));
+  const added: string[] = [];
+  const hub = new FakePeerHub(clock, () => 1);
+  const network = {
+    ...hub.join(info('a0')),
+    addMember: ({ name }: MemberInfo) => added.push(name),
+  };
+  const membership = createMembership({
+    network: { ...network, addMember: (member) => void network.addMember(member) },
+    settings,
+    heartbeat: { configVersion: () => 0, load: () => [], draining: () => [] },
+    table,
+    clock,
+    random: createRandom(1),
+    events: createEventBus(),
+    logger: silentLogger,
+    metrics: new Metrics(),
+  });
+  const lifecycle = new Lifecycle('a0');
+  const task = membership.run(lifecycle);
+  await clock.advance(3_000);
+  t.deepEqual(added, ['b0']);
+  t.truthy((await table.get(memberKey(info('a0')))).unwrapOr(undefined));
+  await lifecycle.close();
+  await task;
+});
+
+/** Share of keys whose owner changes when one of seven names goes. */
+function movedShare(owner: typeof rendezvousOwner): number {
+  const all = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((name) => `entry-${name}`);
+  const keys = [...Array(2_000).keys()].map((index) => `vm-${index}`);
+  const moved = keys.filter((key) => owner(all, key) !== owner(all.slice(1), key));
+  return moved.length / keys.length;
+}
+
+// Guards against executors changing owners, and so exceeding their slots, on each membership change.
+test('losing a member moves only the executors that it owned', (t) => {
+  const isMinimal = (share: number) => share > 0.1 && share < 0.19;
+  t.true(isMinimal(movedShare(rendezvousOwner)));
+  const byModulo: typeof rendezvousOwner = (all, key) => all[Number(key.slice(3)) % all.length];
+  t.false(isMinimal(movedShare(byModulo)));
+  t.is(rendezvousOwner([], 'vm'), undefined);
+});
+
+// Guards against unbounded memory when many members come and go.
+test('members and gone incarnations are bounded', (t) => {
+  const table = new MemberTable(3);
+  const noted = ['a', 'b', 'c', 'd'].map((name) => table.note(info(name), 0) !== undefined);
+  t.deepEqual(noted, [true, true, true, false]);
+  t.false(table.addCandidate(info('e'), 0));
+  for (let index = 0; index <= MAX_GONE; index++) {
+    table.drop('a');
+    table.note(info('a', `incarnation-${index}`), 0);
+  }
+  t.false(table.isGone('a'));
+  t.true(table.isGone('incarnation-0'));
+});
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,333 @@
+import type { Clock } from '../clock/index.js';
+import { EventName, type EventBus } from '../events/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import type { Logger } from '../logger/index.js';
+import type { Metrics } from '../metrics/index.js';
+import {
+  PeerMessageType,
+  type DrainingVm,
+  type HeartbeatMessage,
+  type MemberInfo,
+  type PeerNetwork,
+  type ServiceLoad,
+} from '../peers/index.js';
+import type { Table } from '../platform/index.js';
+import type { Random } from '../random/index.js';
+import type { MembershipSettings } from './defaults.js';
+import { MemberTable } from './memberTable.js';
+import { deregisterMember, registerMember, registeredMembers } from './registration.js';
+import { rendezvousOwner } from './rendezvous.js';
+import { MemberState, type Member, type Membership } from './types.js';
+
+/** Functions that fill a heartbeat; called for each round of heartbeats. */
+export interface HeartbeatSources {
+  configVersion: () => number;
+  load: () => ServiceLoad[];
+  draining: () => DrainingVm[];
+}
+
+/** Called for each heartbeat that was taken over. */
+export type HeartbeatListener = (member: Member, message: HeartbeatMessage) => void;
+
+/** Options of {@link createMembership}. */
+export interface MembershipOptions {
+  network: PeerNetwork;
+  settings: MembershipSettings;
+  heartbeat: HeartbeatSources;
+  /** Table with the member rows; without it, members are found by seeds only. */
+  table?: Table;
+  clock: Clock;
+  random: Random;
+  events: EventBus;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+/** A membership that takes part. */
+export interface RunningMembership extends Membership {
+  /** Sends heartbeats, checks for silence and registers this process until closed. */
+  run(lifecycle: Lifecycle): Promise<void>;
+  /** Tells the others that this process leaves, and deletes its member row. */
+  leave(): Promise<void>;
+  /** Registers a listener for heartbeats of other members. */
+  onHeartbeat(listener: HeartbeatListener): void;
+}
+
+/** Creates the membership of this process. It takes part once `run` is called. */
+export function createMembership(options: MembershipOptions): RunningMembership {
+  return new PeerMembership(options);
+}
+
+class PeerMembership implements RunningMembership {
+  readonly self: MemberInfo;
+  readonly #options: MembershipOptions;
+  readonly #table: MemberTable;
+  readonly #listeners: HeartbeatListener[] = [];
+  readonly #counters: ReturnType<typeof createCounters>;
+  #liveByZone = new Map<string, readonly MemberInfo[]>();
+  /** Identifies the live members that were announced last. */
+  #liveKey = 'none';
+  #sequence = 0;
+  #graceUntil = 0;
+  #hasLeft = false;
+
+  constructor(options: MembershipOptions) {
+    this.#options = options;
+    this.self = options.network.self;
+    this.#table = new MemberTable(options.settings.maxMembers);
+    this.#counters = createCounters(options.metrics);
+    this.#liveByZone.set(this.self.zone, [this.self]);
+    const { network } = options;
+    network.handle(PeerMessageType.Heartbeat, (from, message) => {
+      this.#onHeartbeat(from, message);
+    });
+    network.handle(PeerMessageType.Leave, (from) => {
+      this.#onLeave(from);
+    });
+    network.onLink((member, up) => {
+      if (up) this.#onLinkUp(member);
+    });
+  }
+
+  members(): readonly Member[] {
+    return this.#table.entries();
+  }
+
+  member(name: string): Member | undefined {
+    return this.#table.get(name);
+  }
+
+  liveMembers(zone: string): readonly MemberInfo[] {
+    return this.#liveByZone.get(zone) ?? [];
+  }
+
+  ownerOf(zone: string, vm: string): string | undefined {
+    const names = this.liveMembers(zone).map(({ name }) => name);
+    return rendezvousOwner(names, vm);
+  }
+
+  onHeartbeat(listener: HeartbeatListener): void {
+    this.#listeners.push(listener);
+  }
+
+  async run(lifecycle: Lifecycle): Promise<void> {
+    const { network, settings } = this.#options;
+    for (const { host, port } of settings.seeds) network.addSeed?.(host, port);
+    const isLocal = ({ zone }: MemberInfo) => zone === this.self.zone;
+    await Promise.all([
+      this.#sweepLoop(lifecycle.signal),
+      this.#heartbeatLoop(settings.zoneHeartbeatMs, isLocal, lifecycle.signal),
+      this.#heartbeatLoop(settings.remoteHeartbeatMs, (info) => !isLocal(info), lifecycle.signal),
+      this.#registrationLoop(lifecycle.signal),
+      this.#discoveryLoop(lifecycle.signal),
+    ]);
+  }
+
+  async leave(): Promise<void> {
+    const { network, table, logger } = this.#options;
+    this.#hasLeft = true;
+    this.#liveKey = '';
+    this.#publish();
+    const { name, incarnation } = this.self;
+    for (const member of network.connected()) {
+      network.send(member.name, { type: PeerMessageType.Leave, from: { name, incarnation } });
+    }
+    const deleted = await (table && deregisterMember(table, this.self));
+    if (!deleted?.isErr) return;
+    // The zone controller deletes the row of a member that stays away.
+    logger.warn({ event: 'member_deregister_failed', error: deleted.error.message });
+  }
+
+  async #sweepLoop(signal: AbortSignal): Promise<void> {
+    const { clock, settings } = this.#options;
+    while (!signal.aborted) {
+      const due = clock.now() + settings.sweepIntervalMs;
+      await clock.sleep(settings.sweepIntervalMs, signal);
+      this.#sweep(clock.now() - due);
+    }
+  }
+
+  #sweep(lateMs: number): void {
+    const { clock, settings, network, logger } = this.#options;
+    const now = clock.now();
+    if (lateMs > settings.pauseThresholdMs) {
+      this.#table.refreshAll(now);
+      this.#graceUntil = now + settings.suspectAfterMs;
+      this.#counters.pauses.inc();
+      logger.warn({ event: 'process_was_paused', lateMs });
+    }
+    const { removed, forgotten } = this.#table.sweep(now, settings);
+    for (const info of removed) {
+      this.#counters.removed.inc();
+      logger.info({ event: 'member_removed', member: info.name, zone: info.zone });
+      // A removed member may be behind a partition; its link is attempted until it is forgotten.
+      network.addMember(info);
+    }
+    for (const info of forgotten) network.removeMember(info.name);
+    this.#publish();
+  }
+
+  async #heartbeatLoop(
+    intervalMs: number,
+    isTarget: (info: MemberInfo) => boolean,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, random, network } = this.#options;
+    await clock.sleep(random.next() * intervalMs, signal);
+    while (!signal.aborted) {
+      const targets = network.connected().filter(isTarget);
+      if (targets.length > 0 && !this.#hasLeft) this.#sendHeartbeats(targets, this.#digest());
+      await clock.sleep(intervalMs, signal);
+    }
+  }
+
+  #sendHeartbeats(targets: readonly MemberInfo[], members: MemberInfo[]): void {
+    const { network, heartbeat } = this.#options;
+    this.#sequence += 1;
+    const { name, incarnation } = this.self;
+    const common = {
+      type: PeerMessageType.Heartbeat as const,
+      from: { name, incarnation },
+      sequence: this.#sequence,
+      configVersion: heartbeat.configVersion(),
+      load: heartbeat.load(),
+      draining: heartbeat.draining(),
+      members,
+    };
+    for (const target of targets) {
+      const sent = network.send(target.name, { ...common, hears: this.#hears(target) });
+      this.#counters.heartbeats.inc({ result: sent.isOk ? 'sent' : 'refused' });
+    }
+  }
+
+  #hears({ name }: MemberInfo): boolean {
+    const entry = this.#table.get(name);
+    if (!entry) return false;
+    return this.#options.clock.now() - entry.lastHeardAt < this.#options.settings.suspectAfterMs;
+  }
+
+  /** A random sample of live members; all of them are sent only when a link comes up. */
+  #digest(): MemberInfo[] {
+    const alive = this.#aliveInfos();
+    const { digestSize } = this.#options.settings;
+    if (alive.length <= digestSize) return alive;
+    return Array.from({ length: digestSize }, () => this.#options.random.pick(alive));
+  }
+
+  #aliveInfos(): MemberInfo[] {
+    return this.#table
+      .entries()
+      .filter(({ state }) => state === MemberState.Alive)
+      .map(({ info }) => info);
+  }
+
+  #onHeartbeat(from: MemberInfo, message: HeartbeatMessage): void {
+    const entry = this.#note(from);
+    if (!entry || !this.#table.update(entry, message)) return;
+    if (this.#options.clock.now() < this.#graceUntil) entry.hearsUs = true;
+    this.#learn(message.members);
+    this.#publish();
+    for (const listener of this.#listeners) listener(entry, message);
+  }
+
+  #onLinkUp(member: MemberInfo): void {
+    if (!this.#note(member)) return;
+    this.#options.network.addMember(member);
+    this.#publish();
+    if (!this.#hasLeft) this.#sendHeartbeats([member], this.#aliveInfos());
+  }
+
+  #onLeave({ name }: MemberInfo): void {
+    this.#table.drop(name);
+    this.#options.network.removeMember(name);
+    this.#options.logger.info({ event: 'member_left', member: name });
+    this.#publish();
+  }
+
+  #note(info: MemberInfo) {
+    const isNew = this.#table.get(info.name)?.info.incarnation !== info.incarnation;
+    const entry = this.#table.note(info, this.#options.clock.now());
+    if (!entry) this.#counters.refused.inc();
+    if (!entry || !isNew) return entry;
+    this.#options.logger.info({ event: 'member_joined', member: info.name, zone: info.zone });
+    for (const former of this.#table.formerAt(info)) {
+      this.#table.drop(former.name);
+      this.#options.network.removeMember(former.name);
+      this.#options.logger.info({ event: 'member_replaced', member: former.name, by: info.name });
+    }
+    return entry;
+  }
+
+  #learn(members: readonly MemberInfo[]): void {
+    const { clock, network } = this.#options;
+    for (const info of members) {
+      if (info.name === this.self.name) continue;
+      if (this.#table.addCandidate(info, clock.now())) network.addMember(info);
+    }
+  }
+
+  /** Announces a change of the live members, if there is one. */
+  #publish(): void {
+    const alive = this.#aliveInfos();
+    const key = alive.map(({ name, incarnation }) => `${name}/${incarnation}`).join() || 'none';
+    if (key === this.#liveKey) return;
+    this.#liveKey = key;
+    const live = this.#hasLeft ? alive : [this.self, ...alive];
+    this.#liveByZone = groupByZone(live);
+    this.#counters.live.set(live.length);
+    void this.#options.events.emit(EventName.MembersChanged, { live: live.length });
+  }
+
+  async #registrationLoop(signal: AbortSignal): Promise<void> {
+    const { table, clock, random, settings, logger } = this.#options;
+    if (!table) return;
+    while (!signal.aborted && !this.#hasLeft) {
+      const registered = await registerMember(table, this.self);
+      if (registered.isErr) {
+        logger.warn({ event: 'member_register_failed', error: registered.error.message });
+      }
+      const ceiling = registered.isOk ? settings.registrationMs : settings.tableFallbackMaxMs;
+      await clock.sleep((0.5 + random.next() / 2) * ceiling, signal);
+    }
+  }
+
+  /** Reads the member rows while no link is up. */
+  async #discoveryLoop(signal: AbortSignal): Promise<void> {
+    const { table, clock, random, settings, network } = this.#options;
+    if (!table) return;
+    let waitMs = settings.tableFallbackMs;
+    while (!signal.aborted) {
+      await clock.sleep((0.5 + random.next() / 2) * waitMs, signal);
+      if (network.connected().length > 0) {
+        waitMs = settings.tableFallbackMs;
+        continue;
+      }
+      const members = await registeredMembers(table, settings.maxMembers);
+      if (members.isOk) this.#learn(members.value);
+      waitMs = Math.min(settings.tableFallbackMaxMs, waitMs * 2);
+    }
+  }
+}
+
+function groupByZone(members: readonly MemberInfo[]): Map<string, readonly MemberInfo[]> {
+  const zones = new Map<string, MemberInfo[]>();
+  for (const member of members) {
+    const zone = zones.get(member.zone);
+    if (zone) zone.push(member);
+    else zones.set(member.zone, [member]);
+  }
+  return zones;
+}
+
+function createCounters(metrics: Metrics) {
+  return {
+    live: metrics.gauge('members_live', 'Live members, including this process'),
+    removed: metrics.counter('members_removed_total', 'Members removed after silence'),
+    refused: metrics.counter(
+      'members_refused_total',
+      'Signs of life that were ignored: incarnation gone or too many members',
+    ),
+    pauses: metrics.counter('process_pauses_total', 'Pauses of this process that it noticed'),
+    heartbeats: metrics.counter('heartbeats_total', 'Heartbeats by result', ['result']),
+  };
+}
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -60,6 +60,11 @@
   draining: DrainingVm[];
   /** Members known to the sender, for discovery. */
   members: MemberInfo[];
+  /**
+   * False when the sender has not heard the receiver for a while. The receiver then treats the
+   * sender as Suspect, so that a link that works in one direction only is used by neither side.
+   */
+  hears?: boolean;
 }
 
 /** Committed versions in order, pushed or answered to a ConfigRequest. */
