Add the zone controller lease

Cause: each zone needs one process at a time that decides on stops, moves and states, without a second coordination service.

Change: runZoneLease contends for the row lease/zone/<zone>, renews it every third of its duration and runs the given work while it is held. HeldLease.write hands the row condition to a write and keeps renewals and writes apart, since the table only compares row versions and a renewal is a new version. A write that hangs is overtaken after half a renewal interval.

Ruled out: a row per term without renewals in it (contenders could not see that the holder lives); deleting the row on release (the row version and the epoch would start again); letting a contender count silence while it cannot read the row.

Conclusion: a holder that was paused past its lease cannot write; the variant without the row condition overwrites its successor in the same run.

--- /dev/null
+++ b/src/controller/lease.spec.ts
@@ -0,0 +1,220 @@
+import test from 'ava';
+import { createEventBus, EventName } from '../events/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { Metrics } from '../metrics/index.js';
+import type { Condition, PlatformClient } from '../platform/index.js';
+import { createRandom } from '../random/index.js';
+import { createVirtualClock, FakePlatform } from '../testing/index.js';
+import { CallFault, interceptPlatform, type PlatformCall } from '../testing/interceptedPlatform.js';
+import { controllerDefaults } from './defaults.js';
+import { leaseKey, runZoneLease } from './lease.js';
+import { createControllerMetrics } from './metrics.js';
+import type { HeldLease, LeaseRow } from './types.js';
+
+const TTL = controllerDefaults.leaseTtlMs;
+const SEED = 11;
+const KEY = leaseKey('z1');
+
+type FaultOf = (call: PlatformCall) => CallFault;
+
+function setUp() {
+  const clock = createVirtualClock();
+  const platform = new FakePlatform(clock);
+  const row = () => platform.rows.get(KEY)?.value as LeaseRow | undefined;
+
+  function start(holder: string, faultOf: FaultOf = () => CallFault.None, pauseMs = 2 * TTL) {
+    const client: PlatformClient = interceptPlatform(platform.client(), {
+      clock,
+      pauseMs,
+      faultOf,
+    });
+    const lifecycle = new Lifecycle(holder);
+    const events = createEventBus();
+    const terms: HeldLease[] = [];
+    const changes: boolean[] = [];
+    events.on(EventName.LeaseChanged, ({ held }) => void changes.push(held));
+    const task = runZoneLease(
+      {
+        zone: 'z1',
+        holder,
+        table: client.table,
+        clock,
+        random: createRandom(SEED),
+        logger: silentLogger,
+        events,
+        settings: controllerDefaults,
+        metrics: createControllerMetrics(new Metrics()),
+        whileHeld: (lease, term) => {
+          terms.push(lease);
+          return new Promise((resolve) => {
+            term.signal.addEventListener('abort', () => {
+              resolve();
+            });
+          });
+        },
+      },
+      lifecycle,
+    );
+    lifecycle.own('task', () => task);
+    const isHolder = () => terms.at(-1)?.isHeld ?? false;
+    return { client, lifecycle, terms, changes, isHolder };
+  }
+  return { clock, platform, row, start };
+}
+
+/** A write under the lease, as every write of the controller is made. */
+function writeUnder(lease: HeldLease, client: PlatformClient, key: string) {
+  return lease.write((condition) => client.table.transact([condition], [{ key, value: 1 }]));
+}
+
+test('one process holds the lease while it renews; a second one never takes it', async (t) => {
+  const { clock, row, start } = setUp();
+  const first = start('a');
+  await clock.advance(100);
+  const second = start('b');
+  await clock.advance(20 * TTL);
+  t.true(first.isHolder());
+  t.is(second.terms.length, 0);
+  t.is(row()?.epoch, 1);
+  t.true((row()?.renewals ?? 0) >= 55);
+  await Promise.all([second.lifecycle.close(), first.lifecycle.close()]);
+});
+
+test('a released lease is taken at the next look, with a larger epoch', async (t) => {
+  const { clock, row, start } = setUp();
+  const first = start('a');
+  await clock.advance(100);
+  const second = start('b');
+  await clock.advance(TTL);
+  await first.lifecycle.close();
+  t.is(row()?.holder, '');
+  t.false(first.isHolder());
+  await clock.advance(TTL / 2);
+  t.true(second.isHolder());
+  t.is(row()?.epoch, 2);
+  t.deepEqual(first.changes, [true, false]);
+  await second.lifecycle.close();
+});
+
+// A contender that took the lease too early would have two controllers act at the same time.
+test('after a crash the lease is taken once no renewal was seen for its duration', async (t) => {
+  const { clock, start } = setUp();
+  let hasCrashed = false;
+  start('a', () => (hasCrashed ? CallFault.CrashBefore : CallFault.None));
+  await clock.advance(100);
+  const second = start('b');
+  await clock.advance(2 * TTL);
+  hasCrashed = true;
+  await clock.advance(TTL / 2);
+  t.false(second.isHolder());
+  await clock.advance(1.5 * TTL);
+  t.true(second.isHolder());
+  await second.lifecycle.close();
+});
+
+test('a holder that was paused past its lease cannot write', async (t) => {
+  const { clock, platform, start } = setUp();
+  const isWrite = ({ name, args }: PlatformCall) =>
+    name === 'table.transact' && (args[1] as { key: string }[])[0]?.key === 'late';
+  const first = start('a', (call) => (isWrite(call) ? CallFault.Pause : CallFault.None));
+  await clock.advance(100);
+  // The second process sees no renewal, since the renewals of the first wait for its write.
+  const second = start('b');
+  const lease = first.terms[0];
+  if (!lease) return t.fail('no lease');
+  const write = writeUnder(lease, first.client, 'late');
+  first.client.table.transact = () => new Promise(() => undefined);
+  await clock.advance(3 * TTL);
+  t.true(second.isHolder());
+  t.false(first.isHolder());
+  const written = await write;
+  t.true(written.isOk && written.value.isErr);
+  t.false(platform.rows.has('late'));
+  t.true((await writeUnder(lease, first.client, 'later')).isErr);
+  await second.lifecycle.close();
+});
+
+test('renewals do not invalidate writes, nor writes renewals', async (t) => {
+  const { clock, platform, start } = setUp();
+  const first = start('a', undefined);
+  await clock.advance(100);
+  let failures = 0;
+  let writes = 0;
+  const lease = first.terms[0];
+  if (!lease) return t.fail('no lease');
+  const writer = async () => {
+    while (lease.isHeld) {
+      const written = await lease.write(async (condition) => {
+        await clock.sleep(7);
+        return first.client.table.transact([condition], [{ key: 'w', value: writes }]);
+      });
+      writes += 1;
+      if (written.isOk && written.value.isErr) failures += 1;
+    }
+  };
+  const writers = [writer(), writer(), writer()];
+  await clock.advance(10 * TTL);
+  t.true(first.isHolder());
+  t.true(writes > 1_000);
+  t.is(failures, 0);
+  t.is(platform.rows.get(KEY)?.version, (platform.rows.get(KEY)?.value as LeaseRow).renewals + 1);
+  const closing = first.lifecycle.close();
+  await clock.advance(100);
+  await Promise.all([closing, ...writers]);
+});
+
+for (const fault of [CallFault.LoseAnswer, CallFault.Down]) {
+  test(`the lease is taken and kept when every third call meets ${fault}`, async (t) => {
+    const { clock, row, start } = setUp();
+    const first = start('a', ({ index }) => (index % 3 === 0 ? fault : CallFault.None));
+    await clock.advance(10 * TTL);
+    t.true(first.isHolder());
+    t.is(first.terms.length, 1);
+    t.is(row()?.holder, 'a');
+    await first.lifecycle.close();
+  });
+}
+
+test('during an outage of the platform the holder stops, and the lease is taken afterwards', async (t) => {
+  const { clock, start } = setUp();
+  let isDown = false;
+  const faultOf = () => (isDown ? CallFault.Down : CallFault.None);
+  const processes = [start('a', faultOf), start('b', faultOf)];
+  await clock.advance(TTL);
+  isDown = true;
+  await clock.advance(3 * TTL);
+  t.deepEqual(
+    processes.map(({ isHolder }) => isHolder()),
+    [false, false],
+  );
+  isDown = false;
+  await clock.advance(3 * TTL);
+  t.is(processes.filter(({ isHolder }) => isHolder()).length, 1);
+  await Promise.all(processes.map(({ lifecycle }) => lifecycle.close()));
+});
+
+// The broken variant leaves out the row condition, as a controller without an epoch check would.
+test('without the condition a paused holder would overwrite its successor', async (t) => {
+  const broken = (_: Condition): Condition[] => [];
+  const correct = (condition: Condition): Condition[] => [condition];
+  for (const [conditions, isWritten] of [
+    [correct, false],
+    [broken, true],
+  ] as const) {
+    const { clock, platform, start } = setUp();
+    const first = start('a');
+    await clock.advance(100);
+    const write = first.terms[0]?.write(async (condition) => {
+      await clock.sleep(3 * TTL);
+      return platform.client().table.transact(conditions(condition), [{ key: 'late', value: 1 }]);
+    });
+    first.client.table.transact = () => new Promise(() => undefined);
+    const second = start('b');
+    await clock.advance(4 * TTL);
+    await write;
+    t.true(second.isHolder());
+    t.is(platform.rows.has('late'), isWritten);
+    await second.lifecycle.close();
+  }
+});
--- /dev/null
+++ b/src/controller/lease.ts
@@ -0,0 +1,298 @@
+import { Result } from 'true-myth';
+import type { Clock, Timer } from '../clock/index.js';
+import { EventName, type EventBus } from '../events/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import type { Logger } from '../logger/index.js';
+import { PlatformErrorCode, type Condition, type Row, type Table } from '../platform/index.js';
+import type { Random } from '../random/index.js';
+import type { ControllerSettings } from './defaults.js';
+import type { ControllerMetrics } from './metrics.js';
+import { ControllerError, ControllerErrorCode, type HeldLease, type LeaseRow } from './types.js';
+
+/** The holder renews this many times per lease duration. */
+const RENEWALS_PER_TTL = 3;
+/** A failed renewal is repeated this many times per lease duration. */
+const RETRIES_PER_TTL = 12;
+
+/** What the lease of a zone is built from. */
+export interface ZoneLeaseDeps {
+  zone: string;
+  /** Name and incarnation of this process; a restarted process is another holder. */
+  holder: string;
+  table: Table;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  events: EventBus;
+  settings: Pick<ControllerSettings, 'leaseTtlMs'>;
+  metrics: Pick<ControllerMetrics, 'leaseTakeovers' | 'leaseLosses'>;
+  /**
+   * Work of the holder. It runs until its life cycle is closed, which happens when the lease is
+   * lost or released; the next term starts after it has returned.
+   */
+  whileHeld: (lease: HeldLease, lifecycle: Lifecycle) => Promise<void>;
+}
+
+/** Key of the lease row of a zone. */
+export function leaseKey(zone: string): string {
+  return `lease/zone/${zone}`;
+}
+
+/**
+ * Contends for the controller lease of a zone, holds it while it can be renewed, and contends
+ * again. Releases the lease on shutdown.
+ *
+ * @returns when the life cycle is closed
+ * @throws what `whileHeld` throws, after the lease was released
+ */
+export async function runZoneLease(deps: ZoneLeaseDeps, lifecycle: Lifecycle): Promise<void> {
+  while (!lifecycle.signal.aborted) {
+    const lease = await contend(deps, lifecycle.signal);
+    if (lease) await hold(deps, lease, lifecycle);
+  }
+}
+
+/** Waits until the lease is free or lapsed, and takes it. */
+async function contend(deps: ZoneLeaseDeps, signal: AbortSignal): Promise<Lease | undefined> {
+  const { clock, settings, table } = deps;
+  const interval = settings.leaseTtlMs / RENEWALS_PER_TTL;
+  let seen: { version: number; at: number } | undefined;
+  while (!signal.aborted) {
+    const read = await table.get(leaseKey(deps.zone));
+    if (read.isOk) {
+      const row = read.value;
+      const version = row?.version ?? 0;
+      if (seen?.version !== version) seen = { version, at: clock.now() };
+      const lapsed = clock.now() - seen.at >= settings.leaseTtlMs;
+      if (lapsed || isFree(row, deps.holder)) {
+        const lease = await take(deps, row);
+        if (lease) return lease;
+      }
+    } else {
+      // Renewals cannot be seen while the row cannot be read, so their absence means nothing.
+      seen = undefined;
+    }
+    await clock.sleep(interval * (0.75 + deps.random.next() / 2), signal);
+  }
+  return undefined;
+}
+
+/** A row of this very process is left by a term that ended or by a takeover without answer. */
+function isFree(row: Row | undefined, self: string): boolean {
+  if (!row) return true;
+  const { holder } = row.value as LeaseRow;
+  return holder === '' || holder === self;
+}
+
+async function take(deps: ZoneLeaseDeps, row: Row | undefined): Promise<Lease | undefined> {
+  const startedAt = deps.clock.now();
+  const key = leaseKey(deps.zone);
+  const version = row?.version ?? 0;
+  const epoch = ((row?.value as LeaseRow | undefined)?.epoch ?? 0) + 1;
+  const value: LeaseRow = { holder: deps.holder, epoch, renewals: 0 };
+  const taken = await deps.table.transact([{ key, version }], [{ key, value }]);
+  if (taken.isErr) return undefined;
+  return new Lease(deps, epoch, version + 1, startedAt);
+}
+
+async function hold(deps: ZoneLeaseDeps, lease: Lease, lifecycle: Lifecycle): Promise<void> {
+  const { zone } = deps;
+  if (lifecycle.isClosed) return lease.release();
+  const term = lifecycle.child('term');
+  deps.metrics.leaseTakeovers.inc({ zone });
+  deps.logger.info({ event: 'lease_acquired', zone, epoch: lease.epoch });
+  announce(deps, lease.epoch, true);
+  const work = deps.whileHeld(lease, term);
+  // A failure is rethrown below, after the lease was released.
+  work.catch(() => {
+    lease.lose();
+  });
+  await lease.renewUntilLost(lifecycle.signal);
+  if (!lifecycle.signal.aborted) deps.metrics.leaseLosses.inc({ zone });
+  announce(deps, lease.epoch, false);
+  try {
+    await Promise.all([term.close(), work]);
+  } finally {
+    await lease.release();
+    deps.logger.info({ event: 'lease_ended', zone, epoch: lease.epoch });
+  }
+}
+
+function announce({ events, zone }: ZoneLeaseDeps, epoch: number, held: boolean): void {
+  void events.emit(EventName.LeaseChanged, { zone, epoch, held });
+}
+
+/** One term of the lease. */
+class Lease implements HeldLease {
+  readonly zone: string;
+  readonly holder: string;
+  readonly epoch: number;
+  readonly #deps: ZoneLeaseDeps;
+  readonly #key: string;
+  readonly #lost = new AbortController();
+  readonly #untilLost: Promise<false>;
+  #version: number;
+  #renewals = 0;
+  #expiresAt: number;
+  #expiry: Timer | undefined;
+  /** Writes in progress, which a renewal waits for. */
+  #writes = 0;
+  #onIdle: (() => void) | undefined;
+  /** Renewal in progress, which writes wait for. */
+  #renewal: Promise<void> | undefined;
+
+  constructor(deps: ZoneLeaseDeps, epoch: number, version: number, takenAt: number) {
+    this.#deps = deps;
+    this.zone = deps.zone;
+    this.holder = deps.holder;
+    this.epoch = epoch;
+    this.#key = leaseKey(deps.zone);
+    this.#version = version;
+    this.#expiresAt = takenAt + deps.settings.leaseTtlMs;
+    this.#untilLost = new Promise((resolve) => {
+      const onLost = () => {
+        resolve(false);
+      };
+      this.#lost.signal.addEventListener('abort', onLost, { once: true });
+    });
+    this.#armExpiry();
+  }
+
+  get isHeld(): boolean {
+    // The clock decides, since the expiry timer of a paused process fires late.
+    return !this.#lost.signal.aborted && this.#deps.clock.now() < this.#expiresAt;
+  }
+
+  async write<T>(run: (condition: Condition) => Promise<T>): Promise<Result<T, ControllerError>> {
+    while (this.#renewal && this.isHeld) await Promise.race([this.#renewal, this.#untilLost]);
+    if (!this.isHeld) return Result.err(this.#lostError());
+    this.#writes += 1;
+    try {
+      return Result.ok(await run({ key: this.#key, version: this.#version }));
+    } finally {
+      this.#writes -= 1;
+      if (this.#writes === 0) this.#onIdle?.();
+    }
+  }
+
+  async recheck(): Promise<void> {
+    await this.#readBack();
+  }
+
+  lose(): void {
+    this.#expiry?.cancel();
+    this.#lost.abort();
+  }
+
+  /** Renews in time until the lease is lost or the signal is aborted. */
+  async renewUntilLost(signal: AbortSignal): Promise<void> {
+    const { clock, settings } = this.#deps;
+    const either = AbortSignal.any([signal, this.#lost.signal]);
+    const usual = settings.leaseTtlMs / RENEWALS_PER_TTL;
+    let delay = usual;
+    while (await clock.sleep(delay, either)) {
+      if (!this.isHeld) break;
+      // A renewal that hangs must not delay the end of the term.
+      const renewed = await Promise.race([this.#renewExclusively(), this.#untilLost]);
+      delay = renewed ? usual : settings.leaseTtlMs / RETRIES_PER_TTL;
+    }
+    this.#expiry?.cancel();
+    if (!signal.aborted) this.lose();
+  }
+
+  /** Gives the lease up, unless it is already lost. The epoch stays in the row. */
+  async release(): Promise<void> {
+    this.#expiry?.cancel();
+    const value: LeaseRow = { holder: '', epoch: this.epoch, renewals: this.#renewals };
+    const condition = { key: this.#key, version: this.#version };
+    this.#lost.abort();
+    await this.#deps.table.transact([condition], [{ key: this.#key, value }]);
+  }
+
+  async #renewExclusively(): Promise<boolean> {
+    let open: () => void = () => undefined;
+    this.#renewal = new Promise((resolve) => {
+      open = resolve;
+    });
+    try {
+      await this.#writesFinished();
+      return await this.#renew();
+    } finally {
+      this.#renewal = undefined;
+      open();
+    }
+  }
+
+  /**
+   * Waits for the writes in progress. A write that hangs is overtaken after half a renewal
+   * interval; its condition then fails and it is decided again.
+   */
+  #writesFinished(): Promise<void> {
+    if (this.#writes === 0) return Promise.resolve();
+    const patience = this.#deps.settings.leaseTtlMs / RENEWALS_PER_TTL / 2;
+    return new Promise((resolve) => {
+      const timer = this.#deps.clock.setTimer(patience, resolve);
+      this.#onIdle = () => {
+        timer.cancel();
+        resolve();
+      };
+    });
+  }
+
+  async #renew(): Promise<boolean> {
+    const startedAt = this.#deps.clock.now();
+    const renewals = this.#renewals + 1;
+    const value: LeaseRow = { holder: this.holder, epoch: this.epoch, renewals };
+    const condition = { key: this.#key, version: this.#version };
+    const done = await this.#deps.table.transact([condition], [{ key: this.#key, value }]);
+    if (done.isOk) {
+      this.#version += 1;
+      this.#renewals = renewals;
+      this.#extend(startedAt);
+      return true;
+    }
+    const { code } = done.error;
+    if (code !== PlatformErrorCode.OutcomeUnknown && code !== PlatformErrorCode.ConditionFailed) {
+      return false;
+    }
+    await this.#readBack();
+    if (this.#renewals < renewals) return false;
+    this.#extend(startedAt);
+    return true;
+  }
+
+  /** Adopts the row when it still belongs to this term, and ends the term when it does not. */
+  async #readBack(): Promise<void> {
+    const read = await this.#deps.table.get(this.#key);
+    if (read.isErr) return;
+    const row = read.value?.value as LeaseRow | undefined;
+    if (row?.holder !== this.holder || row.epoch !== this.epoch) {
+      this.lose();
+      return;
+    }
+    this.#version = read.value?.version ?? 0;
+    this.#renewals = row.renewals;
+  }
+
+  /** Contenders count from when they saw the renewal, which is later than its start. */
+  #extend(renewalStartedAt: number): void {
+    this.#expiresAt = renewalStartedAt + this.#deps.settings.leaseTtlMs;
+    this.#armExpiry();
+  }
+
+  #armExpiry(): void {
+    this.#expiry?.cancel();
+    if (this.#lost.signal.aborted) return;
+    const remaining = Math.max(0, this.#expiresAt - this.#deps.clock.now());
+    this.#expiry = this.#deps.clock.setTimer(remaining, () => {
+      this.lose();
+    });
+  }
+
+  #lostError(): ControllerError {
+    return new ControllerError(
+      ControllerErrorCode.LeaseLost,
+      `lease of zone ${this.zone} with epoch ${this.epoch} is no longer held`,
+    );
+  }
+}
