--- /dev/null
+++ b/src/controller/budget.ts
@@ -0,0 +1,294 @@
+import { Result } from 'true-myth';
+import {
+  EntityKind,
+  MoveState,
+  VmState,
+  type ConfigView,
+  type Pool,
+  type Service,
+  type Vm,
+} from '../configuration/index.js';
+import { BaseError } from '../errors/index.js';
+
+/** Why a VM counts as away. A VM with several reasons counts once, under the first in this order. */
+export enum AwayReason {
+  Failed = 'failed',
+  Leaving = 'leaving',
+  Unreachable = 'unreachable',
+  Stop = 'stop',
+  Move = 'move',
+  /** The controller of its zone has been silent for too long. */
+  SilentZone = 'silent_zone',
+}
+
+/** Rules that a permit must hold. */
+export enum BudgetRule {
+  /** The VM is not in the inventory, or its pool is not. */
+  Unknown = 'unknown',
+  /** The VM is already away. */
+  AlreadyAway = 'already_away',
+  MinAvailable = 'min_available',
+  MaxAway = 'max_away',
+  MaxAwayPerRack = 'max_away_per_rack',
+  MaxAwayPerZone = 'max_away_per_zone',
+  /** Slots in service of a service. */
+  MinAvailableSlots = 'min_available_slots',
+}
+
+/** A permit was refused, or a budget is broken. */
+export class BudgetError extends BaseError<BudgetRule> {
+  /** Pool, rack, zone or service that the rule belongs to. */
+  readonly scope: string;
+  /** Count that the permit would lead to, in VMs or slots. */
+  readonly found: number;
+  /** Limit of the rule, in VMs or slots. */
+  readonly allowed: number;
+
+  constructor(rule: BudgetRule, scope: string, found: number, allowed: number) {
+    super(rule, `${rule} of ${scope}: found ${found}, allowed ${allowed}`);
+    this.scope = scope;
+    this.found = found;
+    this.allowed = allowed;
+  }
+}
+
+/** What the counting needs besides the configuration. */
+export interface BudgetOptions {
+  /** Zones whose controller has been silent for too long. */
+  silentZones: ReadonlySet<string>;
+  /** VMs that are kept unused of the limits; 0 for the bare rules. */
+  reserve?: number;
+}
+
+/** Counts of one pool at one version. */
+export interface PoolCount {
+  total: number;
+  away: number;
+  slots: number;
+  slotsAway: number;
+  byReason: Map<AwayReason, number>;
+  /** VMs away by {@link rackKey}. */
+  byRack: Map<string, number>;
+  byZone: Map<string, number>;
+}
+
+/** Racks are told apart by their zone too. */
+export function rackKey(vm: Vm): string {
+  return `${vm.zone}/${vm.rack}`;
+}
+
+/** Slots of the VM's executor; 0 when it runs none. */
+export function slotsOf(vm: Vm): number {
+  return vm.executor?.slots ?? 0;
+}
+
+/** Why a VM is away at the view's version; undefined when it is available. */
+export function awayReason(
+  view: ConfigView,
+  vm: Vm,
+  silentZones: ReadonlySet<string>,
+): AwayReason | undefined {
+  const state = view.get(EntityKind.VmStatus, vm.id)?.state;
+  if (state === VmState.Failed) return AwayReason.Failed;
+  if (state === VmState.Leaving) return AwayReason.Leaving;
+  if (state === VmState.Unreachable) return AwayReason.Unreachable;
+  if (view.get(EntityKind.Stop, vm.id)) return AwayReason.Stop;
+  const move = view.get(EntityKind.Move, vm.id);
+  // A requested move has no permit yet, and its VM is in service.
+  if (move && move.state !== MoveState.Requested) return AwayReason.Move;
+  if (silentZones.has(vm.zone)) return AwayReason.SilentZone;
+  return undefined;
+}
+
+/** Counts one pool. Linear in the VMs of the pool. */
+export function countPool(
+  view: ConfigView,
+  pool: string,
+  silentZones: ReadonlySet<string>,
+): PoolCount {
+  const count: PoolCount = {
+    total: 0,
+    away: 0,
+    slots: 0,
+    slotsAway: 0,
+    byReason: new Map(),
+    byRack: new Map(),
+    byZone: new Map(),
+  };
+  for (const vm of view.vmsOfPool(pool)) {
+    count.total += 1;
+    count.slots += slotsOf(vm);
+    const reason = awayReason(view, vm, silentZones);
+    if (reason) addAway(count, vm, reason);
+  }
+  return count;
+}
+
+function addAway(count: PoolCount, vm: Vm, reason: AwayReason): void {
+  count.away += 1;
+  count.slotsAway += slotsOf(vm);
+  increment(count.byReason, reason);
+  increment(count.byRack, rackKey(vm));
+  increment(count.byZone, vm.zone);
+}
+
+function increment<K>(counts: Map<K, number>, key: K): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+/** Services of each pool. */
+export function servicesByPool(view: ConfigView): Map<string, Service[]> {
+  const services = new Map<string, Service[]>();
+  for (const service of view.list(EntityKind.Service)) {
+    const known = services.get(service.pool);
+    if (known) known.push(service);
+    else services.set(service.pool, [service]);
+  }
+  return services;
+}
+
+/**
+ * The budgets at one version, with the permits that one decision grants on top. It must be used
+ * within one synchronous step, since the view advances.
+ */
+export class Budget {
+  readonly #view: ConfigView;
+  readonly #silentZones: ReadonlySet<string>;
+  readonly #reserve: number;
+  readonly #counts = new Map<string, PoolCount>();
+  readonly #granted = new Set<string>();
+  #services: Map<string, Service[]> | undefined;
+
+  constructor(view: ConfigView, options: BudgetOptions) {
+    this.#view = view;
+    this.#silentZones = options.silentZones;
+    this.#reserve = options.reserve ?? 0;
+  }
+
+  /** Counts of a pool, permits of this decision included. */
+  count(pool: string): PoolCount {
+    let count = this.#counts.get(pool);
+    if (!count) {
+      count = countPool(this.#view, pool, this.#silentZones);
+      this.#counts.set(pool, count);
+    }
+    return count;
+  }
+
+  /** Whether one more VM may go. Grants nothing. */
+  check(id: string): Result<Vm, BudgetError> {
+    const vm = this.#view.get(EntityKind.Vm, id);
+    const pool = this.#poolOf(id);
+    if (!vm || !pool) return Result.err(new BudgetError(BudgetRule.Unknown, id, 0, 1));
+    if (this.#granted.has(id) || awayReason(this.#view, vm, this.#silentZones)) {
+      return Result.err(new BudgetError(BudgetRule.AlreadyAway, id, 1, 0));
+    }
+    const broken = this.#brokenBy(pool, vm);
+    return broken ? Result.err(broken) : Result.ok(vm);
+  }
+
+  /** Counts a VM as away if it may go. */
+  grant(id: string, reason: AwayReason.Stop | AwayReason.Move): Result<Vm, BudgetError> {
+    const checked = this.check(id);
+    if (checked.isErr) return checked;
+    const pool = this.#view.poolOf(id);
+    if (pool !== undefined) addAway(this.count(pool), checked.value, reason);
+    this.#granted.add(id);
+    return checked;
+  }
+
+  /** The first rule of a pool that is broken as things stand; undefined when all hold. */
+  broken(id: string): BudgetError | undefined {
+    const pool = this.#view.get(EntityKind.Pool, id);
+    return pool && this.#firstBroken(pool, this.count(id), 0);
+  }
+
+  /** VMs of a pool that may still go by the rules of the pool and its services as a whole. */
+  slack(id: string): number {
+    const pool = this.#view.get(EntityKind.Pool, id);
+    if (!pool) return 0;
+    const count = this.count(id);
+    const byCount = Math.min(
+      pool.maxAway - count.away,
+      count.total - count.away - pool.minAvailable,
+    );
+    // A pool without executors has no slots to lose.
+    if (count.slots === 0) return Math.max(0, byCount - this.#reserve);
+    const slotsPerVm = count.slots / count.total;
+    const bySlots = this.#servicesOf(id).map((service) =>
+      Math.floor((count.slots - count.slotsAway - service.minAvailableSlots) / slotsPerVm),
+    );
+    return Math.max(0, Math.min(byCount, ...bySlots) - this.#reserve);
+  }
+
+  #poolOf(id: string): Pool | undefined {
+    const pool = this.#view.poolOf(id);
+    return pool === undefined ? undefined : this.#view.get(EntityKind.Pool, pool);
+  }
+
+  #servicesOf(pool: string): Service[] {
+    this.#services ??= servicesByPool(this.#view);
+    return this.#services.get(pool) ?? [];
+  }
+
+  /** The first rule that is broken when the VM goes too. */
+  #brokenBy(pool: Pool, vm: Vm): BudgetError | undefined {
+    const count = this.count(pool.id);
+    const whole = this.#brokenTotals(pool, count, 1 + this.#reserve, slotsOf(vm));
+    if (whole) return whole;
+    const rack = rackKey(vm);
+    const inRack = (count.byRack.get(rack) ?? 0) + 1;
+    if (inRack > pool.maxAwayPerRack) {
+      return new BudgetError(BudgetRule.MaxAwayPerRack, rack, inRack, pool.maxAwayPerRack);
+    }
+    const inZone = (count.byZone.get(vm.zone) ?? 0) + 1;
+    if (inZone > pool.maxAwayPerZone) {
+      return new BudgetError(BudgetRule.MaxAwayPerZone, vm.zone, inZone, pool.maxAwayPerZone);
+    }
+    return undefined;
+  }
+
+  #firstBroken(pool: Pool, count: PoolCount, more: number): BudgetError | undefined {
+    const whole = this.#brokenTotals(pool, count, more, 0);
+    if (whole) return whole;
+    for (const [rack, away] of count.byRack) {
+      if (away > pool.maxAwayPerRack) {
+        return new BudgetError(BudgetRule.MaxAwayPerRack, rack, away, pool.maxAwayPerRack);
+      }
+    }
+    for (const [zone, away] of count.byZone) {
+      if (away > pool.maxAwayPerZone) {
+        return new BudgetError(BudgetRule.MaxAwayPerZone, zone, away, pool.maxAwayPerZone);
+      }
+    }
+    return undefined;
+  }
+
+  #brokenTotals(
+    pool: Pool,
+    count: PoolCount,
+    more: number,
+    moreSlots: number,
+  ): BudgetError | undefined {
+    const away = count.away + more;
+    if (away > pool.maxAway) {
+      return new BudgetError(BudgetRule.MaxAway, pool.id, away, pool.maxAway);
+    }
+    const available = count.total - away;
+    if (available < pool.minAvailable) {
+      return new BudgetError(BudgetRule.MinAvailable, pool.id, available, pool.minAvailable);
+    }
+    // The reserve is of VMs like the one that goes.
+    const slots = count.slots - count.slotsAway - moreSlots * Math.max(1, more);
+    for (const service of this.#servicesOf(pool.id)) {
+      if (slots >= service.minAvailableSlots) continue;
+      return new BudgetError(
+        BudgetRule.MinAvailableSlots,
+        service.id,
+        slots,
+        service.minAvailableSlots,
+      );
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/controller/confirmation.ts
@@ -0,0 +1,117 @@
+import { Result } from 'true-myth';
+import { DrainState, type PlatformError, type Table } from '../platform/index.js';
+import type { ControllerContext } from './types.js';
+
+/** Members read from the table in one call. */
+const MEMBER_PAGE = 1_000;
+
+/** How the wait for a drain ended. */
+export enum DrainEnd {
+  /** No entry process sends to the VM, and the VM has nothing active. */
+  Drained = 'drained',
+  /** The caller asked to give the drain up. */
+  GivenUp = 'given_up',
+  TimedOut = 'timed_out',
+  /** The lease was lost or the process shuts down. */
+  Closed = 'closed',
+}
+
+/** What to wait for. */
+export interface DrainWait {
+  vm: string;
+  /** Configuration version from which entry processes send nothing new to the VM. */
+  version: number;
+  /** Asked at each check; true ends the wait. */
+  giveUp: () => boolean;
+}
+
+/** Last time, on this process's clock, at which a member showed a sign of life. */
+type Contacts = Map<string, number>;
+
+/**
+ * Drains a VM and waits until every member of the zone has confirmed that it sends nothing to it
+ * any more, and the VM reports that it is drained with nothing active. A member confirms with a
+ * heartbeat that carries the version and no request in flight on the VM. A member without contact
+ * for `viewTtlMs` counts as expired; the VM itself refuses what it may still send.
+ *
+ * The drain order and the checkpoint of jobs are repeated until they have taken effect, so the call
+ * can be made again by the next holder of the lease.
+ */
+export async function awaitDrained(ctx: ControllerContext, wait: DrainWait): Promise<DrainEnd> {
+  const startedAt = ctx.clock.now();
+  const contacts: Contacts = new Map();
+  let isRegistryRead = false;
+  let isVacated = false;
+  while (!ctx.signal.aborted && ctx.lease.isHeld) {
+    if (wait.giveUp()) return DrainEnd.GivenUp;
+    if (ctx.clock.now() - startedAt > ctx.settings.drainTimeoutMs) return DrainEnd.TimedOut;
+    if (!isRegistryRead) isRegistryRead = await addRegistered(ctx, contacts, startedAt);
+    if (!isVacated) isVacated = await ctx.vacate(wait.vm);
+    const isDrained = await orderDrain(ctx, wait.vm);
+    const isConfirmed = membersConfirm(ctx, wait, contacts);
+    if (isRegistryRead && isVacated && isDrained && isConfirmed) return DrainEnd.Drained;
+    await ctx.clock.sleep(ctx.settings.confirmIntervalMs, ctx.signal);
+  }
+  return DrainEnd.Closed;
+}
+
+/**
+ * Members that registered but are unknown to this process may hold an older view, so their
+ * silence is counted from the start of the wait.
+ */
+async function addRegistered(
+  ctx: ControllerContext,
+  contacts: Contacts,
+  startedAt: number,
+): Promise<boolean> {
+  const names = await registeredMembers(ctx.platform.table, ctx.zone);
+  if (names.isErr) return false;
+  for (const name of names.value) {
+    if (name !== ctx.membership.self.name && !contacts.has(name)) contacts.set(name, startedAt);
+  }
+  return true;
+}
+
+async function registeredMembers(
+  table: Table,
+  zone: string,
+): Promise<Result<string[], PlatformError>> {
+  const prefix = `member/${zone}/`;
+  const names: string[] = [];
+  let after: string | undefined;
+  do {
+    const page = await table.scan(prefix, MEMBER_PAGE, after);
+    if (page.isErr) return Result.err(page.error);
+    names.push(...page.value.rows.map(({ key }) => key.slice(prefix.length)));
+    after = page.value.next;
+  } while (after !== undefined);
+  return Result.ok(names);
+}
+
+/** Whether the VM reports that it is drained; orders the drain when it is in service. */
+async function orderDrain(ctx: ControllerContext, vm: string): Promise<boolean> {
+  const status = await ctx.platform.pools.drainStatus(vm);
+  if (status.isErr) return false;
+  const { state, active } = status.value;
+  if (state === DrainState.Drained) return active === 0;
+  if (state === DrainState.InService) await ctx.platform.pools.drain(vm);
+  return false;
+}
+
+function membersConfirm(ctx: ControllerContext, wait: DrainWait, contacts: Contacts): boolean {
+  const { membership, settings } = ctx;
+  const now = ctx.clock.now();
+  const confirmed = new Set<string>();
+  for (const member of membership.members()) {
+    if (member.info.zone !== ctx.zone) continue;
+    const { name } = member.info;
+    contacts.set(name, member.lastHeardAt);
+    const inFlight = member.draining.find(({ vm }) => vm === wait.vm)?.inFlight ?? 0;
+    if (member.configVersion >= wait.version && inFlight === 0) confirmed.add(name);
+  }
+  // A member that was removed from the membership keeps its last contact here until it expires.
+  for (const [name, lastHeardAt] of contacts) {
+    if (!confirmed.has(name) && now - lastHeardAt < settings.viewTtlMs) return false;
+  }
+  return ctx.config.view.version >= wait.version && ctx.inFlight(wait.vm) === 0;
+}
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -11,4 +11,23 @@
   type LeaseRow,
 } from './types.js';
 export { leaseKey, runZoneLease, type ZoneLeaseDeps } from './lease.js';
+export {
+  AwayReason,
+  awayReason,
+  Budget,
+  BudgetError,
+  BudgetRule,
+  countPool,
+  rackKey,
+  servicesByPool,
+  slotsOf,
+  type BudgetOptions,
+  type PoolCount,
+} from './budget.js';
+export { catchUp, commitDecision, type Decide, type Decided } from './commit.js';
 export { createSerialise, Priority, type Serialise } from './serialise.js';
+export { awaitDrained, DrainEnd, type DrainWait } from './confirmation.js';
+export { grantStops, runStop, StopEnd, whyCancel, type StopRequest } from './stops.js';
+export { recordStatus, runVmStatus, statusChanges, type ZoneObservation } from './vmStatus.js';
+export { createContext, runZoneController, type ZoneControllerDeps } from './controller.js';
+export { createZoneReports, type ZoneReports } from './zoneReports.js';
--- a/src/controller/types.ts
+++ b/src/controller/types.ts
@@ -100,6 +100,8 @@
   lease: HeldLease;
   /** Zones whose controller has been silent for longer than `reportTtlMs`; a new set on a change. */
   silentZones: () => ReadonlySet<string>;
+  /** False until the reports of all zones are known; no permit is granted before. */
+  mayGrant: () => boolean;
   /** Aborted when the lease is lost or the process shuts down. */
   signal: AbortSignal;
   /** Runs commits one after the other, so that they do not conflict with each other. */
--- /dev/null
+++ b/src/controller/vmStatus.ts
@@ -0,0 +1,106 @@
+import {
+  EntityKind,
+  StopState,
+  VmState,
+  type ConfigView,
+  type EntityChange,
+  type Vm,
+} from '../configuration/index.js';
+import { EventName, LeavingSign } from '../events/index.js';
+import { ListedVmState, type ListedVm } from '../platform/index.js';
+import { commitDecision } from './commit.js';
+import { Priority } from './serialise.js';
+import { ProbeResult, type ControllerContext } from './types.js';
+
+/** What is known about the VMs of a zone at one moment. */
+export interface ZoneObservation {
+  zone: string;
+  listed: readonly ListedVm[];
+  lastProbe: (vm: string) => ProbeResult;
+}
+
+/** While a planned stop reboots a VM, its silence is expected. */
+const SILENT_BY_PLAN: ReadonlySet<StopState> = new Set([StopState.Stopping, StopState.Returning]);
+
+/** Changes that bring the recorded states of a zone in line with what was observed. */
+export function statusChanges(view: ConfigView, seen: ZoneObservation): EntityChange[] {
+  const listed = new Map(seen.listed.map(({ id, state }) => [id, state]));
+  const changes: EntityChange[] = [];
+  for (const vm of view.list(EntityKind.Vm)) {
+    if (vm.zone !== seen.zone) continue;
+    const recorded = view.get(EntityKind.VmStatus, vm.id)?.state ?? VmState.Up;
+    const state = observedState(view, vm, listed.get(vm.id), seen.lastProbe(vm.id)) ?? recorded;
+    if (state === recorded) continue;
+    const value = state === VmState.Up ? undefined : { id: vm.id, state };
+    changes.push({ kind: EntityKind.VmStatus, id: vm.id, value });
+  }
+  return changes;
+}
+
+/** The state that the signs show; undefined when they are not enough to change what is recorded. */
+function observedState(
+  view: ConfigView,
+  vm: Vm,
+  listed: ListedVmState | undefined,
+  probe: ProbeResult,
+): VmState | undefined {
+  if (listed === ListedVmState.Leaving) return VmState.Leaving;
+  const stop = view.get(EntityKind.Stop, vm.id)?.state;
+  if (stop !== undefined && SILENT_BY_PLAN.has(stop)) return undefined;
+  if (probe === ProbeResult.Failed) return VmState.Failed;
+  if (probe === ProbeResult.Unreachable) return VmState.Unreachable;
+  if (probe === ProbeResult.Healthy) return VmState.Up;
+  // The list lags, so a VM that is missing from it is gone only if no probe has reached it either.
+  return listed === undefined ? VmState.Unreachable : undefined;
+}
+
+/**
+ * Reads the VM list of the zone at intervals and records what changed, as one change set. A commit
+ * that takes long does not delay the next reading; it records the newest one.
+ */
+export async function runVmStatus(ctx: ControllerContext): Promise<void> {
+  const announced = new Set<string>();
+  let newest: readonly ListedVm[] = [];
+  let recording: Promise<void> | undefined;
+  while (!ctx.signal.aborted) {
+    const listed = await ctx.platform.vmList.list(ctx.zone);
+    if (listed.isOk) {
+      newest = listed.value;
+      announceLeaving(ctx, newest, announced);
+      recording ??= recordStatus(ctx, () => newest).finally(() => {
+        recording = undefined;
+      });
+    }
+    await ctx.clock.sleep(ctx.settings.statusIntervalMs, ctx.signal);
+  }
+  await recording;
+}
+
+/** Commits the states of the zone that differ from the VM list and the last probes. */
+export async function recordStatus(
+  ctx: ControllerContext,
+  newestList: () => readonly ListedVm[],
+): Promise<void> {
+  const { zone, lastProbe } = ctx;
+  const decide = (view: ConfigView) =>
+    statusChanges(view, { zone, listed: newestList(), lastProbe });
+  await commitDecision(ctx, 'vm_status', decide, Priority.Urgent);
+}
+
+/** Announces each VM that is leaving once, without waiting for the commit. */
+function announceLeaving(
+  ctx: ControllerContext,
+  listed: readonly ListedVm[],
+  announced: Set<string>,
+): void {
+  for (const { id, state } of listed) {
+    if (state !== ListedVmState.Leaving) {
+      announced.delete(id);
+    } else if (!announced.has(id)) {
+      announced.add(id);
+      ctx.metrics.vmsLeaving.inc();
+      ctx.logger.info({ event: 'vm_leaving', vm: id, sign: LeavingSign.VmList });
+      void ctx.events.emit(EventName.VmLeaving, { vm: id, sign: LeavingSign.VmList });
+    }
+  }
+}
--- /dev/null
+++ b/src/controller/zoneReports.ts
@@ -0,0 +1,80 @@
+import { EntityKind, type ConfigView } from '../configuration/index.js';
+import type { Row } from '../platform/index.js';
+import { leaseKey } from './lease.js';
+import type { ControllerContext } from './types.js';
+
+/** Lease rows read in one call; there is one for each zone. */
+const LEASE_PAGE = 1_000;
+
+/** Which zones have a controller that renews its lease. */
+export interface ZoneReports {
+  /** Zones with VMs whose controller has been silent for too long; a new set on a change. */
+  silentZones: () => ReadonlySet<string>;
+  /** Whether each zone was seen to renew or is known to be silent. No permit is granted before. */
+  isComplete: () => boolean;
+  /** Takes in the lease rows as read at a moment, or that they could not be read. */
+  observe: (rows: readonly Row[] | undefined, view: ConfigView, now: number) => void;
+}
+
+interface ZoneReport {
+  version: number;
+  /** Time at which this row version was first seen. */
+  since: number;
+  hasRenewed: boolean;
+}
+
+/**
+ * Creates the record of reports. Silence is measured on this process's clock from reading to
+ * reading, and starts again after a reading failed, since renewals could not be seen.
+ *
+ * @param ownZone - zone whose lease this process holds; never silent
+ */
+export function createZoneReports(ownZone: string, reportTtlMs: number): ZoneReports {
+  const reports = new Map<string, ZoneReport>();
+  let silent: ReadonlySet<string> = new Set();
+  let isComplete = false;
+
+  function observeZone(zone: string, version: number, now: number): void {
+    const last = reports.get(zone);
+    if (last?.version === version) return;
+    reports.set(zone, { version, since: now, hasRenewed: last !== undefined && version > 0 });
+  }
+
+  function observe(rows: readonly Row[] | undefined, view: ConfigView, now: number): void {
+    if (!rows) {
+      reports.clear();
+      isComplete = false;
+      return;
+    }
+    const versions = new Map(rows.map(({ key, version }) => [key, version]));
+    const zones = new Set(view.list(EntityKind.Vm).map(({ zone }) => zone));
+    zones.delete(ownZone);
+    const newlySilent = new Set<string>();
+    let unknown = 0;
+    for (const zone of zones) {
+      observeZone(zone, versions.get(leaseKey(zone)) ?? 0, now);
+      const report = reports.get(zone);
+      if (!report) continue;
+      if (now - report.since > reportTtlMs) newlySilent.add(zone);
+      else if (!report.hasRenewed) unknown += 1;
+    }
+    isComplete = unknown === 0;
+    if (!isSameSet(silent, newlySilent)) silent = newlySilent;
+  }
+
+  return { silentZones: () => silent, isComplete: () => isComplete, observe };
+}
+
+function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
+  return a.size === b.size && [...a].every((item) => b.has(item));
+}
+
+/** Reads the lease rows of all zones at the intervals at which they are renewed. */
+export async function watchZones(ctx: ControllerContext, reports: ZoneReports): Promise<void> {
+  while (!ctx.signal.aborted) {
+    const page = await ctx.platform.table.scan(leaseKey(''), LEASE_PAGE);
+    const rows = page.isOk ? page.value.rows : undefined;
+    reports.observe(rows, ctx.config.view, ctx.clock.now());
+    await ctx.clock.sleep(ctx.settings.reconcileIntervalMs, ctx.signal);
+  }
+}
