Add the request path and the caller listener

Change: createRequestRouter holds the ledger of issued ids, the claims of caller keys, placement by advertised load, forwarding with cancellation, and retries within a budget. createCallerListener serves it over HTTP with bounds on headers, bodies, connections and times. Reasons are one enum with a registry. src/testing gains a gated process (pause, kill), fake scheduler, backends and view, a request history and a cluster of routers.

Ruled out: a stored "ended" record per id. An issued id without a record counts as ended, so dropping a record never permits a second run and the ledger stays bounded by what may still run, runs, or can be replayed. Also ruled out: reporting not-run for a keyed request whose claim cannot be read, unless the caller declares a first attempt, since an earlier attempt may have run elsewhere.

Faults during forwarding, kills and pauses are not yet covered.

--- /dev/null
+++ b/src/requests/bodyReader.ts
@@ -0,0 +1,98 @@
+import type { IncomingMessage } from 'node:http';
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import type { RequestsSettings } from './defaults.js';
+import { RequestReason } from './reasons.js';
+import { RequestError } from './types.js';
+
+type BodyResult = Result<Uint8Array, RequestError>;
+
+/** Receives request bodies within bounds on each body and on all bodies held at once. */
+export class BodyReader {
+  readonly #clock: Clock;
+  readonly #settings: RequestsSettings;
+  #heldBytes = 0;
+
+  constructor(clock: Clock, settings: RequestsSettings) {
+    this.#clock = clock;
+    this.#settings = settings;
+  }
+
+  /** Size of all bodies that are held, in bytes. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Forgets a body that {@link read} returned. */
+  release(body: Uint8Array): void {
+    this.#heldBytes -= body.byteLength;
+  }
+
+  /** Receives a whole body, which the caller releases. */
+  async read(req: IncomingMessage): Promise<BodyResult> {
+    const declared = Number(req.headers['content-length'] ?? 0);
+    if (declared > this.#settings.maxBodyBytes) return Result.err(this.#tooLarge());
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const failure = await this.#receive(req, (chunk) => {
+      chunks.push(chunk);
+      size += chunk.byteLength;
+      this.#heldBytes += chunk.byteLength;
+      if (size > this.#settings.maxBodyBytes) return this.#tooLarge();
+      return this.#heldBytes > this.#settings.maxBufferedBytes ? this.#noRoom() : undefined;
+    });
+    if (!failure) return Result.ok(Buffer.concat(chunks, size));
+    this.#heldBytes -= size;
+    return Result.err(failure);
+  }
+
+  /** Takes chunks until the body ends, `take` refuses one, or a time bound is exceeded. */
+  #receive(
+    req: IncomingMessage,
+    take: (chunk: Buffer) => RequestError | undefined,
+  ): Promise<RequestError | undefined> {
+    const { bodyIdleTimeoutMs, bodyTimeoutMs } = this.#settings;
+    return new Promise((resolve) => {
+      const settle = (failure?: RequestError) => {
+        idleTimer.cancel();
+        totalTimer.cancel();
+        req.off('data', onData).off('end', onEnd).off('close', onClose).off('error', onClose);
+        req.on('error', () => undefined);
+        if (failure) req.resume();
+        resolve(failure);
+      };
+      const onEnd = () => {
+        settle();
+      };
+      const onClose = () => {
+        settle(notReceived('the connection was closed'));
+      };
+      const onTimeout = (ms: number) => () => {
+        settle(notReceived(`not received within ${ms} ms`));
+      };
+      const onData = (chunk: Buffer) => {
+        idleTimer.cancel();
+        idleTimer = this.#clock.setTimer(bodyIdleTimeoutMs, onTimeout(bodyIdleTimeoutMs));
+        const failure = take(chunk);
+        if (failure) settle(failure);
+      };
+      let idleTimer = this.#clock.setTimer(bodyIdleTimeoutMs, onTimeout(bodyIdleTimeoutMs));
+      const totalTimer = this.#clock.setTimer(bodyTimeoutMs, onTimeout(bodyTimeoutMs));
+      req.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose);
+    });
+  }
+
+  #tooLarge(): RequestError {
+    const message = `the body is larger than ${this.#settings.maxBodyBytes} bytes`;
+    return new RequestError(RequestReason.BodyTooLarge, message);
+  }
+
+  #noRoom(): RequestError {
+    const message = `the bodies held are larger than ${this.#settings.maxBufferedBytes} bytes`;
+    return new RequestError(RequestReason.Overloaded, message);
+  }
+}
+
+function notReceived(found: string): RequestError {
+  return new RequestError(RequestReason.ReceiveTimeout, `incomplete body: ${found}`);
+}
--- /dev/null
+++ b/src/requests/callerRequest.ts
@@ -0,0 +1,108 @@
+import type { IncomingMessage } from 'node:http';
+import { Result } from 'true-myth';
+import type { RequestsSettings } from './defaults.js';
+import { CallerHeader, headersForBackend } from './headers.js';
+import { RequestReason } from './reasons.js';
+import type { CallerIdentity } from './refusals.js';
+import { RequestError, type CallerRequest } from './types.js';
+
+/** Methods that callers may use. */
+export const CALLER_METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'DELETE'] as const;
+
+/** Values of the header Request-Class. */
+enum RequestClass {
+  Normal = 'normal',
+  Urgent = 'urgent',
+}
+
+/** What the head of a request says, before its body was received. */
+export type CallerRequestHead = Omit<CallerRequest, 'body' | 'signal'>;
+
+const TEAM_PATTERN = /^[A-Za-z0-9._-]{1,64}$/;
+
+/**
+ * Parses the head of a request to a service.
+ *
+ * @param arrivedAt - monotonic time in milliseconds from which the timeout counts
+ * @param service - name taken from the path
+ * @param path - path and query below the service
+ */
+export function parseHead(
+  req: IncomingMessage,
+  settings: RequestsSettings,
+  arrivedAt: number,
+  service: string,
+  path: string,
+): Result<CallerRequestHead, RequestError> {
+  const method = req.method ?? '';
+  const team = parseTeam(req);
+  if (team.isErr) return Result.err(team.error);
+  const requestClass = header(req, CallerHeader.RequestClass) ?? RequestClass.Normal;
+  if (!isOneOf(requestClass, Object.values(RequestClass))) {
+    return invalid(CallerHeader.RequestClass, requestClass, 'normal or urgent');
+  }
+  const idempotentText = header(req, CallerHeader.Idempotent);
+  if (idempotentText !== undefined && !isOneOf(idempotentText, ['true', 'false'])) {
+    return invalid(CallerHeader.Idempotent, idempotentText, 'true or false');
+  }
+  const timeoutMs = parseCount(req, CallerHeader.TimeoutMs, settings.maxTimeoutMs);
+  if (timeoutMs.isErr) return Result.err(timeoutMs.error);
+  const attempt = parseCount(req, CallerHeader.Attempt, Number.MAX_SAFE_INTEGER);
+  if (attempt.isErr) return Result.err(attempt.error);
+  const identity = identityOf(req);
+  const key = identity.idempotencyKey;
+  if (key !== undefined && (key === '' || key.length > settings.maxKeyLength)) {
+    const expected = `1 to ${settings.maxKeyLength} characters`;
+    return invalid(CallerHeader.IdempotencyKey, `${key.length} characters`, expected);
+  }
+  return Result.ok({
+    ...identity,
+    ...{ service, team: team.value, method, path, headers: headersForBackend(req.headers) },
+    urgent: requestClass === RequestClass.Urgent,
+    deadline: arrivedAt + (timeoutMs.value ?? settings.defaultTimeoutMs),
+  });
+}
+
+/** Reads from the headers whether an earlier attempt may have run. Malformed values are tolerated. */
+export function identityOf(req: IncomingMessage): CallerIdentity {
+  const declared = header(req, CallerHeader.Idempotent);
+  return {
+    requestId: header(req, CallerHeader.RequestId),
+    idempotencyKey: header(req, CallerHeader.IdempotencyKey),
+    idempotent: declared === undefined ? req.method !== 'POST' : declared === 'true',
+    firstAttempt: header(req, CallerHeader.Attempt) === '1',
+  };
+}
+
+/** Parses the header Team. */
+export function parseTeam(req: IncomingMessage): Result<string, RequestError> {
+  const team = header(req, CallerHeader.Team);
+  if (team !== undefined && TEAM_PATTERN.test(team)) return Result.ok(team);
+  return invalid(CallerHeader.Team, team ?? 'nothing', 'the id of a team');
+}
+
+function parseCount(
+  req: IncomingMessage,
+  name: CallerHeader,
+  max: number,
+): Result<number | undefined, RequestError> {
+  const text = header(req, name);
+  if (text === undefined) return Result.ok(undefined);
+  const value = /^[0-9]{1,15}$/.test(text) ? Number(text) : 0;
+  if (value >= 1 && value <= max) return Result.ok(value);
+  return invalid(name, text, `a whole number from 1 to ${max}`);
+}
+
+function header(req: IncomingMessage, name: CallerHeader): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value.join(', ') : value;
+}
+
+function isOneOf<T extends string>(text: string, values: readonly T[]): text is T {
+  return (values as readonly string[]).includes(text);
+}
+
+function invalid(name: CallerHeader, found: string, expected: string): Result<never, RequestError> {
+  const message = `header ${name}: found ${found}, expected ${expected}`;
+  return Result.err(new RequestError(RequestReason.BadRequest, message));
+}
--- /dev/null
+++ b/src/requests/claims.ts
@@ -0,0 +1,103 @@
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import { BaseError } from '../errors/index.js';
+import { PlatformErrorCode, type PlatformError, type Row, type Table } from '../platform/index.js';
+import { beforeDeadline } from './beforeDeadline.js';
+import type { RequestsSettings } from './defaults.js';
+
+/** Codes of {@link ClaimError}. */
+export enum ClaimErrorCode {
+  /** The platform cannot be reached; the claim has no effect. */
+  Unavailable = 'unavailable',
+  /** The share of platform calls is spent; the claim has no effect. */
+  RateLimited = 'rate_limited',
+  /** It is not known which request id holds the key. */
+  Unresolved = 'unresolved',
+  DeadlineExpired = 'deadline_expired',
+}
+
+/** A caller key could not be claimed. Nothing was sent to a backend server on its behalf. */
+export class ClaimError extends BaseError<ClaimErrorCode> {}
+
+/** Value of a row `claim/<team>/<key>`. */
+export interface ClaimValue {
+  requestId: string;
+  /** Wall-clock time in milliseconds after which the row may be swept. */
+  expiry: number;
+}
+
+/** Parameters of {@link claimKey}. */
+export interface ClaimDeps {
+  table: Table;
+  clock: Clock;
+  settings: RequestsSettings;
+  /** Called for each platform call. */
+  onCall: (kind: 'read' | 'write') => void;
+}
+
+/** Key of the row that holds the claim of a caller key. */
+export function claimRowKey(team: string, key: string): string {
+  return `claim/${encodeURIComponent(team)}/${encodeURIComponent(key)}`;
+}
+
+/**
+ * Claims a caller key for a request id. Inserting again with the same id is harmless, so a call
+ * whose answer was lost is read back and repeated.
+ *
+ * @param deadline - monotonic time in milliseconds
+ * @returns the request id that holds the key: `requestId`, or that of an earlier claim
+ */
+export async function claimKey(
+  deps: ClaimDeps,
+  rowKey: string,
+  requestId: string,
+  deadline: number,
+): Promise<Result<string, ClaimError>> {
+  const { table, clock, settings } = deps;
+  const value: ClaimValue = { requestId, expiry: clock.wallTime() + settings.claimRetentionMs };
+  for (let attempt = 0; attempt < settings.claimAttempts; attempt += 1) {
+    if (clock.now() >= deadline) return expired(rowKey);
+    deps.onCall('write');
+    const insert = table.transact([{ key: rowKey, version: 0 }], [{ key: rowKey, value }]);
+    const inserted = await beforeDeadline(clock, deadline, insert);
+    if (!inserted) return expired(rowKey);
+    if (inserted.isOk) return Result.ok(requestId);
+    const failure = withoutEffect(inserted.error);
+    if (failure) return Result.err(failure);
+
+    deps.onCall('read');
+    const read = await beforeDeadline(clock, deadline, table.get(rowKey));
+    if (!read) return expired(rowKey);
+    if (read.isErr) {
+      const message = `claim ${rowKey} cannot be read back: ${read.error.message}`;
+      return Result.err(new ClaimError(ClaimErrorCode.Unresolved, message, read.error));
+    }
+    const holder = holderOf(read.value);
+    if (holder !== undefined) return Result.ok(holder);
+  }
+  const message = `claim ${rowKey} is not confirmed after ${settings.claimAttempts} attempts`;
+  return Result.err(new ClaimError(ClaimErrorCode.Unresolved, message));
+}
+
+function expired(rowKey: string): Result<string, ClaimError> {
+  const message = `the deadline passed while ${rowKey} was claimed`;
+  return Result.err(new ClaimError(ClaimErrorCode.DeadlineExpired, message));
+}
+
+/** The error of an insert that certainly had no effect and need not be read back. */
+function withoutEffect(err: PlatformError): ClaimError | undefined {
+  switch (err.code) {
+    case PlatformErrorCode.Unreachable:
+    case PlatformErrorCode.Refused:
+      return new ClaimError(ClaimErrorCode.Unavailable, err.message, err);
+    case PlatformErrorCode.RateLimited:
+      return new ClaimError(ClaimErrorCode.RateLimited, err.message, err);
+    default:
+      return undefined;
+  }
+}
+
+function holderOf(row: Row | undefined): string | undefined {
+  const value = row?.value as Partial<ClaimValue> | undefined;
+  return typeof value?.requestId === 'string' ? value.requestId : undefined;
+}
--- /dev/null
+++ b/src/requests/forwardClient.ts
@@ -0,0 +1,165 @@
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import {
+  Outcome,
+  PeerErrorCode,
+  PeerMessageType,
+  type ForwardAnswerMessage,
+  type MemberInfo,
+  type PeerError,
+  type PeerNetwork,
+} from '../peers/index.js';
+import type { RequestsSettings } from './defaults.js';
+import { refuseLate } from './localAttempt.js';
+import { isRequestReason, reasonRegistry, RequestReason } from './reasons.js';
+import { isSameMember } from './requestId.js';
+import { LateAnswer, type RequestMetrics } from './requestMetrics.js';
+import { RequestError } from './types.js';
+import type { AttemptResult, Work } from './work.js';
+
+/** Parameters of {@link ForwardClient}. */
+export interface ForwardClientDeps {
+  clock: Clock;
+  peers: PeerNetwork;
+  metrics: RequestMetrics;
+  settings: RequestsSettings;
+}
+
+/** End of a forwarded request. */
+export interface ForwardEnd {
+  /** Whether the request was handed to the link, after which the other member may have run it. */
+  sent: boolean;
+  result: AttemptResult;
+}
+
+interface PendingForward {
+  member: MemberInfo;
+  requestId: string;
+  settle: (result: AttemptResult) => void;
+}
+
+/** Passes requests to other entry processes and matches their answers. */
+export class ForwardClient {
+  readonly #deps: ForwardClientDeps;
+  readonly #pending = new Map<number, PendingForward>();
+  #lastForwardId = 0;
+
+  constructor(deps: ForwardClientDeps) {
+    this.#deps = deps;
+    deps.peers.handle(PeerMessageType.ForwardAnswer, (from, answer) => {
+      this.#onAnswer(from, answer);
+    });
+    deps.peers.onLink((member, up) => {
+      this.#onLink(member, up);
+    });
+  }
+
+  /** Forwarded requests that are not yet answered. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  /** Passes a request to a member and waits for its end until the deadline. */
+  async forward(member: MemberInfo, work: Work, toIssuer: boolean): Promise<ForwardEnd> {
+    const { clock, peers, settings } = this.#deps;
+    const tooLate = refuseLate(clock, work);
+    if (tooLate) return notSent(tooLate);
+    if (this.#pending.size >= settings.maxForwardsOut) {
+      const message = `${this.#pending.size} forwarded requests are not yet answered`;
+      return notSent(new RequestError(RequestReason.PeerOverloaded, message));
+    }
+    this.#lastForwardId += 1;
+    const forwardId = this.#lastForwardId;
+    const { name, incarnation } = peers.self;
+    const sent = peers.send(member.name, {
+      type: PeerMessageType.Forward,
+      forwardId,
+      requestId: work.requestId,
+      origin: { name, incarnation },
+      team: work.team,
+      service: work.service.id,
+      urgent: work.urgent,
+      idempotent: work.idempotent,
+      remainingMs: work.deadline - clock.now(),
+      method: work.method,
+      path: work.path,
+      headers: work.headers,
+      body: work.body,
+      toIssuer,
+    });
+    if (sent.isErr) return notSent(fromPeer(sent.error));
+    return { sent: true, result: await this.#answer(forwardId, member, work) };
+  }
+
+  #answer(forwardId: number, member: MemberInfo, work: Work): Promise<AttemptResult> {
+    const { clock, peers } = this.#deps;
+    return new Promise((resolve) => {
+      const settle = (result: AttemptResult) => {
+        timer.cancel();
+        work.signal.removeEventListener('abort', onAbort);
+        this.#pending.delete(forwardId);
+        resolve(result);
+      };
+      // The answer is still awaited after a cancellation: it tells whether the request ran.
+      const onAbort = () => {
+        peers.send(member.name, { type: PeerMessageType.ForwardCancel, forwardId });
+      };
+      const timer = clock.setTimer(Math.max(0, work.deadline - clock.now()), () => {
+        onAbort();
+        const message = `no answer from ${member.name} before the deadline`;
+        settle(Result.err(new RequestError(RequestReason.BackendTimeout, message)));
+      });
+      work.signal.addEventListener('abort', onAbort, { once: true });
+      this.#pending.set(forwardId, { member, requestId: work.requestId, settle });
+    });
+  }
+
+  #onAnswer(from: MemberInfo, answer: ForwardAnswerMessage): void {
+    const pending = this.#pending.get(answer.forwardId);
+    const isAwaited = pending?.requestId === answer.requestId && isSameMember(pending.member, from);
+    if (!isAwaited) {
+      this.#deps.metrics.lateAnswers.inc({ cause: LateAnswer.NotAwaited });
+      return;
+    }
+    pending.settle(fromAnswer(answer));
+  }
+
+  #onLink(member: MemberInfo, up: boolean): void {
+    for (const pending of [...this.#pending.values()]) {
+      if (pending.member.name !== member.name) continue;
+      if (up && isSameMember(pending.member, member)) continue;
+      const message = `the link to ${member.name} was lost after the request was passed on`;
+      pending.settle(Result.err(new RequestError(RequestReason.LinkLost, message)));
+    }
+  }
+}
+
+function notSent(err: RequestError): ForwardEnd {
+  return { sent: false, result: Result.err(err) };
+}
+
+function fromPeer(err: PeerError): RequestError {
+  switch (err.code) {
+    case PeerErrorCode.TooLarge:
+      return new RequestError(RequestReason.TooLargeToForward, err.message, { cause: err });
+    case PeerErrorCode.Overloaded:
+      return new RequestError(RequestReason.PeerOverloaded, err.message, { cause: err });
+    default:
+      return new RequestError(RequestReason.PeerUnreachable, err.message, { cause: err });
+  }
+}
+
+function fromAnswer(answer: ForwardAnswerMessage): AttemptResult {
+  const { outcome, status, headers, body, reason, message, retryAfterMs } = answer;
+  if (outcome === Outcome.Answered) {
+    if (status !== undefined && headers && body) return Result.ok({ status, headers, body });
+    const incomplete = 'the forwarded answer is incomplete';
+    return Result.err(new RequestError(RequestReason.AnswerRejected, incomplete));
+  }
+  // A reason of another release is not understood here; unknown is the safe outcome.
+  if (!isRequestReason(reason) || !reasonRegistry[reason].outcomes.includes(outcome)) {
+    const text = `unexpected answer ${reason ?? 'without reason'} with outcome ${outcome}`;
+    return Result.err(new RequestError(RequestReason.InternalError, text));
+  }
+  return Result.err(new RequestError(reason, message ?? reason, { outcome, retryAfterMs }));
+}
--- /dev/null
+++ b/src/requests/headers.ts
@@ -0,0 +1,78 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { BackendHeader } from '../backends/index.js';
+
+/** Headers of the callers' API, in lower case. */
+export enum CallerHeader {
+  Team = 'team',
+  RequestClass = 'request-class',
+  TimeoutMs = 'request-timeout-ms',
+  Idempotent = 'idempotent',
+  RequestId = 'request-id',
+  IdempotencyKey = 'idempotency-key',
+  /** Number of this attempt; 1 declares that no earlier attempt was made. */
+  Attempt = 'attempt',
+  Outcome = 'outcome',
+  RetryAfter = 'retry-after',
+}
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP = [
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+];
+
+/** Set anew on each hop. */
+const FRAMING = ['content-length', 'expect', 'host'];
+
+const NOT_TO_BACKENDS = new Set<string>([
+  ...HOP_BY_HOP,
+  ...FRAMING,
+  ...Object.values(BackendHeader),
+  CallerHeader.RequestClass,
+  CallerHeader.Attempt,
+  CallerHeader.Outcome,
+]);
+
+const NOT_TO_CALLERS = new Set<string>([
+  ...HOP_BY_HOP,
+  ...FRAMING,
+  ...Object.values(BackendHeader),
+  CallerHeader.Outcome,
+]);
+
+/** The headers of a caller's request that are passed on to backend servers. */
+export function headersForBackend(headers: IncomingHttpHeaders): Record<string, string> {
+  return endToEnd(headers, NOT_TO_BACKENDS);
+}
+
+/** The headers of a backend server's answer that are passed on to the caller. */
+export function headersForCaller(headers: Record<string, string>): Record<string, string> {
+  return endToEnd(headers, NOT_TO_CALLERS);
+}
+
+function endToEnd(
+  headers: IncomingHttpHeaders,
+  dropped: ReadonlySet<string>,
+): Record<string, string> {
+  const kept: Record<string, string> = {};
+  const namedByConnection = connectionTokens(headers);
+  for (const [rawName, value] of Object.entries(headers)) {
+    const name = rawName.toLowerCase();
+    if (value === undefined || dropped.has(name) || namedByConnection.has(name)) continue;
+    kept[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return kept;
+}
+
+/** Names of further hop-by-hop headers, as listed in the Connection header. */
+function connectionTokens(headers: IncomingHttpHeaders): ReadonlySet<string> {
+  const tokens = (headers.connection ?? '').split(',');
+  return new Set(tokens.map((token) => token.trim().toLowerCase()));
+}
--- /dev/null
+++ b/src/requests/listener.spec.ts
@@ -0,0 +1,246 @@
+import { connect } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { Result } from 'true-myth';
+import { request } from 'undici';
+import { systemClock } from '../clock/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { Metrics } from '../metrics/index.js';
+import { Outcome } from '../peers/index.js';
+import {
+  createCallerListener,
+  RequestError,
+  RequestReason,
+  requestsSchema,
+  type CallerRequest,
+  type RefusalBody,
+  type RequestResult,
+  type RequestRouter,
+  type RequestsSettings,
+} from './index.js';
+
+type Handle = (req: CallerRequest) => RequestResult | Promise<RequestResult>;
+
+const echo: Handle = ({ method, path, body }) =>
+  Result.ok({
+    requestId: 'p.0000000000000001.7',
+    status: 200,
+    headers: { 'content-type': 'text/plain', connection: 'x-hop', 'x-hop': '1', 'x-own': '2' },
+    body: Buffer.from(`${method} ${path} ${Buffer.from(body).toString()}`),
+  });
+
+async function start(t: ExecutionContext, handle: Handle, values: Partial<RequestsSettings> = {}) {
+  const lifecycle = new Lifecycle('test');
+  t.teardown(() => lifecycle.close());
+  const metrics = new Metrics();
+  const router: RequestRouter = {
+    handle: (req) => Promise.resolve(handle(req)),
+    issueIds: (_team, count) => Result.ok(Array.from({ length: count }, (_, i) => `id${i}`)),
+    newRequestId: () => 'p.0000000000000001.1',
+    inFlight: () => 0,
+    close: () => Promise.resolve(),
+  };
+  const listener = await createCallerListener({
+    ...{ router, clock: systemClock, logger: silentLogger, metrics, lifecycle },
+    ...{ settings: requestsSchema.parse(values), host: '127.0.0.1', port: 0 },
+  });
+  if (listener.isErr) throw listener.error;
+  return { listener: listener.value, lifecycle, metrics };
+}
+
+/** Writes bytes on a connection of its own and returns everything that comes back. */
+function exchange(port: number, bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    let received = '';
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    socket.on('data', (chunk) => (received += chunk.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      resolve(received);
+    });
+  });
+}
+
+interface RefusalCase {
+  title: string;
+  path?: string;
+  method?: 'GET' | 'POST' | 'PATCH';
+  headers?: Record<string, string>;
+  body?: string;
+  settings?: Partial<RequestsSettings>;
+  status: number;
+  reason: RequestReason;
+  outcome?: Outcome;
+}
+
+const BASE = '/v1/services/matching/work';
+const badRequest = { status: 400, reason: RequestReason.BadRequest };
+
+const refusalCases: RefusalCase[] = [
+  { title: 'no team', headers: { team: '' }, ...badRequest },
+  { title: 'a class that does not exist', headers: { 'request-class': 'vip' }, ...badRequest },
+  { title: 'a malformed timeout', headers: { 'request-timeout-ms': '1s' }, ...badRequest },
+  {
+    title: 'a timeout over the bound',
+    headers: { 'request-timeout-ms': '9000000' },
+    ...badRequest,
+  },
+  { title: 'a malformed Idempotent', headers: { idempotent: 'yes' }, ...badRequest },
+  { title: 'a malformed Attempt', headers: { attempt: '0' }, ...badRequest },
+  { title: 'a long key', headers: { 'idempotency-key': 'k'.repeat(201) }, ...badRequest },
+  { title: 'a malformed path', path: '/v1/services/%ff/x', ...badRequest },
+  { title: 'an unknown route', path: '/v2', status: 404, reason: RequestReason.UnknownRoute },
+  {
+    title: 'a method that is not supported',
+    method: 'PATCH',
+    ...{ status: 405, reason: RequestReason.MethodNotAllowed },
+  },
+  {
+    title: 'a long body',
+    body: 'x'.repeat(11),
+    settings: { maxBodyBytes: 10 },
+    ...{ status: 413, reason: RequestReason.BodyTooLarge },
+  },
+  {
+    title: 'bodies that exceed the memory for bodies',
+    body: 'x'.repeat(11),
+    settings: { maxBufferedBytes: 10 },
+    ...{ status: 503, reason: RequestReason.Overloaded },
+  },
+  {
+    title: 'bodies that exceed the memory for bodies, on a later attempt',
+    body: 'x'.repeat(11),
+    headers: { 'idempotency-key': 'k' },
+    settings: { maxBufferedBytes: 10 },
+    ...{ status: 503, reason: RequestReason.Overloaded, outcome: Outcome.Unknown },
+  },
+  {
+    title: 'too many ids',
+    path: '/v1/request-ids',
+    body: '{"count":"many"}',
+    ...badRequest,
+  },
+];
+
+for (const { title, path, method, headers, body, settings, ...expected } of refusalCases) {
+  test(`typed refusal of ${title}`, async (t) => {
+    const { listener } = await start(t, echo, settings);
+    const res = await request(`http://127.0.0.1:${listener.port}${path ?? BASE}`, {
+      method: method ?? 'POST',
+      headers: { team: 'team', ...headers },
+      body: body ?? null,
+    });
+    const refusal = (await res.body.json()) as RefusalBody;
+    const outcome = expected.outcome ?? Outcome.NotRun;
+    t.is(res.statusCode, expected.status);
+    t.is(refusal.reason, expected.reason);
+    t.is(refusal.outcome, outcome);
+    t.is(res.headers.outcome, outcome);
+    t.truthy(res.headers['request-id']);
+    t.is(res.headers['retry-after'] !== undefined, refusal.retryAfterMs > 0);
+  });
+}
+
+const rawCases = [
+  { title: 'large headers', bytes: `GET ${BASE} HTTP/1.1\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`, status: 431 }, // prettier-ignore
+  { title: 'a malformed request line', bytes: 'NONSENSE\r\n\r\n', status: 400 },
+  { title: 'headers that do not arrive', bytes: 'GET / HTTP/1.1\r\nx', status: 408 },
+  {
+    title: 'a body that does not arrive',
+    bytes: `POST ${BASE} HTTP/1.1\r\nhost: a\r\nteam: team\r\ncontent-length: 5\r\n\r\nx`,
+    status: 408,
+  },
+];
+
+for (const { title, bytes, status } of rawCases) {
+  test(`typed refusal of ${title} on the raw connection`, async (t) => {
+    const { listener } = await start(t, echo, { headerTimeoutMs: 200, bodyIdleTimeoutMs: 100 });
+    const received = await exchange(listener.port, bytes);
+    t.regex(received, new RegExp(`^HTTP/1.1 ${status} `));
+    t.regex(received, /^Outcome: not-run\r$/im);
+    t.regex(received, /^Request-Id: p\.0000000000000001\.1\r$/im);
+    t.true(received.includes('"outcome":"not-run"'));
+  });
+}
+
+test('an answer is given whole, without hop-by-hop headers', async (t) => {
+  const seen: CallerRequest[] = [];
+  const { listener } = await start(t, (req) => {
+    seen.push(req);
+    return echo(req);
+  });
+  const res = await request(`http://127.0.0.1:${listener.port}${BASE}?q=%20`, {
+    method: 'PUT',
+    headers: { team: 'team', 'request-class': 'urgent', connection: 'keep-alive', pool: 'x' },
+    body: 'text',
+  });
+  t.is(await res.body.text(), 'PUT /work?q=%20 text');
+  t.is(res.headers['content-length'], String('PUT /work?q=%20 text'.length));
+  t.is(res.headers.outcome, Outcome.Answered);
+  t.is(res.headers['request-id'], 'p.0000000000000001.7');
+  t.is(res.headers['x-own'], '2');
+  t.is(res.headers['x-hop'], undefined);
+  const [req] = seen;
+  t.deepEqual([req?.urgent, req?.idempotent, req?.team], [true, true, 'team']);
+  t.deepEqual(Object.keys(req?.headers ?? {}).sort(), ['team']);
+});
+
+test('request ids are issued in the number that is asked for', async (t) => {
+  const { listener } = await start(t, echo);
+  const url = `http://127.0.0.1:${listener.port}/v1/request-ids`;
+  const headers = { team: 'team' };
+  const res = await request(url, { method: 'POST', headers, body: '{"count":2}' });
+  t.is(res.statusCode, 201);
+  t.deepEqual(await res.body.json(), { requestIds: ['id0', 'id1'], usableForMs: 600_000 });
+});
+
+test('a caller that disconnects aborts its request', async (t) => {
+  const aborted = new Promise<void>((resolve, reject) => {
+    void start(t, async (req) => {
+      socket?.destroy();
+      await new Promise((stop) => {
+        req.signal.addEventListener('abort', stop);
+      });
+      resolve();
+      return Result.err(new RequestError(RequestReason.Cancelled, 'gone'));
+    }).then(({ listener }) => {
+      socket = connect(listener.port, '127.0.0.1');
+      socket.write(`GET ${BASE} HTTP/1.1\r\nhost: a\r\nteam: team\r\n\r\n`);
+    }, reject);
+    let socket: ReturnType<typeof connect> | undefined;
+  });
+  await t.notThrowsAsync(aborted);
+});
+
+test('closing lets the request in progress end and then refuses connections', async (t) => {
+  let answer: (() => void) | undefined;
+  const started = new Promise<void>((resolve) => {
+    void start(t, async (req) => {
+      resolve();
+      await new Promise<void>((go) => (answer = go));
+      return echo(req);
+    }).then(({ listener }) => (ready = listener));
+  });
+  let ready: { port: number; close(): Promise<void> } | undefined;
+  while (!ready) await new Promise((next) => setImmediate(next));
+  const { port } = ready;
+  const call = request(`http://127.0.0.1:${port}${BASE}`, { headers: { team: 'team' } });
+  await started;
+  const closed = ready.close();
+  answer?.();
+  const res = await call;
+  t.is(await res.body.text(), 'GET /work ');
+  t.is(res.headers.connection, 'close');
+  await closed;
+  await t.throwsAsync(request(`http://127.0.0.1:${port}${BASE}`));
+});
+
+test('connections over the bound are dropped and counted', async (t) => {
+  const { listener, metrics } = await start(t, echo, { maxConnections: 1 });
+  const first = connect(listener.port, '127.0.0.1');
+  await new Promise((done) => first.once('connect', done));
+  t.is(await exchange(listener.port, 'GET / HTTP/1.1\r\n\r\n'), '');
+  const text = await metrics.registry.metrics();
+  t.true(text.includes('burdocknotch_caller_connections_dropped_total 1'));
+  first.destroy();
+});
--- /dev/null
+++ b/src/requests/retryBudget.ts
@@ -0,0 +1,48 @@
+import type { Clock } from '../clock/index.js';
+import type { Random } from '../random/index.js';
+import type { RequestsSettings } from './defaults.js';
+
+/** Limits retries to a share of recent traffic plus a small constant rate. */
+export class RetryBudget {
+  readonly #clock: Clock;
+  readonly #settings: RequestsSettings;
+  #tokens: number;
+  #filledAt: number;
+
+  constructor(clock: Clock, settings: RequestsSettings) {
+    this.#clock = clock;
+    this.#settings = settings;
+    this.#tokens = settings.retryMinPerSecond;
+    this.#filledAt = clock.now();
+  }
+
+  /** Records one request of a caller. */
+  onRequest(): void {
+    this.#fill(this.#settings.retryRatio);
+  }
+
+  /** Takes one retry; false when the budget is spent. */
+  tryTake(): boolean {
+    this.#fill(0);
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+
+  #fill(extra: number): void {
+    const now = this.#clock.now();
+    const earned = ((now - this.#filledAt) / 1_000) * this.#settings.retryMinPerSecond;
+    this.#filledAt = now;
+    this.#tokens = Math.min(this.#settings.retryBurst, this.#tokens + earned + extra);
+  }
+}
+
+/**
+ * Delay before a retry: exponential with full jitter.
+ *
+ * @param retry - 0 for the first retry
+ * @returns milliseconds
+ */
+export function backoffMs(random: Random, settings: RequestsSettings, retry: number): number {
+  return random.next() * Math.min(settings.backoffMaxMs, settings.backoffBaseMs * 2 ** retry);
+}
--- /dev/null
+++ b/src/requests/work.ts
@@ -0,0 +1,31 @@
+import type { Result } from 'true-myth';
+import type { BackendAnswer } from '../backends/index.js';
+import type { Service } from '../configuration/index.js';
+import type { RequestError } from './types.js';
+
+/** A request under a request id that this process may try to run. */
+export interface Work {
+  requestId: string;
+  service: Service;
+  team: string;
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body: Uint8Array;
+  urgent: boolean;
+  idempotent: boolean;
+  /** Monotonic time in milliseconds. */
+  deadline: number;
+  /** Aborted when nobody waits for the answer any more. */
+  signal: AbortSignal;
+  /** VMs on which an earlier attempt failed. */
+  avoidVms: Set<string>;
+  /** Members through which an earlier attempt failed. */
+  avoidMembers: Set<string>;
+}
+
+/** End of one attempt. */
+export type AttemptResult = Result<BackendAnswer, RequestError>;
+
+/** Makes one attempt to run a request. */
+export type Attempt = (work: Work) => Promise<AttemptResult>;
--- /dev/null
+++ b/src/testing/fakeBackends.ts
@@ -0,0 +1,127 @@
+import { Result } from 'true-myth';
+import {
+  BackendError,
+  BackendErrorCode,
+  type BackendAnswer,
+  type BackendConnections,
+  type BackendRequest,
+} from '../backends/index.js';
+import type { Clock } from '../clock/index.js';
+import type { ProcessGate } from './processGate.js';
+import { expectedAnswer, type RequestHistory } from './requestHistory.js';
+
+/** Faults of one sending, in the order of its steps. */
+export enum SendFault {
+  None = 'none',
+  /** No connection; nothing is written. */
+  ConnectFailed = 'connect_failed',
+  /** The backend server answers that it did not start the request. */
+  NotStarted = 'not_started',
+  /** The connection is lost after writing; the request never reaches the server. */
+  LostBeforeRun = 'lost_before_run',
+  /** The connection is lost after writing, and the server runs the request later. */
+  LostThenRuns = 'lost_then_runs',
+  /** The connection is lost after the request ran. */
+  LostAfterRun = 'lost_after_run',
+  /** The request ran and its answer never comes. */
+  SilentAfterRun = 'silent_after_run',
+  Truncated = 'truncated',
+  Crossed = 'crossed',
+}
+
+type Sent = Result<BackendAnswer, BackendError>;
+
+/** Parameters of {@link FakeBackends}. */
+export interface FakeBackendsOptions {
+  /** Time of the backend servers, which goes on while the entry process is paused. */
+  clock: Clock;
+  gate: ProcessGate;
+  history: RequestHistory;
+  /** Chooses the fault of a sending. */
+  fault: (vm: string, req: BackendRequest) => SendFault;
+  /** Time from writing to the run, and from the run to the answer, in milliseconds. */
+  stepMs: number;
+}
+
+/** Backend servers that record their runs, and the connections of one entry process to them. */
+export class FakeBackends implements BackendConnections {
+  readonly #options: FakeBackendsOptions;
+  readonly #inFlight = new Map<string, number>();
+
+  constructor(options: FakeBackendsOptions) {
+    this.#options = options;
+  }
+
+  setExecutors(): void {
+    // Every VM can be reached.
+  }
+
+  async send(vm: string, req: BackendRequest): Promise<Sent> {
+    this.#inFlight.set(vm, this.inFlight(vm) + 1);
+    const { clock, gate } = this.#options;
+    const sent = await gate.receive(
+      new Promise<Sent>((resolve) => {
+        if (clock.now() >= req.deadline) {
+          resolve(failure(BackendErrorCode.DeadlineBeforeSend, false));
+          return;
+        }
+        clock.setTimer(req.deadline - clock.now(), () => {
+          resolve(failure(BackendErrorCode.Timeout, true));
+        });
+        req.signal.addEventListener('abort', () => {
+          resolve(failure(BackendErrorCode.Cancelled, true));
+        });
+        void this.#transmit(vm, req).then((result) => {
+          if (result) resolve(result);
+        });
+      }),
+    );
+    this.#inFlight.set(vm, this.inFlight(vm) - 1);
+    return sent;
+  }
+
+  inFlight(vm: string): number {
+    return this.#inFlight.get(vm) ?? 0;
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Plays the steps of a sending; undefined when no answer ever comes. */
+  async #transmit(vm: string, req: BackendRequest): Promise<Sent | undefined> {
+    const { clock, history, stepMs } = this.#options;
+    const tag = Buffer.from(req.body).toString('utf8');
+    const fault = this.#options.fault(vm, req);
+    if (fault === SendFault.ConnectFailed) return failure(BackendErrorCode.ConnectFailed, false);
+    if (fault === SendFault.LostThenRuns) {
+      clock.setTimer(stepMs * 2, () => {
+        history.ran(tag);
+      });
+      return failure(BackendErrorCode.ConnectionLost, true);
+    }
+    await clock.sleep(stepMs);
+    if (fault === SendFault.NotStarted) return failure(BackendErrorCode.NotStarted, false);
+    if (fault === SendFault.LostBeforeRun) return failure(BackendErrorCode.ConnectionLost, true);
+    history.ran(tag);
+    await clock.sleep(stepMs);
+    switch (fault) {
+      case SendFault.LostAfterRun:
+        return failure(BackendErrorCode.ConnectionLost, true);
+      case SendFault.Truncated:
+        return failure(BackendErrorCode.Truncated, true);
+      case SendFault.Crossed:
+        return failure(BackendErrorCode.Crossed, true);
+      case SendFault.SilentAfterRun:
+        return undefined;
+      default: {
+        const body = Buffer.from(expectedAnswer(tag));
+        return Result.ok({ status: 200, headers: { 'content-type': 'text/plain' }, body });
+      }
+    }
+  }
+}
+
+function failure(code: BackendErrorCode, mayHaveRun: boolean): Sent {
+  return Result.err(new BackendError(code, `fault: ${code}`, mayHaveRun));
+}
