--- a/src/cli/commands/entry.ts
+++ b/src/cli/commands/entry.ts
@@ -17,6 +17,6 @@
       output.printError(settings.error.message);
       return ExitCode.Usage;
     }
-    return runEntryProcess(settings.value.value);
+    return (await runEntryProcess(settings.value.value)) as number as ExitCode;
   },
 };
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -59,6 +59,8 @@
 
 /** A history that writes snapshots in the background. */
 export interface TableConfigHistory extends ConfigHistory {
+  /** Version as which a change id was committed; undefined when it was not. */
+  committedVersion(changeId: string): PlatformResult<number | undefined>;
   /** Resolves when no snapshot is being written. */
   idle(): Promise<void>;
 }
@@ -311,6 +313,7 @@
     commit,
     deltasAfter,
     load: async () => (await loadWithHash()).map(({ snapshot }) => snapshot),
+    committedVersion: async (changeId) => (await readChange(changeId)).map((row) => row?.version),
     idle: () => snapshotTask ?? Promise.resolve(),
   };
 }
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -5,6 +5,7 @@
   executorSchema,
   idSchema,
   moveSchema,
+  operatorChangeSchema,
   poolSchema,
   serviceSchema,
   stopSchema,
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import {
   EntityKind,
+  LAST_OPERATOR_CHANGE,
   MoveState,
   StopState,
   VmState,
@@ -112,6 +113,14 @@
   reason: z.string().optional().describe('Why the wave is paused'),
 });
 
+/** The newest change made by an operator. */
+export const operatorChangeSchema = z.strictObject({
+  id: z.literal(LAST_OPERATOR_CHANGE).describe('Always the same id'),
+  version: positive('Version of the change'),
+  changeId: z.string().min(1).describe('Identifier of the change'),
+  author: z.string().min(1).describe('Who made the change'),
+});
+
 /** Schema of each kind of entity. */
 export const entitySchemas: { readonly [K in EntityKind]: z.ZodType<EntityOfKind[K]> } = {
   [EntityKind.Service]: serviceSchema,
@@ -123,4 +132,5 @@
   [EntityKind.Stop]: stopSchema,
   [EntityKind.Move]: moveSchema,
   [EntityKind.Wave]: waveSchema,
+  [EntityKind.OperatorChange]: operatorChangeSchema,
 };
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,10 @@
+export { entrySettingsSchema, type EntrySettings } from './defaults.js';
+export { createEntryProcess } from './createEntryProcess.js';
+export { EntryExit, runEntryProcess } from './runEntryProcess.js';
+export {
+  EntryError,
+  EntryErrorCode,
+  type EntryContext,
+  type EntryPorts,
+  type EntryProcess,
+} from './types.js';
--- /dev/null
+++ b/src/entry/requestParts.ts
@@ -0,0 +1,76 @@
+import {
+  BackendErrorCode,
+  createBackendConnections,
+  createBackendHealth,
+  createChooser,
+  createHttpProbe,
+  createLeavingSet,
+  createUsable,
+  type BackendConnections,
+  type BackendHealthControl,
+  type ChooserOptions,
+  type Probe,
+} from '../backends/index.js';
+import { EntityKind, type IndexedConfigView } from '../configuration/index.js';
+import { EventName, LeavingSign } from '../events/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import { createScheduler, type Scheduler } from '../scheduling/index.js';
+import type { EntryContext } from './types.js';
+
+/** Parts of the request path that do not depend on other members. */
+export interface RequestParts {
+  backends: BackendConnections;
+  health: BackendHealthControl;
+  scheduler: Scheduler;
+  probe: Probe;
+}
+
+/** Creates connections, health, leaving set and scheduler, and joins them. */
+export function createRequestParts(
+  ctx: EntryContext,
+  view: IndexedConfigView,
+  lifecycle: Lifecycle,
+): RequestParts {
+  const { clock, random, metrics, events } = ctx;
+  const settings = ctx.settings.backends;
+  const probe = createHttpProbe(settings, (vm) => view.get(EntityKind.Vm, vm)?.executor);
+  const health = createBackendHealth({ clock, random, metrics, settings, lifecycle, probe });
+  const onSend = (vm: string) => {
+    health.started(vm);
+  };
+  const connections = createBackendConnections({ clock, metrics, settings, lifecycle, onSend });
+  const leaving = createLeavingSet({ clock, bus: events, view, metrics, settings, lifecycle });
+  const chooser: ChooserOptions = {
+    random,
+    weight: (vm) => health.weight(vm),
+    isLeaving: (vm) => leaving.has(vm),
+  };
+  const scheduler = createScheduler({
+    clock,
+    metrics,
+    settings: ctx.settings.scheduling,
+    service: (id) => view.get(EntityKind.Service, id),
+    team: (id) => view.get(EntityKind.Team, id),
+    choose: createChooser(chooser),
+    usable: createUsable(chooser),
+  });
+  return { backends: announceRefusals(ctx, connections), health, scheduler, probe };
+}
+
+/** Announces a VM as leaving when it refuses a request because it drains or changed pools. */
+function announceRefusals(ctx: EntryContext, connections: BackendConnections): BackendConnections {
+  return {
+    setExecutors: (executors) => {
+      connections.setExecutors(executors);
+    },
+    inFlight: (vm) => connections.inFlight(vm),
+    close: () => connections.close(),
+    send: async (vm, req) => {
+      const result = await connections.send(vm, req);
+      if (result.isErr && result.error.code === BackendErrorCode.Leaving) {
+        void ctx.events.emit(EventName.VmLeaving, { vm, sign: LeavingSign.OwnRefusal });
+      }
+      return result;
+    },
+  };
+}
--- a/src/inventory/readInventory.ts
+++ b/src/inventory/readInventory.ts
@@ -38,8 +38,7 @@
       file,
       line: yaml.lineOf(path),
       path: `${problem.kind} ${problem.id}`,
-      found: problem.found,
-      expected: problem.expected,
+      message: problem.message,
     };
   });
 }
@@ -54,8 +53,8 @@
         lines.set(entity.id, line);
         return [];
       }
-      const found = `a second ${kind} with id "${entity.id}"`;
-      return { file, line, path: `${key}.${index}.id`, found, expected: `one (see line ${first})` };
+      const message = `found a second ${kind} with id "${entity.id}", expected one (see line ${first})`;
+      return { file, line, path: `${key}.${index}.id`, message };
     });
   });
 }
--- a/src/operators/changes.ts
+++ b/src/operators/changes.ts
@@ -41,35 +41,33 @@
   }
   const { author, changeId } = body;
   const changes = body.changes as EntityChange[];
-  const winner = () => operatorWinner(deps, body.base);
-  if (winner()) return resolveOldChange(deps, body, changes);
+  const version = await committedVersion(deps, changeId);
+  if (version !== undefined) return { version, alreadyApplied: true };
+  if (changes.length === 0) return { version: deps.view.version, alreadyApplied: true };
   return decide(deps, author, changeId, () => {
-    const won = winner();
+    const won = operatorWinner(deps, body.base);
     if (won) throw conflict(won);
     const moves = changes.flatMap((change) => requestedMove(deps, change) ?? []);
     return [...changes, ...moves, operatorChange(deps, changeId, author)];
   });
 }
 
+/** Version of a change that was committed before, such as one whose answer was lost. */
+async function committedVersion(deps: OperatorDeps, changeId: string): Promise<number | undefined> {
+  const found = await deps.committedVersion(changeId);
+  if (found.isOk) return found.value;
+  throw new OperatorError(
+    OperatorErrorCode.PlatformUnavailable,
+    `cannot look up change ${changeId}: ${found.error.message}; nothing was applied by this call`,
+  );
+}
+
 /** The operator change that came after `base`, if any. */
 function operatorWinner(deps: OperatorDeps, base: number): OperatorChange | undefined {
   const last = deps.view.get(EntityKind.OperatorChange, LAST_OPERATOR_CHANGE);
   return last && last.version > base ? last : undefined;
 }
 
-/** A change whose base is outdated is either one that was committed before, or a conflict. */
-async function resolveOldChange(
-  deps: OperatorDeps,
-  body: ChangeRequest,
-  changes: EntityChange[],
-): Promise<Commit> {
-  const { base, changeId, author } = body;
-  const result = await deps.commit(base, { changeId, author, changes });
-  const won = operatorWinner(deps, base);
-  if (result.isErr && result.error.code === ConfigErrorCode.Conflict && won) throw conflict(won);
-  return commitOrThrow(result);
-}
-
 function conflict(won: OperatorChange): OperatorError {
   const { version, author, changeId } = won;
   const message = `version ${version} by ${author} was applied first; nothing was changed`;
--- a/src/operators/deps.ts
+++ b/src/operators/deps.ts
@@ -61,6 +61,8 @@
   snapshot(): ConfigSnapshot;
   /** Checks, commits and publishes a change set decided against version `base`. */
   commit(base: number, changeSet: ChangeSet): Promise<Result<Commit, ConfigError>>;
+  /** Version as which a change id was committed; undefined when it was not. */
+  committedVersion(changeId: string): PlatformResult<number | undefined>;
   /** Newest committed versions, oldest first. */
   history(limit: number): PlatformResult<ConfigDelta[]>;
   planWave(selection: WaveSelection): PlannedWave;
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -7,8 +7,8 @@
   line: number;
   /** Dotted path of the key, empty for the whole document. */
   path: string;
-  found: string;
-  expected: string;
+  /** Names what was found and what was expected. */
+  message: string;
 }
 
 /** Codes of {@link SettingsError}. */
@@ -31,9 +31,8 @@
   }
 }
 
-/** Formats a problem as `file:line: path: found ..., expected ...`. */
-export function formatProblem(problem: SettingsProblem): string {
-  const where = problem.line > 0 ? `${problem.file}:${problem.line}` : problem.file;
-  const path = problem.path === '' ? '' : `${problem.path}: `;
-  return `${where}: ${path}found ${problem.found}, expected ${problem.expected}`;
+/** Formats a problem as `file:line: path: message`. */
+export function formatProblem({ file, line, path, message }: SettingsProblem): string {
+  const where = line > 0 ? `${file}:${line}` : file;
+  return path === '' ? `${where}: ${message}` : `${where}: ${path}: ${message}`;
 }
--- a/src/settings/yamlDocument.ts
+++ b/src/settings/yamlDocument.ts
@@ -41,7 +41,8 @@
   try {
     text = await readFile(file, 'utf8');
   } catch (err) {
-    const problem = { file, line: 0, path: '', found: messageOf(err), expected: 'a readable file' };
+    const message = `cannot be read: ${messageOf(err)}`;
+    const problem = { file, line: 0, path: '', message };
     return Result.err(new SettingsError(SettingsErrorCode.Unreadable, [problem]));
   }
   return parseYaml(file, text, schema);
@@ -60,8 +61,7 @@
       file,
       line: err.linePos?.[0].line ?? 0,
       path: '',
-      found: err.message.split('\n')[0] ?? err.code,
-      expected: 'valid YAML',
+      message: `not valid YAML: ${err.message.split('\n')[0] ?? err.code}`,
     }));
     return Result.err(new SettingsError(SettingsErrorCode.Syntax, problems));
   }
@@ -85,14 +85,13 @@
         file,
         line: lineOf(path),
         path: path.join('.'),
-        found: `unknown key "${key}"`,
-        expected: 'only documented keys',
+        message: `found unknown key "${key}", expected a documented one`,
       };
     });
   }
   const path = issue.path.join('.');
-  const found = issue.code === 'custom' ? 'a value that breaks a rule' : render(issue.input);
-  return [{ file, line: lineOf(issue.path), path, found, expected: expectation(issue) }];
+  const message = `found ${render(issue.input)}, expected ${expectation(issue)}`;
+  return [{ file, line: lineOf(issue.path), path, message }];
 }
 
 function expectation(issue: z.core.$ZodIssue): string {
--- a/src/testing/fakeView.ts
+++ b/src/testing/fakeView.ts
@@ -20,6 +20,7 @@
     [EntityKind.Stop]: new Map(),
     [EntityKind.Move]: new Map(),
     [EntityKind.Wave]: new Map(),
+    [EntityKind.OperatorChange]: new Map(),
   };
 
   get<K extends EntityKind>(kind: K, id: string): EntityOfKind[K] | undefined {
--- /dev/null
+++ b/testbed/deployment.ts
@@ -0,0 +1,299 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { runCli, type ExitCode } from '../src/cli/index.js';
+import type { Inventory } from '../src/inventory/index.js';
+import { startProcess, type TestProcess } from './processes.js';
+
+/** Secret and token of a deployment under test. */
+const SECRET = 'a-secret-of-the-test-deployment';
+const TOKEN = 'an-operator-token-of-the-test-deployment';
+
+/** Shape of a deployment under test. */
+export interface DeploymentShape {
+  zones: readonly string[];
+  entriesPerZone: number;
+  /** VMs with a backend stand-in in each zone, by pool. */
+  vmsPerZone: Readonly<Record<string, number>>;
+  /** Settings laid over the defaults of each entry process. */
+  settings?: Record<string, unknown>;
+}
+
+/** A VM with its backend stand-in. */
+export interface TestVm {
+  id: string;
+  zone: string;
+  rack: string;
+  pool: string;
+  port: number;
+  process: TestProcess;
+}
+
+/** An entry process under test. */
+export interface TestEntry {
+  name: string;
+  zone: string;
+  /** Base URLs. */
+  callers: string;
+  operators: string;
+  peerPort: number;
+  process: TestProcess;
+}
+
+/** Result of one command of the command line. */
+export interface CommandResult {
+  exitCode: ExitCode;
+  output: string[];
+  errors: string[];
+}
+
+/** Time between two checks of a condition, in milliseconds. */
+const POLL_MS = 50;
+
+/** Waits for a condition; fails with the last reason after `timeoutMs` milliseconds. */
+export async function waitFor(
+  what: string,
+  isTrue: () => boolean | Promise<boolean>,
+  timeoutMs = 60_000,
+): Promise<number> {
+  const start = performance.now();
+  while (!(await isTrue())) {
+    if (performance.now() - start > timeoutMs) {
+      throw new Error(`${what} did not happen within ${timeoutMs} ms`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+  return performance.now() - start;
+}
+
+/** A small deployment of real processes on loopback ports that the kernel chose. */
+export class Deployment {
+  readonly shape: DeploymentShape;
+  readonly vms: TestVm[] = [];
+  readonly entries: TestEntry[] = [];
+  platform!: { url: string; process: TestProcess };
+  #folder = '';
+  #entryCount = 0;
+
+  constructor(shape: DeploymentShape) {
+    this.shape = shape;
+  }
+
+  /** Starts the platform, the backend servers and the entry processes. */
+  async start(): Promise<void> {
+    this.#folder = await mkdtemp(join(tmpdir(), 'burdocknotch-'));
+    await this.startPlatform();
+    await Promise.all(
+      this.shape.zones.flatMap((zone) =>
+        Object.entries(this.shape.vmsPerZone).flatMap(([pool, count]) =>
+          Array.from({ length: count }, (_, index) => this.#startVm(zone, pool, index)),
+        ),
+      ),
+    );
+    this.vms.sort((a, b) => a.id.localeCompare(b.id));
+    await this.#listVms();
+    for (const zone of this.shape.zones) {
+      for (let i = 0; i < this.shape.entriesPerZone; i++) await this.startEntry(zone);
+    }
+  }
+
+  /** Starts the platform stand-in. */
+  async startPlatform(): Promise<void> {
+    const process = startProcess('platform', 'standins/platform/main.js', [
+      '--list-lag-ms=500',
+      '--reboot-ms=500',
+    ]);
+    const { port } = await process.waitForLine(parsePort);
+    this.platform = { url: `http://127.0.0.1:${port}`, process };
+  }
+
+  async #startVm(zone: string, pool: string, index: number): Promise<void> {
+    const id = `${zone}-${pool}-${index + 1}`;
+    const process = startProcess(id, 'standins/backend/main.js', [`--pool=${pool}`]);
+    const { port } = await process.waitForLine(parsePort);
+    // Four VMs to a rack.
+    const rack = `${zone}-${pool}-rack-${Math.floor(index / 4) + 1}`;
+    this.vms.push({ id, zone, rack, pool, port, process });
+  }
+
+  async #listVms(): Promise<void> {
+    const list = this.vms.map(({ id, zone, port }) => ({
+      id,
+      zone,
+      backend: `http://127.0.0.1:${port}`,
+    }));
+    await this.control(this.platform.url, 'vms', list);
+  }
+
+  /** Starts one more entry process in a zone; it finds the others through the first ones. */
+  async startEntry(zone: string, name?: string): Promise<TestEntry> {
+    this.#entryCount += 1;
+    const memberName = name ?? `${zone}-entry-${this.#entryCount}`;
+    const seeds = this.entries.slice(0, 4).map(({ peerPort }) => ({
+      host: '127.0.0.1',
+      port: peerPort,
+    }));
+    const { peers, membership, ...others } = (this.shape.settings ?? {}) as Record<string, object>;
+    const settings = {
+      name: memberName,
+      zone,
+      allowFaults: true,
+      callers: { host: '127.0.0.1', port: 0 },
+      operators: { port: 0 },
+      platform: { url: this.platform.url },
+      peers: { listenHost: '127.0.0.1', port: 0, ...peers },
+      membership: { seeds, ...membership },
+      ...others,
+    };
+    const file = join(this.#folder, `${memberName}-${this.#entryCount}.yaml`);
+    await writeFile(file, stringify(settings));
+    const process = startProcess(memberName, 'src/cli/main.js', ['entry', '--config', file], {
+      BURDOCKNOTCH_SECRET: SECRET,
+      BURDOCKNOTCH_TOKEN: TOKEN,
+    });
+    const ports = await process.waitForLine(parseListening);
+    const entry: TestEntry = {
+      name: memberName,
+      zone,
+      callers: `http://127.0.0.1:${ports.callers}`,
+      operators: `http://127.0.0.1:${ports.operators}`,
+      peerPort: ports.peers,
+      process,
+    };
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** An inventory of the deployment; `change` may edit it before it is applied. */
+  inventory(change: (inventory: Inventory) => void = () => undefined): Inventory {
+    const pools = Object.keys(this.shape.vmsPerZone);
+    const inventory: Inventory = {
+      services: pools.map((id) => ({
+        id,
+        pool: id,
+        maxQueued: 200,
+        spill: true,
+        minAvailableSlots: 8,
+      })),
+      pools: pools.map((id) => ({
+        id,
+        minAvailable: 1,
+        maxAway: 2,
+        maxAwayPerRack: 2,
+        maxAwayPerZone: 1,
+        isSpare: id === 'spare',
+        mayBorrow: id !== 'spare',
+      })),
+      teams: ['league', 'depot'].map((id) => ({
+        id,
+        weight: 1,
+        maxQueued: 200,
+        maxRunning: 64,
+        maxUrgent: 16,
+        maxJobs: 100,
+      })),
+      vms: this.vms.map(({ id, zone, rack, pool, port }) => ({
+        id,
+        zone,
+        rack,
+        pool,
+        cores: 16,
+        memoryMib: 65_536,
+        accelerators: 0,
+        executor: { host: '127.0.0.1', port, slots: 8, connections: 64 },
+      })),
+    };
+    change(inventory);
+    return inventory;
+  }
+
+  /** Writes an inventory file and returns its path. */
+  async writeInventory(inventory: Inventory, name = 'inventory.yaml'): Promise<string> {
+    const file = join(this.#folder, name);
+    await writeFile(file, stringify(inventory));
+    return file;
+  }
+
+  /** Runs the command line against one entry process. */
+  async cli(entry: TestEntry, ...args: string[]): Promise<CommandResult> {
+    const output: string[] = [];
+    const errors: string[] = [];
+    process.env.BURDOCKNOTCH_TOKEN = TOKEN;
+    const exitCode = await runCli([...args, '--operator', entry.operators], {
+      print: (line) => output.push(line),
+      printError: (line) => errors.push(line),
+    });
+    return { exitCode, output, errors };
+  }
+
+  /** Runs a command that must succeed and returns its JSON output. */
+  async cliJson<T>(entry: TestEntry, ...args: string[]): Promise<T> {
+    const { exitCode, output, errors } = await this.cli(entry, ...args, '--json');
+    const [line] = output;
+    if (line === undefined) {
+      throw new Error(`${args.join(' ')} ended with ${exitCode}: ${errors.join(' ')}`);
+    }
+    return JSON.parse(line) as T;
+  }
+
+  /** Posts to a control endpoint of a stand-in. */
+  async control<T>(url: string, path: string, body?: unknown): Promise<T> {
+    const res = await request(`${url}/control/${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      body: body === undefined ? null : JSON.stringify(body),
+    });
+    const text = await res.body.text();
+    if (res.statusCode >= 400) throw new Error(`${path}: status ${res.statusCode}: ${text}`);
+    return JSON.parse(text) as T;
+  }
+
+  /** Sets a fault of a stand-in; undefined clears all of them. */
+  async fault(url: string, fault?: object): Promise<void> {
+    const res = await request(`${url}/control/faults`, {
+      method: fault === undefined ? 'DELETE' : 'POST',
+      body: fault === undefined ? null : JSON.stringify(fault),
+    });
+    await res.body.dump();
+  }
+
+  /** Posts to the operator listener of an entry process. */
+  async operator(entry: TestEntry, path: string, body: unknown): Promise<number> {
+    const res = await request(`${entry.operators}${path}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    await res.body.dump();
+    return res.statusCode;
+  }
+
+  /** Base URL of a VM's backend stand-in. */
+  backendUrl(vm: TestVm): string {
+    return `http://127.0.0.1:${vm.port}`;
+  }
+
+  /** Ends all processes; those that do not end by themselves are killed. */
+  async stop(): Promise<void> {
+    const processes = [
+      ...this.entries.map((entry) => entry.process),
+      ...this.vms.map((vm) => vm.process),
+      this.platform.process,
+    ];
+    await Promise.all(processes.map((process) => process.kill()));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+function parsePort(line: string): { port: number } | undefined {
+  return line.startsWith('{') ? (JSON.parse(line) as { port: number }) : undefined;
+}
+
+function parseListening(
+  line: string,
+): { callers: number; operators: number; peers: number } | undefined {
+  if (!line.includes('event=listening')) return undefined;
+  const value = (key: string) => Number(new RegExp(`\\b${key}=(\\d+)`).exec(line)?.[1]);
+  return { callers: value('callers'), operators: value('operators'), peers: value('peers') };
+}
