--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -18,3 +18,4 @@
   type ClusterVariant,
   type RequestClusterOptions,
 } from './requestCluster.js';
+export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
