--- a/src/cli/commands/maintenance.ts
+++ b/src/cli/commands/maintenance.ts
@@ -1,5 +1,5 @@
 import { WaveState, type Wave } from '../../configuration/index.js';
-import type { PlannedWave, WaveSelection } from '../../operators/index.js';
+import type { PlannedMaintenance, WaveSelection } from '../../operators/index.js';
 import { createOperatorClient, type OperatorClient } from '../operatorClient.js';
 import {
   CliError,
@@ -11,6 +11,8 @@
 } from '../types.js';
 import { authorOf, printRows, printWaves } from './listings.js';
 
+const MS_PER_MINUTE = 60_000;
+
 type Action = (
   client: OperatorClient,
   input: CommandInput,
@@ -23,16 +25,16 @@
     return ExitCode.Success;
   },
   plan: async (client, { flags }, output) => {
-    const plan = await client.post<PlannedWave>('/v1/maintenance/plan', selectionOf(flags));
+    const plan = await client.post<PlannedMaintenance>('/v1/maintenance/plan', selectionOf(flags));
     if (flags.json) output.print(JSON.stringify(plan));
     else printPlan(output, flags, plan);
-    return plan.impossible.length > 0 ? ExitCode.Refused : ExitCode.Success;
+    return plan.impossible === undefined ? ExitCode.Success : ExitCode.Refused;
   },
   start: async (client, input, output) => {
     const id = waveId(input);
     const body = { id, author: authorOf(input.flags), selection: selectionOf(input.flags) };
     const { version } = await client.post<{ version: number }>('/v1/maintenance/waves', body);
-    output.print(`wave ${id} started in version ${version}`);
+    output.print(`maintenance ${id} started in version ${version}`);
     return ExitCode.Success;
   },
   pause: (client, input, output) => setState(client, input, output, WaveState.Paused),
@@ -84,9 +86,19 @@
   return ExitCode.Success;
 }
 
-function printPlan(output: CommandOutput, flags: CommandFlags, plan: PlannedWave): void {
-  const rows = plan.batches.map((vms, index) => ({ batch: index + 1, size: vms.length, vms }));
+function printPlan(
+  output: CommandOutput,
+  flags: CommandFlags,
+  { waves, batches, lowerBound, expectedMs, impossible }: PlannedMaintenance,
+): void {
+  const rows = waves.flatMap((wave) =>
+    wave.batches.map((vms, index) => ({ wave: wave.id, batch: index + 1, size: vms.length, vms })),
+  );
+  if (impossible !== undefined) {
+    output.print(`there is no plan: ${impossible}`);
+    return;
+  }
   printRows(output, flags, rows);
-  output.print(`${plan.batches.length} batches; no plan needs fewer than ${plan.lowerBound}`);
-  for (const { vm, reason } of plan.impossible) output.print(`cannot stop ${vm}: ${reason}`);
+  const minutes = Math.ceil(expectedMs / MS_PER_MINUTE);
+  output.print(`${batches} batches; no plan needs fewer than ${lowerBound}; about ${minutes} min`);
 }
--- /dev/null
+++ b/src/entry/parts.ts
@@ -0,0 +1,122 @@
+import { Result } from 'true-myth';
+import {
+  checkChangeSet,
+  ConfigError,
+  ConfigErrorCode,
+  createCommitter,
+  createConfigHistory,
+  createConfigStore,
+  EntityKind,
+  type ChangeSet,
+  type Commit,
+  type ConfigStore,
+  type TableConfigHistory,
+} from '../configuration/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import { createMembership, type RunningMembership } from '../membership/index.js';
+import { createPeerNetwork, type DrainingVm, type TcpPeerNetwork } from '../peers/index.js';
+import {
+  CallPurpose,
+  createPlatformClient,
+  type MeteredPlatformClient,
+} from '../platform/index.js';
+import { createRequestRouter, type RequestRouter } from '../requests/index.js';
+import { newIdentity, peerSecret } from './identity.js';
+import { addMemberGauge, createProcessState, type ProcessState } from './processState.js';
+import { createRequestParts, type RequestParts } from './requestParts.js';
+import { EntryError, EntryErrorCode, type EntryContext } from './types.js';
+import { createVmProbes, type VmProbes } from './vmProbes.js';
+
+/** The parts of an entry process, in the order of their creation. */
+export interface EntryParts {
+  platform: MeteredPlatformClient;
+  store: ConfigStore;
+  history: TableConfigHistory;
+  network: TcpPeerNetwork;
+  request: RequestParts;
+  membership: RunningMembership;
+  router: RequestRouter;
+  probes: VmProbes;
+  state: ProcessState;
+  /** Checks a change set, commits it and brings it into force here. */
+  commit(base: number, changeSet: ChangeSet): Promise<Result<Commit, ConfigError>>;
+}
+
+/**
+ * Creates the parts of an entry process. They are closed with the life cycle.
+ *
+ * @throws EntryError when the peer listener cannot be set up
+ */
+export async function createParts(ctx: EntryContext, lifecycle: Lifecycle): Promise<EntryParts> {
+  const { settings, clock, random, logger, metrics, events } = ctx;
+  const shared = { clock, random, logger, metrics, events };
+  const platform = createPlatformClient({ ...shared, settings: settings.platform, lifecycle });
+  const store = createConfigStore({ events, metrics, ...settings.configuration });
+  const { view } = store;
+  const changeTable = platform.forPurpose(CallPurpose.Change).table;
+  const history = createConfigHistory(changeTable, { ...shared, ...settings.configuration });
+  const peerSettings = { ...settings.peers, secret: peerSecret(ctx) };
+  const network = unwrap(
+    await createPeerNetwork(
+      { ...shared, self: newIdentity(ctx), settings: peerSettings },
+      lifecycle,
+    ),
+  );
+  const request = createRequestParts(ctx, view, lifecycle);
+  const membership = createMembership({
+    ...shared,
+    network,
+    settings: settings.membership,
+    table: platform.table,
+    heartbeat: {
+      configVersion: () => view.version,
+      load: () => request.scheduler.load(),
+      draining: () => drainingVms(store, request, settings.zone),
+    },
+  });
+  addMemberGauge(ctx, membership);
+  const router = createRequestRouter({
+    ...{ ...shared, view, membership },
+    ...{ scheduler: request.scheduler, backends: request.backends, health: request.health },
+    self: network.self,
+    peers: network,
+    table: platform.forPurpose(CallPurpose.Request).table,
+    settings: settings.requests,
+  });
+  const probes = createVmProbes({ ...shared, view, zone: settings.zone, probe: request.probe });
+  const state = createProcessState(ctx, store, lifecycle);
+  const commit = createCheckedCommit(store, history);
+  return { platform, store, history, network, request, membership, router, probes, state, commit };
+}
+
+/** VMs of the zone that leave service and still have requests of this process in flight. */
+function drainingVms(
+  { view }: ConfigStore,
+  { backends }: RequestParts,
+  zone: string,
+): DrainingVm[] {
+  return [...view.list(EntityKind.Stop), ...view.list(EntityKind.Move)]
+    .filter(({ id }) => view.get(EntityKind.Vm, id)?.zone === zone)
+    .map(({ id }) => ({ vm: id, inFlight: backends.inFlight(id) }))
+    .filter(({ inFlight }) => inFlight > 0);
+}
+
+function createCheckedCommit(
+  store: ConfigStore,
+  history: TableConfigHistory,
+): EntryParts['commit'] {
+  const commitAndAdopt = createCommitter(history, store);
+  return (base, changeSet) => {
+    const [problem, ...others] = checkChangeSet(store.view, changeSet);
+    if (!problem) return commitAndAdopt(base, changeSet);
+    const more = others.length > 0 ? ` (and ${others.length} more problems)` : '';
+    const message = `${problem.message}${more}; nothing was applied`;
+    return Promise.resolve(Result.err(new ConfigError(ConfigErrorCode.Invalid, message)));
+  };
+}
+
+/** Returns the value, or throws an EntryError that names the failure. */
+export function unwrap<T, E extends Error>(result: Result<T, E>): T {
+  if (result.isOk) return result.value;
+  throw new EntryError(EntryErrorCode.StartFailed, result.error.message, result.error);
+}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -17,11 +17,23 @@
     return new Counter({ name: PREFIX + name, help, labelNames, registers: [this.registry] });
   }
 
-  /** A gauge. */
-  gauge(name: string, help: string, labelNames: string[] = []): Gauge {
+  /** A gauge; `collect`, if given, sets its value whenever the metrics are read. */
+  gauge(
+    name: string,
+    help: string,
+    labelNames: string[] = [],
+    collect?: (gauge: Gauge) => void,
+  ): Gauge {
     const existing = this.registry.getSingleMetric(PREFIX + name);
     if (existing instanceof Gauge) return existing;
-    return new Gauge({ name: PREFIX + name, help, labelNames, registers: [this.registry] });
+    const gauge: Gauge = new Gauge({
+      name: PREFIX + name,
+      help,
+      labelNames,
+      registers: [this.registry],
+      collect: () => collect?.(gauge),
+    });
+    return gauge;
   }
 
   /** A histogram; durations are in seconds and the name ends in `_seconds`. */
--- a/src/operators/changes.ts
+++ b/src/operators/changes.ts
@@ -125,26 +125,28 @@
   });
 }
 
-/** Plans and starts a maintenance wave. */
-export function startWave(deps: OperatorDeps, body: WaveRequest): Promise<Commit> {
+/** Plans maintenance and starts its waves; their ids start with the given one. */
+export function startWaves(deps: OperatorDeps, body: WaveRequest): Promise<Commit> {
   return decide(deps, body.author, randomUUID(), () => {
-    if (deps.view.get(EntityKind.Wave, body.id)) {
-      throw new OperatorError(OperatorErrorCode.Conflict, `wave ${body.id} exists already`);
+    const { waves, impossible } = deps.planWaves(body.id, body.selection);
+    if (impossible !== undefined) {
+      throw new OperatorError(OperatorErrorCode.Invalid, `there is no plan: ${impossible}`);
     }
-    const plan = deps.planWave(body.selection);
-    const [first] = plan.impossible;
-    if (first) {
-      const message = `no plan can stop VM ${first.vm}: ${first.reason}`;
-      throw new OperatorError(OperatorErrorCode.Invalid, message, { impossible: plan.impossible });
-    }
-    if (plan.batches.length === 0) {
+    if (waves.length === 0) {
       throw new OperatorError(OperatorErrorCode.Invalid, 'the selection names no VM');
     }
-    const wave: Wave = { id: body.id, state: WaveState.Running, batches: plan.batches, done: [] };
-    return [{ kind: EntityKind.Wave, id: body.id, value: wave }];
+    const taken = waves.find(({ id }) => deps.view.get(EntityKind.Wave, id));
+    if (taken) {
+      throw new OperatorError(OperatorErrorCode.Conflict, `wave ${taken.id} exists already`);
+    }
+    return waves.map((wave) => waveChange({ ...wave, state: WaveState.Running }));
   });
 }
 
+function waveChange(wave: Wave): EntityChange {
+  return { kind: EntityKind.Wave, id: wave.id, value: wave };
+}
+
 /** Pauses or resumes a wave. */
 export function setWaveState(
   deps: OperatorDeps,
@@ -158,8 +160,9 @@
     if (wave.state === WaveState.Finished) {
       throw new OperatorError(OperatorErrorCode.Invalid, `wave ${id} is finished`);
     }
+    const { batches, done } = wave;
     const reason = state === WaveState.Paused ? `paused by ${author}` : undefined;
-    return [{ kind: EntityKind.Wave, id, value: { ...wave, state, reason } }];
+    return [waveChange({ id, batches, done, state, reason })];
   });
 }
 
--- a/src/operators/deps.ts
+++ b/src/operators/deps.ts
@@ -7,6 +7,7 @@
   ConfigError,
   ConfigSnapshot,
   ConfigView,
+  Wave,
 } from '../configuration/index.js';
 import type { Logger } from '../logger/index.js';
 import type { Membership } from '../membership/index.js';
@@ -26,13 +27,18 @@
   holdsZoneLease: boolean;
 }
 
-/** A planned maintenance wave, before it is committed. */
-export interface PlannedWave {
-  batches: string[][];
-  /** Least number of batches that any plan needs under the rules. */
+/** A planned maintenance, before it is committed. */
+export interface PlannedMaintenance {
+  /** Waves of bounded size, in order. */
+  waves: Wave[];
+  /** Batches over all waves. */
+  batches: number;
+  /** Fewest batches that any plan needs under the rules. */
   lowerBound: number;
-  /** VMs that no plan can stop under the rules, with the rule that forbids it. */
-  impossible: { vm: string; reason: string }[];
+  /** Expected time of the roll-out in milliseconds. */
+  expectedMs: number;
+  /** Why no plan exists, if there is none. */
+  impossible?: string;
 }
 
 /** One job as shown to operators. */
@@ -65,6 +71,6 @@
   committedVersion(changeId: string): PlatformResult<number | undefined>;
   /** Newest committed versions, oldest first. */
   history(limit: number): PlatformResult<ConfigDelta[]>;
-  planWave(selection: WaveSelection): PlannedWave;
+  planWaves(id: string, selection: WaveSelection): PlannedMaintenance;
   jobs(zone: string, limit: number): PlatformResult<JobLine[]>;
 }
--- a/src/operators/operatorListener.ts
+++ b/src/operators/operatorListener.ts
@@ -5,7 +5,7 @@
 import type { Lifecycle } from '../lifecycle/index.js';
 import { answerWith, parseBody, sendError } from './answers.js';
 import { isAuthorized } from './auth.js';
-import { applyChanges, requestMove, setWaveState, startWave } from './changes.js';
+import { applyChanges, requestMove, setWaveState, startWaves } from './changes.js';
 import type { OperatorDeps } from './deps.js';
 import { poolStatuses, processStatus, vmLines } from './status.js';
 import {
@@ -159,11 +159,11 @@
   );
   app.post(
     '/v1/maintenance/plan',
-    answerWith((req) => deps.planWave(parseBody(req, waveSelectionSchema))),
+    answerWith((req) => deps.planWaves('plan', parseBody(req, waveSelectionSchema))),
   );
   app.post(
     '/v1/maintenance/waves',
-    answerWith((req) => startWave(deps, parseBody(req, waveRequestSchema))),
+    answerWith((req) => startWaves(deps, parseBody(req, waveRequestSchema))),
   );
   app.post(
     '/v1/maintenance/waves/:id/state',
