Perform moves, lend VMs to broken budgets and tend waves

Cause: a move must end in exactly one pool whatever fails on the way, a pool below its budget needs VMs of the spare pool, and waves must stop by themselves when a budget is at risk.

Change: startMoves counts and starts requested moves as one transaction; runMove drains, writes the assignment or undoes the move, and can be resumed at any step. lendForBudgets starts moves from the spare pool for what a pool lacks, counting what is on its way; createReturnLent requests the way home after the pool has held its budget without the VM. createTendWaves grants stops in plan order, pauses waves whose pools are at risk, resumes those that a controller paused and finishes them. planWave deals VMs out by zone and rack over the fewest batches. runDrainSweep takes back drains that no stop, move or vendor drain explains. New optional fields: Assignment.lentForBudget, Move.lentForBudget, Wave.pausedByController.

Ruled out: putting a moved VM in service after the assignment is written (a crash in between leaves it drained with no entity that says so).

--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -84,6 +84,8 @@
 export interface Assignment {
   id: string;
   pool: string;
+  /** The VM was lent by the spare pool to restore a budget; the zone controller sends it home. */
+  lentForBudget?: boolean;
 }
 
 /** Availability of a VM. */
@@ -133,6 +135,8 @@
   to: string;
   state: MoveState;
   drainVersion?: number;
+  /** Passed on to the assignment. */
+  lentForBudget?: boolean;
 }
 
 /** State of a maintenance wave. */
@@ -152,6 +156,8 @@
   done: string[];
   /** Why the wave is paused. */
   reason?: string;
+  /** The wave was paused by a zone controller, which resumes it when the budgets hold again. */
+  pausedByController?: boolean;
 }
 
 /** Entity type of each kind. */
--- /dev/null
+++ b/src/controller/context.ts
@@ -0,0 +1,31 @@
+import { EntityKind } from '../configuration/index.js';
+import { createSerialise } from './serialise.js';
+import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
+import type { ZoneReports } from './zoneReports.js';
+
+/** Creates what the tasks of one term share. */
+export function createContext(
+  deps: ControllerDeps,
+  lease: HeldLease,
+  reports: Pick<ZoneReports, 'silentZones' | 'isComplete'>,
+  signal: AbortSignal,
+): ControllerContext {
+  let changeSets = 0;
+  return {
+    ...deps,
+    lease,
+    signal,
+    silentZones: reports.silentZones,
+    mayGrant: reports.isComplete,
+    serialise: createSerialise(),
+    nextChangeId: () => {
+      changeSets += 1;
+      return `controller/${deps.zone}/${lease.epoch}/${changeSets}`;
+    },
+  };
+}
+
+/** Whether a VM is in the controller's zone. */
+export function isOfZone(ctx: ControllerContext, vm: string): boolean {
+  return ctx.config.view.get(EntityKind.Vm, vm)?.zone === ctx.zone;
+}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,15 +1,19 @@
 import { setMaxListeners } from 'node:events';
-import { EntityKind, type ConfigView } from '../configuration/index.js';
+import { EntityKind, MoveState } from '../configuration/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { AwayReason, Budget } from './budget.js';
 import { catchUp } from './commit.js';
+import { createContext, isOfZone } from './context.js';
+import { runDrainSweep } from './drainSweep.js';
 import { runZoneLease } from './lease.js';
-import { createSerialise } from './serialise.js';
+import { createReturnLent, lendForBudgets } from './lending.js';
+import { runMove, startMoves } from './moves.js';
 import { runStop } from './stops.js';
 import { TaskGroup } from './taskGroup.js';
 import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
+import { createTendWaves } from './waves.js';
 import { runVmStatus } from './vmStatus.js';
-import { createZoneReports, watchZones, type ZoneReports } from './zoneReports.js';
+import { createZoneReports, watchZones } from './zoneReports.js';
 
 /** What the zone controller is built from, and what else runs under its lease. */
 export interface ZoneControllerDeps extends ControllerDeps {
@@ -43,61 +47,49 @@
     runVmStatus(ctx),
     watchZones(ctx, reports),
     reconcile(ctx),
+    runDrainSweep(ctx),
     deps.alsoWhileHeld?.(lease, lifecycle),
   ]);
 }
 
-/** Creates what the tasks of one term share. */
-export function createContext(
-  deps: ControllerDeps,
-  lease: HeldLease,
-  reports: Pick<ZoneReports, 'silentZones' | 'isComplete'>,
-  signal: AbortSignal,
-): ControllerContext {
-  let changeSets = 0;
-  return {
-    ...deps,
-    lease,
-    signal,
-    silentZones: reports.silentZones,
-    mayGrant: reports.isComplete,
-    serialise: createSerialise(),
-    nextChangeId: () => {
-      changeSets += 1;
-      return `controller/${deps.zone}/${lease.epoch}/${changeSets}`;
-    },
-  };
-}
-
-/** Looks at intervals for entities of the zone that need a task. */
+/** Looks at intervals for what needs a task or a decision. */
 async function reconcile(ctx: ControllerContext): Promise<void> {
   const stops = new TaskGroup();
+  const moves = new TaskGroup();
+  const returnLent = createReturnLent(ctx);
+  const tendWaves = createTendWaves(ctx);
   const rounds = async () => {
     while (!ctx.signal.aborted) {
       await catchUp(ctx);
-      startStops(ctx, stops);
+      startTasks(ctx, stops, moves);
+      await startMoves(ctx, ctx.settings.maxOpenMoves - moves.size);
+      await lendForBudgets(ctx);
+      await returnLent();
+      await tendWaves();
+      startTasks(ctx, stops, moves);
       recordGauges(ctx);
       await ctx.clock.sleep(ctx.settings.reconcileIntervalMs, ctx.signal);
     }
   };
-  await Promise.race([rounds(), stops.failed]);
-  await stops.finished();
+  await Promise.race([rounds(), stops.failed, moves.failed]);
+  await Promise.all([stops.finished(), moves.finished()]);
 }
 
-function startStops(ctx: ControllerContext, stops: TaskGroup): void {
-  for (const { id } of ctx.config.view.list(EntityKind.Stop)) {
+/** Starts a task for each stop and each started move of the zone that has none. */
+function startTasks(ctx: ControllerContext, stops: TaskGroup, moves: TaskGroup): void {
+  const { view } = ctx.config;
+  for (const { id } of view.list(EntityKind.Stop)) {
     if (isOfZone(ctx, id)) stops.start(id, () => runStop(ctx, id));
   }
-}
-
-/** Whether a VM is in the controller's zone. */
-function isOfZone(ctx: ControllerContext, vm: string): boolean {
-  return ctx.config.view.get(EntityKind.Vm, vm)?.zone === ctx.zone;
+  for (const { id, state } of view.list(EntityKind.Move)) {
+    if (state === MoveState.Requested || !isOfZone(ctx, id)) continue;
+    moves.start(id, () => runMove(ctx, id));
+  }
 }
 
 /** Reports what is away and the buffer of each pool. */
 function recordGauges(ctx: ControllerContext): void {
-  const view: ConfigView = ctx.config.view;
+  const { view } = ctx.config;
   const budget = new Budget(view, { silentZones: ctx.silentZones() });
   for (const { id: pool } of view.list(EntityKind.Pool)) {
     const { byReason } = budget.count(pool);
--- a/src/controller/defaults.ts
+++ b/src/controller/defaults.ts
@@ -34,6 +34,15 @@
     1_800_000,
     'Time after which a VM that does not return from a planned stop is recorded as failed',
   ),
+  orphanDrainMs: milliseconds(
+    120_000,
+    'Time for which a VM must be drained without a known reason before its drain is taken back; longer than the lag of the VM list',
+  ),
+  sweepIntervalMs: milliseconds(
+    5_000,
+    'Time between two looks for VMs that are drained without a known reason',
+  ),
+  sweepBatch: count(10, 'VMs that one look for drains without a known reason asks, in VMs.'),
   retryBaseMs: milliseconds(50, 'Upper limit of the first random delay before a retried commit'),
   retryMaxMs: milliseconds(5_000, 'Upper limit of the random delay before a retried commit'),
   deltaPageSize: z
--- /dev/null
+++ b/src/controller/drainSweep.ts
@@ -0,0 +1,68 @@
+import { EntityKind, type Vm } from '../configuration/index.js';
+import { DrainState, ListedVmState } from '../platform/index.js';
+import { isOfZone } from './context.js';
+import type { ControllerContext } from './types.js';
+
+/**
+ * Takes back drains that nobody asked for any more. A drain order of a paused or crashed holder can
+ * reach the VM after its stop or move has ended, and would keep the VM out of service for ever.
+ *
+ * A vendor drain looks the same until the VM list shows it, so a drain is taken back only when the
+ * VM was found drained without stop, move or vendor drain for `orphanDrainMs`.
+ */
+export async function runDrainSweep(ctx: ControllerContext): Promise<void> {
+  const drainedSince = new Map<string, number>();
+  let next = 0;
+  while (!ctx.signal.aborted) {
+    const vms = ctx.config.view.list(EntityKind.Vm).filter(({ id }) => isOfZone(ctx, id));
+    const suspects = vms.filter(({ id }) => drainedSince.has(id));
+    const batch = new Set(suspects);
+    for (let i = 0; i < Math.min(ctx.settings.sweepBatch, vms.length); i += 1) {
+      const vm = vms[(next + i) % vms.length];
+      if (vm) batch.add(vm);
+    }
+    next = vms.length > 0 ? (next + ctx.settings.sweepBatch) % vms.length : 0;
+    for (const vm of batch) await lookAt(ctx, vm, drainedSince);
+    await ctx.clock.sleep(ctx.settings.sweepIntervalMs, ctx.signal);
+  }
+}
+
+async function lookAt(
+  ctx: ControllerContext,
+  { id }: Vm,
+  drainedSince: Map<string, number>,
+): Promise<void> {
+  const status = isExpectedInService(ctx, id)
+    ? await ctx.platform.pools.drainStatus(id)
+    : undefined;
+  const isDrained =
+    status?.isOk === true &&
+    (status.value.state === DrainState.Draining || status.value.state === DrainState.Drained);
+  if (!isDrained) {
+    drainedSince.delete(id);
+    return;
+  }
+  const now = ctx.clock.now();
+  const since = drainedSince.get(id) ?? now;
+  drainedSince.set(id, since);
+  if (now - since < ctx.settings.orphanDrainMs) return;
+  // The list may have changed since the last recorded state.
+  const listed = await ctx.platform.vmList.list(ctx.zone);
+  const isLive =
+    listed.isOk && listed.value.some((vm) => vm.id === id && vm.state === ListedVmState.Live);
+  if (!isLive || !isExpectedInService(ctx, id) || !ctx.lease.isHeld) return;
+  const undone = await ctx.platform.pools.cancelDrain(id);
+  if (undone.isErr) return;
+  drainedSince.delete(id);
+  ctx.metrics.orphanDrains.inc();
+  ctx.logger.warn({ event: 'orphan_drain_cancelled', vm: id });
+}
+
+/** Whether nothing that this controller knows of explains a drain of the VM. */
+function isExpectedInService({ config: { view } }: ControllerContext, id: string): boolean {
+  return (
+    !view.get(EntityKind.Stop, id) &&
+    !view.get(EntityKind.Move, id) &&
+    !view.get(EntityKind.VmStatus, id)
+  );
+}
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -27,7 +27,20 @@
 export { catchUp, commitDecision, type Decide, type Decided } from './commit.js';
 export { createSerialise, Priority, type Serialise } from './serialise.js';
 export { awaitDrained, DrainEnd, type DrainWait } from './confirmation.js';
-export { grantStops, runStop, StopEnd, whyCancel, type StopRequest } from './stops.js';
+export {
+  grantStops,
+  runStop,
+  StopEnd,
+  whyCancel,
+  type GrantOptions,
+  type StopRequest,
+} from './stops.js';
 export { recordStatus, runVmStatus, statusChanges, type ZoneObservation } from './vmStatus.js';
-export { createContext, runZoneController, type ZoneControllerDeps } from './controller.js';
+export { createContext } from './context.js';
+export { runZoneController, type ZoneControllerDeps } from './controller.js';
 export { createZoneReports, type ZoneReports } from './zoneReports.js';
+export { MoveEnd, runMove, startMoves, UndoReason, whyUndo } from './moves.js';
+export { createReturnLent, lendForBudgets, loans, type ReturnLent } from './lending.js';
+export { planWave, type PoolPlan, type WavePlan, type WavePlanOptions } from './wavePlan.js';
+export { createTendWaves, pauseWave, pendingVms, startWave, type TendWaves } from './waves.js';
+export { runDrainSweep } from './drainSweep.js';
--- /dev/null
+++ b/src/controller/lending.ts
@@ -0,0 +1,142 @@
+import {
+  EntityKind,
+  MoveState,
+  type ConfigView,
+  type EntityChange,
+  type Move,
+  type Pool,
+  type Vm,
+} from '../configuration/index.js';
+import { AwayReason, Budget, rackKey, servicesByPool, slotsOf } from './budget.js';
+import { commitDecision } from './commit.js';
+import { draining } from './moves.js';
+import type { ControllerContext } from './types.js';
+
+/**
+ * Moves VMs of the spare pool in this zone to pools whose budget is broken for want of VMs or
+ * slots and that may borrow. Moves on their way to a pool count as restored, so that the
+ * controllers of several zones do not lend for the same gap.
+ */
+export async function lendForBudgets(ctx: ControllerContext): Promise<void> {
+  if (!ctx.mayGrant()) return;
+  let lent = 0;
+  const decided = await commitDecision(ctx, 'lend', (view) => {
+    const changes = loans(view, ctx.zone, ctx.silentZones());
+    lent = changes.length;
+    return changes;
+  });
+  if (decided.isOk && lent > 0) ctx.metrics.permits.inc({ kind: 'lend' }, lent);
+}
+
+/** The loans from VMs of one zone that the budgets need and allow at the view's version. */
+export function loans(
+  view: ConfigView,
+  zone: string,
+  silentZones: ReadonlySet<string>,
+): EntityChange[] {
+  const budget = new Budget(view, { silentZones });
+  const borrowers = view.list(EntityKind.Pool).filter(({ mayBorrow }) => mayBorrow);
+  const changes: EntityChange[] = [];
+  let lenders: Vm[] | undefined;
+  for (const pool of borrowers) {
+    let gap = gapOf(view, budget, pool);
+    if (!hasGap(gap)) continue;
+    lenders ??= spareVms(view, zone);
+    for (const vm of lenders) {
+      if (!hasGap(gap)) break;
+      if (view.get(EntityKind.Move, vm.id) || budget.grant(vm.id, AwayReason.Move).isErr) continue;
+      const from = view.poolOf(vm.id) ?? '';
+      const state = MoveState.Requested;
+      const move: Move = { id: vm.id, from, to: pool.id, state, lentForBudget: true };
+      changes.push(draining(view, move));
+      gap = { vms: gap.vms - 1, slots: gap.slots - slotsOf(vm) };
+    }
+  }
+  return changes;
+}
+
+interface Gap {
+  vms: number;
+  slots: number;
+}
+
+function hasGap({ vms, slots }: Gap): boolean {
+  return vms > 0 || slots > 0;
+}
+
+/** VMs and slots that a pool lacks for its budgets, without those on their way to it. */
+function gapOf(view: ConfigView, budget: Budget, pool: Pool): Gap {
+  const count = budget.count(pool.id);
+  const gap: Gap = { vms: pool.minAvailable - (count.total - count.away), slots: 0 };
+  for (const { minAvailableSlots } of servicesByPool(view).get(pool.id) ?? []) {
+    gap.slots = Math.max(gap.slots, minAvailableSlots - (count.slots - count.slotsAway));
+  }
+  for (const move of view.list(EntityKind.Move)) {
+    const vm = view.get(EntityKind.Vm, move.id);
+    if (move.to !== pool.id || !vm) continue;
+    gap.vms -= 1;
+    gap.slots -= slotsOf(vm);
+  }
+  return gap;
+}
+
+/** VMs of the spare pools in a zone, one rack after the other in turn. */
+function spareVms(view: ConfigView, zone: string): Vm[] {
+  const racks = new Map<string, Vm[]>();
+  for (const pool of view.list(EntityKind.Pool)) {
+    if (!pool.isSpare) continue;
+    for (const vm of view.vmsOfPool(pool.id)) {
+      if (vm.zone !== zone) continue;
+      const rack = racks.get(rackKey(vm));
+      if (rack) rack.push(vm);
+      else racks.set(rackKey(vm), [vm]);
+    }
+  }
+  const ordered = [...racks.values()];
+  const longest = Math.max(0, ...ordered.map(({ length }) => length));
+  return Array.from({ length: longest }, (_, i) => ordered.flatMap((rack) => rack[i] ?? [])).flat();
+}
+
+/** Sends lent VMs home when their pool has held its budget without them for long enough. */
+export type ReturnLent = () => Promise<void>;
+
+/** Creates the task that sends lent VMs of the zone home; call it at intervals. */
+export function createReturnLent(ctx: ControllerContext): ReturnLent {
+  /** Time since when a lent VM could have gone without breaking a budget. */
+  const idleSince = new Map<string, number>();
+
+  return async () => {
+    const now = ctx.clock.now();
+    const unneeded = new Set(unneededVms(ctx.config.view, ctx.zone, ctx.silentZones()));
+    for (const id of idleSince.keys()) if (!unneeded.has(id)) idleSince.delete(id);
+    for (const id of unneeded) if (!idleSince.has(id)) idleSince.set(id, now);
+    const due = [...idleSince].filter(([, at]) => now - at >= ctx.settings.returnLentAfterMs);
+    if (due.length === 0) return;
+    await commitDecision(ctx, 'return_lent', (view) => {
+      const stillUnneeded = new Set(unneededVms(view, ctx.zone, ctx.silentZones()));
+      return due
+        .filter(([id]) => stillUnneeded.has(id))
+        .flatMap(([id]): EntityChange[] => requestHome(view, id));
+    });
+  };
+}
+
+/** Lent VMs of a zone that their pool could miss, all together and with one more VM to spare. */
+function unneededVms(view: ConfigView, zone: string, silentZones: ReadonlySet<string>): string[] {
+  const budget = new Budget(view, { silentZones, reserve: 1 });
+  return view
+    .list(EntityKind.Assignment)
+    .filter(({ lentForBudget }) => lentForBudget === true)
+    .filter(({ id }) => view.get(EntityKind.Vm, id)?.zone === zone)
+    .filter(({ id }) => !view.get(EntityKind.Move, id))
+    .filter(({ id }) => budget.grant(id, AwayReason.Move).isOk)
+    .map(({ id }) => id);
+}
+
+function requestHome(view: ConfigView, id: string): EntityChange[] {
+  const from = view.poolOf(id);
+  const to = view.get(EntityKind.Vm, id)?.pool;
+  if (from === undefined || to === undefined || from === to) return [];
+  const value: Move = { id, from, to, state: MoveState.Requested };
+  return [{ kind: EntityKind.Move, id, value }];
+}
--- a/src/controller/metrics.ts
+++ b/src/controller/metrics.ts
@@ -13,6 +13,7 @@
   stopsEnded: Counter;
   movesEnded: Counter;
   wavePauses: Counter;
+  orphanDrains: Counter;
   vmsLeaving: Counter;
   vmsAway: Gauge;
   buffer: Gauge;
@@ -36,6 +37,10 @@
     stopsEnded: metrics.counter('controller_stops_total', 'Planned stops ended', ['result']),
     movesEnded: metrics.counter('controller_moves_total', 'Moves ended', ['result']),
     wavePauses: metrics.counter('controller_wave_pauses_total', 'Waves paused', ['rule']),
+    orphanDrains: metrics.counter(
+      'controller_orphan_drains_total',
+      'Drains without a known reason that were taken back',
+    ),
     vmsLeaving: metrics.counter('controller_vms_leaving_total', 'VMs first seen leaving'),
     vmsAway: metrics.gauge('controller_vms_away', 'VMs away', ['pool', 'reason']),
     buffer: metrics.gauge('controller_buffer_vms', 'VMs that may still go', ['pool']),
--- /dev/null
+++ b/src/controller/moves.spec.ts
@@ -0,0 +1,211 @@
+import test from 'ava';
+import {
+  EntityKind,
+  MoveState,
+  VmState,
+  type ConfigView,
+  type EntityChange,
+  type Pool,
+} from '../configuration/index.js';
+import { ListedVmState } from '../platform/index.js';
+import { ControllerRig, findViolations, fleetOf } from '../testing/controllerRig.js';
+import { CallFault, type PlatformCall } from '../testing/interceptedPlatform.js';
+import { MemoryView } from '../testing/memoryView.js';
+import { loans, ProbeResult } from './index.js';
+
+const MINUTE = 60_000;
+/** A VM of pool p0; the pools take turns in a rack. */
+const VM = 'z0r0v0';
+
+const requestMove = (id: string, from = 'p0', to = 'p1'): EntityChange => {
+  return { kind: EntityKind.Move, id, value: { id, from, to, state: MoveState.Requested } };
+};
+
+const isSettled = (view: ConfigView) => view.list(EntityKind.Move).length === 0;
+
+async function setUp(p0: Partial<Pool> = {}, p1: Partial<Pool> = {}, zones = 1) {
+  const rig = new ControllerRig();
+  await rig.load(fleetOf({ zones, racksPerZone: 2, vmsPerRack: 4, pools: [p0, p1] }));
+  await rig.operate([requestMove(VM)]);
+  return rig;
+}
+
+test('a requested move drains the VM, writes the assignment and puts it in service', async (t) => {
+  const rig = await setUp();
+  rig.start('z0', 'a');
+  t.true(await rig.until(isSettled, MINUTE));
+  const view = await rig.newest();
+  t.is(view.poolOf(VM), 'p1');
+  t.false(rig.platform.drains.has(VM));
+  t.deepEqual(findViolations(await rig.deltas()), []);
+  await rig.close();
+});
+
+const steps = Array.from({ length: 50 }, (_, index) => index);
+const faults = [
+  CallFault.CrashBefore,
+  CallFault.CrashAfter,
+  CallFault.LoseAnswer,
+  CallFault.Down,
+  CallFault.Pause,
+];
+
+for (const fault of faults) {
+  // A VM that is left between two pools, or drained in its new pool, is lost capacity.
+  test(`a move is finished and the VM in service when one call meets ${fault}`, async (t) => {
+    for (const step of steps) {
+      const rig = await setUp();
+      rig.start('z0', 'a', { faultOf: ({ index }) => (index === step ? fault : CallFault.None) });
+      await rig.clock.advance(50);
+      const second = rig.start('z0', 'b');
+      t.true(await rig.until(isSettled, 5 * MINUTE), `step ${step}`);
+      await rig.clock.advance(5 * MINUTE);
+      t.is((await rig.newest()).poolOf(VM), 'p1', `step ${step}`);
+      t.false(rig.platform.drains.has(VM), `step ${step}`);
+      t.deepEqual(findViolations(await rig.deltas()), [], `step ${step}`);
+      await rig.close([second.lifecycle]);
+    }
+  });
+}
+
+test('a move waits for a permit, and is refused or undone by the rules', async (t) => {
+  const other = 'z0r0v2';
+  const cases: {
+    title: string;
+    p0?: Partial<Pool>;
+    p1?: Partial<Pool>;
+    during?: (rig: ControllerRig) => unknown;
+    settles: boolean;
+    pool: string;
+    drained?: boolean;
+  }[] = [
+    { title: 'no permit', p0: { maxAway: 0 }, settles: false, pool: 'p0' },
+    {
+      title: 'lender to borrower',
+      p0: { isSpare: true },
+      p1: { mayBorrow: true },
+      settles: true,
+      pool: 'p1',
+    },
+    { title: 'target may not borrow', p0: { isSpare: true }, settles: true, pool: 'p0' },
+    {
+      title: 'vendor drains the VM during the move',
+      during: (rig) =>
+        rig.platform.vms.set(VM, { id: VM, zone: 'z0', state: ListedVmState.Leaving }),
+      settles: true,
+      pool: 'p0',
+      // The drain of the vendor is left in force.
+      drained: true,
+    },
+    {
+      title: 'the source is at risk during the move',
+      p0: { maxAway: 1 },
+      during: (rig) => rig.sick.set(other, ProbeResult.Failed),
+      settles: true,
+      pool: 'p0',
+    },
+    {
+      title: 'the target is deleted during the move',
+      during: (rig) =>
+        rig.operate([
+          { kind: EntityKind.Service, id: 's-p1' },
+          { kind: EntityKind.Pool, id: 'p1' },
+        ]),
+      settles: true,
+      pool: 'p0',
+    },
+    {
+      title: 'an operator deletes the move',
+      during: (rig) => rig.operate([{ kind: EntityKind.Move, id: VM }]),
+      settles: true,
+      pool: 'p0',
+    },
+  ];
+  for (const { title, p0, p1, during, settles, pool, drained = false } of cases) {
+    const rig = await setUp(p0, p1);
+    let isBusy = during !== undefined;
+    rig.start('z0', 'a', { inFlight: () => (isBusy ? 1 : 0) });
+    await rig.clock.advance(10_000);
+    if (during) {
+      t.is((await rig.newest()).get(EntityKind.Move, VM)?.state, MoveState.Draining, title);
+      await during(rig);
+      await rig.clock.advance(5_000);
+      isBusy = false;
+    }
+    t.is(await rig.until(isSettled, MINUTE), settles, title);
+    await rig.clock.advance(5_000);
+    t.is((await rig.newest()).poolOf(VM), pool, title);
+    t.is(rig.platform.drains.has(VM), drained, title);
+    t.deepEqual(findViolations(await rig.deltas()), [], title);
+    await rig.close();
+  }
+});
+
+const LENDER = { isSpare: true, minAvailable: 2 };
+const BORROWER = { mayBorrow: true, minAvailable: 4 };
+
+test('a pool below its budget borrows what it lacks, and the VMs go home afterwards', async (t) => {
+  const rig = new ControllerRig({ returnLentAfterMs: MINUTE });
+  await rig.load(fleetOf({ zones: 2, racksPerZone: 2, vmsPerRack: 2, pools: [LENDER, BORROWER] }));
+  rig.start('z0', 'a');
+  rig.start('z1', 'b');
+  await rig.clock.advance(20_000);
+  for (const vm of ['z0r0v1', 'z1r0v1']) rig.sick.set(vm, ProbeResult.Failed);
+  const isLent = (view: ConfigView) => view.vmsOfPool('p1').length === 6 && isSettled(view);
+  t.true(await rig.until(isLent, MINUTE));
+  await rig.clock.advance(2 * MINUTE);
+  t.is((await rig.newest()).vmsOfPool('p0').length, 2);
+  rig.sick.clear();
+  const isHome = (view: ConfigView) => view.vmsOfPool('p1').length === 5 && isSettled(view);
+  // One more than the budget needs stays, so that the next failure needs no loan.
+  t.true(await rig.until(isHome, 5 * MINUTE, 1_000));
+  await rig.clock.advance(5 * MINUTE);
+  t.is((await rig.newest()).vmsOfPool('p1').length, 5);
+  t.deepEqual(findViolations(await rig.deltas()), []);
+  await rig.close();
+});
+
+test('loans respect the rules of the lender and the borrower', (t) => {
+  const cases: [Partial<Pool>, Partial<Pool>, number][] = [
+    [LENDER, BORROWER, 2],
+    [{ ...LENDER, minAvailable: 3 }, BORROWER, 1],
+    [{ ...LENDER, maxAway: 0 }, BORROWER, 0],
+    [LENDER, { ...BORROWER, mayBorrow: false }, 0],
+    [{ ...LENDER, isSpare: false }, BORROWER, 0],
+    [LENDER, { ...BORROWER, minAvailable: 2 }, 0],
+  ];
+  for (const [lender, borrower, expected] of cases) {
+    const view = new MemoryView();
+    view.apply(fleetOf({ zones: 1, racksPerZone: 4, vmsPerRack: 2, pools: [lender, borrower] }));
+    const failed = ['z0r0v1', 'z0r1v1'];
+    view.apply(
+      failed.map((id) => ({
+        kind: EntityKind.VmStatus,
+        id,
+        value: { id, state: VmState.Failed },
+      })),
+    );
+    const lent = loans(view, 'z0', new Set());
+    t.is(lent.length, expected);
+    view.apply(lent);
+    t.is(loans(view, 'z0', new Set()).length, 0, 'what is on its way counts as restored');
+  }
+});
+
+test('a drain that a paused holder orders too late is taken back', async (t) => {
+  const rig = new ControllerRig();
+  await rig.load(fleetOf({ zones: 1, racksPerZone: 1, vmsPerRack: 4, pools: [{}] }));
+  const late = rig.start('z0', 'a', {
+    faultOf: ({ name }: PlatformCall) =>
+      name === 'pools.drain' ? CallFault.Pause : CallFault.None,
+    pauseMs: MINUTE,
+  });
+  await rig.clock.advance(1_000);
+  const order = late.platform.pools.drain(VM);
+  await rig.clock.advance(2 * MINUTE);
+  await order;
+  t.true(rig.platform.drains.has(VM));
+  await rig.clock.advance(3 * MINUTE);
+  t.false(rig.platform.drains.has(VM));
+  await rig.close();
+});
--- /dev/null
+++ b/src/controller/moves.ts
@@ -0,0 +1,182 @@
+import {
+  EntityKind,
+  MoveState,
+  VmState,
+  type Assignment,
+  type ConfigView,
+  type EntityChange,
+  type Move,
+} from '../configuration/index.js';
+import { AwayReason, Budget, type BudgetError } from './budget.js';
+import { commitDecision } from './commit.js';
+import { awaitDrained, DrainEnd } from './confirmation.js';
+import { countRefusals, undoDrain, whenCountsChange } from './stops.js';
+import type { ControllerContext } from './types.js';
+
+/** How a move ended. */
+export enum MoveEnd {
+  Moved = 'moved',
+  /** The VM was put back in service in the pool that it came from. */
+  Undone = 'undone',
+  /** The lease was lost or the process shuts down; the next holder goes on. */
+  Interrupted = 'interrupted',
+}
+
+/** Why a move is not started or is undone. */
+export enum UndoReason {
+  /** The target pool does not exist. */
+  NoTarget = 'no_target',
+  /** The VM is not in the pool that it should leave. */
+  WrongSource = 'wrong_source',
+  /** The target may not borrow from the spare pool. */
+  MayNotBorrow = 'may_not_borrow',
+  /** The VM is not up; the vendor drains it, or it failed. */
+  NotUp = 'not_up',
+  /** The source needs the VM back, and the target holds its budget without it. */
+  SourceAtRisk = 'source_at_risk',
+}
+
+/**
+ * Starts requested moves of the zone as far as the budgets of their source pools allow, as one
+ * transaction with the counting. Requests that the target's rules do not allow are deleted.
+ *
+ * @param limit - most moves to start
+ */
+export async function startMoves(ctx: ControllerContext, limit: number): Promise<void> {
+  const hasRequests = requestedMoves(ctx, ctx.config.view).length > 0;
+  if (!hasRequests || !ctx.mayGrant()) return;
+  let refusals: BudgetError[] = [];
+  const decided = await commitDecision(ctx, 'move_start', (view) => {
+    const budget = new Budget(view, { silentZones: ctx.silentZones() });
+    refusals = [];
+    let started = 0;
+    return requestedMoves(ctx, view).flatMap((move): EntityChange[] => {
+      if (whyNotAllowed(view, move)) return [{ kind: EntityKind.Move, id: move.id }];
+      if (started >= limit) return [];
+      const permit = budget.grant(move.id, AwayReason.Move);
+      if (permit.isErr) {
+        refusals.push(permit.error);
+        return [];
+      }
+      started += 1;
+      return [draining(view, move)];
+    });
+  });
+  countRefusals(ctx, 'move', refusals);
+  if (decided.isOk && decided.value.applied) ctx.metrics.permits.inc({ kind: 'move' });
+}
+
+function requestedMoves(ctx: ControllerContext, view: ConfigView): Move[] {
+  return view
+    .list(EntityKind.Move)
+    .filter(({ state }) => state === MoveState.Requested)
+    .filter(({ id }) => view.get(EntityKind.Vm, id)?.zone === ctx.zone);
+}
+
+/** The move in state Draining, from the version that the change is committed as. */
+export function draining(view: ConfigView, move: Move): EntityChange {
+  const value = { ...move, state: MoveState.Draining, drainVersion: view.version + 1 };
+  return { kind: EntityKind.Move, id: move.id, value };
+}
+
+/** Why the rules of the configuration do not allow a move. */
+function whyNotAllowed(view: ConfigView, move: Move): UndoReason | undefined {
+  const target = view.get(EntityKind.Pool, move.to);
+  if (!target) return UndoReason.NoTarget;
+  if (view.poolOf(move.id) !== move.from || move.from === move.to) return UndoReason.WrongSource;
+  const isHome = view.get(EntityKind.Vm, move.id)?.pool === move.to;
+  const isLoan = view.get(EntityKind.Pool, move.from)?.isSpare === true && !isHome;
+  return isLoan && !target.mayBorrow ? UndoReason.MayNotBorrow : undefined;
+}
+
+/** Why a move that drains is to be undone. */
+export function whyUndo(
+  ctx: Pick<ControllerContext, 'silentZones'>,
+  view: ConfigView,
+  move: Move,
+): UndoReason | undefined {
+  const reason = whyNotAllowed(view, move);
+  if (reason) return reason;
+  if ((view.get(EntityKind.VmStatus, move.id)?.state ?? VmState.Up) !== VmState.Up) {
+    return UndoReason.NotUp;
+  }
+  const budget = new Budget(view, { silentZones: ctx.silentZones() });
+  const isSourceAtRisk = budget.broken(move.from) && !budget.broken(move.to);
+  return isSourceAtRisk ? UndoReason.SourceAtRisk : undefined;
+}
+
+/**
+ * Performs a started move from whatever state it is in until the assignment is written, or undoes
+ * it. May be called again by the next holder of the lease at any step.
+ */
+export async function runMove(ctx: ControllerContext, vm: string): Promise<MoveEnd> {
+  const end = await performMove(ctx, vm);
+  if (end !== MoveEnd.Interrupted) {
+    ctx.metrics.movesEnded.inc({ result: end });
+    ctx.logger.info({ event: 'move_ended', vm, result: end });
+  }
+  return end;
+}
+
+async function performMove(ctx: ControllerContext, vm: string): Promise<MoveEnd> {
+  if (moveOf(ctx, vm)?.state === MoveState.Draining) {
+    const end = await drainForMove(ctx, vm);
+    if (end === DrainEnd.Closed) return MoveEnd.Interrupted;
+    if (end !== DrainEnd.Drained) return undoMove(ctx, vm);
+    await recordDrained(ctx, vm);
+  }
+  // While the move exists, no entry process sends to the VM, so it can take requests again before
+  // the assignment is written. In the other order a crash would leave it drained with no trace.
+  if (!(await undoDrain(ctx, vm))) return MoveEnd.Interrupted;
+  const isMoved = await writeAssignment(ctx, vm);
+  return isMoved ? MoveEnd.Moved : undoMove(ctx, vm);
+}
+
+function moveOf(ctx: ControllerContext, vm: string): Move | undefined {
+  return ctx.config.view.get(EntityKind.Move, vm);
+}
+
+async function drainForMove(ctx: ControllerContext, vm: string): Promise<DrainEnd> {
+  const { view } = ctx.config;
+  const version = moveOf(ctx, vm)?.drainVersion ?? view.version;
+  const giveUp = whenCountsChange(ctx, () => {
+    const move = moveOf(ctx, vm);
+    return move === undefined || whyUndo(ctx, view, move) !== undefined;
+  });
+  const end = await awaitDrained(ctx, { vm, version, giveUp });
+  ctx.metrics.drains.inc({ kind: 'move', result: end });
+  return end;
+}
+
+async function recordDrained(ctx: ControllerContext, vm: string): Promise<void> {
+  await commitDecision(ctx, 'move_drained', (view) => {
+    const move = view.get(EntityKind.Move, vm);
+    if (move?.state !== MoveState.Draining || whyUndo(ctx, view, move)) return [];
+    return [{ kind: EntityKind.Move, id: vm, value: { ...move, state: MoveState.Drained } }];
+  });
+}
+
+async function writeAssignment(ctx: ControllerContext, vm: string): Promise<boolean> {
+  const decided = await commitDecision(ctx, 'move_assigned', (view) => {
+    const move = view.get(EntityKind.Move, vm);
+    if (move?.state !== MoveState.Drained || whyUndo(ctx, view, move)) return [];
+    const value: Assignment = { id: vm, pool: move.to };
+    if (move.lentForBudget) value.lentForBudget = true;
+    return [
+      { kind: EntityKind.Assignment, id: vm, value },
+      { kind: EntityKind.Move, id: vm },
+    ];
+  });
+  return decided.isOk && decided.value.applied;
+}
+
+/** Puts the VM back in service and deletes the move, in this order; see the cancelling of stops. */
+async function undoMove(ctx: ControllerContext, vm: string): Promise<MoveEnd> {
+  if (!(await undoDrain(ctx, vm))) return MoveEnd.Interrupted;
+  const ended = await commitDecision(ctx, 'move_undo', (view) => {
+    const move = view.get(EntityKind.Move, vm);
+    const isStarted = move !== undefined && move.state !== MoveState.Requested;
+    return isStarted ? [{ kind: EntityKind.Move, id: vm }] : [];
+  });
+  return ended.isOk ? MoveEnd.Undone : MoveEnd.Interrupted;
+}
--- a/src/controller/stops.ts
+++ b/src/controller/stops.ts
@@ -8,7 +8,7 @@
   type Stop,
 } from '../configuration/index.js';
 import { DrainState, type PlatformResult } from '../platform/index.js';
-import { AwayReason, Budget, type BudgetError } from './budget.js';
+import { AwayReason, Budget, BudgetRule, type BudgetError } from './budget.js';
 import { commitDecision, type Decide } from './commit.js';
 import { awaitDrained, DrainEnd } from './confirmation.js';
 import { ProbeResult, type ControllerContext } from './types.js';
@@ -32,6 +32,14 @@
   wave: string;
 }
 
+/** Options of {@link grantStops}. */
+export interface GrantOptions {
+  /** VMs that are kept unused of the limits of each pool; 0 by default. */
+  reserve?: number;
+  /** Most stops to grant; unlimited by default. */
+  limit?: number;
+}
+
 /** States from which a stop can still be cancelled. */
 const CANCELLABLE: ReadonlySet<StopState> = new Set([
   StopState.Granted,
@@ -41,39 +49,76 @@
 
 /**
  * Grants the stops that every budget allows, in the given order and as one transaction with the
- * counting.
+ * counting. VMs that are done in their wave, or whose wave does not run, are passed over.
  *
- * @param reserve - VMs that are kept unused of the limits of each pool
  * @returns the VMs that were granted; empty when the lease was lost
  */
 export async function grantStops(
   ctx: ControllerContext,
   requests: readonly StopRequest[],
-  reserve = 0,
+  { reserve = 0, limit = Infinity }: GrantOptions = {},
 ): Promise<string[]> {
-  let granted: string[] = [];
-  let refusals: BudgetError[] = [];
+  let round = { granted: [] as string[], refusals: [] as BudgetError[] };
   const decided = await commitDecision(ctx, 'stop_grant', (view) => {
-    const budget = new Budget(view, { silentZones: ctx.silentZones(), reserve });
-    granted = [];
-    refusals = [];
-    if (!ctx.mayGrant()) return [];
-    return requests.flatMap(({ vm, wave }): EntityChange[] => {
-      if (view.get(EntityKind.Wave, wave)?.state === WaveState.Paused) return [];
-      const permit = budget.grant(vm, AwayReason.Stop);
-      if (permit.isErr) {
-        refusals.push(permit.error);
-        return [];
-      }
-      granted.push(vm);
-      const value: Stop = { id: vm, wave, state: StopState.Granted };
-      return [{ kind: EntityKind.Stop, id: vm, value }];
+    const options = { silentZones: ctx.silentZones(), reserve };
+    const open = ctx.mayGrant() ? requests.filter((request) => isOpen(view, request)) : [];
+    round = countPermits(view, new Budget(view, options), open, limit);
+    const waveOf = new Map(open.map(({ vm, wave }) => [vm, wave]));
+    return round.granted.map((id): EntityChange => {
+      const value: Stop = { id, wave: waveOf.get(id) ?? '', state: StopState.Granted };
+      return { kind: EntityKind.Stop, id, value };
     });
   });
-  for (const { code } of refusals) ctx.metrics.permitRefusals.inc({ kind: 'stop', rule: code });
+  countRefusals(ctx, 'stop', round.refusals);
   if (decided.isErr) return [];
-  ctx.metrics.permits.inc({ kind: 'stop' }, granted.length);
-  return granted;
+  ctx.metrics.permits.inc({ kind: 'stop' }, round.granted.length);
+  return round.granted;
+}
+
+function isOpen(view: ConfigView, { vm, wave: id }: StopRequest): boolean {
+  const wave = view.get(EntityKind.Wave, id);
+  if (!wave) return true;
+  return wave.state === WaveState.Running && !wave.done.includes(vm);
+}
+
+/** Rules that refuse every further VM of the pool too. */
+const POOL_RULES: ReadonlySet<BudgetRule> = new Set([
+  BudgetRule.MaxAway,
+  BudgetRule.MinAvailable,
+  BudgetRule.MinAvailableSlots,
+]);
+
+function countPermits(
+  view: ConfigView,
+  budget: Budget,
+  requests: readonly StopRequest[],
+  limit: number,
+) {
+  const granted: string[] = [];
+  const refusals: BudgetError[] = [];
+  const exhausted = new Set<string | undefined>();
+  for (const { vm } of requests) {
+    if (granted.length >= limit) break;
+    const pool = view.poolOf(vm);
+    if (exhausted.has(pool)) continue;
+    const permit = budget.grant(vm, AwayReason.Stop);
+    if (permit.isOk) {
+      granted.push(vm);
+    } else {
+      refusals.push(permit.error);
+      if (POOL_RULES.has(permit.error.code)) exhausted.add(pool);
+    }
+  }
+  return { granted, refusals };
+}
+
+/** Counts refused permits by rule. */
+export function countRefusals(
+  ctx: Pick<ControllerContext, 'metrics'>,
+  kind: 'stop' | 'move' | 'lend',
+  refusals: readonly BudgetError[],
+): void {
+  for (const { code } of refusals) ctx.metrics.permitRefusals.inc({ kind, rule: code });
 }
 
 /**
--- /dev/null
+++ b/src/controller/wavePlan.ts
@@ -0,0 +1,207 @@
+import { Result } from 'true-myth';
+import {
+  EntityKind,
+  WaveState,
+  type ConfigView,
+  type Pool,
+  type Vm,
+  type Wave,
+} from '../configuration/index.js';
+import { BudgetError, BudgetRule, rackKey, servicesByPool, slotsOf } from './budget.js';
+
+/** What to plan. */
+export interface WavePlanOptions {
+  /** Start of the ids of the waves. */
+  id: string;
+  /** VMs to maintain; all by default. */
+  vms?: readonly string[];
+  /** VMs that are kept unused of the limits of each pool. */
+  reserve: number;
+  /** Expected time from the permit of a stop until the VM is back, in milliseconds. */
+  stopMs: number;
+  /** Most VMs in one wave entity. */
+  maxWaveVms: number;
+}
+
+/** Plan of one pool. */
+export interface PoolPlan {
+  pool: string;
+  vms: number;
+  /** Fewest batches that any plan needs by the rules of the pool and its services. */
+  lowerBound: number;
+  /** Batches of this plan. */
+  batches: number;
+}
+
+/** A maintenance plan. */
+export interface WavePlan {
+  waves: Wave[];
+  vms: number;
+  lowerBound: number;
+  batches: number;
+  /** Expected time of the roll-out in milliseconds. */
+  expectedMs: number;
+  pools: PoolPlan[];
+}
+
+/**
+ * Plans the shortest maintenance of VMs by the rules of their pools, each batch of which holds
+ * every budget. What is away at the moment is left to the permits, which count it.
+ *
+ * @returns the plan, or the rule by which not a single VM of a pool may ever go
+ */
+export function planWave(
+  view: ConfigView,
+  options: WavePlanOptions,
+): Result<WavePlan, BudgetError> {
+  const pools: PoolPlan[] = [];
+  const merged: string[][] = [];
+  for (const [pool, vms] of vmsByPool(view, options.vms)) {
+    const planned = planPool(view, pool, vms, options.reserve);
+    if (planned.isErr) return Result.err(planned.error);
+    const { batches, lowerBound } = planned.value;
+    pools.push({ pool: pool.id, vms: vms.length, lowerBound, batches: batches.length });
+    batches.forEach((batch, i) => (merged[i] ??= []).push(...batch.map(({ id }) => id)));
+  }
+  return Result.ok({
+    waves: toWaves(merged, options),
+    vms: pools.reduce((sum, { vms }) => sum + vms, 0),
+    lowerBound: Math.max(0, ...pools.map(({ lowerBound }) => lowerBound)),
+    batches: merged.length,
+    expectedMs: merged.length * options.stopMs,
+    pools,
+  });
+}
+
+function vmsByPool(view: ConfigView, ids: readonly string[] | undefined): Map<Pool, Vm[]> {
+  const wanted = ids && new Set(ids);
+  const pools = new Map<Pool, Vm[]>();
+  for (const pool of view.list(EntityKind.Pool)) {
+    const vms = view.vmsOfPool(pool.id).filter(({ id }) => wanted?.has(id) ?? true);
+    if (vms.length > 0) pools.set(pool, vms);
+  }
+  return pools;
+}
+
+/** Most that may be away of a pool at the same time. */
+interface PoolLimits {
+  vms: number;
+  vmsRule: BudgetRule;
+  slots: number;
+  perRack: number;
+  perZone: number;
+}
+
+function limitsOf(view: ConfigView, pool: Pool, reserve: number): PoolLimits {
+  const all = view.vmsOfPool(pool.id);
+  const slots = all.reduce((sum, vm) => sum + slotsOf(vm), 0);
+  const largest = Math.max(0, ...all.map(slotsOf));
+  const services = servicesByPool(view).get(pool.id) ?? [];
+  const neededSlots = Math.max(0, ...services.map(({ minAvailableSlots }) => minAvailableSlots));
+  const spare = all.length - pool.minAvailable;
+  return {
+    vms: Math.min(pool.maxAway, spare) - reserve,
+    vmsRule: spare < pool.maxAway ? BudgetRule.MinAvailable : BudgetRule.MaxAway,
+    slots: slots - neededSlots - reserve * largest,
+    perRack: pool.maxAwayPerRack,
+    perZone: pool.maxAwayPerZone,
+  };
+}
+
+function planPool(
+  view: ConfigView,
+  pool: Pool,
+  vms: readonly Vm[],
+  reserve: number,
+): Result<{ batches: Vm[][]; lowerBound: number }, BudgetError> {
+  const limits = limitsOf(view, pool, reserve);
+  const impossible = whyImpossible(pool, vms, limits);
+  if (impossible) return Result.err(impossible);
+  const lowerBound = lowerBoundOf(vms, limits);
+  const ordered = [...vms].sort((a, b) => compare(rackKey(a), rackKey(b)) || compare(a.id, b.id));
+  // Dealing VMs out by zone and rack spreads each rack, zone and the pool evenly over the batches,
+  // which meets the lower bound unless VMs of a pool differ in slots.
+  for (let size = lowerBound; ; size += 1) {
+    const batches = deal(ordered, size);
+    if (batches.every((batch) => slotsIn(batch) <= limits.slots)) {
+      return Result.ok({ batches, lowerBound });
+    }
+  }
+}
+
+function compare(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
+
+/** The rule by which not a single VM may go. */
+function whyImpossible(
+  pool: Pool,
+  vms: readonly Vm[],
+  limits: PoolLimits,
+): BudgetError | undefined {
+  const largest = Math.max(...vms.map(slotsOf));
+  if (limits.vms < 1) return new BudgetError(limits.vmsRule, pool.id, 1, limits.vms);
+  if (limits.perRack < 1) return new BudgetError(BudgetRule.MaxAwayPerRack, pool.id, 1, 0);
+  if (limits.perZone < 1) return new BudgetError(BudgetRule.MaxAwayPerZone, pool.id, 1, 0);
+  if (limits.slots < largest) {
+    return new BudgetError(BudgetRule.MinAvailableSlots, pool.id, largest, limits.slots);
+  }
+  return undefined;
+}
+
+function lowerBoundOf(vms: readonly Vm[], limits: PoolLimits): number {
+  const bySlots = limits.slots > 0 ? Math.ceil(slotsIn(vms) / limits.slots) : 0;
+  return Math.max(
+    Math.ceil(vms.length / limits.vms),
+    Math.ceil(largestGroup(vms, rackKey) / limits.perRack),
+    Math.ceil(largestGroup(vms, ({ zone }) => zone) / limits.perZone),
+    bySlots,
+  );
+}
+
+function largestGroup(vms: readonly Vm[], keyOf: (vm: Vm) => string): number {
+  const sizes = new Map<string, number>();
+  for (const vm of vms) sizes.set(keyOf(vm), (sizes.get(keyOf(vm)) ?? 0) + 1);
+  return Math.max(...sizes.values());
+}
+
+function slotsIn(vms: readonly Vm[]): number {
+  return vms.reduce((sum, vm) => sum + slotsOf(vm), 0);
+}
+
+function deal(vms: readonly Vm[], batches: number): Vm[][] {
+  const dealt: Vm[][] = Array.from({ length: Math.min(batches, vms.length) }, () => []);
+  vms.forEach((vm, i) => dealt[i % batches]?.push(vm));
+  return dealt;
+}
+
+/** Splits batches into wave entities of bounded size, in order. */
+function toWaves(batches: readonly string[][], options: WavePlanOptions): Wave[] {
+  const waves: Wave[] = [];
+  let open: string[][] = [];
+  let size = 0;
+
+  const close = () => {
+    if (size === 0) return;
+    const number = String(waves.length + 1).padStart(5, '0');
+    waves.push({
+      id: `${options.id}-${number}`,
+      state: WaveState.Planned,
+      batches: open,
+      done: [],
+    });
+    open = [];
+    size = 0;
+  };
+
+  for (const batch of batches) {
+    for (let start = 0; start < batch.length; start += options.maxWaveVms) {
+      const piece = batch.slice(start, start + options.maxWaveVms);
+      if (size + piece.length > options.maxWaveVms) close();
+      open.push(piece);
+      size += piece.length;
+    }
+  }
+  close();
+  return waves;
+}
