Tell a supervised task before waiting for it, and report close failures once

Cause: closing a supervisor waited for the task of a child whose own signal was not yet aborted, so SIGTERM hung; a child that failed to close raised an unhandled rejection in its parent. Change: the attempt is closed as soon as the child is; the release from the parent ignores the failure, which the closer reports. Log lines carry one level field with its name. Ruled out: aborting all descendants at once, which would close the platform client before the controller has released its lease. Unit tests fail without the change (hang; unhandled rejection).

--- a/src/entry/children.ts
+++ b/src/entry/children.ts
@@ -29,11 +29,10 @@
       ...{ store, history, network },
       settings: ctx.settings.configuration,
       peers: () => membership.members().map(({ info }) => info),
-      onPeerVersion: (listener) => {
+      onPeerVersion: (listener) =>
         membership.onHeartbeat((member, { configVersion }) => {
           listener(member.info, configVersion);
-        });
-      },
+        }),
       isLeaseHolder: () => state.holdsZoneLease,
     },
     lifecycle,
--- a/src/lifecycle/lifecycle.spec.ts
+++ b/src/lifecycle/lifecycle.spec.ts
@@ -36,3 +36,11 @@
   await parent.close();
   t.is(released, 1);
 });
+
+test('a child that fails to close is reported once and does not fail its parent', async (t) => {
+  const parent = new Lifecycle('parent');
+  const child = parent.child('child');
+  child.own('resource', () => Promise.reject(new Error('stuck')));
+  await t.throwsAsync(() => child.close(), { instanceOf: LifecycleError });
+  await t.notThrowsAsync(() => parent.close());
+});
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -69,7 +69,10 @@
   child(name: string): Lifecycle {
     const child = new Lifecycle(`${this.name}/${name}`);
     const release = this.own(name, () => child.close());
-    child.signal.addEventListener('abort', () => void release(), { once: true });
+    // A failure to close is reported to whoever closes the child.
+    child.signal.addEventListener('abort', () => void release().catch(() => undefined), {
+      once: true,
+    });
     return child;
   }
 
--- a/src/lifecycle/supervisor.spec.ts
+++ b/src/lifecycle/supervisor.spec.ts
@@ -59,3 +59,18 @@
   t.is(runs, supervisorDefaults.maxFailures + 1);
   await lifecycle.close();
 });
+
+test('closing a supervisor ends a child that runs until its life cycle is closed', async (t) => {
+  const { clock, lifecycle, supervisor } = setUp();
+  let isEnded = false;
+  supervisor.start({
+    name: 'waiting',
+    policy: RestartPolicy.Permanent,
+    run: async (attempt) => {
+      await clock.sleep(1_000_000, attempt.signal);
+      isEnded = true;
+    },
+  });
+  await lifecycle.close();
+  t.true(isEnded);
+});
--- a/src/lifecycle/supervisor.ts
+++ b/src/lifecycle/supervisor.ts
@@ -110,15 +110,19 @@
 
   async #runOnce(spec: ChildSpec, lifecycle: Lifecycle): Promise<Error | undefined> {
     const attempt = lifecycle.child('attempt');
+    const close = () =>
+      attempt.close().catch((err: unknown) => {
+        this.#options.logger.warn({ event: 'child_close_failed', error: toError(err).message });
+      });
+    // Closing the child waits for its task, so the task has to be told first.
+    lifecycle.signal.addEventListener('abort', () => void close(), { once: true });
     try {
       await spec.run(attempt);
       return undefined;
     } catch (err) {
       return toError(err);
     } finally {
-      await attempt.close().catch((err: unknown) => {
-        this.#options.logger.warn({ event: 'child_close_failed', error: toError(err).message });
-      });
+      await close();
     }
   }
 }
--- a/src/logger/logger.ts
+++ b/src/logger/logger.ts
@@ -38,7 +38,6 @@
   const stream = await logfmt({
     destination: options.fileDescriptor ?? 1,
     sync: true,
-    includeLevelLabel: true,
     flattenNestedObjects: true,
     formatTime: true,
     timeFormat: 'isoUtcDateTime',
@@ -46,7 +45,12 @@
   });
   const paths = SECRET_FIELDS.flatMap((field) => [field, `*.${field}`]);
   return pino(
-    { level: options.level, base: { pid: process.pid }, redact: { paths, censor: '[redacted]' } },
+    {
+      level: options.level,
+      base: { pid: process.pid },
+      redact: { paths, censor: '[redacted]' },
+      formatters: { level: (level) => ({ level }) },
+    },
     stream,
   );
 }
