--- a/src/entry/operatorDeps.ts
+++ b/src/entry/operatorDeps.ts
@@ -2,6 +2,7 @@
 import { EntityKind, type IndexedConfigView, type Vm } from '../configuration/index.js';
 import { planWave } from '../controller/index.js';
 import type { OperatorDeps, PlannedMaintenance, WaveSelection } from '../operators/index.js';
+import { CutDirection } from '../peers/index.js';
 import { operatorToken } from './identity.js';
 import type { EntryParts } from './parts.js';
 import type { EntryContext } from './types.js';
@@ -34,6 +35,11 @@
       return history.deltasAfter(Math.max(0, view.version - count), count);
     },
     planWaves: (id, selection) => plan(ctx, view, id, selection),
+    setCut: ctx.settings.allowFaults
+      ? (target, on) => {
+          network.setCut(target, CutDirection.Both, on);
+        }
+      : undefined,
     jobs: () => Promise.resolve(Result.ok([])),
   };
 }
--- a/src/operators/deps.ts
+++ b/src/operators/deps.ts
@@ -72,5 +72,7 @@
   /** Newest committed versions, oldest first. */
   history(limit: number): PlatformResult<ConfigDelta[]>;
   planWaves(id: string, selection: WaveSelection): PlannedMaintenance;
+  /** Cuts or heals peer links; only where the settings allow faults. */
+  setCut?(memberOrZone: string, on: boolean): void;
   jobs(zone: string, limit: number): PlatformResult<JobLine[]>;
 }
--- a/src/operators/operatorListener.ts
+++ b/src/operators/operatorListener.ts
@@ -10,6 +10,7 @@
 import { poolStatuses, processStatus, vmLines } from './status.js';
 import {
   changeRequestSchema,
+  cutRequestSchema,
   moveRequestSchema,
   OperatorError,
   OperatorErrorCode,
@@ -70,6 +71,7 @@
   app.use('/v1', requireToken(deps), express.json({ limit: deps.settings.maxBodyBytes }));
   addReadRoutes(app, deps);
   addChangeRoutes(app, deps);
+  addFaultRoutes(app, deps);
   app.use((req, _res, next) => {
     next(new OperatorError(OperatorErrorCode.NotFound, `no route ${req.method} ${req.path}`));
   });
@@ -181,6 +183,19 @@
   );
 }
 
+/** Fault switches for tests; there is no such route unless the settings allow it. */
+function addFaultRoutes(app: Express, { setCut }: OperatorDeps): void {
+  if (!setCut) return;
+  app.post(
+    '/v1/faults/cut',
+    answerWith((req) => {
+      const { target, on } = parseBody(req, cutRequestSchema);
+      setCut(target, on);
+      return { target, on };
+    }),
+  );
+}
+
 /** A process that has not read the configuration cannot check a change against it. */
 function requireReady(deps: OperatorDeps): void {
   const { ready, reason } = deps.readiness();
--- a/src/operators/types.ts
+++ b/src/operators/types.ts
@@ -84,6 +84,9 @@
 /** Body of `POST /v1/vms/<id>/move`. */
 export const moveRequestSchema = z.strictObject({ author: idSchema, pool: idSchema });
 
+/** Body of `POST /v1/faults/cut`. */
+export const cutRequestSchema = z.strictObject({ target: idSchema, on: z.boolean() });
+
 export type ChangeRequest = z.infer<typeof changeRequestSchema>;
 export type WaveSelection = z.infer<typeof waveSelectionSchema>;
 export type WaveRequest = z.infer<typeof waveRequestSchema>;
