Add the platform client, the platform stand-in and the backend stand-in

Cause: every part that keeps durable state or talks to backend servers needs the platform over HTTP, and tests need a platform and backend servers that fail in the ways the design lists. Change: createPlatformClient over undici with settings, rate share with a reserve for lease renewals, concurrency limit, counters by purpose, refusal and retry reason, reachability with jittered probing, and errors that say whether a call may have taken effect. Answers must echo the Request-Id of their call. Stand-ins on kernel-chosen ports with faults over HTTP. The fakes get workers with leases, epochs, checkpoints and timed tasks; the platform stand-in serves them. Ruled out: undici's own timeouts (they need real time, and do not cover the wait for a connection); retrying writes in the client (a write could apply twice); treating status 5xx as "no effect" (a proxy may answer it after the effect). Conclusion: the client and the stand-ins can be used by the other parts. The faults delay, freeze, crash and answer_late of the stand-ins are not covered by tests yet.

--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,1 +1,8 @@
 export * from './types.js';
+export {
+  createPlatformClient,
+  RefusalReason,
+  type PlatformClientDeps,
+} from './createPlatformClient.js';
+export { platformSchema, type PlatformSettings } from './defaults.js';
+export { TokenBucket, type TokenBucketOptions } from './rateShare.js';
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -13,7 +13,7 @@
   ConditionFailed = 'condition_failed',
   /** The process spent its share of platform reads or writes; nothing was sent. */
   RateLimited = 'rate_limited',
-  /** The answer of the platform could not be understood. */
+  /** The answer of the platform could not be understood; the call may have taken effect. */
   BadAnswer = 'bad_answer',
 }
 
@@ -26,6 +26,13 @@
     super(code, message, cause);
     this.failedKey = failedKey;
   }
+
+  /** False only when the call certainly had no effect. */
+  get mayHaveTakenEffect(): boolean {
+    return (
+      this.code === PlatformErrorCode.OutcomeUnknown || this.code === PlatformErrorCode.BadAnswer
+    );
+  }
 }
 
 /** JSON value kept in a table row. */
@@ -168,8 +175,10 @@
 export interface WorkerService {
   start(vm: string, task: TaskSpec): PlatformResult<void>;
   renew(vm: string, taskId: string, epoch: number, leaseMs: number): PlatformResult<void>;
+  /** Writes a checkpoint and ends the task in state Checkpointed. */
   checkpoint(vm: string, taskId: string): PlatformResult<void>;
   throttle(vm: string, taskId: string, share: number): PlatformResult<void>;
+  /** Stops a task. A worker that does not know the task refuses to start it from then on. */
   stop(vm: string, taskId: string): PlatformResult<void>;
   tasks(vm: string): PlatformResult<TaskStatus[]>;
 }
@@ -182,3 +191,29 @@
   pools: PoolService;
   workers: WorkerService;
 }
+
+/** On whose behalf the platform is called; reads and writes are counted by it. */
+export enum CallPurpose {
+  Request = 'request',
+  Job = 'job',
+  Change = 'change',
+  /** Lease renewals; they may use the reserved part of the rate share. */
+  Lease = 'lease',
+  Other = 'other',
+}
+
+/** What a call costs. */
+export enum CallKind {
+  /** Read of the table, the object store or the VM list. */
+  Read = 'read',
+  /** Write to the table or the object store. */
+  Write = 'write',
+  /** Call to a pool or worker interface; not part of the share of reads and writes. */
+  Control = 'control',
+}
+
+/** A platform client whose calls are counted by purpose. */
+export interface MeteredPlatformClient extends PlatformClient {
+  /** A view of the same client that counts its calls under another purpose. */
+  forPurpose(purpose: CallPurpose): PlatformClient;
+}
--- a/src/testing/fakePlatform.ts
+++ b/src/testing/fakePlatform.ts
@@ -13,11 +13,10 @@
   type Row,
   type RowPage,
   type RowValue,
-  type TaskSpec,
   type TaskStatus,
-  TaskState,
   type Write,
 } from '../platform/index.js';
+import { FakeWorkers } from './fakeWorkers.js';
 
 /** Fault switches of {@link FakePlatform}. */
 export interface PlatformFaults {
@@ -35,14 +34,20 @@
   readonly objects = new Map<string, Uint8Array>();
   readonly vms = new Map<string, ListedVm & { zone: string }>();
   readonly drains = new Map<string, DrainStatus>();
-  readonly tasks = new Map<string, TaskStatus[]>();
   readonly reboots: string[] = [];
   reads = 0;
   writes = 0;
+  readonly workers: FakeWorkers;
   readonly #clock: Clock;
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.workers = new FakeWorkers(clock, this.objects);
+  }
+
+  /** Tasks by VM. */
+  get tasks(): Map<string, TaskStatus[]> {
+    return this.workers.tasks;
   }
 
   /** Creates a client with fault switches of its own, as one process sees the platform. */
@@ -113,23 +118,13 @@
           }),
       },
       workers: {
-        start: (vm, task) =>
-          done(() => {
-            const tasks = this.tasks.get(vm) ?? [];
-            if (!tasks.some((known) => known.id === task.id)) tasks.push(startedTask(task));
-            this.tasks.set(vm, tasks);
-          }),
-        renew: () => done(() => undefined),
-        checkpoint: (vm, taskId) =>
-          done(() => {
-            this.#setTaskState(vm, taskId, TaskState.Checkpointed);
-          }),
-        throttle: () => done(() => undefined),
-        stop: (vm, taskId) =>
-          done(() => {
-            this.#setTaskState(vm, taskId, TaskState.Stopped);
-          }),
-        tasks: (vm) => call(() => Result.ok(structuredClone(this.tasks.get(vm) ?? []))),
+        start: (vm, task) => call(() => this.workers.start(vm, task)),
+        renew: (vm, taskId, epoch, leaseMs) =>
+          call(() => this.workers.renew(vm, taskId, epoch, leaseMs)),
+        checkpoint: (vm, taskId) => call(() => this.workers.checkpoint(vm, taskId)),
+        throttle: (vm, taskId, share) => call(() => this.workers.throttle(vm, taskId, share)),
+        stop: (vm, taskId) => call(() => this.workers.stop(vm, taskId)),
+        tasks: (vm) => call(() => this.workers.status(vm)),
       },
     };
   }
@@ -171,21 +166,4 @@
     const version = (this.rows.get(key)?.version ?? 0) + 1;
     this.rows.set(key, { key, version, value: structuredClone(value) });
   }
-
-  #setTaskState(vm: string, taskId: string, state: TaskState): void {
-    const task = this.tasks.get(vm)?.find(({ id }) => id === taskId);
-    if (task) task.state = state;
-  }
-}
-
-function startedTask(task: TaskSpec): TaskStatus {
-  return {
-    id: task.id,
-    jobId: task.jobId,
-    epoch: task.epoch,
-    state: TaskState.Running,
-    coresUsed: task.cores,
-    memoryUsedMib: task.memoryMib,
-    acceleratorsUsed: task.accelerators,
-  };
 }
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,3 +1,4 @@
 export { createVirtualClock, type VirtualClock } from './virtualClock.js';
 export { FakePlatform, type PlatformFaults } from './fakePlatform.js';
 export { FakePeerHub } from './fakePeers.js';
+export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
--- /dev/null
+++ b/standins/backend/backend.ts
@@ -0,0 +1,125 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Answer, Call, Handle } from '../shared/server.js';
+
+/** States of the backend server. */
+export enum BackendState {
+  InService = 'in_service',
+  Draining = 'draining',
+  Rebooting = 'rebooting',
+}
+
+/** Settings of {@link createBackend}. */
+export interface BackendOptions {
+  slots: number;
+  /** Pool that requests must name; any if undefined. */
+  pool?: string;
+}
+
+/** Most request ids whose runs are remembered; the oldest are forgotten first. */
+const MAX_REMEMBERED = 500_000;
+const DEFAULT_REBOOT_MS = 1_000;
+
+/**
+ * A backend server with a fixed number of slots.
+ *
+ * `GET|POST /work?ms=<run time>&bytes=<answer size>` runs a request. `/control/` paths: `status`,
+ * `runs[?id=]`, `drain`, `cancel-drain`, `reboot` ({ms}), `pool` ({pool}).
+ */
+export function createBackend(options: BackendOptions): Handle {
+  const runs = new Map<string, number>();
+  let { pool } = options;
+  let state = BackendState.InService;
+  let active = 0;
+  let refused = 0;
+  /** Requests that a reboot cut off. */
+  let cutOff = 0;
+  let rebooted = new AbortController();
+
+  function refuse(call: Call, status: number, message: string): Answer {
+    refused += 1;
+    const headers = { 'not-started': call.header('request-id') ?? '' };
+    return { status, headers, body: { message, state } };
+  }
+
+  function countRun(id: string): void {
+    runs.set(id, (runs.get(id) ?? 0) + 1);
+    if (runs.size <= MAX_REMEMBERED) return;
+    const oldest = runs.keys().next().value;
+    if (oldest !== undefined) runs.delete(oldest);
+  }
+
+  async function work(call: Call): Promise<Answer | undefined> {
+    const wanted = call.header('pool');
+    if (state === BackendState.Rebooting) return undefined;
+    if (pool !== undefined && wanted !== undefined && wanted !== pool) {
+      return refuse(call, 421, `this backend server serves pool ${pool}`);
+    }
+    if (state === BackendState.Draining) return refuse(call, 503, 'draining');
+    if (active >= options.slots) return refuse(call, 503, 'all slots are in use');
+    const id = call.header('request-id') ?? 'none';
+    countRun(id);
+    active += 1;
+    const power = rebooted.signal;
+    try {
+      await delay(Number(call.query.get('ms') ?? 0), undefined, { signal: power });
+    } catch {
+      cutOff += 1;
+      return undefined;
+    } finally {
+      active -= 1;
+    }
+    const bytes = Number(call.query.get('bytes') ?? 0);
+    const body = bytes > 0 ? Buffer.alloc(bytes, id) : { requestId: id, ran: runs.get(id) };
+    return { status: 200, body };
+  }
+
+  function reboot(ms: number): void {
+    state = BackendState.Rebooting;
+    rebooted.abort();
+    rebooted = new AbortController();
+    setTimeout(() => {
+      state = BackendState.InService;
+    }, ms).unref();
+  }
+
+  function control(call: Call, name: string | undefined): Answer {
+    switch (name) {
+      case 'status':
+        return {
+          status: 200,
+          body: { state, active, refused, cutOff, pool, slots: options.slots },
+        };
+      case 'runs': {
+        const id = call.query.get('id');
+        const found = id === null ? runs : new Map([[id, runs.get(id) ?? 0]]);
+        return { status: 200, body: { runs: Object.fromEntries(found) } };
+      }
+      case 'drain':
+        if (state === BackendState.InService) state = BackendState.Draining;
+        return { status: 200, body: { state, active } };
+      case 'cancel-drain':
+        if (state === BackendState.Draining) state = BackendState.InService;
+        return { status: 200, body: { state, active } };
+      case 'reboot':
+        reboot(call.body.length > 0 ? (call.json() as { ms: number }).ms : DEFAULT_REBOOT_MS);
+        return { status: 200, body: { state, active } };
+      case 'pool':
+        pool = (call.json() as { pool?: string }).pool;
+        return { status: 200, body: { pool } };
+      default:
+        return { status: 404, body: { message: `no control endpoint ${name ?? ''}` } };
+    }
+  }
+
+  return (call) => {
+    const [first, second] = call.segments;
+    if (first === 'control') return control(call, second);
+    if (first === 'health') {
+      return state === BackendState.Rebooting
+        ? undefined
+        : { status: state === BackendState.InService ? 200 : 503, body: { state } };
+    }
+    if (first === 'work') return work(call);
+    return { status: 404, body: { message: `no path ${call.path}` } };
+  };
+}
