Add the job subsystem

Cause: jobs must be accepted only when durable, placed under leases with epochs, survive lost answers, late workers and replaced controllers, and become visible by one conditional write. Change: job store (submit, get, readResult, cancel, release) and zone job controller: placement with learned use, urgent first with room made by checkpointing normal jobs, parking with a reason, bounded attempts, worker quarantine, batched cancellations, duplicated or throttled stragglers, vacate before a planned stop, bounded memory. Open jobs are in job/<zone>/<id>, ended ones in job-ended/<zone>/<id>, so that scans read open jobs only. Ruled out: running a non-idempotent job again after it may have run (it is parked until a person releases it); one transaction per cancellation (200 writes for 200 jobs); one counter row per team for quotas (a conflict on each concurrent submission).

--- /dev/null
+++ b/src/jobs/attempts.ts
@@ -0,0 +1,250 @@
+import { PlatformErrorCode, TaskState, type TaskSpec, type TaskStatus } from '../platform/index.js';
+import type { JobContext } from './context.js';
+import { RunPhase, type OpenJob, type RunState } from './openJobs.js';
+import { RunEnd, uncountedEnds } from './policy.js';
+import { jobKeys } from './rows.js';
+import { JobState, ParkReason, type JobRecord, type JobRun, type Resources } from './types.js';
+
+/** Failed workers remembered per job. */
+const MAX_AVOIDED = 8;
+
+/** Starts, watches and ends attempts of jobs. */
+export class Attempts {
+  readonly #context: JobContext;
+  readonly #polling = new Set<string>();
+  /** Task ids whose start call is not yet answered. */
+  readonly #starting = new Set<string>();
+
+  constructor(context: JobContext) {
+    this.#context = context;
+  }
+
+  /**
+   * Records an attempt in the job's row, then starts it on the worker.
+   *
+   * @param isDuplicate - whether it runs beside an attempt that is a straggler
+   */
+  async begin(job: OpenJob, vm: string, need: Resources, isDuplicate = false): Promise<void> {
+    const { clock, policy, settings } = this.#context;
+    const decidedAt = clock.now();
+    const { record } = job;
+    const epoch = record.epoch + 1;
+    const taskId = `${record.id}.${epoch}`;
+    const resultKey = jobKeys.result(record.id, epoch);
+    const run: JobRun = { taskId, vm, epoch, resultKey, isDuplicate };
+    const attempts = record.attempts + (isDuplicate ? 0 : 1);
+    const runs = [...record.runs, run];
+    const next: JobRecord = { ...record, state: JobState.Running, epoch, attempts, runs };
+    this.#starting.add(taskId);
+    const isWritten = await this.#context.write(job, next);
+    const state = isWritten ? job.runs.get(taskId) : undefined;
+    // A process that was paused here could start a task that its successor gave up on.
+    const isTimely =
+      policy.mayStart(clock.now() - decidedAt, settings) && this.#context.holdsLease();
+    if (!state || !isTimely) {
+      this.#starting.delete(taskId);
+      if (state) await this.end(state, RunEnd.NotSent);
+      return;
+    }
+    state.use = need;
+    const start = async () => {
+      const end = await this.#start(state, need);
+      this.#starting.delete(taskId);
+      if (end) await this.end(state, end);
+    };
+    this.#context.background(start, record.urgent);
+  }
+
+  /** Reads the status of a worker's tasks and acts on them. */
+  async poll(vm: string): Promise<void> {
+    if (this.#polling.has(vm)) return;
+    this.#polling.add(vm);
+    try {
+      // Attempts that start while the answer is on its way may be missing from it.
+      const expected = this.#context.open
+        .runsOn(vm)
+        .filter(({ run }) => !this.#starting.has(run.taskId));
+      const result = await this.#context.deps.platform.workers.tasks(vm);
+      if (!this.#context.holdsLease()) return;
+      if (result.isErr) {
+        this.#context.suspect(vm);
+        for (const state of expected) await this.#endIfLapsed(state);
+        return;
+      }
+      this.#context.trust(vm);
+      const byId = new Map(result.value.map((status) => [status.id, status]));
+      for (const state of expected) {
+        if (this.#context.open.isCurrent(state)) await this.#act(state, byId.get(state.run.taskId));
+      }
+    } finally {
+      this.#polling.delete(vm);
+    }
+  }
+
+  /**
+   * Asks an attempt to checkpoint and end; the next poll queues the job again. An idempotent
+   * job whose task cannot checkpoint is stopped.
+   */
+  async evict(state: RunState, reason: string): Promise<void> {
+    const { workers } = this.#context.deps.platform;
+    state.evictedAt = this.#context.clock.now();
+    this.#context.counters.evicted.inc({ reason });
+    const { vm, taskId } = state.run;
+    const result = await workers.checkpoint(vm, taskId);
+    if (result.isErr && !result.error.mayHaveTakenEffect && state.job.record.idempotent) {
+      await workers.stop(vm, taskId);
+    }
+  }
+
+  /** Takes an attempt that left no result out of the job's row and decides what follows. */
+  async end(state: RunState, reason: RunEnd, status?: TaskStatus): Promise<void> {
+    const { job, run } = state;
+    const { record } = job;
+    if (!this.#context.isWritable(job) || !this.#context.open.isCurrent(state)) return;
+    const runs = record.runs.filter(({ taskId }) => taskId !== run.taskId);
+    const isCounted = !uncountedEnds.has(reason) || run.isDuplicate === true;
+    const isWorkerFault = reason === RunEnd.Failed || reason === RunEnd.StartRefused;
+    const next: JobRecord = {
+      ...record,
+      runs,
+      attempts: record.attempts - (isCounted ? 0 : 1),
+      avoid: isWorkerFault ? [...record.avoid, run.vm].slice(-MAX_AVOIDED) : record.avoid,
+      checkpoint: status?.checkpoint ?? record.checkpoint,
+      error: status?.error ?? record.error,
+    };
+    if (runs.length === 0) Object.assign(next, this.#afterLastRun(next, reason));
+    if (!(await this.#context.write(job, next))) return;
+    this.#context.counters.runs.inc({ end: reason });
+    if (isWorkerFault) this.#context.health.failed(run.vm, record.id);
+    if (next.parkReason) this.#context.counters.parked.inc({ reason: next.parkReason });
+    this.#context.wakeForUrgent();
+  }
+
+  #afterLastRun(record: JobRecord, reason: RunEnd): Partial<JobRecord> {
+    const { policy, settings } = this.#context;
+    if (!policy.mayRunAgain(record, reason)) {
+      return { state: JobState.Parked, parkReason: ParkReason.MayHaveRun };
+    }
+    if (record.attempts < settings.maxAttempts) return { state: JobState.Queued };
+    const error = record.error ?? `no result after ${record.attempts} attempts`;
+    return { state: JobState.Failed, error };
+  }
+
+  /** Starts the task. Returns how the attempt ended, if it did. */
+  async #start(state: RunState, need: Resources): Promise<RunEnd | undefined> {
+    const { clock, counters, settings, deps } = this.#context;
+    const { record } = state.job;
+    const { vm, taskId, epoch, resultKey } = state.run;
+    const spec: TaskSpec = {
+      ...need,
+      id: taskId,
+      jobId: record.id,
+      epoch,
+      leaseMs: settings.leaseMs,
+      payload: record.payload,
+      checkpoint: record.checkpoint,
+      resultKey,
+    };
+    const result = await deps.platform.workers.start(vm, spec);
+    const now = clock.now();
+    state.renewedAt = now;
+    if (result.isOk) {
+      state.phase = RunPhase.Confirmed;
+      state.startedAt = now;
+      counters.started.inc({ urgent: `${record.urgent}` });
+      return undefined;
+    }
+    const { code, mayHaveTakenEffect } = result.error;
+    if (code !== PlatformErrorCode.RateLimited) this.#context.suspect(vm);
+    if (mayHaveTakenEffect) {
+      return record.urgent && record.idempotent ? RunEnd.Abandoned : undefined;
+    }
+    return code === PlatformErrorCode.Refused ? RunEnd.StartRefused : RunEnd.NotSent;
+  }
+
+  async #act(state: RunState, status: TaskStatus | undefined): Promise<void> {
+    switch (status?.state) {
+      case undefined:
+        await this.#vanished(state);
+        return;
+      case TaskState.Running:
+        await this.#running(state, status);
+        return;
+      case TaskState.Finished:
+        await this.#complete(state, status);
+        return;
+      case TaskState.Failed:
+        await this.end(state, RunEnd.Failed, status);
+        return;
+      case TaskState.Checkpointed:
+        await this.end(state, RunEnd.Interrupted, status);
+        return;
+      case TaskState.Stopped:
+        await this.end(state, RunEnd.Stopped, status);
+    }
+  }
+
+  async #vanished(state: RunState): Promise<void> {
+    // The stop makes the worker refuse a start that is still on its way.
+    const { vm, taskId } = state.run;
+    const fenced = await this.#context.deps.platform.workers.stop(vm, taskId);
+    if (fenced.isOk) await this.end(state, RunEnd.Vanished);
+  }
+
+  async #endIfLapsed(state: RunState): Promise<void> {
+    const { clock, policy, settings } = this.#context;
+    const sinceRenewalMs = clock.now() - state.renewedAt;
+    if (!this.#context.open.isCurrent(state)) return;
+    if (!policy.hasLapsed(sinceRenewalMs, settings)) return;
+    await this.end(state, RunEnd.LeaseLapsed);
+  }
+
+  async #running(state: RunState, status: TaskStatus): Promise<void> {
+    state.phase = RunPhase.Confirmed;
+    this.#observe(state, status);
+    await this.#renew(state);
+  }
+
+  /** Learns the use of a task once its report no longer shows the declared size. */
+  #observe(state: RunState, status: TaskStatus): void {
+    const { clock, settings, model } = this.#context;
+    if (state.startedAt === undefined || clock.now() - state.startedAt < settings.usageLagMs) {
+      return;
+    }
+    const use: Resources = {
+      cores: status.coresUsed,
+      memoryMib: status.memoryUsedMib,
+      accelerators: status.acceleratorsUsed,
+    };
+    if (!state.useObserved) model.observeUse(state.job.record.kind, use);
+    state.useObserved = true;
+    state.use = use;
+  }
+
+  async #renew(state: RunState): Promise<void> {
+    const { clock, settings, deps } = this.#context;
+    if (clock.now() - state.renewedAt < settings.leaseMs / 3) return;
+    const { vm, taskId, epoch } = state.run;
+    const result = await deps.platform.workers.renew(vm, taskId, epoch, settings.leaseMs);
+    if (result.isOk || result.error.mayHaveTakenEffect) state.renewedAt = clock.now();
+  }
+
+  /** Makes the result visible: one conditional write of the row with length and checksum. */
+  async #complete(state: RunState, status: TaskStatus): Promise<void> {
+    const { clock, health, model } = this.#context;
+    const { resultBytes: bytes, resultSha256: sha256 } = status;
+    if (bytes === undefined || sha256 === undefined) {
+      const error = 'the worker reported no length or checksum';
+      await this.end(state, RunEnd.Failed, { ...status, error });
+      return;
+    }
+    this.#observe(state, status);
+    const { job, run, startedAt } = state;
+    const result = { key: run.resultKey, bytes, sha256 };
+    const next = { ...job.record, state: JobState.Succeeded, runs: [], result, error: undefined };
+    if (!(await this.#context.write(job, next))) return;
+    health.succeeded(run.vm);
+    if (startedAt !== undefined) model.observeRun(job.record.kind, clock.now() - startedAt);
+    this.#context.wakeForUrgent();
+  }
+}
--- /dev/null
+++ b/src/jobs/context.ts
@@ -0,0 +1,243 @@
+import { randomUUID } from 'node:crypto';
+import type { Clock } from '../clock/index.js';
+import { messageOf } from '../errors/index.js';
+import type { Logger } from '../logger/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { PlatformClient } from '../platform/index.js';
+import type { JobsSettings } from './defaults.js';
+import { JobWriter, WriteOutcome } from './jobWriter.js';
+import { OpenJobs, type OpenJob, type RunState } from './openJobs.js';
+import { defaultJobPolicy, type JobPolicy } from './policy.js';
+import { ResourceModel } from './resourceModel.js';
+import { endingWrites, jobKeys } from './rows.js';
+import {
+  JobState,
+  type JobRecord,
+  type LeaseCondition,
+  type Resources,
+  type Worker,
+} from './types.js';
+import { WorkerHealth } from './workerHealth.js';
+
+/** Dependencies of the job controller of a zone. */
+export interface JobControllerDeps {
+  zone: string;
+  platform: PlatformClient;
+  settings: JobsSettings;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Condition that every write of this controller carries. */
+  leaseCondition: LeaseCondition;
+  /** Workers of the zone's inventory, in service or not. */
+  workers: () => readonly Worker[];
+  /** Replaces single decisions; the controller's own if absent. */
+  policy?: Partial<JobPolicy>;
+}
+
+const endedStates: ReadonlySet<JobState> = new Set([
+  JobState.Succeeded,
+  JobState.Failed,
+  JobState.Cancelled,
+]);
+
+/** State and helpers shared by the parts of the job controller. */
+export class JobContext {
+  readonly deps: JobControllerDeps;
+  readonly settings: JobsSettings;
+  readonly clock: Clock;
+  readonly policy: JobPolicy;
+  readonly open: OpenJobs;
+  readonly model: ResourceModel;
+  readonly health: WorkerHealth;
+  /** Workers that are to be emptied for a planned stop. */
+  readonly vacating = new Set<string>();
+  readonly counters;
+  readonly #writer: JobWriter;
+  /** Workers that did not answer, with the time until which they get no tasks. */
+  readonly #suspects = new Map<string, number>();
+  readonly #pending = new Set<Promise<void>>();
+  readonly #waiting: (() => void)[] = [];
+  #workerCalls = 0;
+  /** Set by the controller: starts a placement round soon. */
+  wake: () => void = () => undefined;
+
+  constructor(deps: JobControllerDeps) {
+    const { settings, clock, metrics, logger } = deps;
+    this.deps = deps;
+    this.settings = settings;
+    this.clock = clock;
+    this.policy = { ...defaultJobPolicy, ...deps.policy };
+    this.open = new OpenJobs(settings);
+    this.counters = {
+      ended: metrics.counter('jobs_ended_total', 'Jobs that reached a final state', ['state']),
+      parked: metrics.counter('jobs_parked_total', 'Jobs parked', ['reason']),
+      runs: metrics.counter('jobs_run_ends_total', 'Attempts that ended without result', ['end']),
+      started: metrics.counter('jobs_starts_total', 'Attempts started', ['urgent']),
+      duplicated: metrics.counter('jobs_duplicates_total', 'Stragglers duplicated'),
+      throttled: metrics.counter('jobs_throttles_total', 'Stragglers throttled'),
+      evicted: metrics.counter('jobs_evictions_total', 'Attempts asked to make room', ['reason']),
+      notLoaded: metrics.counter('jobs_not_loaded_total', 'Job rows left unread for lack of room'),
+      dropped: metrics.counter('jobs_kinds_dropped_total', 'Learned job kinds forgotten'),
+      quarantined: metrics.counter('jobs_quarantines_total', 'Workers put in quarantine'),
+      writes: metrics.counter('jobs_writes_total', 'Job row writes by outcome', ['outcome']),
+    };
+    this.model = new ResourceModel(settings, () => {
+      this.counters.dropped.inc();
+    });
+    this.health = new WorkerHealth(clock, settings, (vm, ms) => {
+      this.counters.quarantined.inc();
+      logger.warn({ event: 'worker_quarantined', vm, ms });
+    });
+    this.#writer = new JobWriter({
+      table: deps.platform.table,
+      clock,
+      leaseCondition: deps.leaseCondition,
+      maxBatch: settings.maxBatch,
+    });
+  }
+
+  /** Whether this process holds the zone lease; without it, everything known is forgotten. */
+  holdsLease(): boolean {
+    if (this.deps.leaseCondition()) return true;
+    this.open.clear();
+    return false;
+  }
+
+  requirement(job: JobRecord): Resources {
+    return this.policy.requirement(job, this.model.use(job.kind));
+  }
+
+  /** Whether a job's row may be written now. */
+  isWritable(job: OpenJob): boolean {
+    return !job.writing && !job.stale && this.open.get(job.record.id) === job;
+  }
+
+  /** Writes a job's row; true when the write is certain and the memory follows it. */
+  async write(job: OpenJob, next: JobRecord): Promise<boolean> {
+    if (!this.isWritable(job)) return false;
+    job.writing = true;
+    const record = { ...next, writeId: randomUUID() };
+    const { zone, id, urgent, state } = record;
+    const key = jobKeys.open(zone, id);
+    const isEnded = endedStates.has(state);
+    const outcome = await this.#writer.write({
+      key,
+      version: job.version,
+      writes: isEnded ? endingWrites(record) : [{ key, value: record }],
+      proofKey: isEnded ? jobKeys.ended(zone, id) : key,
+      writeId: record.writeId,
+      urgent,
+    });
+    job.writing = false;
+    this.counters.writes.inc({ outcome });
+    if (this.open.get(id) !== job) return outcome === WriteOutcome.Committed;
+    if (outcome === WriteOutcome.LeaseLost) this.open.clear();
+    if (outcome === WriteOutcome.Stale) await this.reload(job);
+    if (outcome !== WriteOutcome.Committed) return false;
+    if (isEnded) this.#forget(job, record);
+    else this.adopt(record, job.version + 1);
+    return true;
+  }
+
+  /** Takes a row into memory and stops attempts that it no longer names. */
+  adopt(record: JobRecord, version: number): void {
+    const dropped = this.open.set(record, version, this.clock.now());
+    if (!dropped) this.counters.notLoaded.inc();
+    for (const state of dropped ?? []) this.stopTask(state);
+  }
+
+  /** Reads a job's row again. */
+  async reload(job: OpenJob): Promise<void> {
+    job.stale = true;
+    const { zone, id } = job.record;
+    const row = await this.deps.platform.table.get(jobKeys.open(zone, id));
+    if (row.isErr || this.open.get(id) !== job) return;
+    if (row.value) this.adopt(row.value.value as JobRecord, row.value.version);
+    else this.#forgetRuns(job);
+  }
+
+  /** Stops a task without waiting for the answer; its lease ends it in any case. */
+  stopTask({ run }: RunState): void {
+    this.background(async () => {
+      await this.deps.platform.workers.stop(run.vm, run.taskId);
+    });
+  }
+
+  suspect(vm: string): void {
+    this.#suspects.set(vm, this.clock.now() + this.settings.suspectMs);
+  }
+
+  trust(vm: string): void {
+    this.#suspects.delete(vm);
+  }
+
+  /** Workers that may get new tasks. */
+  usableWorkers(): Worker[] {
+    const now = this.clock.now();
+    for (const [vm, until] of this.#suspects) if (until <= now) this.#suspects.delete(vm);
+    return this.deps
+      .workers()
+      .filter(
+        ({ vm, usable }) =>
+          usable &&
+          !this.vacating.has(vm) &&
+          !this.#suspects.has(vm) &&
+          !this.health.isQuarantined(vm),
+      );
+  }
+
+  /** Starts a placement round soon if an urgent job waits. */
+  wakeForUrgent(): void {
+    if (this.open.hasQueuedUrgent) this.wake();
+  }
+
+  /**
+   * Runs a task with worker calls beside the loops.
+   *
+   * @param urgent - does not wait for a free slot, as slow workers may hold all of them
+   */
+  background(task: () => Promise<void>, urgent = false): void {
+    const running = (urgent ? task() : this.#withSlot(task))
+      .catch((err: unknown) => {
+        this.deps.logger.error({ event: 'job_task_failed', error: messageOf(err) });
+      })
+      .finally(() => this.#pending.delete(running));
+    this.#pending.add(running);
+  }
+
+  /** Resolves when the background tasks have ended. */
+  async idle(): Promise<void> {
+    while (this.#pending.size > 0) await Promise.allSettled(this.#pending);
+  }
+
+  async #withSlot(task: () => Promise<void>): Promise<void> {
+    if (this.#workerCalls >= this.settings.maxWorkerCalls) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    } else {
+      this.#workerCalls += 1;
+    }
+    try {
+      await task();
+    } finally {
+      const next = this.#waiting.shift();
+      // A waiting task takes over the slot.
+      if (next) next();
+      else this.#workerCalls -= 1;
+    }
+  }
+
+  #forget(job: OpenJob, record: JobRecord): void {
+    const { id, state, attempts, error } = record;
+    this.counters.ended.inc({ state });
+    this.deps.logger.info({ event: 'job_ended', job: id, state, attempts, error });
+    this.#forgetRuns(job, record.result?.key);
+  }
+
+  /** @param finishedKey - result key of the attempt that needs no stop */
+  #forgetRuns(job: OpenJob, finishedKey?: string): void {
+    for (const state of this.open.remove(job)) {
+      if (state.run.resultKey !== finishedKey) this.stopTask(state);
+    }
+  }
+}
--- /dev/null
+++ b/src/jobs/jobController.spec.ts
@@ -0,0 +1,319 @@
+import test from 'ava';
+import {
+  CallFault,
+  createJobZone,
+  settle,
+  withFaults,
+  type JobZone,
+  type JobZoneOptions,
+} from '../testing/index.js';
+import { JobErrorCode, JobState, ParkReason, type JobRecord, type JobSpec } from './index.js';
+
+/** Urgent work starts within this time, in virtual milliseconds. */
+const URGENT_START_MS = 3_900;
+
+async function job(zone: JobZone, id: string): Promise<JobRecord> {
+  const result = await settle(zone.clock, zone.store.get(id));
+  if (result.isErr) throw result.error;
+  return result.value;
+}
+
+async function states(zone: JobZone, ids: readonly string[]): Promise<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const id of ids) {
+    const { state } = await job(zone, id);
+    counts[state] = (counts[state] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function idList(count: number, prefix = 'j'): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+}
+
+function startsOf(zone: JobZone, id: string) {
+  return zone.starts.get(id) ?? [];
+}
+
+test('a job runs once and its result is visible with length and checksum', async (t) => {
+  const zone = createJobZone();
+  const controller = zone.startController();
+  await zone.submit('j', { result: 'pairings' });
+  const early = await settle(zone.clock, zone.store.readResult('j'));
+  t.is(early.isErr ? early.error.code : undefined, JobErrorCode.NoResult);
+  await zone.clock.advance(5_000);
+  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  const body = await settle(zone.clock, zone.store.readResult('j'));
+  t.is(new TextDecoder().decode(body.unwrapOr(new Uint8Array())), 'pairings');
+  t.is(startsOf(zone, 'j').length, 1);
+  t.is(controller.status().open, 0);
+
+  zone.platform.objects.set('result/j/1', new TextEncoder().encode('pairing'));
+  const damaged = await settle(zone.clock, zone.store.readResult('j'));
+  t.is(damaged.isErr ? damaged.error.code : undefined, JobErrorCode.ResultDamaged);
+  await controller.close();
+});
+
+interface SweepOutcome {
+  calls: number;
+  starts: number;
+  record: JobRecord;
+}
+
+/** Runs one job with a fault at the nth call of the controller. */
+async function runWithFault(
+  n: number,
+  fault: CallFault,
+  spec: Partial<JobSpec>,
+  policy: JobZoneOptions['policy'] = {},
+): Promise<SweepOutcome> {
+  const zone = createJobZone({ policy });
+  let calls = 0;
+  const controller = zone.startController((client) =>
+    withFaults(client, (_part, name) => {
+      // Scans repeat all the time; faults go to the calls that carry a job forward.
+      if (name === 'scan') return CallFault.None;
+      calls += 1;
+      return calls === n ? fault : CallFault.None;
+    }),
+  );
+  await zone.submit('j', { runMs: 2_500 }, spec);
+  await zone.clock.advance(120_000);
+  const record = await job(zone, 'j');
+  await controller.close();
+  return { calls, starts: startsOf(zone, 'j').length, record };
+}
+
+const LAST_FAULTY_CALL = 9;
+const lostCalls = [CallFault.LoseAnswer, CallFault.LoseCall, CallFault.NotSent];
+
+// Guards against lost answers that lose a job, run it twice or leave it running for ever.
+for (const fault of lostCalls) {
+  for (const idempotent of [true, false]) {
+    for (const urgent of [true, false]) {
+      test(`${fault} at each step, idempotent ${idempotent}, urgent ${urgent}`, async (t) => {
+        for (let n = 1; n <= LAST_FAULTY_CALL; n += 1) {
+          const { record, starts } = await runWithFault(n, fault, { idempotent, urgent });
+          const where = `fault at call ${n}`;
+          if (record.state !== JobState.Succeeded) {
+            t.false(idempotent, where);
+            t.is(record.parkReason, ParkReason.MayHaveRun, where);
+          }
+          if (!idempotent) t.true(starts <= 1, where);
+          t.true(starts <= 2, where);
+        }
+      });
+    }
+  }
+}
+
+test('the sweep sees a lost answer that is taken for a call without effect', async (t) => {
+  let mostStarts = 0;
+  for (let n = 1; n <= LAST_FAULTY_CALL; n += 1) {
+    const { starts } = await runWithFault(n, CallFault.Misreport, { idempotent: false });
+    mostStarts = Math.max(mostStarts, starts);
+  }
+  t.is(mostStarts, 2);
+});
+
+/** Restarts the worker of a running non-idempotent job. */
+async function restartWorkerUnder(policy: JobZoneOptions['policy']): Promise<JobZone> {
+  const zone = createJobZone({ policy });
+  const controller = zone.startController();
+  await zone.submit('j', { runMs: 20_000 }, { idempotent: false });
+  await zone.clock.advance(5_000);
+  zone.platform.workers.restart(startsOf(zone, 'j')[0]?.vm ?? '');
+  await zone.clock.advance(60_000);
+  await controller.close();
+  return zone;
+}
+
+test('a non-idempotent job that was lost while running is parked and can be released', async (t) => {
+  const zone = await restartWorkerUnder({});
+  t.is(startsOf(zone, 'j').length, 1);
+  t.is((await job(zone, 'j')).parkReason, ParkReason.MayHaveRun);
+  const careless = await restartWorkerUnder({ mayRunAgain: () => true });
+  t.is(startsOf(careless, 'j').length, 2);
+  t.true((await settle(zone.clock, zone.store.release('j'))).isOk);
+  const controller = zone.startController();
+  await zone.clock.advance(30_000);
+  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  await controller.close();
+});
+
+/** Cuts a worker off while it runs a job and returns the most tasks that ran at once. */
+async function mostConcurrent(
+  policy: JobZoneOptions['policy'],
+  ignoreLeases: boolean,
+): Promise<{ most: number; zone: JobZone }> {
+  const zone = createJobZone({ policy });
+  const controller = zone.startController();
+  await zone.submit('j', { runMs: 90_000 });
+  await zone.clock.advance(2_000);
+  const vm = startsOf(zone, 'j')[0]?.vm ?? '';
+  Object.assign(zone.platform.workers.faults(vm), { cutOff: true, ignoreLeases });
+  let most = 0;
+  for (let second = 0; second < 200; second += 1) {
+    await zone.clock.advance(1_000);
+    const active = zone.workers.map((worker) => zone.platform.workers.active(worker.vm));
+    most = Math.max(
+      most,
+      active.reduce((sum, count) => sum + count, 0),
+    );
+    if (second === 130) zone.platform.workers.faults(vm).cutOff = false;
+  }
+  await controller.close();
+  return { most, zone };
+}
+
+// Guards against a second attempt while the lease of the first still holds.
+test('a job on a silent worker runs elsewhere only after its lease lapsed', async (t) => {
+  const { most, zone } = await mostConcurrent({}, false);
+  t.is(most, 1);
+  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await mostConcurrent({ hasLapsed: () => true }, false)).most, 2);
+});
+
+test('a worker that outlives its lease cannot complete the job', async (t) => {
+  const { zone } = await mostConcurrent({}, true);
+  const { result, epoch } = await job(zone, 'j');
+  t.is(epoch, 2);
+  t.is(result?.key, 'result/j/2');
+  t.true(zone.platform.objects.has('result/j/1'), 'the late worker did finish');
+});
+
+test('the successor of a paused controller completes what that one started', async (t) => {
+  const zone = createJobZone();
+  const first = zone.startController();
+  await zone.submit('j', { runMs: 5_000 });
+  await zone.clock.advance(1_000);
+  const second = zone.startController();
+  await zone.submit('k', { runMs: 5_000 });
+  await zone.clock.advance(20_000);
+  t.deepEqual(await states(zone, ['j', 'k']), { [JobState.Succeeded]: 2 });
+  t.deepEqual([startsOf(zone, 'j').length, startsOf(zone, 'k').length], [1, 1]);
+  await first.close();
+  await second.close();
+});
+
+/** Row writes that a controller commits after it lost the lease without noticing. */
+async function commitsAfterLoss(wrap?: JobZoneOptions['wrap']): Promise<number> {
+  const zone = createJobZone();
+  const controller = zone.startController(wrap);
+  await zone.submit('j', { runMs: 5_000 });
+  await zone.clock.advance(1_000);
+  const committed = () =>
+    zone.total(controller.metrics, 'jobs_writes_total', { outcome: 'committed' });
+  const before = await committed();
+  zone.takeLease();
+  await zone.clock.advance(20_000);
+  await controller.close();
+  return (await committed()) - before;
+}
+
+const withoutLeaseCondition: JobZoneOptions['wrap'] = (client) => ({
+  ...client,
+  table: {
+    ...client.table,
+    transact: (conditions, writes) =>
+      client.table.transact(
+        conditions.filter(({ key }) => !key.startsWith('lease/')),
+        writes,
+      ),
+  },
+});
+
+test('a controller that lost its lease commits nothing', async (t) => {
+  t.is(await commitsAfterLoss(), 0);
+  t.true((await commitsAfterLoss(withoutLeaseCondition)) > 0);
+});
+
+interface UrgentCase {
+  name: string;
+  options?: JobZoneOptions;
+  prepare?: (zone: JobZone) => Promise<void>;
+  /** Latency of calls in milliseconds and their fault. */
+  slow?: (part: string, args: readonly unknown[]) => { ms: number; fault?: CallFault };
+}
+
+async function fillWorkers(zone: JobZone): Promise<void> {
+  for (const id of idList(4, 'normal')) await zone.submit(id, { runMs: 600_000 }, { cores: 8 });
+  await zone.clock.advance(10_000);
+}
+
+async function submitBacklog(zone: JobZone): Promise<void> {
+  for (const id of idList(300, 'normal')) await zone.submit(id, { runMs: 30_000 });
+}
+
+const urgentCases: UrgentCase[] = [
+  { name: 'idle workers' },
+  { name: 'a lost notice', options: { notices: false } },
+  { name: 'workers full of normal jobs', prepare: fillWorkers },
+  { name: 'a backlog of normal jobs', prepare: submitBacklog },
+  {
+    name: 'a lost notice and full workers',
+    options: { notices: false },
+    prepare: fillWorkers,
+  },
+  {
+    name: 'a wave of cancellations',
+    prepare: async (zone) => {
+      await submitBacklog(zone);
+      await zone.store.cancel('team', idList(300, 'normal'));
+    },
+  },
+  {
+    name: 'a lost notice and a worker whose calls time out',
+    options: { notices: false },
+    slow: (part, [vm]) =>
+      part === 'workers' && vm === 'vm-0' ? { ms: 2_000, fault: CallFault.LoseCall } : { ms: 0 },
+  },
+  {
+    name: 'a slow store and full workers',
+    options: { notices: false },
+    prepare: fillWorkers,
+    slow: (part) => ({ ms: part === 'table' ? 300 : 50 }),
+  },
+];
+
+/** Time from the recorded submission of an urgent job to its start. */
+async function urgentStartMs({ options, prepare, slow }: UrgentCase): Promise<number> {
+  const zone = createJobZone(options);
+  const controller = zone.startController((client) =>
+    withFaults(client, async (part, _name, args) => {
+      const { ms, fault = CallFault.None } = slow?.(part, args) ?? { ms: 0 };
+      if (ms > 0) await zone.clock.sleep(ms);
+      return fault;
+    }),
+  );
+  await prepare?.(zone);
+  const submittedAt = zone.clock.now();
+  await zone.submit('urgent', {}, { urgent: true, cores: 4, team: 'press' });
+  await zone.clock.advance(30_000);
+  await controller.close();
+  return (startsOf(zone, 'urgent')[0]?.at ?? Infinity) - submittedAt;
+}
+
+for (const urgentCase of urgentCases) {
+  test(`an urgent job starts within ${URGENT_START_MS} ms: ${urgentCase.name}`, async (t) => {
+    const startMs = await urgentStartMs(urgentCase);
+    t.log(`started after ${startMs} ms`);
+    t.true(startMs <= URGENT_START_MS);
+  });
+}
+
+test('the urgent bound is missed without the index scan or without evictions', async (t) => {
+  const noScan = { urgentScanIntervalMs: 20_000, scanIntervalMs: 20_000 };
+  const late = await urgentStartMs({ name: '', options: { notices: false, settings: noScan } });
+  t.true(late > URGENT_START_MS);
+  const noRoom = await urgentStartMs({ name: '', prepare: fillWithUrgent });
+  t.true(noRoom > URGENT_START_MS);
+});
+
+/** Urgent jobs are never ended for others, so that no room can be made. */
+async function fillWithUrgent(zone: JobZone): Promise<void> {
+  for (const id of idList(2, 'busy')) {
+    await zone.submit(id, { runMs: 600_000 }, { cores: 8, urgent: true });
+  }
+  await zone.clock.advance(10_000);
+}
--- /dev/null
+++ b/src/jobs/jobFleet.spec.ts
@@ -0,0 +1,268 @@
+import test from 'ava';
+import { createVirtualClock, createJobZone, settle, type JobZone } from '../testing/index.js';
+import type { JobZoneOptions, RunningController } from '../testing/index.js';
+import {
+  JobState,
+  jobsSchema,
+  ParkReason,
+  ResourceModel,
+  WorkerHealth,
+  type JobRecord,
+} from './index.js';
+
+function idList(count: number, prefix = 'j'): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+}
+
+async function job(zone: JobZone, id: string): Promise<JobRecord> {
+  const result = await settle(zone.clock, zone.store.get(id));
+  if (result.isErr) throw result.error;
+  return result.value;
+}
+
+async function countIn(zone: JobZone, ids: readonly string[], state: JobState): Promise<number> {
+  let count = 0;
+  for (const id of ids) if ((await job(zone, id)).state === state) count += 1;
+  return count;
+}
+
+async function withController<T>(
+  options: JobZoneOptions,
+  body: (zone: JobZone, controller: RunningController) => Promise<T>,
+): Promise<T> {
+  const zone = createJobZone(options);
+  const controller = zone.startController();
+  const result = await body(zone, controller);
+  await controller.close();
+  return result;
+}
+
+/** Runs 30 jobs with one worker that fails everything; returns its starts and the successes. */
+function runWithBadWorker(quarantineFailures: number) {
+  const options = { settings: { quarantineFailures }, workers: 3 };
+  return withController(options, async (zone) => {
+    zone.platform.workers.faults('vm-0').failAll = true;
+    const ids = idList(30);
+    for (const id of ids) {
+      await zone.submit(id, { runMs: 2_000 }, { cores: 4 });
+      await zone.clock.advance(500);
+    }
+    await zone.clock.advance(50_000);
+    const succeeded = await countIn(zone, ids, JobState.Succeeded);
+    const bad = [...zone.starts.values()].flat().filter(({ vm }) => vm === 'vm-0').length;
+    return { succeeded, bad };
+  });
+}
+
+// Guards against a worker that fails everything and, being always free, attracts all jobs.
+test('a worker that fails everything is put in quarantine', async (t) => {
+  const { succeeded, bad } = await runWithBadWorker(3);
+  t.is(succeeded, 30);
+  t.true(bad <= 5, `${bad} starts on the bad worker`);
+  t.true((await runWithBadWorker(1_000)).bad > 5);
+});
+
+test('attempts of a job that always fails are bounded', async (t) => {
+  await withController({ workers: 6 }, async (zone) => {
+    await zone.submit('j', { fail: 'no such draw' });
+    await zone.clock.advance(60_000);
+    const { state, error, attempts } = await job(zone, 'j');
+    t.deepEqual([state, error, attempts], [JobState.Failed, 'no such draw', 4]);
+    t.is(zone.starts.get('j')?.length, 4);
+    t.is(new Set(zone.starts.get('j')?.map(({ vm }) => vm)).size, 4);
+  });
+});
+
+/** Most jobs running at once on one worker of 8 cores; 4 are declared and 1 is used. */
+function mostRunning(policy: JobZoneOptions['policy']) {
+  return withController({ workers: 1, policy }, async (zone) => {
+    for (const id of idList(30)) {
+      await zone.submit(id, { runMs: 5_000, coresUsed: 1, memoryUsedMib: 100 }, { cores: 4 });
+    }
+    let most = 0;
+    for (let second = 0; second < 60; second += 1) {
+      await zone.clock.advance(1_000);
+      most = Math.max(most, zone.platform.workers.active('vm-0'));
+    }
+    return most;
+  });
+}
+
+test('placement counts with observed use instead of the declared size', async (t) => {
+  t.is(await mostRunning({}), 8);
+  t.is(await mostRunning({ requirement: (declared) => declared }), 4);
+});
+
+test('a job that fits no worker is parked and queued again when one is large enough', async (t) => {
+  await withController({}, async (zone, controller) => {
+    for (const worker of zone.workers) worker.cores = 2;
+    const [first] = zone.workers;
+    if (first) first.cores = 8;
+    zone.workers.forEach((worker) => (worker.usable = false));
+    await zone.submit('j', {}, { cores: 6 });
+    if (first) first.cores = 2;
+    await zone.clock.advance(10_000);
+    t.is((await job(zone, 'j')).parkReason, ParkReason.NoWorkerLargeEnough);
+    t.is(await zone.total(controller.metrics, 'jobs_parked_total'), 1);
+    zone.workers.forEach((worker) => Object.assign(worker, { cores: 8, usable: true }));
+    await zone.clock.advance(20_000);
+    t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  });
+});
+
+/** Cancels a wave of jobs; returns table reads and writes and the start of an urgent job. */
+function cancelWave(count: number, settings: JobZoneOptions['settings'] = {}) {
+  return withController({ workers: 4, settings }, async (zone) => {
+    const ids = idList(count);
+    for (const id of ids) await zone.submit(id, { runMs: 600_000 });
+    await zone.clock.advance(10_000);
+    const { reads, writes } = zone.platform;
+    const cancelledAt = zone.clock.now();
+    await settle(zone.clock, zone.store.cancel('team', ids));
+    await zone.submit('urgent', {}, { urgent: true });
+    await zone.clock.advance(5_000);
+    const cancelled = await countIn(zone, ids, JobState.Cancelled);
+    const running = zone.workers.reduce((sum, { vm }) => sum + zone.platform.workers.active(vm), 0);
+    const operations = zone.platform.writes - writes;
+    const urgentMs = (zone.starts.get('urgent')?.[0]?.at ?? Infinity) - cancelledAt;
+    return { cancelled, running, operations, reads: zone.platform.reads - reads, urgentMs };
+  });
+}
+
+// Guards against waves that cost more per job the larger they are, or one write per job.
+test('a wave of cancellations costs linear work and does not delay urgent jobs', async (t) => {
+  const small = await cancelWave(200);
+  const large = await cancelWave(800);
+  for (const [wave, count] of [
+    [small, 200],
+    [large, 800],
+  ] as const) {
+    t.is(wave.cancelled, count);
+    t.is(wave.running, 0);
+    t.true(wave.urgentMs <= 3_900);
+    t.true(wave.operations <= count / 10 + 20, `${wave.operations} writes for ${count} jobs`);
+  }
+  t.log(`writes: ${small.operations} for 200, ${large.operations} for 800`);
+  const unbatched = await cancelWave(200, { maxBatch: 1 });
+  t.true(unbatched.operations > 200 / 10 + 20);
+});
+
+/** Vacates the VM of a job of 60 s after 30 s; returns the time of its end and its record. */
+function vacateHalfway(canCheckpoint: boolean) {
+  return withController({}, async (zone, controller) => {
+    await zone.submit('j', { runMs: 60_000 });
+    await zone.clock.advance(30_000);
+    const vm = zone.starts.get('j')?.[0]?.vm ?? '';
+    if (!canCheckpoint)
+      zone.platform.workers.checkpoint = zone.platform.workers.stop.bind(zone.platform.workers);
+    await settle(zone.clock, controller.vacate(vm));
+    await zone.clock.advance(1_000);
+    const { remaining } = await settle(zone.clock, controller.vacate(vm));
+    const usedVms = () => zone.starts.get('j')?.map((start) => start.vm) ?? [];
+    let record = await job(zone, 'j');
+    while (record.state !== JobState.Succeeded && zone.clock.now() < 300_000) {
+      await zone.clock.advance(1_000);
+      record = await job(zone, 'j');
+    }
+    return { vm, remaining, vms: usedVms(), endMs: zone.clock.now(), record };
+  });
+}
+
+test('jobs checkpoint before a planned stop and continue elsewhere', async (t) => {
+  const { vm, remaining, vms, endMs, record } = await vacateHalfway(true);
+  t.deepEqual(remaining, []);
+  t.is(vms.length, 2);
+  t.not(vms[1], vm);
+  t.is(record.attempts, 1);
+  t.true(endMs <= 65_000, `ended after ${endMs} ms`);
+  t.true((await vacateHalfway(false)).endMs > 65_000);
+});
+
+/** One worker becomes 50 times slower; returns end of the last job and the counters. */
+function runStragglers(idempotent: boolean, policy: JobZoneOptions['policy'] = {}) {
+  return withController({ workers: 3, policy }, async (zone, controller) => {
+    for (const id of idList(10, 'warm')) await zone.submit(id, { runMs: 3_000 }, { cores: 8 });
+    await zone.clock.advance(15_000);
+    zone.platform.workers.faults('vm-0').slowdown = 50;
+    const ids = idList(4);
+    for (const id of ids) await zone.submit(id, { runMs: 3_000 }, { idempotent, cores: 8 });
+    await zone.clock.advance(60_000);
+    return {
+      succeeded: await countIn(zone, ids, JobState.Succeeded),
+      duplicated: await zone.total(controller.metrics, 'jobs_duplicates_total'),
+      throttled: await zone.total(controller.metrics, 'jobs_throttles_total'),
+      mostStarts: Math.max(...ids.map((id) => zone.starts.get(id)?.length ?? 0)),
+    };
+  });
+}
+
+test('idempotent stragglers are duplicated, others throttled', async (t) => {
+  t.deepEqual(await runStragglers(true), {
+    succeeded: 4,
+    duplicated: 1,
+    throttled: 0,
+    mostStarts: 2,
+  });
+  t.deepEqual(await runStragglers(false), {
+    succeeded: 3,
+    duplicated: 0,
+    throttled: 1,
+    mostStarts: 1,
+  });
+  const blind = await runStragglers(true, { isStraggler: () => false });
+  t.deepEqual([blind.succeeded, blind.duplicated], [3, 0]);
+});
+
+test('duplicates stay within their budget', async (t) => {
+  await withController({ workers: 8 }, async (zone, controller) => {
+    for (const id of idList(10, 'warm')) await zone.submit(id, { runMs: 1_000 });
+    await zone.clock.advance(15_000);
+    for (const id of idList(20)) await zone.submit(id, { runMs: 600_000 });
+    await zone.clock.advance(30_000);
+    t.is(await zone.total(controller.metrics, 'jobs_duplicates_total'), 1);
+  });
+});
+
+// Guards against a stream of small jobs that keeps a large one waiting for ever.
+test('a large job gets a worker despite a stream of small ones', async (t) => {
+  const startOfLarge = (reserveAfterMs: number) =>
+    withController({ workers: 1, settings: { reserveAfterMs } }, async (zone) => {
+      for (const id of idList(120, 'small')) {
+        await zone.submit(id, { runMs: 8_000 }, { team: 'other' });
+        if (id === 'small20')
+          await zone.submit('large', { runMs: 1_000 }, { cores: 8, kind: 'large' });
+        await zone.clock.advance(1_000);
+      }
+      return zone.starts.get('large')?.[0]?.at ?? Infinity;
+    });
+  t.true((await startOfLarge(30_000)) < 80_000);
+  t.is(await startOfLarge(10_000_000), Infinity);
+});
+
+test('jobs beyond the memory limit wait in the table and run later', async (t) => {
+  const settings = { maxKnownJobs: 5, maxKnownUrgentJobs: 2 };
+  await withController({ workers: 1, settings }, async (zone, controller) => {
+    const ids = idList(40);
+    for (const id of ids) await zone.submit(id, { runMs: 100 });
+    let most = 0;
+    for (let second = 0; second < 120; second += 1) {
+      await zone.clock.advance(1_000);
+      most = Math.max(most, controller.status().open);
+    }
+    t.true(most <= 5);
+    t.true((await zone.total(controller.metrics, 'jobs_not_loaded_total')) > 0);
+    t.is(await countIn(zone, ids, JobState.Succeeded), 40);
+  });
+});
+
+test('learned kinds and worker records are bounded', (t) => {
+  const settings = jobsSchema.parse({ maxLearnedKinds: 10, maxWorkerRecords: 10 });
+  let dropped = 0;
+  const model = new ResourceModel(settings, () => (dropped += 1));
+  const health = new WorkerHealth(createVirtualClock(), settings, () => undefined);
+  for (const name of idList(50)) {
+    model.observeRun(name, 1);
+    health.failed(name, 'job');
+  }
+  t.deepEqual([model.size, dropped, health.size], [10, 40, 10]);
+});
--- /dev/null
+++ b/src/jobs/workerHealth.ts
@@ -0,0 +1,66 @@
+import type { Clock } from '../clock/index.js';
+import type { JobsSettings } from './defaults.js';
+
+interface HealthRecord {
+  /** Jobs that failed since the last success. */
+  failedJobs: Set<string>;
+  quarantines: number;
+  quarantinedUntil: number;
+}
+
+/** Puts workers that fail different jobs in a row in quarantine. */
+export class WorkerHealth {
+  readonly #clock: Clock;
+  readonly #settings: JobsSettings;
+  readonly #records = new Map<string, HealthRecord>();
+  readonly #onQuarantine: (vm: string, ms: number) => void;
+
+  constructor(
+    clock: Clock,
+    settings: JobsSettings,
+    onQuarantine: (vm: string, ms: number) => void,
+  ) {
+    this.#clock = clock;
+    this.#settings = settings;
+    this.#onQuarantine = onQuarantine;
+  }
+
+  /** Number of workers in memory. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  succeeded(vm: string): void {
+    this.#records.delete(vm);
+  }
+
+  failed(vm: string, jobId: string): void {
+    const record = this.#records.get(vm) ?? this.#create(vm);
+    record.failedJobs.add(jobId);
+    // After a quarantine one more failure is enough.
+    const limit = record.quarantines > 0 ? 1 : this.#settings.quarantineFailures;
+    if (record.failedJobs.size < limit) return;
+    const ms = Math.min(
+      this.#settings.quarantineMaxMs,
+      this.#settings.quarantineMs * 2 ** record.quarantines,
+    );
+    record.failedJobs.clear();
+    record.quarantines += 1;
+    record.quarantinedUntil = this.#clock.now() + ms;
+    this.#onQuarantine(vm, ms);
+  }
+
+  isQuarantined(vm: string): boolean {
+    return (this.#records.get(vm)?.quarantinedUntil ?? -Infinity) > this.#clock.now();
+  }
+
+  #create(vm: string): HealthRecord {
+    const record = { failedJobs: new Set<string>(), quarantines: 0, quarantinedUntil: -Infinity };
+    this.#records.set(vm, record);
+    if (this.#records.size > this.#settings.maxWorkerRecords) {
+      const oldest = this.#records.keys().next().value;
+      if (oldest !== undefined) this.#records.delete(oldest);
+    }
+    return record;
+  }
+}
--- /dev/null
+++ b/src/testing/jobZone.ts
@@ -0,0 +1,169 @@
+import type { JobControllerDeps, JobController, JobSpec, JobStore, Worker } from '../jobs/index.js';
+import { createJobController, createJobStore, fitsSomeWorker, jobsSchema } from '../jobs/index.js';
+import type { JobsSettings } from '../jobs/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { Metrics } from '../metrics/index.js';
+import type { PlatformClient } from '../platform/index.js';
+import { createRandom } from '../random/index.js';
+import { FakePlatform } from './fakePlatform.js';
+import type { TimedWork } from './fakeWorkers.js';
+import { createVirtualClock, type VirtualClock } from './virtualClock.js';
+
+const ZONE = 'zone-a';
+const LEASE_KEY = `lease/zone/${ZONE}`;
+
+/** Options of {@link createJobZone}. */
+export interface JobZoneOptions {
+  settings?: Partial<JobsSettings>;
+  /** Number of workers of 8 cores and 16,384 MiB. */
+  workers?: number;
+  /** Wraps the client of the job store and of the first controller. */
+  wrap?: (client: PlatformClient) => PlatformClient;
+  policy?: JobControllerDeps['policy'];
+  maxOpenJobs?: number;
+  /** Whether notices reach the controller. */
+  notices?: boolean;
+}
+
+/** A job controller under test. */
+export interface RunningController extends JobController {
+  metrics: Metrics;
+  close: () => Promise<void>;
+}
+
+/** A zone with a job store, workers and controllers on a fake platform under virtual time. */
+export interface JobZone {
+  clock: VirtualClock;
+  platform: FakePlatform;
+  workers: Worker[];
+  store: JobStore;
+  /** Takes the zone lease and starts a controller that holds it until the next one takes it. */
+  startController: (wrap?: (client: PlatformClient) => PlatformClient) => RunningController;
+  /** Takes the zone lease away from the controller that holds it; returns its new version. */
+  takeLease: () => number;
+  submit: (id: string, work?: TimedWork, spec?: Partial<JobSpec>) => Promise<void>;
+  /** Virtual start times in milliseconds of each job's tasks, and their VMs. */
+  starts: Map<string, { at: number; vm: string }[]>;
+  /** Total of a counter of a controller over all labels. */
+  total: (metrics: Metrics, name: string, labels?: Record<string, string>) => Promise<number>;
+  storeMetrics: Metrics;
+}
+
+/** Sets up a zone; nothing runs until a controller is started. */
+export function createJobZone(options: JobZoneOptions = {}): JobZone {
+  const clock = createVirtualClock();
+  const platform = new FakePlatform(clock);
+  const settings = jobsSchema.parse(options.settings ?? {});
+  const wrap = options.wrap ?? ((client: PlatformClient) => client);
+  const workers: Worker[] = Array.from({ length: options.workers ?? 2 }, (_, index) => ({
+    vm: `vm-${index}`,
+    cores: 8,
+    memoryMib: 16_384,
+    accelerators: 0,
+    usable: true,
+  }));
+  const starts: JobZone['starts'] = new Map();
+  platform.workers.onStart = (vm, { jobId }) => {
+    starts.set(jobId, [...(starts.get(jobId) ?? []), { at: clock.now(), vm }]);
+  };
+  const storeMetrics = new Metrics();
+  let latest: JobController | undefined;
+  const store = createJobStore({
+    platform: wrap(platform.client()),
+    settings,
+    clock,
+    random: createRandom(5),
+    metrics: storeMetrics,
+    zone: ZONE,
+    maxOpenJobs: (team) => (team === 'nobody' ? undefined : (options.maxOpenJobs ?? 10_000)),
+    fitsInventory: (kind, declared) => fitsSomeWorker(workers, declared, latest?.learnedUse(kind)),
+    notify: (_zone, jobId) => {
+      if (options.notices !== false) latest?.notice(jobId);
+    },
+  });
+
+  function takeLease(): number {
+    const version = (platform.rows.get(LEASE_KEY)?.version ?? 0) + 1;
+    platform.rows.set(LEASE_KEY, { key: LEASE_KEY, version, value: {} });
+    return version;
+  }
+
+  function startController(wrapClient = wrap): RunningController {
+    const epoch = takeLease();
+    const metrics = new Metrics();
+    const lifecycle = new Lifecycle('controller');
+    const controller = createJobController({
+      zone: ZONE,
+      platform: wrapClient(platform.client()),
+      settings,
+      clock,
+      logger: silentLogger,
+      metrics,
+      // A holder that was replaced does not notice by itself, as after a pause.
+      leaseCondition: () => ({ key: LEASE_KEY, version: epoch }),
+      workers: () => workers,
+      policy: options.policy,
+    });
+    latest = controller;
+    const running = controller.run(lifecycle);
+    const close = async () => {
+      const closing = lifecycle.close();
+      await clock.advance(10_000);
+      await closing;
+      await running;
+    };
+    return { ...controller, metrics, close };
+  }
+
+  async function submit(id: string, work: TimedWork = {}, spec: Partial<JobSpec> = {}) {
+    const result = await settle(
+      clock,
+      store.submit({
+        id,
+        team: 'team',
+        kind: 'kind',
+        urgent: false,
+        idempotent: true,
+        cores: 1,
+        memoryMib: 1_024,
+        accelerators: 0,
+        payload: { runMs: 1_000, ...work },
+        ...spec,
+      }),
+    );
+    if (result.isErr) throw result.error;
+  }
+
+  async function total(metrics: Metrics, name: string, labels: Record<string, string> = {}) {
+    const metric = await metrics.registry.getSingleMetric(`burdocknotch_${name}`)?.get();
+    return (metric?.values ?? [])
+      .filter((sample) => Object.entries(labels).every(([k, v]) => sample.labels[k] === v))
+      .reduce((sum, { value }) => sum + value, 0);
+  }
+
+  return {
+    clock,
+    platform,
+    workers,
+    store,
+    startController,
+    takeLease,
+    submit,
+    starts,
+    total,
+    storeMetrics,
+  };
+}
+
+/** Advances virtual time in small steps until a promise is settled. */
+export async function settle<T>(clock: VirtualClock, promise: Promise<T>): Promise<T> {
+  let isSettled = false;
+  const mark = () => {
+    isSettled = true;
+  };
+  promise.then(mark, mark);
+  await clock.advance(0);
+  while (!isSettled) await clock.advance(10);
+  return promise;
+}
