--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -19,3 +19,12 @@
   type RequestClusterOptions,
 } from './requestCluster.js';
 export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
+export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
+export {
+  createJobZone,
+  settle,
+  type JobZone,
+  type JobZoneOptions,
+  type RunningController,
+} from './jobZone.js';
+export { CallFault, withFaults } from './platformFaults.js';
