Prove the request path against faults at each moment

Answers that slow callers do not read are now bounded in size and time. A VM or member that failed before is used again when there is no other. An idempotent request whose earlier attempt may have run ends with the reason of that attempt.

Ruled out: hooks in the router for injecting broken steps; broken table, links, connections, incarnations and router wrappers reach the same rules from outside. Ruled out: accepting a closed connection as the only evidence of an end; a router that never ends was missed until the cluster also checked that no request stays open.

--- a/src/requests/defaults.ts
+++ b/src/requests/defaults.ts
@@ -45,6 +45,11 @@
   maxHeaderBytes: count(16_384, 'Size of the request line and headers, in bytes.'),
   maxBodyBytes: count(MIB, 'Size of a request body, in bytes.'),
   maxBufferedBytes: count(64 * MIB, 'Size of all request bodies held at once, in bytes.'),
+  maxUnreadAnswerBytes: count(
+    64 * MIB,
+    'Size of all answers that callers have not yet read, in bytes.',
+  ),
+  answerTimeoutMs: count(60_000, 'Time for a caller to read an answer, in milliseconds.'),
   maxConnections: count(2_000, 'Connections from callers.'),
   headerTimeoutMs: count(10_000, 'Time to receive the headers of a request, in milliseconds.'),
   bodyTimeoutMs: count(60_000, 'Time to receive a whole request, in milliseconds.'),
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -16,6 +16,8 @@
   Ended = 'ended',
   /** This incarnation did not issue the id. */
   NotIssued = 'not_issued',
+  /** The id is bound to another content than that of the request. */
+  Mismatch = 'mismatch',
 }
 
 /** Decision of the ledger on a request that carries an id. */
@@ -23,8 +25,7 @@
   | { state: LedgerState.Unseen; run: SharedRun }
   | { state: LedgerState.Running; run: SharedRun }
   | { state: LedgerState.Answered; answer: CallerAnswer }
-  | { state: LedgerState.Ended | LedgerState.NotIssued }
-  | { state: 'mismatch' };
+  | { state: LedgerState.Ended | LedgerState.NotIssued | LedgerState.Mismatch };
 
 interface UnseenEntry {
   team: string;
@@ -123,7 +124,8 @@
     const unseen = this.#unseen.get(id);
     if (unseen) {
       if (unseen.team !== team) return { state: LedgerState.NotIssued };
-      if ((unseen.fingerprint ?? fingerprint) !== fingerprint) return { state: 'mismatch' };
+      if ((unseen.fingerprint ?? fingerprint) !== fingerprint)
+        return { state: LedgerState.Mismatch };
       this.#unseen.delete(id);
       const run = new SharedRun();
       this.#running.set(id, { team, fingerprint, run });
@@ -134,7 +136,7 @@
       return { state: this.#wasIssued(id) ? LedgerState.Ended : LedgerState.NotIssued };
     }
     if (known.team !== team) return { state: LedgerState.NotIssued };
-    if (known.fingerprint !== fingerprint) return { state: 'mismatch' };
+    if (known.fingerprint !== fingerprint) return { state: LedgerState.Mismatch };
     if ('run' in known) return { state: LedgerState.Running, run: known.run };
     return { state: LedgerState.Answered, answer: known.answer };
   }
--- a/src/requests/listener.spec.ts
+++ b/src/requests/listener.spec.ts
@@ -235,6 +235,34 @@
   await t.throwsAsync(request(`http://127.0.0.1:${port}${BASE}`));
 });
 
+test('answers that a caller does not read are bounded, and the connection is closed', async (t) => {
+  const size = 8 * 1024 * 1024;
+  const body = Buffer.alloc(size);
+  const big: Handle = () => Result.ok({ requestId: 'x', status: 200, headers: {}, body });
+  const { listener } = await start(t, big, { maxUnreadAnswerBytes: size, answerTimeoutMs: 300 });
+  const slow = connect(listener.port, '127.0.0.1');
+  slow.on('error', () => undefined);
+  slow.write(`GET ${BASE} HTTP/1.1\r\nhost: a\r\nteam: team\r\n\r\n`);
+  await new Promise((readable) => slow.once('readable', readable));
+  const get = async () => {
+    const url = `http://127.0.0.1:${listener.port}${BASE}`;
+    const res = await request(url, { headers: { team: 'team' } });
+    return { status: res.statusCode, text: await res.body.text() };
+  };
+  const first = await get();
+  const refusal = JSON.parse(first.text) as RefusalBody;
+  t.is(refusal.reason, RequestReason.Overloaded);
+  t.is(refusal.outcome, Outcome.Unknown);
+  let next = first;
+  while (next.status !== 200) next = await get();
+  t.is(next.text.length, size);
+  let received = 0;
+  const closed = new Promise((done) => slow.once('close', done));
+  slow.on('data', (chunk) => (received += chunk.byteLength));
+  await closed;
+  t.true(received < size);
+});
+
 test('connections over the bound are dropped and counted', async (t) => {
   const { listener, metrics } = await start(t, echo, { maxConnections: 1 });
   const first = connect(listener.port, '127.0.0.1');
--- a/src/requests/listener.ts
+++ b/src/requests/listener.ts
@@ -15,9 +15,10 @@
 import type { Logger } from '../logger/index.js';
 import type { Metrics } from '../metrics/index.js';
 import { Outcome } from '../peers/index.js';
+import { AnswerWriter } from './answerWriter.js';
 import { BodyReader } from './bodyReader.js';
 import { CALLER_METHODS, identityOf, parseHead, parseTeam } from './callerRequest.js';
-import { checkAnswer, rawRefusal, sendAnswer, sendRefusal } from './callerResponse.js';
+import { rawRefusal, sendRefusal } from './callerResponse.js';
 import type { RequestsSettings } from './defaults.js';
 import { CallerHeader } from './headers.js';
 import { RequestReason } from './reasons.js';
@@ -80,6 +81,7 @@
   readonly #deps: CallerListenerDeps;
   readonly #server: Server;
   readonly #bodies: BodyReader;
+  readonly #answers: AnswerWriter;
   readonly #countRefusal: (reason: RequestReason, outcome: string) => void;
   /** Responses that were not yet written, with their connection. */
   readonly #active = new Map<ServerResponse, Duplex>();
@@ -89,6 +91,7 @@
   constructor(deps: CallerListenerDeps) {
     this.#deps = deps;
     this.#bodies = new BodyReader(deps.clock, deps.settings);
+    this.#answers = new AnswerWriter(deps.clock, deps.settings);
     const metrics = createRequestMetrics(deps.metrics);
     this.#countRefusal = (reason, outcome) => {
       metrics.countRefusal(reason, outcome);
@@ -211,10 +214,12 @@
     this.#bodies.release(body);
     // The router has counted the end, also of requests whose caller has gone.
     if (res.destroyed) return;
-    const rejected = result.isOk ? checkAnswer(result.value) : undefined;
+    if (result.isErr) {
+      sendRefusal(res, result.error, head.value.requestId ?? router.newRequestId());
+      return;
+    }
+    const rejected = this.#answers.write(res, req.method, result.value);
     if (rejected) this.#refuse(res, rejected);
-    else if (result.isOk) sendAnswer(res, req.method, result.value);
-    else sendRefusal(res, result.error, '');
   }
 
   async #issueIds(req: Request, res: Response): Promise<void> {
--- a/src/requests/localAttempt.ts
+++ b/src/requests/localAttempt.ts
@@ -8,7 +8,9 @@
 } from '../backends/index.js';
 import type { Clock } from '../clock/index.js';
 import type { ConfigView } from '../configuration/index.js';
+import { messageOf } from '../errors/index.js';
 import { EventName, LeavingSign, type EventBus } from '../events/index.js';
+import type { Logger } from '../logger/index.js';
 import { Outcome } from '../peers/index.js';
 import {
   AdmissionReason,
@@ -27,6 +29,7 @@
   clock: Clock;
   view: ConfigView;
   events: EventBus;
+  logger: Logger;
   scheduler: Scheduler;
   backends: BackendConnections;
   health: BackendHealth;
@@ -37,16 +40,7 @@
   return async (work) => {
     const tooLate = refuseLate(deps.clock, work);
     if (tooLate) return Result.err(tooLate);
-    const submitted = await deps.scheduler.submit({
-      requestId: work.requestId,
-      service: work.service.id,
-      team: work.team,
-      urgent: work.urgent,
-      operation: operationOf(work.method, work.path),
-      deadline: work.deadline,
-      signal: work.signal,
-      avoid: work.avoidVms,
-    });
+    const submitted = await submit(deps.scheduler, work);
     if (submitted.isErr) return Result.err(fromAdmission(submitted.error));
     const grant = submitted.value;
     try {
@@ -57,6 +51,26 @@
   };
 }
 
+async function submit(
+  scheduler: Scheduler,
+  work: Work,
+): Promise<Result<SlotGrant, AdmissionError>> {
+  const item = {
+    requestId: work.requestId,
+    service: work.service.id,
+    team: work.team,
+    urgent: work.urgent,
+    operation: operationOf(work.method, work.path),
+    deadline: work.deadline,
+    signal: work.signal,
+  };
+  if (work.avoidVms.size === 0) return scheduler.submit(item);
+  const submitted = await scheduler.submit({ ...item, avoid: work.avoidVms });
+  const allAvoided = submitted.isErr && submitted.error.code === AdmissionReason.NoBackend;
+  // A VM that failed before is better than none.
+  return allAvoided ? scheduler.submit(item) : submitted;
+}
+
 /** The refusal of work whose caller has gone or whose deadline has passed. */
 export function refuseLate(clock: Clock, work: Work): RequestError | undefined {
   if (work.signal.aborted) {
@@ -105,11 +119,17 @@
   grant.release(err.mayHaveRun ? ranMs : undefined);
   work.avoidVms.add(grant.vm);
   if (err.code === BackendErrorCode.Leaving) {
-    void deps.events.emit(EventName.VmLeaving, { vm: grant.vm, sign: LeavingSign.OwnRefusal });
+    announceLeaving(deps, grant.vm);
   }
   return Result.err(fromBackend(err));
 }
 
+function announceLeaving({ events, logger }: LocalAttemptDeps, vm: string): void {
+  events.emit(EventName.VmLeaving, { vm, sign: LeavingSign.OwnRefusal }).catch((err: unknown) => {
+    logger.error({ event: 'vm_leaving_not_announced', vm, error: messageOf(err) });
+  });
+}
+
 const admissionReasons: Record<AdmissionReason, RequestReason> = {
   [AdmissionReason.ServiceQueueFull]: RequestReason.ServiceQueueFull,
   [AdmissionReason.TeamQueueFull]: RequestReason.TeamQueueFull,
--- /dev/null
+++ b/src/requests/orders.spec.ts
@@ -0,0 +1,147 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  createVirtualClock,
+  Identity,
+  persistentCaller,
+  RequestCluster,
+  restart,
+  SendFault,
+  startThree,
+  type ClusterVariant,
+} from '../testing/index.js';
+
+const SEED = 20_261;
+const RUNS = 300;
+const MAX_STEPS = 25;
+const SETTLE_MS = 20_000;
+const NAMES = ['a', 'b', 'c'] as const;
+
+type Step = (cluster: RequestCluster) => Promise<void> | void;
+
+const name = fc.constantFrom(...NAMES);
+const pair = fc.tuple(name, name).filter(([from, to]) => from !== to);
+
+const onAll = (cluster: RequestCluster, change: (name: string) => void) => {
+  for (const process of cluster.processes.keys()) change(process);
+};
+
+/** Kinds of events; each arbitrary yields a step that prints as its description. */
+const steps: fc.Arbitrary<{ text: string; step: Step }>[] = [
+  fc
+    .tuple(
+      fc.nat(9),
+      fc.constantFrom(...Object.values(Identity)),
+      fc.shuffledSubarray([...NAMES], { minLength: 1 }),
+    ) // prettier-ignore
+    .map(([n, identity, names]) => ({
+      text: `call ${identity} ${n} on ${names.join()}`,
+      step: (cluster) => {
+        // One persistent caller per request; requests of one kind differ by their number.
+        const tag = `${identity}-${n}-${cluster.history.outcomes().length}`;
+        void persistentCaller(cluster, tag, identity, names);
+      },
+    })),
+  fc.integer({ min: 1, max: 300 }).map((ms) => ({
+    text: `wait ${ms}`,
+    step: (cluster) => (cluster.clock as ReturnType<typeof createVirtualClock>).advance(ms),
+  })),
+  name.map((process) => ({
+    text: `restart ${process}`,
+    step: (cluster) => {
+      restart(cluster, process);
+    },
+  })),
+  name.map((process) => ({
+    text: `pause ${process}`,
+    step: (cluster) => {
+      cluster.process(process).gate.pause();
+    },
+  })),
+  name.map((process) => ({
+    text: `resume ${process}`,
+    step: (cluster) => {
+      cluster.process(process).gate.resume();
+    },
+  })),
+  fc.tuple(pair, fc.boolean()).map(([[from, to], up]) => ({
+    text: `link ${from}-${to} ${up ? 'up' : 'down'}`,
+    step: (cluster) => {
+      cluster.hub.setLink(from, to, up);
+    },
+  })),
+  fc.tuple(pair, fc.boolean()).map(([[from, to], lossy]) => ({
+    text: `messages ${from} to ${to} ${lossy ? 'lost' : 'delivered'}`,
+    step: (cluster) => {
+      cluster.hub.setLossy(from, to, lossy);
+    },
+  })),
+  fc.tuple(name, fc.boolean()).map(([process, down]) => ({
+    text: `platform ${down ? 'down' : 'up'} for ${process}`,
+    step: (cluster) => {
+      cluster.process(process).platform.down = down;
+    },
+  })),
+  fc.tuple(name, fc.integer({ min: 1, max: 3 })).map(([process, count]) => ({
+    text: `${process} loses ${count} platform answers`,
+    step: (cluster) => {
+      cluster.process(process).platform.loseAnswers = count;
+    },
+  })),
+];
+
+/** Runs the steps, heals everything and returns the broken rules. */
+async function violationsOf(
+  chosen: readonly { step: Step }[],
+  faultSeed: readonly SendFault[],
+  variant?: ClusterVariant,
+) {
+  const clock = createVirtualClock();
+  let sent = 0;
+  const fault = () => faultSeed[(sent += 1) % faultSeed.length] ?? SendFault.None;
+  const cluster = new RequestCluster({ clock, seed: SEED, fault, variant });
+  startThree(cluster);
+  for (const { step } of chosen) await step(cluster);
+  onAll(cluster, (process) => {
+    cluster.process(process).gate.resume();
+    cluster.process(process).platform.down = false;
+  });
+  await clock.advance(SETTLE_MS);
+  return cluster.violations();
+}
+
+const orders = fc.tuple(
+  fc.array(fc.oneof(...steps), { minLength: 5, maxLength: MAX_STEPS }),
+  fc.array(fc.constantFrom(...Object.values(SendFault)), { minLength: 1, maxLength: 6 }),
+);
+
+const parameters = { seed: SEED, numRuns: RUNS };
+
+// Guards against orders of events that the sweep over single faults does not contain.
+test('rules hold in random orders of calls and faults', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(orders, async ([chosen, faults]) => {
+      const found = await violationsOf(chosen, faults);
+      if (found.length > 0) {
+        const texts = chosen.map(({ text }) => text).join('; ');
+        throw new Error(`${JSON.stringify(found)} after ${texts} with ${faults.join()}`);
+      }
+    }),
+    parameters,
+  );
+  t.pass();
+});
+
+test('random orders notice a router that runs a keyed request without a claim', async (t) => {
+  const variant: ClusterVariant = {
+    router: (router) => ({
+      ...router,
+      handle: (req) => router.handle({ ...req, idempotencyKey: undefined }),
+    }),
+  };
+  const property = fc.asyncProperty(orders, async ([chosen, faults]) => {
+    return (await violationsOf(chosen, faults, variant)).length === 0;
+  });
+  const { failed } = await fc.check(property, { ...parameters, endOnFailure: true });
+  t.true(failed);
+});
--- a/src/requests/placedAttempt.ts
+++ b/src/requests/placedAttempt.ts
@@ -15,10 +15,15 @@
   runHere: Attempt;
 }
 
+const NO_MEMBERS: ReadonlySet<string> = new Set();
+
 /** Creates the attempt that runs a request here or passes it to the member with the best load. */
 export function createPlacedAttempt(deps: PlacedAttemptDeps): Attempt {
   return async (work) => {
-    const placement = deps.placement.choose(work.service, work.avoidMembers);
+    // A member that failed before is better than none.
+    const placement =
+      deps.placement.choose(work.service, work.avoidMembers) ??
+      deps.placement.choose(work.service, NO_MEMBERS);
     if (!placement) {
       const message = `no reachable entry process owns an executor of ${work.service.id}`;
       return Result.err(new RequestError(RequestReason.NoBackend, message));
--- a/src/requests/retries.ts
+++ b/src/requests/retries.ts
@@ -6,7 +6,7 @@
 import { reasonRegistry } from './reasons.js';
 import { RetryDenial, type RequestMetrics } from './requestMetrics.js';
 import { backoffMs, type RetryBudget } from './retryBudget.js';
-import { RequestError } from './types.js';
+import type { RequestError } from './types.js';
 import type { Attempt, AttemptResult, Work } from './work.js';
 
 /** Parameters of {@link runWithRetries}. */
@@ -22,33 +22,31 @@
  * Repeats an attempt within the retry budget and the deadline. Attempts that may have run are
  * repeated only for idempotent requests.
  *
- * @returns the end of the last attempt; unknown instead of not-run when an earlier one may have run
+ * @returns the end of the last attempt, or of the last one that may have run if there is one
  */
 export async function runWithRetries(
   deps: RetryDeps,
   work: Work,
   attempt: Attempt,
 ): Promise<AttemptResult> {
-  let mayHaveRun = false;
+  let uncertain: RequestError | undefined;
   for (let retry = 0; ; retry += 1) {
     const result = await attempt(work);
     if (result.isOk) return result;
-    mayHaveRun ||= result.error.outcome === Outcome.Unknown;
-    const end = () => Result.err<AttemptValue, RequestError>(withHistory(result.error, mayHaveRun));
-    if (!isRetried(result.error, work)) return end();
+    if (result.error.outcome === Outcome.Unknown) uncertain = result.error;
+    const end: AttemptResult = Result.err(uncertain ?? result.error);
+    if (!isRetried(result.error, work)) return end;
     const delayMs = backoffMs(deps.random, deps.settings, retry);
     const denial = denialOf(deps, work, retry, delayMs);
     if (denial) {
       deps.metrics.retriesDenied.inc({ denial });
-      return end();
+      return end;
     }
-    if (!(await deps.clock.sleep(delayMs, work.signal))) return end();
+    if (!(await deps.clock.sleep(delayMs, work.signal))) return end;
     deps.metrics.retries.inc({ reason: result.error.code });
   }
 }
 
-type AttemptValue = Extract<AttemptResult, { isOk: true }>['value'];
-
 function isRetried(err: RequestError, work: Work): boolean {
   if (!reasonRegistry[err.code].retried) return false;
   return err.outcome === Outcome.NotRun || work.idempotent;
@@ -64,14 +62,3 @@
   if (clock.now() + delayMs >= work.deadline) return RetryDenial.Deadline;
   return budget.tryTake() ? undefined : RetryDenial.Budget;
 }
-
-function withHistory(err: RequestError, mayHaveRun: boolean): RequestError {
-  if (!mayHaveRun || err.outcome === Outcome.Unknown) return err;
-  const { retryAfterMs } = err;
-  const message = `${err.message}; an earlier attempt may have run`;
-  return new RequestError(err.code, message, {
-    outcome: Outcome.Unknown,
-    retryAfterMs,
-    cause: err,
-  });
-}
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -255,7 +255,7 @@
           return refused(RequestReason.OutcomeLost, `the outcome of ${id} is no longer known`);
         case LedgerState.NotIssued:
           return refused(RequestReason.InvalidRequestId, `${id} was not issued to ${req.team}`);
-        case 'mismatch':
+        case LedgerState.Mismatch:
           return refused(RequestReason.RequestMismatch, `${id} belongs to another content`);
         case LedgerState.Running: {
           const joined = await join(id, decision.run, req);
@@ -353,7 +353,11 @@
   function countEnd(req: CallerRequest, result: RequestResult): void {
     const outcome = result.isOk ? Outcome.Answered : result.error.outcome;
     metrics.ended.inc({ outcome });
-    if (result.isErr) metrics.countRefusal(result.error.code, outcome);
+    if (result.isErr) {
+      const { code: reason, requestId, message } = result.error;
+      metrics.countRefusal(reason, outcome);
+      logger.debug({ event: 'request_refused', requestId, reason, outcome, message });
+    }
     if (result.isOk && req.signal.aborted)
       metrics.lateAnswers.inc({ cause: LateAnswer.CallerGone });
   }
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -18,3 +18,13 @@
   type ClusterVariant,
   type RequestClusterOptions,
 } from './requestCluster.js';
+export {
+  brokenVariants,
+  Identity,
+  persistentCaller,
+  restart,
+  scenarioFaults,
+  startThree,
+  type BrokenVariant,
+  type ScenarioFault,
+} from './requestScenario.js';
--- a/src/testing/requestCluster.ts
+++ b/src/testing/requestCluster.ts
@@ -10,6 +10,7 @@
 import { createRandom } from '../random/index.js';
 import {
   createRequestRouter,
+  reasonRegistry,
   requestsSchema,
   type CallerRequest,
   type RequestResult,
@@ -22,7 +23,12 @@
 import { FakeScheduler } from './fakeScheduler.js';
 import { FakeConfigView } from './fakeView.js';
 import { gateClock, gatePeers, gateTable, ProcessGate } from './processGate.js';
-import { RequestHistory, type ObservedEnd } from './requestHistory.js';
+import {
+  HistoryRule,
+  RequestHistory,
+  type HistoryViolation,
+  type ObservedEnd,
+} from './requestHistory.js';
 
 /** Replaces collaborators of a router, to show that a check notices broken ones. */
 export interface ClusterVariant {
@@ -53,6 +59,10 @@
   scheduler: FakeScheduler;
   metrics: Metrics;
   platform: PlatformFaults;
+  /** Whether it was killed without notice to anyone. */
+  vanished: boolean;
+  /** Requests that its router has not ended. */
+  open: Set<{ tag: string }>;
   /** Closes the callers' connections when the process is killed. */
   closeConnections: (() => void)[];
 }
@@ -71,6 +81,7 @@
   /** Members that the others do not see any more. */
   readonly removed = new Set<string>();
   readonly #options: RequestClusterOptions;
+  readonly #unlisted: HistoryViolation[] = [];
   #started = 0;
 
   constructor(options: RequestClusterOptions) {
@@ -127,7 +138,16 @@
       settings: requestsSchema.parse(settings ?? {}),
     });
     const process: ClusterProcess = {
-      ...{ info, gate, scheduler, metrics, platform: client.faults, closeConnections: [] },
+      ...{
+        info,
+        gate,
+        scheduler,
+        metrics,
+        platform: client.faults,
+        vanished: false,
+        open: new Set(),
+        closeConnections: [],
+      },
       router: variant.router?.(router) ?? router,
     };
     this.processes.set(name, process);
@@ -149,41 +169,83 @@
     return process;
   }
 
+  /** Makes a process disappear without notice: its links stay up and lose everything. */
+  vanish(name: string): void {
+    const process = this.process(name);
+    process.gate.kill();
+    process.vanished = true;
+    for (const other of this.processes.keys()) {
+      this.hub.setLossy(name, other, true);
+      this.hub.setLossy(other, name, true);
+    }
+  }
+
   /**
    * Sends a request of a caller to a process and records its end.
    *
    * @param tag - names the request over all its attempts
+   * @param patienceMs - time after which the caller closes its connection
+   * @returns undefined when the connection was closed without an answer
    */
   async call(
     name: string,
     tag: string,
     values: Partial<CallerRequest> = {},
+    patienceMs = 60_000,
   ): Promise<RequestResult | undefined> {
     const process = this.process(name);
-    const end = this.history.begin(tag, values.idempotent ?? false);
-    if (process.gate.isKilled) {
-      end({ outcome: 'closed' });
-      return undefined;
-    }
-    let open = true;
-    const closed = new Promise<undefined>((resolve) => {
-      process.closeConnections.push(() => {
-        if (!open) return;
-        open = false;
-        end({ outcome: 'closed' });
-        resolve(undefined);
-      });
-    });
-    const arrived = process.gate.receive(undefined);
-    const handled = arrived.then(async () => {
-      const result = await process.router.handle(this.#request(tag, values));
-      await process.gate.receive(undefined);
-      if (process.gate.isKilled) return undefined;
-      open = false;
-      end(observed(result));
-      return result;
+    const caller = new CallerConnection(this.history.begin(tag, values.idempotent ?? false));
+    const hangUp = () => {
+      // The process notices the closed connection only while it is not paused.
+      if (caller.close()) process.gate.run(caller.abort);
+    };
+    process.closeConnections.push(hangUp);
+    if (process.gate.isKilled && !process.vanished) hangUp();
+    const patience = this.clock.setTimer(patienceMs, hangUp);
+    void this.#serve(process, caller, tag, values);
+    const result = await caller.result;
+    patience.cancel();
+    return result;
+  }
+
+  async #serve(
+    process: ClusterProcess,
+    caller: CallerConnection,
+    tag: string,
+    values: Partial<CallerRequest>,
+  ): Promise<void> {
+    await process.gate.receive(undefined);
+    const signal = values.signal ?? caller.signal;
+    const entry = { tag };
+    process.open.add(entry);
+    const result = await process.router.handle(this.#request(tag, { ...values, signal }));
+    process.open.delete(entry);
+    this.#checkReason(tag, result);
+    process.gate.run(() => {
+      caller.answer(result);
     });
-    return Promise.race([handled, closed]);
+  }
+
+  /** Checks all invariants, at a time when nothing is in progress any more. */
+  violations(): HistoryViolation[] {
+    const running = [...this.processes.values()].filter(({ gate }) => !gate.isKilled);
+    const open = running.flatMap(({ info, router, open }) => [
+      ...[...open].map(({ tag }) => ({ tag, detail: `not ended by the router of ${info.name}` })),
+      ...(router.inFlight() > 0 ? [{ tag: '', detail: `${info.name} has work in flight` }] : []),
+    ]);
+    return [
+      ...this.history.violations(),
+      ...this.#unlisted,
+      ...open.map((entry) => ({ rule: HistoryRule.EndsOnce, ...entry })),
+    ];
+  }
+
+  #checkReason(tag: string, result: RequestResult): void {
+    if (result.isOk) return;
+    const { code, outcome } = result.error;
+    if (reasonRegistry[code].outcomes.includes(outcome)) return;
+    const detail = `${code} with outcome ${outcome}`;
+    this.#unlisted.push({ rule: HistoryRule.ReasonIsListed, tag, detail });
   }
 
   #request(tag: string, values: Partial<CallerRequest>): CallerRequest {
@@ -223,6 +285,47 @@
   }
 }
 
+/** The caller's side of one attempt. */
+class CallerConnection {
+  readonly #end: (end: ObservedEnd) => void;
+  readonly #controller = new AbortController();
+  readonly result: Promise<RequestResult | undefined>;
+  #resolve!: (result: RequestResult | undefined) => void;
+  #open = true;
+
+  constructor(end: (end: ObservedEnd) => void) {
+    this.#end = end;
+    this.result = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  get signal(): AbortSignal {
+    return this.#controller.signal;
+  }
+
+  readonly abort = (): void => {
+    this.#controller.abort();
+  };
+
+  /** Gives the caller an answer; one after a close goes nowhere. */
+  answer(result: RequestResult): void {
+    if (!this.#open) return;
+    this.#open = false;
+    this.#end(observed(result));
+    this.#resolve(result);
+  }
+
+  /** Closes the connection; false when it was closed or answered before. */
+  close(): boolean {
+    if (!this.#open) return false;
+    this.#open = false;
+    this.#end({ outcome: 'closed' });
+    this.#resolve(undefined);
+    return true;
+  }
+}
+
 function observed(result: RequestResult): ObservedEnd {
   if (result.isErr) return { outcome: result.error.outcome };
   return { outcome: Outcome.Answered, body: Buffer.from(result.value.body).toString('utf8') };
--- a/src/testing/requestHistory.ts
+++ b/src/testing/requestHistory.ts
@@ -11,6 +11,8 @@
   AnswerIsOwn = 'answer_is_own',
   /** Each attempt ends exactly once. */
   EndsOnce = 'ends_once',
+  /** Each refusal has an outcome that the registry of reasons lists. */
+  ReasonIsListed = 'reason_is_listed',
 }
 
 /** How an attempt ended for its caller. */
