--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -19,7 +19,6 @@
   type RequestClusterOptions,
 } from './requestCluster.js';
 export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
-export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
 export {
   createJobZone,
   settle,
@@ -28,3 +27,13 @@
   type RunningController,
 } from './jobZone.js';
 export { CallFault, withFaults } from './platformFaults.js';
+export {
+  brokenVariants,
+  Identity,
+  persistentCaller,
+  restart,
+  scenarioFaults,
+  startThree,
+  type BrokenVariant,
+  type ScenarioFault,
+} from './requestScenario.js';
