Plan waves at the lower bound and test them with failures on the way

Cause: a roll-out should be as short as the budgets allow, and the plan should say how far it is from the shortest one.

Change: the lower bound by slots counts whole VMs (two VMs of 8 slots do not fit into 15 slots, so a bound by the sum of slots was too small). Wave entities are filled up to their limit.

Ruled out: planning by what is away at the moment; permits count it, and a plan would be outdated by the first failure.

--- a/src/controller/wavePlan.ts
+++ b/src/controller/wavePlan.ts
@@ -150,15 +150,22 @@
 }
 
 function lowerBoundOf(vms: readonly Vm[], limits: PoolLimits): number {
-  const bySlots = limits.slots > 0 ? Math.ceil(slotsIn(vms) / limits.slots) : 0;
   return Math.max(
-    Math.ceil(vms.length / limits.vms),
+    Math.ceil(vms.length / Math.min(limits.vms, mostBySlots(vms, limits.slots))),
     Math.ceil(largestGroup(vms, rackKey) / limits.perRack),
     Math.ceil(largestGroup(vms, ({ zone }) => zone) / limits.perZone),
-    bySlots,
+    limits.slots > 0 ? Math.ceil(slotsIn(vms) / limits.slots) : 0,
   );
 }
 
+/** Most VMs that together hold at most `slots`; at least 1. */
+function mostBySlots(vms: readonly Vm[], slots: number): number {
+  const smallestFirst = vms.map(slotsOf).sort((a, b) => a - b);
+  let sum = 0;
+  const most = smallestFirst.findIndex((size) => (sum += size) > slots);
+  return most < 0 ? vms.length : Math.max(1, most);
+}
+
 function largestGroup(vms: readonly Vm[], keyOf: (vm: Vm) => string): number {
   const sizes = new Map<string, number>();
   for (const vm of vms) sizes.set(keyOf(vm), (sizes.get(keyOf(vm)) ?? 0) + 1);
@@ -182,7 +189,6 @@
   let size = 0;
 
   const close = () => {
-    if (size === 0) return;
     const number = String(waves.length + 1).padStart(5, '0');
     waves.push({
       id: `${options.id}-${number}`,
@@ -195,13 +201,15 @@
   };
 
   for (const batch of batches) {
-    for (let start = 0; start < batch.length; start += options.maxWaveVms) {
-      const piece = batch.slice(start, start + options.maxWaveVms);
-      if (size + piece.length > options.maxWaveVms) close();
+    let rest = batch;
+    while (rest.length > 0) {
+      const piece = rest.slice(0, options.maxWaveVms - size);
+      rest = rest.slice(piece.length);
       open.push(piece);
       size += piece.length;
+      if (size === options.maxWaveVms) close();
     }
   }
-  close();
+  if (size > 0) close();
   return waves;
 }
--- /dev/null
+++ b/src/controller/waves.spec.ts
@@ -0,0 +1,290 @@
+import fc from 'fast-check';
+import test from 'ava';
+import {
+  EntityKind,
+  StopState,
+  VmState,
+  WaveState,
+  type ConfigView,
+  type EntityChange,
+  type Pool,
+  type Wave,
+} from '../configuration/index.js';
+import { ListedVmState } from '../platform/index.js';
+import { createRandom } from '../random/index.js';
+import { ControllerRig, findViolations, fleetOf } from '../testing/controllerRig.js';
+import { MemoryView } from '../testing/memoryView.js';
+import {
+  AwayReason,
+  Budget,
+  BudgetRule,
+  pauseWave,
+  planWave,
+  ProbeResult,
+  startWave,
+  type WavePlanOptions,
+} from './index.js';
+
+const SEED = 20_262;
+const MINUTE = 60_000;
+const DAY = 24 * 60 * MINUTE;
+const NONE: ReadonlySet<string> = new Set();
+const OPTIONS: WavePlanOptions = {
+  id: 'w',
+  reserve: 0,
+  stopMs: 30 * MINUTE,
+  maxWaveVms: 1_000_000,
+};
+
+type Plan = (view: ConfigView) => string[][];
+
+const dealt: Plan = (view) => {
+  const plan = planWave(view, OPTIONS);
+  return plan.isOk ? plan.value.waves.flatMap(({ batches }) => batches) : [];
+};
+
+/** As many VMs as the pool allows at once, in the order of the inventory. */
+const rackByRack: Plan = (view) => {
+  const ids = view.list(EntityKind.Vm).map(({ id }) => id);
+  const size = view.list(EntityKind.Pool)[0]?.maxAway ?? 1;
+  return ids.flatMap((_, i) => (i % size === 0 ? [ids.slice(i, i + size)] : []));
+};
+
+function everyBatchHolds(plan: Plan) {
+  const limit = (max: number) => fc.integer({ min: 1, max });
+  const rules = fc.record({
+    minAvailable: fc.integer({ min: 0, max: 23 }),
+    maxAway: limit(12),
+    maxAwayPerRack: limit(4),
+    maxAwayPerZone: limit(8),
+  });
+  return fc.property(rules, fc.integer({ min: 0, max: 184 }), (pool, minAvailableSlots) => {
+    const view = new MemoryView();
+    const shape = { zones: 2, racksPerZone: 3, vmsPerRack: 4, pools: [pool], minAvailableSlots };
+    view.apply(fleetOf(shape));
+    const planned = planWave(view, OPTIONS);
+    const batches = plan(view);
+    const isComplete = new Set(batches.flat()).size === 24;
+    const holds = batches.every((batch) => {
+      const budget = new Budget(view, { silentZones: NONE });
+      return batch.every((id) => budget.grant(id, AwayReason.Stop).isOk);
+    });
+    const isShortest = planned.isOk && planned.value.batches === planned.value.lowerBound;
+    return isComplete && holds && isShortest;
+  });
+}
+
+test('a plan covers each VM, holds every budget and meets the lower bound', (t) => {
+  t.notThrows(() => {
+    fc.assert(everyBatchHolds(dealt), { seed: SEED, numRuns: 300 });
+  });
+  t.throws(() => {
+    fc.assert(everyBatchHolds(rackByRack), { seed: SEED, numRuns: 300 });
+  });
+});
+
+test('a plan names the rule by which a VM can never go', (t) => {
+  const cases: [Partial<Pool>, number, number, BudgetRule][] = [
+    [{ maxAway: 0 }, 0, 0, BudgetRule.MaxAway],
+    [{ maxAway: 1 }, 0, 1, BudgetRule.MaxAway],
+    [{ minAvailable: 4 }, 0, 0, BudgetRule.MinAvailable],
+    [{ maxAwayPerRack: 0 }, 0, 0, BudgetRule.MaxAwayPerRack],
+    [{ maxAwayPerZone: 0 }, 0, 0, BudgetRule.MaxAwayPerZone],
+    [{}, 25, 0, BudgetRule.MinAvailableSlots],
+  ];
+  for (const [pool, minAvailableSlots, reserve, rule] of cases) {
+    const view = new MemoryView();
+    const shape = { zones: 1, racksPerZone: 2, vmsPerRack: 2, pools: [pool], minAvailableSlots };
+    view.apply(fleetOf(shape));
+    const plan = planWave(view, { ...OPTIONS, reserve });
+    t.is(plan.isErr && plan.error.code, rule);
+  }
+});
+
+test('wave entities are bounded and keep the order of the batches', (t) => {
+  const view = new MemoryView();
+  view.apply(fleetOf({ zones: 2, racksPerZone: 5, vmsPerRack: 5, pools: [{ maxAway: 20 }] }));
+  const plan = planWave(view, { ...OPTIONS, maxWaveVms: 15 });
+  if (plan.isErr) return t.fail(plan.error.message);
+  const sizes = plan.value.waves.map(({ batches }) => batches.flat().length);
+  t.deepEqual(sizes, [15, 15, 15, 5]);
+  t.is(new Set(plan.value.waves.flatMap(({ batches }) => batches.flat())).size, 50);
+  t.is(plan.value.batches, 3);
+});
+
+async function startFleet(pool: Partial<Pool>, settings = {}) {
+  const rig = new ControllerRig(settings);
+  await rig.load(fleetOf({ zones: 2, racksPerZone: 3, vmsPerRack: 4, pools: [pool] }));
+  const plan = planWave(await rig.newest(), { ...OPTIONS, reserve: 1, maxWaveVms: 10 });
+  if (plan.isErr) throw plan.error;
+  await rig.operate(plan.value.waves.map(startWave));
+  const processes = ['z0', 'z1'].map((zone) => rig.start(zone, `${zone}-a`));
+  return { rig, processes };
+}
+
+const areFinished = (view: ConfigView) =>
+  view.list(EntityKind.Wave).every(({ state }) => state === WaveState.Finished);
+
+const RULES = { maxAway: 5, maxAwayPerRack: 2, maxAwayPerZone: 4, minAvailable: 18 };
+
+test('a wave maintains each VM once, holds every budget and finishes', async (t) => {
+  const { rig } = await startFleet(RULES);
+  t.true(await rig.until(areFinished, 10 * MINUTE, 1_000));
+  t.is(rig.platform.reboots.length, 24);
+  t.is(new Set(rig.platform.reboots).size, 24);
+  t.deepEqual(findViolations(await rig.deltas()), []);
+  await rig.close();
+});
+
+test('a wave that an operator paused grants nothing until it is resumed', async (t) => {
+  const { rig } = await startFleet(RULES);
+  await rig.until(() => rig.platform.reboots.length >= 4, MINUTE);
+  const waves = (await rig.newest()).list(EntityKind.Wave);
+  await rig.operate(waves.map((wave) => pauseWave(wave, 'change freeze')));
+  await rig.until((view) => view.list(EntityKind.Stop).length === 0, MINUTE);
+  const { length } = rig.platform.reboots;
+  await rig.clock.advance(20 * MINUTE);
+  t.is(rig.platform.reboots.length, length);
+  t.true(length < 24);
+  await rig.operate((await rig.newest()).list(EntityKind.Wave).map(startWave));
+  t.true(await rig.until(areFinished, 10 * MINUTE, 1_000));
+  await rig.close();
+});
+
+test('a wave stops by itself when a rack is lost or drained, and goes on after the budget held', async (t) => {
+  const lost = ['z1r1v0', 'z1r1v1', 'z1r1v2', 'z1r1v3'];
+  const signs: Record<string, (rig: ControllerRig, isLost: boolean) => void> = {
+    'rack lost': (rig, isLost) => {
+      for (const id of lost) {
+        if (isLost) rig.sick.set(id, ProbeResult.Unreachable);
+        else rig.sick.delete(id);
+      }
+    },
+    'vendor drain': (rig, isLost) => {
+      const state = isLost ? ListedVmState.Leaving : ListedVmState.Live;
+      for (const id of lost) rig.platform.vms.set(id, { id, zone: 'z1', state });
+    },
+  };
+  for (const [title, setLost] of Object.entries(signs)) {
+    const { rig } = await startFleet(RULES, { resumeAfterMs: 5 * MINUTE });
+    await rig.until(() => rig.platform.reboots.length >= 4, MINUTE);
+    setLost(rig, true);
+    const arePaused = (view: ConfigView) =>
+      view.list(EntityKind.Wave).every(({ state }) => state !== WaveState.Running);
+    t.true(await rig.until(arePaused, MINUTE), title);
+    const isQuiet = (view: ConfigView) => view.list(EntityKind.Stop).length === 0;
+    t.true(await rig.until(isQuiet, MINUTE), title);
+    const { length } = rig.platform.reboots;
+    await rig.clock.advance(20 * MINUTE);
+    t.is(rig.platform.reboots.length, length, title);
+    setLost(rig, false);
+    t.true(await rig.until(areFinished, 30 * MINUTE, 5_000), title);
+    t.is(new Set(rig.platform.reboots).size, 24, title);
+    t.deepEqual(findViolations(await rig.deltas()), [], title);
+    await rig.close();
+  }
+});
+
+test('the zone of a silent controller counts as away', async (t) => {
+  const { rig, processes } = await startFleet({ ...RULES, maxAway: 13, minAvailable: 11 });
+  await rig.until(() => rig.platform.reboots.length >= 4, MINUTE);
+  await processes[1]?.lifecycle.close();
+  await rig.clock.advance(45_000);
+  const stopped = rig.platform.reboots.length;
+  await rig.clock.advance(20 * MINUTE);
+  // 12 of 24 VMs are away with the zone, which is more than maxAwayPerZone.
+  t.is(rig.platform.reboots.length, stopped);
+  rig.start('z1', 'z1-b');
+  t.true(await rig.until(areFinished, 30 * MINUTE, 5_000));
+  await rig.close();
+});
+
+const FLEET_VMS = 21_008;
+
+/** What fails on an ordinary day at the design size, per day. */
+const FAILURES_PER_DAY = 270;
+const RESTARTS_PER_DAY = 1_600;
+const REPAIR_MS = 4 * 60 * MINUTE;
+const RESTART_MS = 15 * MINUTE;
+
+/**
+ * Computes a roll-out in steps of one stop: each step ends the stops of the last one, lets VMs fail
+ * and restart, and grants what the budgets allow.
+ *
+ * @returns days until each VM was maintained once, and grants that broke a budget
+ */
+function computeRollOut(view: MemoryView, waves: readonly Wave[], reserve: number) {
+  const random = createRandom(SEED);
+  const vms = view.list(EntityKind.Vm);
+  const awayUntil = new Map<string, number>();
+  let pending = waves.flatMap(({ batches }) => batches.flat());
+  let stopped: string[] = [];
+  let broken = 0;
+  let now = 0;
+  const share = vms.length / FLEET_VMS;
+  const fail = (perDay: number, lasts: number) => {
+    const expected = (share * perDay * OPTIONS.stopMs) / DAY;
+    for (let i = random.next(); i < expected; i += 1)
+      awayUntil.set(random.pick(vms).id, now + lasts);
+  };
+  while (pending.length > 0 && now < 100 * DAY) {
+    const ended = stopped.map((id): EntityChange => ({ kind: EntityKind.Stop, id }));
+    fail(FAILURES_PER_DAY, REPAIR_MS);
+    fail(RESTARTS_PER_DAY, RESTART_MS);
+    const states = [...awayUntil].map(([id, until]): EntityChange => {
+      const value = until > now ? { id, state: VmState.Failed } : undefined;
+      if (!value) awayUntil.delete(id);
+      return { kind: EntityKind.VmStatus, id, value };
+    });
+    view.apply([...ended, ...states]);
+    const budget = new Budget(view, { silentZones: NONE, reserve });
+    const slack = new Map(view.list(EntityKind.Pool).map(({ id }) => [id, budget.slack(id)]));
+    stopped = pending.filter((id) => {
+      const pool = view.poolOf(id) ?? '';
+      const left = slack.get(pool) ?? 0;
+      if (left === 0 || budget.grant(id, AwayReason.Stop).isErr) return false;
+      return slack.set(pool, left - 1);
+    });
+    const chosen = new Set(stopped);
+    view.apply(
+      stopped.map((id) => ({
+        kind: EntityKind.Stop,
+        id,
+        value: { id, wave: 'w', state: StopState.Granted },
+      })),
+    );
+    const after = new Budget(view, { silentZones: NONE });
+    for (const pool of new Set(stopped.map((id) => view.poolOf(id) ?? ''))) {
+      if (after.broken(pool)) broken += 1;
+    }
+    pending = pending.filter((id) => !chosen.has(id));
+    now += OPTIONS.stopMs;
+  }
+  return { days: now / DAY, broken, pending: pending.length };
+}
+
+test('every VM is maintained once in 7 weeks at the design size, with failures on the way', (t) => {
+  const cases = [
+    { pools: 92, minAvailable: 220, maxAway: 8, maxAwayPerRack: 2, maxAwayPerZone: 4 },
+    // Pools do not interact, so a share of them is enough for the rules that allow the least.
+    { pools: 8, minAvailable: 226, maxAway: 2, maxAwayPerRack: 1, maxAwayPerZone: 1 },
+  ];
+  for (const { pools, ...rules } of cases) {
+    const view = new MemoryView();
+    const racksPerZone = Math.ceil((404 * pools) / 92);
+    const shape = { zones: 13, racksPerZone, vmsPerRack: 4 };
+    view.apply(fleetOf({ ...shape, pools: Array.from({ length: pools }, () => rules) }));
+    const plan = planWave(view, { ...OPTIONS, reserve: 1, maxWaveVms: 256 });
+    if (plan.isErr) return t.fail(plan.error.message);
+    t.is(plan.value.vms, 13 * racksPerZone * 4);
+    t.is(plan.value.batches, plan.value.lowerBound);
+    t.true(plan.value.waves.every(({ batches }) => batches.flat().length <= 256));
+    const { days, broken, pending } = computeRollOut(view, plan.value.waves, 1);
+    const planned = (plan.value.expectedMs / DAY).toFixed(2);
+    t.log(`${plan.value.vms} VMs, ${pools} pools, maxAway ${rules.maxAway}:`);
+    t.log(`${plan.value.batches} batches, ${planned} days planned, ${days.toFixed(2)} computed`);
+    t.is(pending, 0);
+    t.is(broken, 0);
+    t.true(days < 49);
+  }
+});
