Join the job subsystem to the entry process and the caller listener

Cause: jobs were accepted and placed only in tests. Change: job routes on the caller listener, the job controller under the zone lease, job notices between members, checkpoints before planned stops, job listing for operators.

--- a/src/controller/lease.ts
+++ b/src/controller/lease.ts
@@ -163,6 +163,10 @@
     return !this.#lost.signal.aborted && this.#deps.clock.now() < this.#expiresAt;
   }
 
+  get condition(): Condition | undefined {
+    return this.isHeld ? { key: this.#key, version: this.#version } : undefined;
+  }
+
   async write<T>(run: (condition: Condition) => Promise<T>): Promise<Result<T, ControllerError>> {
     while (this.#renewal && this.isHeld) await Promise.race([this.#renewal, this.#untilLost]);
     if (!this.isHeld) return Result.err(this.#lostError());
--- a/src/controller/types.ts
+++ b/src/controller/types.ts
@@ -40,6 +40,11 @@
   readonly epoch: number;
   /** False from the moment at which another process may have taken the lease. */
   readonly isHeld: boolean;
+  /**
+   * Condition on the row as it was last known; undefined when the lease is not held. A renewal that
+   * is under way may invalidate it, so a writer that uses it must read it again after a failure.
+   */
+  readonly condition: Condition | undefined;
   /**
    * Runs a write whose transaction must contain the given condition. Writes do not overlap with a
    * renewal, so that a renewal does not invalidate the condition.
--- a/src/entry/children.ts
+++ b/src/entry/children.ts
@@ -1,19 +1,20 @@
 import { AdoptionSource, runConfigSync } from '../configuration/index.js';
-import { createControllerMetrics, runZoneController } from '../controller/index.js';
+import { createControllerMetrics, runZoneController, type HeldLease } from '../controller/index.js';
 import { RestartPolicy, type ChildSpec, type Lifecycle } from '../lifecycle/index.js';
 import { CallPurpose } from '../platform/index.js';
+import type { JobParts } from './jobParts.js';
 import { runOwnership } from './ownership.js';
 import type { EntryParts } from './parts.js';
 import type { EntryContext } from './types.js';
 
 /** The supervised tasks of an entry process. */
-export function childSpecs(ctx: EntryContext, parts: EntryParts): ChildSpec[] {
+export function childSpecs(ctx: EntryContext, parts: EntryParts, jobs: JobParts): ChildSpec[] {
   return [
     permanent('membership', (lifecycle) => parts.membership.run(lifecycle)),
     permanent('config-sync', (lifecycle) => syncConfig(ctx, parts, lifecycle)),
     permanent('ownership', (lifecycle) => followOwnership(ctx, parts, lifecycle)),
     permanent('vm-probes', (lifecycle) => parts.probes.run(lifecycle)),
-    permanent('controller', createControllerTask(ctx, parts)),
+    permanent('controller', createControllerTask(ctx, parts, jobs)),
   ];
 }
 
@@ -47,7 +48,11 @@
   return runOwnership({ events, membership, view: store.view, ...request }, lifecycle);
 }
 
-function createControllerTask(ctx: EntryContext, parts: EntryParts): ChildSpec['run'] {
+function createControllerTask(
+  ctx: EntryContext,
+  parts: EntryParts,
+  jobs: JobParts,
+): ChildSpec['run'] {
   const { store, history, network, membership, platform, probes, request } = parts;
   const { zone, name, incarnation } = network.self;
   const deps = {
@@ -64,7 +69,8 @@
     platform: platform.forPurpose(CallPurpose.Lease),
     settings: ctx.settings.controller,
     metrics: createControllerMetrics(ctx.metrics),
-    vacate: () => Promise.resolve(true),
+    vacate: (vm: string) => jobs.vacate(vm),
+    alsoWhileHeld: (lease: HeldLease, term: Lifecycle) => jobs.runWhileHeld(lease, term),
     inFlight: (vm: string) => request.backends.inFlight(vm),
     probe: (vm: string) => probes.probe(vm),
     lastProbe: (vm: string) => probes.lastProbe(vm),
--- a/src/entry/createEntryProcess.ts
+++ b/src/entry/createEntryProcess.ts
@@ -2,6 +2,7 @@
 import { startOperatorListener } from '../operators/index.js';
 import { createCallerListener } from '../requests/index.js';
 import { childSpecs } from './children.js';
+import { createJobParts, type JobParts } from './jobParts.js';
 import { createOperatorDeps } from './operatorDeps.js';
 import { createParts, unwrap, type EntryParts } from './parts.js';
 import type { EntryContext, EntryProcess } from './types.js';
@@ -26,13 +27,14 @@
 async function start(ctx: EntryContext, lifecycle: Lifecycle): Promise<EntryProcess> {
   const { logger } = ctx;
   const parts = await createParts(ctx, lifecycle.child('parts'));
-  const supervisor = startChildren(ctx, parts, lifecycle.child('children'));
+  const jobs = createJobParts(ctx, parts);
+  const supervisor = startChildren(ctx, parts, jobs, lifecycle.child('children'));
   const operators = await startOperatorListener(
-    await createOperatorDeps(ctx, parts),
+    await createOperatorDeps(ctx, parts, jobs),
     lifecycle.child('operators'),
   );
   const callers = lifecycle.child('callers');
-  const callerPort = await startCallerListener(ctx, parts, callers);
+  const callerPort = await startCallerListener(ctx, parts, jobs, callers);
   const { name: member, zone, port: peers } = parts.network.self;
   const ports = { callers: callerPort, operators, peers };
   logger.info({ event: 'listening', member, zone, ...ports });
@@ -40,7 +42,12 @@
   return { ports, failed: supervisor.failed, stop };
 }
 
-function startChildren(ctx: EntryContext, parts: EntryParts, lifecycle: Lifecycle): Supervisor {
+function startChildren(
+  ctx: EntryContext,
+  parts: EntryParts,
+  jobs: JobParts,
+  lifecycle: Lifecycle,
+): Supervisor {
   const help = 'Failures of supervised children';
   const failures = ctx.metrics.counter('child_failures_total', help, ['child']);
   const supervisor = new Supervisor(lifecycle, {
@@ -50,20 +57,21 @@
       failures.inc({ child });
     },
   });
-  for (const spec of childSpecs(ctx, parts)) supervisor.start(spec);
+  for (const spec of childSpecs(ctx, parts, jobs)) supervisor.start(spec);
   return supervisor;
 }
 
 async function startCallerListener(
   ctx: EntryContext,
   { router }: EntryParts,
+  { routes }: JobParts,
   lifecycle: Lifecycle,
 ): Promise<number> {
   const { callers, requests } = ctx.settings;
   const started = await createCallerListener({
     ...ctx,
     ...callers,
-    ...{ router, lifecycle },
+    ...{ router, routes, lifecycle },
     settings: requests,
   });
   return unwrap(started).port;
--- a/src/entry/defaults.ts
+++ b/src/entry/defaults.ts
@@ -2,6 +2,7 @@
 import { backendsSchema } from '../backends/index.js';
 import { configurationSchema } from '../configuration/index.js';
 import { controllerSchema } from '../controller/index.js';
+import { jobsSchema } from '../jobs/index.js';
 import { LogLevel } from '../logger/index.js';
 import { membershipSchema } from '../membership/index.js';
 import { operatorsSchema } from '../operators/index.js';
@@ -58,6 +59,7 @@
   peers: section(peersSchema, 'Links to other entry processes'),
   membership: section(membershipSchema, 'Membership'),
   platform: section(platformSchema, 'Platform client'),
+  jobs: section(jobsSchema, 'Jobs'),
   controller: section(controllerSchema, 'Zone controller'),
   operators: section(operatorsSchema, 'Listener for operators'),
 });
--- a/src/entry/operatorDeps.ts
+++ b/src/entry/operatorDeps.ts
@@ -1,9 +1,9 @@
-import { Result } from 'true-myth';
 import { EntityKind, type IndexedConfigView, type Vm } from '../configuration/index.js';
 import { planWave } from '../controller/index.js';
 import type { OperatorDeps, PlannedMaintenance, WaveSelection } from '../operators/index.js';
 import { CutDirection } from '../peers/index.js';
 import { operatorToken } from './identity.js';
+import type { JobParts } from './jobParts.js';
 import type { EntryParts } from './parts.js';
 import type { EntryContext } from './types.js';
 
@@ -17,6 +17,7 @@
 export async function createOperatorDeps(
   ctx: EntryContext,
   parts: EntryParts,
+  jobs: JobParts,
 ): Promise<OperatorDeps> {
   const { store, history, network, membership, state } = parts;
   const { view } = store;
@@ -40,7 +41,7 @@
           network.setCut(target, CutDirection.Both, on);
         }
       : undefined,
-    jobs: () => Promise.resolve(Result.ok([])),
+    jobs: (zone, limit) => jobs.list(zone, limit),
   };
 }
 
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -20,3 +20,4 @@
 export { ResourceModel } from './resourceModel.js';
 export { WorkerHealth } from './workerHealth.js';
 export { jobKeys } from './rows.js';
+export { createJobRoutes, jobErrorInfo, type JobRouteDeps } from './callerRoutes.js';
--- a/src/requests/listener.ts
+++ b/src/requests/listener.ts
@@ -6,6 +6,7 @@
   type Express,
   type Request,
   type Response,
+  type Router,
 } from 'express';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -47,6 +48,8 @@
   host: string;
   /** 0 lets the kernel choose. */
   port: number;
+  /** Further routes for callers, such as those of jobs. */
+  routes?: Router;
 }
 
 /** A listener for callers. */
@@ -182,6 +185,7 @@
     app.set('query parser', false);
     app.post('/v1/request-ids', (req, res) => this.#issueIds(req, res));
     app.use('/v1/services/:service', (req, res) => this.#serve(req, res));
+    if (this.#deps.routes) app.use(this.#deps.routes);
     app.use((req, res) => {
       const message = `no route for ${req.method} ${req.path}`;
       this.#refuse(res, new RequestError(RequestReason.UnknownRoute, message));
