--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,3 +1,4 @@
+import { request } from 'undici';
 import { Outcome } from '../src/peers/index.js';
 import type { StatusAnswer, VmLine } from '../src/operators/index.js';
 import { Deployment, waitFor, type TestEntry } from '../testbed/index.js';
@@ -23,16 +24,16 @@
 }
 
 async function main(deployment: Deployment): Promise<void> {
-  print('1/7 starting the platform and backend stand-ins, and two zones with two entry processes');
+  print('1/8 starting the platform and backend stand-ins, and two zones with two entry processes');
   await deployment.start();
   const [first] = deployment.entries;
   if (!first) throw new Error('no entry process was started');
   await waitFor('all members know each other', () => knowsAll(deployment, first));
 
-  print('2/7 loading the inventory through the command line');
+  print('2/8 loading the inventory through the command line');
   await loadInventory(deployment, first);
 
-  print('3/7 sending short and long requests');
+  print('3/8 sending short and long requests');
   const load = new CallerLoad();
   const urls = () =>
     deployment.entries.filter(({ process }) => !process.hasExited).map(({ callers }) => callers);
@@ -40,16 +41,19 @@
   load.start(urls, 'motions', '/work?ms=400', 2);
   await waitFor('the first 200 answers', () => load.ends.length >= 200);
 
-  print('4/7 repeating a non-idempotent request through other entry processes');
+  print('4/8 repeating a non-idempotent request through other entry processes');
   await repeatRequest(deployment);
 
-  print('5/7 changing a rule');
+  print('5/8 submitting one job');
+  await runJob(first);
+
+  print('6/8 changing a rule');
   await changeRule(deployment, first);
 
-  print('6/7 draining and rebooting one VM under load');
+  print('7/8 draining and rebooting one VM under load');
   await rebootVm(deployment, first);
 
-  print('7/7 killing one entry process under load');
+  print('8/8 killing one entry process under load');
   await killEntry(deployment, first, load);
 
   await load.stop();
@@ -77,7 +81,6 @@
 async function repeatRequest(deployment: Deployment): Promise<void> {
   const [first, second, third] = deployment.entries;
   if (!first || !second || !third) return;
-  const { request } = await import('undici');
   const res = await request(`${first.callers}/v1/request-ids`, {
     method: 'POST',
     headers: { team: 'league', 'content-type': 'application/json' },
@@ -99,6 +102,37 @@
   );
 }
 
+/** Submits a job twice, as a caller does that lost the first answer, and fetches its result. */
+async function runJob(entry: TestEntry): Promise<void> {
+  const headers = { team: 'league', 'content-type': 'application/json' };
+  const job = {
+    ...{ id: 'export-1', kind: 'export', urgent: true, idempotent: true },
+    ...{ cores: 2, memoryMib: 1_024 },
+    payload: { runMs: 300, result: 'archive of the season' },
+  };
+  const start = performance.now();
+  for (const attempt of [1, 2]) {
+    const res = await request(`${entry.callers}/v1/jobs`, {
+      method: 'POST',
+      headers,
+      body: JSON.stringify(job),
+    });
+    print(`    attempt ${attempt}: status ${res.statusCode} ${await res.body.text()}`);
+  }
+  let result = '';
+  await waitFor('the result of the job', async () => {
+    const res = await request(`${entry.callers}/v1/jobs/${job.id}/result`, { headers });
+    const text = await res.body.text();
+    if (res.statusCode === 200) result = text;
+    return res.statusCode === 200;
+  });
+  check(
+    'an accepted job finishes and its result is whole',
+    result.includes('archive of the season'),
+    `${result.length} bytes after ${Math.round(performance.now() - start)} ms`,
+  );
+}
+
 async function totalRuns(deployment: Deployment, id: string): Promise<number> {
   let total = 0;
   for (const vm of deployment.vms) {
