--- a/src/platform/createPlatformClient.spec.ts
+++ b/src/platform/createPlatformClient.spec.ts
@@ -15,7 +15,7 @@
   createPlatformClient,
   PlatformErrorCode,
   platformSchema,
-  RefusalReason,
+  CallRefusalReason,
   type RowPage,
   type PlatformSettings,
 } from './index.js';
@@ -236,7 +236,7 @@
   t.true((await lease.table.transact([], [{ key: 'lease', value: 1 }])).isOk);
   t.is(await count('platform_calls_total', { kind: 'write', purpose: CallPurpose.Job }), 18);
   t.is(await count('platform_calls_total', { kind: 'write', purpose: CallPurpose.Lease }), 1);
-  t.is(await count('platform_refusals_total', { reason: RefusalReason.WriteShare }), 7);
+  t.is(await count('platform_refusals_total', { reason: CallRefusalReason.WriteShare }), 7);
 });
 
 test('calls beyond the concurrency limit are refused', async (t) => {
@@ -254,7 +254,7 @@
   await until(() => arrived === 2);
   const result = await platform.table.get('k');
   t.is(result.isErr ? result.error.code : undefined, PlatformErrorCode.RateLimited);
-  t.is(await count('platform_refusals_total', { reason: RefusalReason.TooManyCalls }), 1);
+  t.is(await count('platform_refusals_total', { reason: CallRefusalReason.TooManyCalls }), 1);
 });
 
 test('an unreachable platform gets no calls but probes, until it answers one', async (t) => {
@@ -266,7 +266,7 @@
   for (let i = 0; i < 3; i += 1) await platform.table.transact([], [{ key: 'k', value: 1 }]);
   const refused = await platform.table.transact([], [{ key: 'k', value: 1 }]);
   t.is(refused.isErr ? refused.error.code : undefined, PlatformErrorCode.Unreachable);
-  t.is(await count('platform_refusals_total', { reason: RefusalReason.Unreachable }), 1);
+  t.is(await count('platform_refusals_total', { reason: CallRefusalReason.Unreachable }), 1);
   t.is(await count('platform_calls_total', {}), 3);
   healthy = true;
   while (reachable.length < 2) await clock.advance(100);
--- a/src/platform/createPlatformClient.ts
+++ b/src/platform/createPlatformClient.ts
@@ -40,7 +40,7 @@
 }
 
 /** Why the client refused a call without sending it. */
-export enum RefusalReason {
+export enum CallRefusalReason {
   ReadShare = 'read_share',
   WriteShare = 'write_share',
   ControlShare = 'control_share',
@@ -170,14 +170,14 @@
     const isLease = purpose === CallPurpose.Lease;
     if (lifecycle.isClosed) {
       return this.#refuse(
-        RefusalReason.Closed,
+        CallRefusalReason.Closed,
         PlatformErrorCode.Unreachable,
         'the client is closed',
       );
     }
     if (!this.#reachability.allowsCalls) {
       return this.#refuse(
-        RefusalReason.Unreachable,
+        CallRefusalReason.Unreachable,
         PlatformErrorCode.Unreachable,
         'the platform does not answer',
       );
@@ -185,7 +185,7 @@
     const limit = settings.maxConcurrent + settings.maxWaiting;
     if (!isLease && this.#inFlight >= limit) {
       const message = `${limit} calls are already under way`;
-      return this.#refuse(RefusalReason.TooManyCalls, PlatformErrorCode.RateLimited, message);
+      return this.#refuse(CallRefusalReason.TooManyCalls, PlatformErrorCode.RateLimited, message);
     }
     if (!this.#shares[kind].take(isLease)) {
       const message = `the share of ${kind} calls per second is spent`;
@@ -194,7 +194,7 @@
     return undefined;
   }
 
-  #refuse(reason: RefusalReason, code: PlatformErrorCode, message: string): PlatformError {
+  #refuse(reason: CallRefusalReason, code: PlatformErrorCode, message: string): PlatformError {
     this.#refusals.inc({ reason });
     return new PlatformError(code, message);
   }
@@ -219,10 +219,10 @@
   }
 }
 
-const shareReasons: Record<CallKind, RefusalReason> = {
-  [CallKind.Read]: RefusalReason.ReadShare,
-  [CallKind.Write]: RefusalReason.WriteShare,
-  [CallKind.Control]: RefusalReason.ControlShare,
+const shareReasons: Record<CallKind, CallRefusalReason> = {
+  [CallKind.Read]: CallRefusalReason.ReadShare,
+  [CallKind.Write]: CallRefusalReason.WriteShare,
+  [CallKind.Control]: CallRefusalReason.ControlShare,
 };
 
 function readAnswer<T>(call: Call<T>, id: string, answer: HttpAnswer): Result<T, PlatformError> {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,7 +1,7 @@
 export * from './types.js';
 export {
   createPlatformClient,
-  RefusalReason,
+  CallRefusalReason,
   type PlatformClientDeps,
 } from './createPlatformClient.js';
 export { platformSchema, type PlatformSettings } from './defaults.js';
--- /dev/null
+++ b/tools/knownRed.spec.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import { judge, parseKnownRed, parseTapLine } from './knownRed.js';
+
+const text = `test: scheduler › is fair
+command: npx ava dist/src/scheduling/scheduler.spec.js
+seed: 7
+seen: one team waits for ever
+issue: 4
+`;
+
+const cases = [
+  {
+    title: 'a known failure is passed over',
+    lines: ['ok 1 - a', 'not ok 2 - scheduler › is fair'],
+    failed: [],
+    known: 1,
+    outdated: 0,
+  },
+  {
+    title: 'an unknown failure fails the run',
+    lines: ['not ok 1 - scheduler › is fair too'],
+    failed: ['scheduler › is fair too'],
+    known: 0,
+    outdated: 1,
+  },
+  {
+    title: 'an entry whose test passes is reported',
+    lines: ['ok 1 - scheduler › is fair'],
+    failed: [],
+    known: 0,
+    outdated: 1,
+  },
+];
+
+// Guards against a test run that passes over more than what KNOWN-RED.txt lists.
+for (const { title, lines, failed, known, outdated } of cases) {
+  test(title, (t) => {
+    const results = lines.flatMap((line) => parseTapLine(line) ?? []);
+    const verdict = judge(results, parseKnownRed(text));
+    t.deepEqual(verdict.failed, failed);
+    t.is(verdict.known.length, known);
+    t.is(verdict.outdated.length, outdated);
+  });
+}
