--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici';
-import { Outcome } from '../src/peers/index.js';
+import type { Outcome } from '../src/peers/index.js';
+import { outcomeOf } from '../testbed/index.js';
 
 /** What one caller request ended with. */
 export interface CallEnd {
@@ -35,7 +36,7 @@
     const body = text === '' ? {} : (JSON.parse(text) as BackendBody);
     return {
       requestId,
-      outcome: res.headers.outcome as Outcome | undefined,
+      outcome: outcomeOf(res.headers.outcome),
       status: res.statusCode,
       isWhole: res.statusCode === 200 && body.requestId === requestId,
       elapsedMs: performance.now() - start,
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,4 +1,5 @@
 import { request } from 'undici';
+import { ExitCode } from '../src/errors/index.js';
 import { Outcome } from '../src/peers/index.js';
 import type { StatusAnswer, VmLine } from '../src/operators/index.js';
 import { Deployment, waitFor, type TestEntry } from '../testbed/index.js';
@@ -70,7 +71,8 @@
 async function loadInventory(deployment: Deployment, entry: TestEntry): Promise<void> {
   const file = await deployment.writeInventory(deployment.inventory());
   const applied = await deployment.cli(entry, 'apply', file, '--wait');
-  if (applied.exitCode !== 0) throw new Error(`apply failed: ${applied.errors.join(' ')}`);
+  if (applied.exitCode !== ExitCode.Success)
+    throw new Error(`apply failed: ${applied.errors.join(' ')}`);
   print(`    ${applied.output.slice(-2).join('; ')}`);
   await waitFor('backends serve', async () => {
     const end = await callService(entry.callers, 'motions', '/work?ms=1');
@@ -176,7 +178,8 @@
   const vm = deployment.vms.find(({ pool }) => pool === 'motions');
   if (!vm) return;
   const started = await deployment.cli(entry, 'maintenance', 'start', 'patch', '--vm', vm.id);
-  if (started.exitCode !== 0) throw new Error(`maintenance failed: ${started.errors.join(' ')}`);
+  if (started.exitCode !== ExitCode.Success)
+    throw new Error(`maintenance failed: ${started.errors.join(' ')}`);
   const stateOf = async () => {
     const lines = await deployment.cliJson<VmLine[]>(entry, 'vms', '--pool', vm.pool);
     return lines.find((line) => line.vm === vm.id)?.stop;
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -1,3 +1,4 @@
+import { ExitCode } from '../../errors/index.js';
 import { createHash } from 'node:crypto';
 import { systemClock } from '../../clock/index.js';
 import type { Commit, ConfigSnapshot } from '../../configuration/index.js';
@@ -12,7 +13,6 @@
 import { authorOf } from './listings.js';
 import {
   CliError,
-  ExitCode,
   type CommandDefinition,
   type CommandFlags,
   type CommandOutput,
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,7 +1,8 @@
+import { ExitCode } from '../../errors/index.js';
 import { entrySettingsSchema } from '../../entry/index.js';
 import { readInventory } from '../../inventory/index.js';
 import { readYamlFile } from '../../settings/index.js';
-import { CliError, ExitCode, type CommandDefinition } from '../types.js';
+import { CliError, type CommandDefinition } from '../types.js';
 
 /** Names of files that hold settings of an entry process rather than an inventory. */
 const SETTINGS_FLAG = '--config';
--- a/src/cli/commands/entry.ts
+++ b/src/cli/commands/entry.ts
@@ -1,6 +1,7 @@
+import { ExitCode } from '../../errors/index.js';
 import { entrySettingsSchema, runEntryProcess } from '../../entry/index.js';
 import { readYamlFile } from '../../settings/index.js';
-import { CliError, ExitCode, type CommandDefinition } from '../types.js';
+import { CliError, type CommandDefinition } from '../types.js';
 
 /** Runs an entry process until it is told to stop. */
 export const entryCommand: CommandDefinition = {
@@ -17,6 +18,6 @@
       output.printError(settings.error.message);
       return ExitCode.Usage;
     }
-    return (await runEntryProcess(settings.value.value)) as number as ExitCode;
+    return runEntryProcess(settings.value.value);
   },
 };
--- a/src/cli/commands/listings.ts
+++ b/src/cli/commands/listings.ts
@@ -1,10 +1,10 @@
+import { ExitCode } from '../../errors/index.js';
 import type { ConfigDelta, Wave } from '../../configuration/index.js';
 import type { JobLine, PoolStatus, StatusAnswer, VmLine } from '../../operators/index.js';
 import { createOperatorClient } from '../operatorClient.js';
 import { renderTable } from '../table.js';
 import {
   CliError,
-  ExitCode,
   type CommandDefinition,
   type CommandFlags,
   type CommandOutput,
--- a/src/cli/commands/maintenance.ts
+++ b/src/cli/commands/maintenance.ts
@@ -1,9 +1,9 @@
+import { ExitCode } from '../../errors/index.js';
 import { WaveState, type Wave } from '../../configuration/index.js';
 import type { PlannedMaintenance, WaveSelection } from '../../operators/index.js';
 import { createOperatorClient, type OperatorClient } from '../operatorClient.js';
 import {
   CliError,
-  ExitCode,
   type CommandDefinition,
   type CommandFlags,
   type CommandInput,
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,3 +1,4 @@
 export { commands } from './commands/index.js';
 export { runCli } from './runCli.js';
-export { CliError, ExitCode, type CommandDefinition, type CommandOutput } from './types.js';
+export { CliError, type CommandDefinition, type CommandOutput } from './types.js';
+export { ExitCode } from '../errors/index.js';
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -1,8 +1,8 @@
 import { readFile } from 'node:fs/promises';
 import { request } from 'undici';
-import { messageOf } from '../errors/index.js';
+import { ExitCode, messageOf } from '../errors/index.js';
 import { OperatorErrorCode } from '../operators/index.js';
-import { CliError, ExitCode, type CommandFlags } from './types.js';
+import { CliError, type CommandFlags } from './types.js';
 
 /** Environment variables read by the command line. */
 const OPERATOR_ENV = 'BURDOCKNOTCH_OPERATOR';
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -1,7 +1,7 @@
 import meow from 'meow';
-import { messageOf } from '../errors/index.js';
+import { ExitCode, messageOf } from '../errors/index.js';
 import { commands } from './commands/index.js';
-import { CliError, ExitCode, type CommandDefinition, type CommandOutput } from './types.js';
+import { CliError, type CommandDefinition, type CommandOutput } from './types.js';
 
 const OVERVIEW = `
 Usage: burdocknotch COMMAND [options]
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,6 +1,6 @@
 export { entrySettingsSchema, type EntrySettings } from './defaults.js';
 export { createEntryProcess } from './createEntryProcess.js';
-export { EntryExit, runEntryProcess } from './runEntryProcess.js';
+export { runEntryProcess } from './runEntryProcess.js';
 export {
   EntryError,
   EntryErrorCode,
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -39,7 +39,7 @@
   probes: VmProbes;
   state: ProcessState;
   /** Checks a change set, commits it and brings it into force here. */
-  commit(base: number, changeSet: ChangeSet): Promise<Result<Commit, ConfigError>>;
+  commit: (base: number, changeSet: ChangeSet) => Promise<Result<Commit, ConfigError>>;
 }
 
 /**
--- a/src/entry/runEntryProcess.ts
+++ b/src/entry/runEntryProcess.ts
@@ -1,5 +1,5 @@
 import { systemClock } from '../clock/index.js';
-import { toError } from '../errors/index.js';
+import { ExitCode, toError } from '../errors/index.js';
 import { createEventBus } from '../events/index.js';
 import { createLogger, type Logger } from '../logger/index.js';
 import { Metrics } from '../metrics/index.js';
@@ -8,22 +8,12 @@
 import type { EntrySettings } from './defaults.js';
 import type { EntryContext, EntryProcess } from './types.js';
 
-/** How an entry process ended; the values are exit codes of the program. */
-export enum EntryExit {
-  /** Graceful shutdown after a signal. */
-  Stopped = 0,
-  /** The process could not be started, or its shutdown failed. */
-  Failed = 1,
-  /** A supervised child kept failing. */
-  ChildFailed = 70,
-}
-
 /**
  * Runs an entry process until SIGTERM or SIGINT, or until a child keeps failing.
  *
  * @returns the exit code
  */
-export async function runEntryProcess(settings: EntrySettings): Promise<EntryExit> {
+export async function runEntryProcess(settings: EntrySettings): Promise<ExitCode> {
   const logger = await createLogger({ level: settings.logLevel });
   const ctx: EntryContext = {
     settings,
@@ -39,10 +29,10 @@
     entry = await createEntryProcess(ctx);
   } catch (err) {
     logger.error({ event: 'start_failed', error: toError(err).message });
-    return EntryExit.Failed;
+    return ExitCode.Unexpected;
   }
   const exit = await Promise.race([
-    stopRequested.then(() => EntryExit.Stopped),
+    stopRequested.then(() => ExitCode.Success),
     entry.failed.catch((err: unknown) => childFailed(logger, err)),
   ]);
   try {
@@ -50,13 +40,13 @@
     return exit;
   } catch (err) {
     logger.error({ event: 'stop_failed', error: toError(err).message });
-    return exit === EntryExit.Stopped ? EntryExit.Failed : exit;
+    return exit === ExitCode.Success ? ExitCode.Unexpected : exit;
   }
 }
 
-function childFailed(logger: Logger, err: unknown): EntryExit {
+function childFailed(logger: Logger, err: unknown): ExitCode {
   logger.error({ event: 'child_keeps_failing', error: toError(err).message });
-  return EntryExit.ChildFailed;
+  return ExitCode.ChildFailed;
 }
 
 function nextSignal(): Promise<void> {
--- a/src/operators/deps.ts
+++ b/src/operators/deps.ts
@@ -66,13 +66,13 @@
   readiness(): Readiness;
   snapshot(): ConfigSnapshot;
   /** Checks, commits and publishes a change set decided against version `base`. */
-  commit(base: number, changeSet: ChangeSet): Promise<Result<Commit, ConfigError>>;
+  commit: (base: number, changeSet: ChangeSet) => Promise<Result<Commit, ConfigError>>;
   /** Version as which a change id was committed; undefined when it was not. */
   committedVersion(changeId: string): PlatformResult<number | undefined>;
   /** Newest committed versions, oldest first. */
   history(limit: number): PlatformResult<ConfigDelta[]>;
   planWaves(id: string, selection: WaveSelection): PlannedMaintenance;
   /** Cuts or heals peer links; only where the settings allow faults. */
-  setCut?(memberOrZone: string, on: boolean): void;
+  setCut?: (memberOrZone: string, on: boolean) => void;
   jobs(zone: string, limit: number): PlatformResult<JobLine[]>;
 }
--- a/testbed/faults.spec.ts
+++ b/testbed/faults.spec.ts
@@ -72,7 +72,7 @@
 
 interface FaultCase {
   title: string;
-  run(t: ExecutionContext, bed: Bed): Promise<void>;
+  run: (t: ExecutionContext, bed: Bed) => Promise<void>;
 }
 
 const cases: FaultCase[] = [
--- a/testbed/requests.ts
+++ b/testbed/requests.ts
@@ -2,6 +2,7 @@
 import { Outcome } from '../src/peers/index.js';
 import { expectedAnswer, RequestHistory, type ObservedEnd } from '../src/testing/index.js';
 import type { Deployment, TestEntry } from './deployment.js';
+import { outcomeOf } from './outcomes.js';
 
 /** Longest wait for an answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 60_000;
@@ -44,7 +45,7 @@
         bodyTimeout: ANSWER_TIMEOUT_MS,
       });
       const text = await res.body.text();
-      const outcome = res.headers.outcome as Outcome;
+      const outcome = outcomeOf(res.headers.outcome) ?? Outcome.Unknown;
       if (outcome !== Outcome.Answered) return { outcome };
       const isOwn = (JSON.parse(text) as { requestId?: string }).requestId === requestId;
       return { outcome, body: isOwn ? expectedAnswer(requestId) : text };
