Explore random histories of the zone controller and share budget counts

A pool that is broken in one rack lets no VM go from another rack either. Counts are made once a version and shared. A VM without an executor is not probed; a VM that left the list while leaving stays away.

--- a/src/controller/budget.ts
+++ b/src/controller/budget.ts
@@ -147,6 +147,25 @@
   return services;
 }
 
+/** Reading the budgets at one version. */
+export type BudgetReport = Pick<Budget, 'count' | 'broken' | 'slack'>;
+
+/** Creates a reader of budgets that counts a pool once for a version and set of silent zones. */
+export function createBudgetReader(
+  silentZones: () => ReadonlySet<string>,
+): (view: ConfigView) => BudgetReport {
+  let last:
+    { view: ConfigView; version: number; silent: ReadonlySet<string>; budget: Budget } | undefined;
+  return (view) => {
+    const silent = silentZones();
+    const { version } = view;
+    if (last?.view !== view || last.version !== version || last.silent !== silent) {
+      last = { view, version, silent, budget: new Budget(view, { silentZones: silent }) };
+    }
+    return last.budget;
+  };
+}
+
 /**
  * The budgets at one version, with the permits that one decision grants on top. It must be used
  * within one synchronous step, since the view advances.
@@ -157,6 +176,8 @@
   readonly #reserve: number;
   readonly #counts = new Map<string, PoolCount>();
   readonly #granted = new Set<string>();
+  /** Rule of a pool that was broken before any permit of this decision. */
+  readonly #brokenBefore = new Map<string, BudgetError | undefined>();
   #services: Map<string, Service[]> | undefined;
 
   constructor(view: ConfigView, options: BudgetOptions) {
@@ -231,9 +252,17 @@
     return this.#services.get(pool) ?? [];
   }
 
-  /** The first rule that is broken when the VM goes too. */
+  /**
+   * The first rule that is broken when the VM goes too. A pool that is broken anywhere lets no VM
+   * go, not even from another rack.
+   */
   #brokenBy(pool: Pool, vm: Vm): BudgetError | undefined {
     const count = this.count(pool.id);
+    if (!this.#brokenBefore.has(pool.id)) {
+      this.#brokenBefore.set(pool.id, this.#firstBroken(pool, count, 0));
+    }
+    const before = this.#brokenBefore.get(pool.id);
+    if (before) return before;
     const whole = this.#brokenTotals(pool, count, 1 + this.#reserve, slotsOf(vm));
     if (whole) return whole;
     const rack = rackKey(vm);
--- a/src/controller/commit.ts
+++ b/src/controller/commit.ts
@@ -69,8 +69,9 @@
       return Result.err(new ControllerError(ControllerErrorCode.Invalid, failure.message, failure));
     }
     if (failure.code === ConfigErrorCode.ConditionFailed) await ctx.lease.recheck();
-    if (failure.code === ConfigErrorCode.Conflict) await catchUp(ctx);
-    await backOff(ctx, attempt);
+    const isConflict = failure.code === ConfigErrorCode.Conflict;
+    if (isConflict) await catchUp(ctx);
+    await backOff(ctx, attempt, isConflict ? ctx.settings.conflictMaxMs : ctx.settings.retryMaxMs);
   }
 }
 
@@ -131,8 +132,11 @@
 }
 
 /** Exponential backoff with full jitter. */
-async function backOff(ctx: ControllerContext, attempt: number): Promise<void> {
-  const { retryBaseMs, retryMaxMs } = ctx.settings;
-  const ceiling = Math.min(retryMaxMs, retryBaseMs * 2 ** Math.min(attempt, 20));
+async function backOff(
+  ctx: ControllerContext,
+  attempt: number,
+  maxMs = ctx.settings.retryMaxMs,
+): Promise<void> {
+  const ceiling = Math.min(maxMs, ctx.settings.retryBaseMs * 2 ** Math.min(attempt, 20));
   await ctx.clock.sleep(ctx.random.next() * ceiling, ctx.signal);
 }
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -1,4 +1,5 @@
 import { EntityKind } from '../configuration/index.js';
+import { createBudgetReader } from './budget.js';
 import { createSerialise } from './serialise.js';
 import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
 import type { ZoneReports } from './zoneReports.js';
@@ -16,6 +17,7 @@
     lease,
     signal,
     silentZones: reports.silentZones,
+    budgetAt: createBudgetReader(reports.silentZones),
     mayGrant: reports.isComplete,
     serialise: createSerialise(),
     nextChangeId: () => {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { EntityKind, MoveState } from '../configuration/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
-import { AwayReason, Budget } from './budget.js';
+import { AwayReason } from './budget.js';
 import { catchUp } from './commit.js';
 import { createContext, isOfZone } from './context.js';
 import { runDrainSweep } from './drainSweep.js';
@@ -90,7 +90,7 @@
 /** Reports what is away and the buffer of each pool. */
 function recordGauges(ctx: ControllerContext): void {
   const { view } = ctx.config;
-  const budget = new Budget(view, { silentZones: ctx.silentZones() });
+  const budget = ctx.budgetAt(view);
   for (const { id: pool } of view.list(EntityKind.Pool)) {
     const { byReason } = budget.count(pool);
     for (const reason of Object.values(AwayReason)) {
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -22,6 +22,7 @@
   servicesByPool,
   slotsOf,
   type BudgetOptions,
+  type BudgetReport,
   type PoolCount,
 } from './budget.js';
 export { catchUp, commitDecision, type Decide, type Decided } from './commit.js';
--- a/src/controller/moves.ts
+++ b/src/controller/moves.ts
@@ -91,7 +91,7 @@
 
 /** Why a move that drains is to be undone. */
 export function whyUndo(
-  ctx: Pick<ControllerContext, 'silentZones'>,
+  ctx: Pick<ControllerContext, 'budgetAt'>,
   view: ConfigView,
   move: Move,
 ): UndoReason | undefined {
@@ -100,7 +100,7 @@
   if ((view.get(EntityKind.VmStatus, move.id)?.state ?? VmState.Up) !== VmState.Up) {
     return UndoReason.NotUp;
   }
-  const budget = new Budget(view, { silentZones: ctx.silentZones() });
+  const budget = ctx.budgetAt(view);
   const isSourceAtRisk = budget.broken(move.from) && !budget.broken(move.to);
   return isSourceAtRisk ? UndoReason.SourceAtRisk : undefined;
 }
--- a/src/controller/stops.ts
+++ b/src/controller/stops.ts
@@ -187,7 +187,7 @@
 
 /** Why a stop that has not reached Stopping is to be cancelled. */
 export function whyCancel(
-  ctx: Pick<ControllerContext, 'silentZones'>,
+  ctx: Pick<ControllerContext, 'budgetAt'>,
   view: ConfigView,
   vm: string,
 ): BudgetError | VmState | undefined {
@@ -196,7 +196,7 @@
   if (state === VmState.Leaving) return state;
   const pool = view.poolOf(vm);
   if (pool === undefined) return undefined;
-  return new Budget(view, { silentZones: ctx.silentZones() }).broken(pool);
+  return ctx.budgetAt(view).broken(pool);
 }
 
 async function drainForStop(ctx: ControllerContext, vm: string): Promise<DrainEnd> {
@@ -308,6 +308,8 @@
     await ctx.platform.pools.cancelDrain(vm);
     return false;
   }
+  // A VM without an executor has nothing to probe.
+  if (!ctx.config.view.get(EntityKind.Vm, vm)?.executor) return true;
   return (await ctx.probe(vm)) === ProbeResult.Healthy;
 }
 
--- a/src/controller/types.ts
+++ b/src/controller/types.ts
@@ -7,6 +7,7 @@
 import type { Condition, PlatformClient } from '../platform/index.js';
 import type { Random } from '../random/index.js';
 import type { Result } from 'true-myth';
+import type { BudgetReport } from './budget.js';
 import type { ControllerSettings } from './defaults.js';
 import type { ControllerMetrics } from './metrics.js';
 import type { Serialise } from './serialise.js';
@@ -100,6 +101,8 @@
   lease: HeldLease;
   /** Zones whose controller has been silent for longer than `reportTtlMs`; a new set on a change. */
   silentZones: () => ReadonlySet<string>;
+  /** The bare budgets at the view's version, counted once a version. Permits are not granted on it. */
+  budgetAt: (view: ConfigView) => BudgetReport;
   /** False until the reports of all zones are known; no permit is granted before. */
   mayGrant: () => boolean;
   /** Aborted when the lease is lost or the process shuts down. */
--- a/src/controller/vmStatus.spec.ts
+++ b/src/controller/vmStatus.spec.ts
@@ -17,6 +17,7 @@
     listed?: ListedVmState;
     probe: ProbeResult;
     stop?: StopState;
+    hasNoExecutor?: boolean;
     becomes: VmState;
   }[] = [
     { listed: Live, probe: Healthy, becomes: VmState.Up },
@@ -27,6 +28,15 @@
     { listed: Leaving, probe: Failed, becomes: VmState.Leaving },
     { listed: undefined, probe: Healthy, becomes: VmState.Up },
     { listed: undefined, probe: Unknown, becomes: VmState.Unreachable },
+    { recorded: VmState.Leaving, listed: undefined, probe: Healthy, becomes: VmState.Leaving },
+    { recorded: VmState.Leaving, listed: Live, probe: Unknown, becomes: VmState.Leaving },
+    {
+      recorded: VmState.Leaving,
+      listed: Live,
+      probe: Unknown,
+      hasNoExecutor: true,
+      becomes: VmState.Up,
+    },
     { recorded: VmState.Failed, listed: Live, probe: Unknown, becomes: VmState.Failed },
     { recorded: VmState.Leaving, listed: Live, probe: Healthy, becomes: VmState.Up },
     { recorded: VmState.Failed, listed: Live, probe: Healthy, becomes: VmState.Up },
@@ -36,13 +46,17 @@
     { listed: Live, probe: Unreachable, stop: StopState.Draining, becomes: VmState.Unreachable },
     { listed: Leaving, probe: Unreachable, stop: StopState.Stopping, becomes: VmState.Leaving },
   ];
-  for (const { recorded, listed, probe, stop, becomes } of cases) {
+  for (const { recorded, listed, probe, stop, hasNoExecutor, becomes } of cases) {
     const view = new MemoryView();
     view.apply(FLEET);
     const changes: EntityChange[] = [];
     if (recorded) {
       changes.push({ kind: EntityKind.VmStatus, id: VM, value: { id: VM, state: recorded } });
     }
+    const vm = view.get(EntityKind.Vm, VM);
+    if (hasNoExecutor && vm) {
+      changes.push({ kind: EntityKind.Vm, id: VM, value: { ...vm, executor: undefined } });
+    }
     if (stop) {
       changes.push({ kind: EntityKind.Stop, id: VM, value: { id: VM, wave: 'w', state: stop } });
     }
--- a/src/controller/vmStatus.ts
+++ b/src/controller/vmStatus.ts
@@ -29,7 +29,8 @@
   for (const vm of view.list(EntityKind.Vm)) {
     if (vm.zone !== seen.zone) continue;
     const recorded = view.get(EntityKind.VmStatus, vm.id)?.state ?? VmState.Up;
-    const state = observedState(view, vm, listed.get(vm.id), seen.lastProbe(vm.id)) ?? recorded;
+    const signs = { listed: listed.get(vm.id), probe: seen.lastProbe(vm.id) };
+    const state = observedState(view, vm, recorded, signs) ?? recorded;
     if (state === recorded) continue;
     const value = state === VmState.Up ? undefined : { id: vm.id, state };
     changes.push({ kind: EntityKind.VmStatus, id: vm.id, value });
@@ -37,19 +38,28 @@
   return changes;
 }
 
+interface Signs {
+  listed: ListedVmState | undefined;
+  probe: ProbeResult;
+}
+
 /** The state that the signs show; undefined when they are not enough to change what is recorded. */
 function observedState(
   view: ConfigView,
   vm: Vm,
-  listed: ListedVmState | undefined,
-  probe: ProbeResult,
+  recorded: VmState,
+  { listed, probe }: Signs,
 ): VmState | undefined {
   if (listed === ListedVmState.Leaving) return VmState.Leaving;
+  // A VM that left is dropped from the list before its last good probe is out of date.
+  if (recorded === VmState.Leaving && listed === undefined) return undefined;
   const stop = view.get(EntityKind.Stop, vm.id)?.state;
   if (stop !== undefined && SILENT_BY_PLAN.has(stop)) return undefined;
   if (probe === ProbeResult.Failed) return VmState.Failed;
   if (probe === ProbeResult.Unreachable) return VmState.Unreachable;
   if (probe === ProbeResult.Healthy) return VmState.Up;
+  // A VM without an executor is never probed.
+  if (listed === ListedVmState.Live && !vm.executor) return VmState.Up;
   // The list lags, so a VM that is missing from it is gone only if no probe has reached it either.
   return listed === undefined ? VmState.Unreachable : undefined;
 }
--- a/src/controller/waves.ts
+++ b/src/controller/waves.ts
@@ -5,7 +5,7 @@
   type EntityChange,
   type Wave,
 } from '../configuration/index.js';
-import { Budget, type BudgetError } from './budget.js';
+import type { BudgetError, BudgetReport } from './budget.js';
 import { commitDecision } from './commit.js';
 import { isOfZone } from './context.js';
 import { grantStops, type StopRequest } from './stops.js';
@@ -54,7 +54,7 @@
 }
 
 /** The first broken rule of the pools of a wave's pending VMs. */
-function riskOf(view: ConfigView, budget: Budget, wave: Wave): BudgetError | undefined {
+function riskOf(view: ConfigView, budget: BudgetReport, wave: Wave): BudgetError | undefined {
   const pools = new Set(pendingVms(wave).map((vm) => view.poolOf(vm)));
   for (const pool of pools) {
     const broken = pool === undefined ? undefined : budget.broken(pool);
@@ -66,7 +66,7 @@
 async function pauseAtRisk(ctx: ControllerContext): Promise<void> {
   let risks: BudgetError[] = [];
   const decided = await commitDecision(ctx, 'wave_pause', (view) => {
-    const budget = new Budget(view, { silentZones: ctx.silentZones() });
+    const budget = ctx.budgetAt(view);
     risks = [];
     return wavesIn(view, WaveState.Running).flatMap((wave): EntityChange[] => {
       const risk = riskOf(view, budget, wave);
@@ -105,7 +105,7 @@
 
 /** Waves that a controller paused and whose budgets hold. */
 function calmWaves(ctx: ControllerContext, view: ConfigView): Wave[] {
-  const budget = new Budget(view, { silentZones: ctx.silentZones() });
+  const budget = ctx.budgetAt(view);
   return wavesIn(view, WaveState.Paused)
     .filter(({ pausedByController }) => pausedByController === true)
     .filter((wave) => !riskOf(view, budget, wave));
--- a/src/testing/controllerRig.ts
+++ b/src/testing/controllerRig.ts
@@ -3,6 +3,7 @@
   MoveState,
   StopState,
   type ConfigDelta,
+  type ConfigHistory,
   type EntityChange,
   type Pool,
   type Service,
@@ -12,9 +13,11 @@
   Budget,
   controllerDefaults,
   createControllerMetrics,
+  leaseKey,
   ProbeResult,
   runZoneController,
   type ControllerSettings,
+  type LeaseRow,
   type ZoneControllerDeps,
 } from '../controller/index.js';
 import { createEventBus } from '../events/index.js';
@@ -97,9 +100,13 @@
 export interface RigProcessOptions {
   faultOf?: (call: PlatformCall) => CallFault;
   pauseMs?: number;
+  /** Time that each call to the platform takes before its effect. */
+  delayMs?: number;
   vacate?: (vm: string) => Promise<boolean>;
   inFlight?: (vm: string) => number;
   members?: () => Member[];
+  /** Replaces the history, to show that a check finds a broken one. */
+  history?: (history: ConfigHistory) => ConfigHistory;
 }
 
 /** Several zone controllers over one fake platform under virtual time. */
@@ -108,6 +115,8 @@
   readonly platform = new FakePlatform(this.clock);
   /** Result of probes of VMs that are not healthy. */
   readonly sick = new Map<string, ProbeResult>();
+  /** Change ids that were committed by a holder that had lost its lease. */
+  readonly lateCommits: string[] = [];
   readonly #history = createTableHistory(this.platform.client().table);
   readonly #settings: ControllerSettings;
   readonly #lifecycles: Lifecycle[] = [];
@@ -139,18 +148,21 @@
   /** Starts an entry process that contends for the controller lease of its zone. */
   start(zone: string, name: string, options: RigProcessOptions = {}) {
     const { clock } = this;
-    const platform = interceptPlatform(this.platform.client(), {
+    const faults = { down: false, loseAnswers: 0, delayMs: options.delayMs ?? 0 };
+    const platform = interceptPlatform(this.platform.client(faults), {
       clock,
       pauseMs: options.pauseMs ?? 3 * this.#settings.leaseTtlMs,
       faultOf: options.faultOf ?? (() => CallFault.None),
     });
     const view = new MemoryView();
+    const correct = createTableHistory(platform.table);
+    const history = options.history?.(correct) ?? correct;
     const metrics = new Metrics();
     const lifecycle = new Lifecycle(name);
     const deps: ZoneControllerDeps = {
       zone,
       holder: name,
-      config: { view, adopt: view.adopt, history: createTableHistory(platform.table) },
+      config: { view, adopt: view.adopt, history: this.#recordLate(zone, history) },
       platform,
       membership: fakeMembership(zone, name, options.members),
       clock,
@@ -170,6 +182,19 @@
     return { deps, view, metrics, lifecycle, platform: platform satisfies PlatformClient };
   }
 
+  /** Notes commits that took effect under an epoch that has been taken over. */
+  #recordLate(zone: string, history: ConfigHistory): ConfigHistory {
+    const commit: ConfigHistory['commit'] = async (base, changeSet, extra) => {
+      const committed = await history.commit(base, changeSet, extra);
+      const lease = this.platform.rows.get(leaseKey(zone))?.value as LeaseRow | undefined;
+      const isOld = Number(changeSet.changeId.split('/')[2]) !== lease?.epoch;
+      const isNew = committed.isOk && !committed.value.alreadyApplied;
+      if (isOld && isNew) this.lateCommits.push(changeSet.changeId);
+      return committed;
+    };
+    return { ...history, commit };
+  }
+
   /** Advances time in steps until the condition holds at the newest version. */
   async until(
     condition: (view: MemoryView) => boolean,
