--- a/model/replay.spec.ts
+++ b/model/replay.spec.ts
@@ -2,8 +2,7 @@
 import {
   AdoptionSource,
   ConfigErrorCode,
-  configHistoryDefaults,
-  configStoreDefaults,
+  configurationDefaults,
   createConfigHistory,
   createConfigStore,
   EntityKind,
@@ -70,8 +69,8 @@
     const metrics = new Metrics();
     const table = this.#table(loseAnswer);
     return {
-      store: createConfigStore({ events: createEventBus(), metrics, ...configStoreDefaults }),
-      history: createConfigHistory(table, { ...shared, metrics, ...configHistoryDefaults }),
+      store: createConfigStore({ events: createEventBus(), metrics, ...configurationDefaults }),
+      history: createConfigHistory(table, { ...shared, metrics, ...configurationDefaults }),
       epoch: 0,
       loseAnswer,
     };
