--- /dev/null
+++ b/src/cli/runCli.spec.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import { commands, ExitCode, runCli } from './index.js';
+
+async function run(...argv: string[]) {
+  const output: string[] = [];
+  const errors: string[] = [];
+  const exitCode = await runCli(argv, {
+    print: (line) => output.push(line),
+    printError: (line) => errors.push(line),
+  });
+  return { exitCode, output: output.join('\n'), errors: errors.join('\n') };
+}
+
+const UNUSED = 'http://127.0.0.1:1';
+
+const cases = [
+  { title: 'no command', argv: [], exitCode: ExitCode.Usage, text: /Commands:/ },
+  {
+    title: 'an unknown command',
+    argv: ['nope'],
+    exitCode: ExitCode.Usage,
+    text: /unknown command "nope"/,
+  },
+  {
+    title: 'apply without a file',
+    argv: ['apply'],
+    exitCode: ExitCode.Usage,
+    text: /needs a FILE/,
+  },
+  {
+    title: 'a file that does not exist',
+    argv: ['check', 'missing.yaml'],
+    exitCode: ExitCode.Usage,
+    text: /missing\.yaml: cannot be read/,
+  },
+  {
+    title: 'an operator listener that does not answer',
+    argv: ['status', '--operator', UNUSED],
+    exitCode: ExitCode.NotFound,
+    text: /no answer from the operator listener/,
+  },
+  {
+    title: 'an unknown maintenance action',
+    argv: ['maintenance', 'stop', '--operator', UNUSED],
+    exitCode: ExitCode.Usage,
+    text: /expected one of list, plan, start, pause, resume/,
+  },
+];
+
+// Guards against scripts that mistake a failure for success.
+for (const { title, argv, exitCode, text } of cases) {
+  test(`${title} ends with exit code ${exitCode}`, async (t) => {
+    const result = await run(...argv);
+    t.is(result.exitCode, exitCode);
+    t.regex(result.output + result.errors, text);
+  });
+}
+
+for (const id of commands.keys()) {
+  test(`${id} --help shows usage and examples`, async (t) => {
+    const { exitCode, output } = await run(id, '--help');
+    t.is(exitCode, ExitCode.Success);
+    t.regex(output, new RegExp(`burdocknotch ${id}`));
+    t.regex(output, /Examples:/);
+  });
+}
--- a/src/inventory/readInventory.ts
+++ b/src/inventory/readInventory.ts
@@ -37,7 +37,7 @@
     return {
       file,
       line: yaml.lineOf(path),
-      path: `${problem.kind} ${problem.id}`,
+      path: '',
       message: problem.message,
     };
   });
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -26,8 +26,9 @@
   readonly problems: readonly SettingsProblem[];
 
   constructor(code: SettingsErrorCode, problems: readonly SettingsProblem[]) {
-    super(code, problems.map(formatProblem).join('\n'));
-    this.problems = problems;
+    const sorted = [...problems].sort((a, b) => a.line - b.line);
+    super(code, sorted.map(formatProblem).join('\n'));
+    this.problems = sorted;
   }
 }
 
