--- a/src/jobs/jobFleet.spec.ts
+++ b/src/jobs/jobFleet.spec.ts
@@ -112,7 +112,7 @@
 
 /** Cancels a wave of jobs; returns table reads and writes and the start of an urgent job. */
 function cancelWave(count: number, settings: JobZoneOptions['settings'] = {}) {
-  return withController({ workers: 4, settings }, async (zone) => {
+  return withController({ workers: 4, settings, tableLatencyMs: 50 }, async (zone) => {
     const ids = idList(count);
     for (const id of ids) await zone.submit(id, { runMs: 600_000 });
     await zone.clock.advance(10_000);
@@ -124,8 +124,17 @@
     const cancelled = await countIn(zone, ids, JobState.Cancelled);
     const running = zone.workers.reduce((sum, { vm }) => sum + zone.platform.workers.active(vm), 0);
     const operations = zone.platform.writes - writes;
+    const starts = ids.flatMap((id) => zone.starts.get(id) ?? []);
+    const uselessStarts = starts.filter(({ at }) => at > cancelledAt + 1_100).length;
     const urgentMs = (zone.starts.get('urgent')?.[0]?.at ?? Infinity) - cancelledAt;
-    return { cancelled, running, operations, reads: zone.platform.reads - reads, urgentMs };
+    return {
+      cancelled,
+      running,
+      operations,
+      uselessStarts,
+      reads: zone.platform.reads - reads,
+      urgentMs,
+    };
   });
 }
 
@@ -140,6 +149,7 @@
     t.is(wave.cancelled, count);
     t.is(wave.running, 0);
     t.true(wave.urgentMs <= 3_900);
+    t.is(wave.uselessStarts, 0);
     t.true(wave.operations <= count / 10 + 20, `${wave.operations} writes for ${count} jobs`);
   }
   t.log(`writes: ${small.operations} for 200, ${large.operations} for 800`);
--- a/src/testing/jobZone.ts
+++ b/src/testing/jobZone.ts
@@ -8,6 +8,7 @@
 import { createRandom } from '../random/index.js';
 import { FakePlatform } from './fakePlatform.js';
 import type { TimedWork } from './fakeWorkers.js';
+import { CallFault, withFaults } from './platformFaults.js';
 import { createVirtualClock, type VirtualClock } from './virtualClock.js';
 
 const ZONE = 'zone-a';
@@ -22,6 +23,8 @@
   wrap?: (client: PlatformClient) => PlatformClient;
   policy?: JobControllerDeps['policy'];
   maxOpenJobs?: number;
+  /** Duration of the controllers' table calls in milliseconds. */
+  tableLatencyMs?: number;
   /** Whether notices reach the controller. */
   notices?: boolean;
 }
@@ -63,6 +66,7 @@
     accelerators: 0,
     usable: true,
   }));
+  let rotation: readonly Worker[] = workers;
   const starts: JobZone['starts'] = new Map();
   platform.workers.onStart = (vm, { jobId }) => {
     starts.set(jobId, [...(starts.get(jobId) ?? []), { at: clock.now(), vm }]);
@@ -83,6 +87,12 @@
     },
   });
 
+  const withLatency = (client: PlatformClient) =>
+    withFaults(client, async (part) => {
+      if (part === 'table' && options.tableLatencyMs) await clock.sleep(options.tableLatencyMs);
+      return CallFault.None;
+    });
+
   function takeLease(): number {
     const version = (platform.rows.get(LEASE_KEY)?.version ?? 0) + 1;
     platform.rows.set(LEASE_KEY, { key: LEASE_KEY, version, value: {} });
@@ -95,23 +105,25 @@
     const lifecycle = new Lifecycle('controller');
     const controller = createJobController({
       zone: ZONE,
-      platform: wrapClient(platform.client()),
+      platform: withLatency(wrapClient(platform.client())),
       settings,
       clock,
       logger: silentLogger,
       metrics,
       // A holder that was replaced does not notice by itself, as after a pause.
       leaseCondition: () => ({ key: LEASE_KEY, version: epoch }),
-      workers: () => workers,
+      // The order differs between calls, so that no test passes by a repeated choice.
+      workers: () => {
+        const [first, ...others] = rotation;
+        if (first) rotation = [...others, first];
+        return rotation;
+      },
       policy: options.policy,
     });
     latest = controller;
     const running = controller.run(lifecycle);
     const close = async () => {
-      const closing = lifecycle.close();
-      await clock.advance(10_000);
-      await closing;
-      await running;
+      await settle(clock, Promise.all([lifecycle.close(), running]));
     };
     return { ...controller, metrics, close };
   }
