--- a/src/jobs/attempts.ts
+++ b/src/jobs/attempts.ts
@@ -12,6 +12,8 @@
 export class Attempts {
   readonly #context: JobContext;
   readonly #polling = new Set<string>();
+  /** When a poll was requested that has not ended, by VM. */
+  readonly #pollsRequested = new Map<string, number>();
   /** Task ids whose start call is not yet answered. */
   readonly #starting = new Set<string>();
 
@@ -47,12 +49,28 @@
       return;
     }
     state.use = need;
+    let end: RunEnd | undefined;
     const start = async () => {
-      const end = await this.#start(state, need);
-      this.#starting.delete(taskId);
-      if (end) await this.end(state, end);
+      end = await this.#start(state, need);
     };
-    this.#context.background(start, record.urgent);
+    await this.#context.background(start, record.urgent);
+    this.#starting.delete(taskId);
+    if (end) await this.end(state, end);
+  }
+
+  /** Polls a worker in the background, unless that is already under way. */
+  requestPoll(vm: string): void {
+    if (this.#pollsRequested.has(vm)) return;
+    this.#pollsRequested.set(vm, this.#context.clock.now());
+    void this.#context
+      .background(() => this.poll(vm))
+      .finally(() => this.#pollsRequested.delete(vm));
+  }
+
+  /** Workers whose answer to a poll is late; they get tasks only if no other has room. */
+  lateWorkers(): string[] {
+    const lateSince = this.#context.clock.now() - this.#context.settings.lateAnswerMs;
+    return [...this.#pollsRequested].filter(([, at]) => at <= lateSince).map(([vm]) => vm);
   }
 
   /** Reads the status of a worker's tasks and acts on them. */
--- a/src/jobs/context.ts
+++ b/src/jobs/context.ts
@@ -57,8 +57,9 @@
   /** Workers that did not answer, with the time until which they get no tasks. */
   readonly #suspects = new Map<string, number>();
   readonly #pending = new Set<Promise<void>>();
-  readonly #waiting: (() => void)[] = [];
+  readonly #waiting: ((hasSlot: boolean) => void)[] = [];
   #workerCalls = 0;
+  #isClosed = false;
   /** Set by the controller: starts a placement round soon. */
   wake: () => void = () => undefined;
 
@@ -159,7 +160,7 @@
 
   /** Stops a task without waiting for the answer; its lease ends it in any case. */
   stopTask({ run }: RunState): void {
-    this.background(async () => {
+    void this.background(async () => {
       await this.deps.platform.workers.stop(run.vm, run.taskId);
     });
   }
@@ -196,24 +197,35 @@
    * Runs a task with worker calls beside the loops.
    *
    * @param urgent - does not wait for a free slot, as slow workers may hold all of them
+   * @returns resolves when the task has ended or was dropped; never rejects
    */
-  background(task: () => Promise<void>, urgent = false): void {
+  background(task: () => Promise<void>, urgent = false): Promise<void> {
     const running = (urgent ? task() : this.#withSlot(task))
       .catch((err: unknown) => {
         this.deps.logger.error({ event: 'job_task_failed', error: messageOf(err) });
       })
       .finally(() => this.#pending.delete(running));
     this.#pending.add(running);
+    return running;
   }
 
-  /** Resolves when the background tasks have ended. */
-  async idle(): Promise<void> {
+  /** Lets background tasks run. */
+  admitTasks(): void {
+    this.#isClosed = false;
+  }
+
+  /** Drops the background tasks that wait for a slot and resolves when the others have ended. */
+  async drain(): Promise<void> {
+    this.#isClosed = true;
+    for (const next of this.#waiting.splice(0)) next(false);
     while (this.#pending.size > 0) await Promise.allSettled(this.#pending);
   }
 
   async #withSlot(task: () => Promise<void>): Promise<void> {
+    if (this.#isClosed) return;
     if (this.#workerCalls >= this.settings.maxWorkerCalls) {
-      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+      const hasSlot = await new Promise<boolean>((resolve) => this.#waiting.push(resolve));
+      if (!hasSlot) return;
     } else {
       this.#workerCalls += 1;
     }
@@ -222,7 +234,7 @@
     } finally {
       const next = this.#waiting.shift();
       // A waiting task takes over the slot.
-      if (next) next();
+      if (next) next(true);
       else this.#workerCalls -= 1;
     }
   }
--- a/src/jobs/defaults.ts
+++ b/src/jobs/defaults.ts
@@ -15,6 +15,7 @@
   cancelScanIntervalMs: ms(1_000, 'Time between reads of cancellation requests'),
   scanIntervalMs: ms(5_000, 'Time between complete reads of the open jobs'),
   usageLagMs: ms(2_000, 'Age of a task from which its reported use counts as observed'),
+  lateAnswerMs: ms(300, 'Wait for a worker status from which other workers are preferred'),
   suspectMs: ms(10_000, 'Time for which a worker that did not answer gets no new tasks'),
   pollIntervalMs: ms(1_000, 'Time between status reads of a worker that runs tasks'),
   maxPayloadBytes: count(64 * 1024, 'Longest payload of a job, in bytes of JSON'),
--- a/src/jobs/jobController.spec.ts
+++ b/src/jobs/jobController.spec.ts
@@ -1,7 +1,10 @@
 import test from 'ava';
+import { Result } from 'true-myth';
+import type { WorkerService } from '../platform/index.js';
 import {
   CallFault,
   createJobZone,
+  idList,
   settle,
   withFaults,
   type JobZone,
@@ -12,25 +15,15 @@
 /** Urgent work starts within this time, in virtual milliseconds. */
 const URGENT_START_MS = 3_900;
 
-async function job(zone: JobZone, id: string): Promise<JobRecord> {
-  const result = await settle(zone.clock, zone.store.get(id));
-  if (result.isErr) throw result.error;
-  return result.value;
-}
-
 async function states(zone: JobZone, ids: readonly string[]): Promise<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (const id of ids) {
-    const { state } = await job(zone, id);
+    const { state } = await zone.job(id);
     counts[state] = (counts[state] ?? 0) + 1;
   }
   return counts;
 }
 
-function idList(count: number, prefix = 'j'): string[] {
-  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
-}
-
 function startsOf(zone: JobZone, id: string) {
   return zone.starts.get(id) ?? [];
 }
@@ -42,13 +35,13 @@
   const early = await settle(zone.clock, zone.store.readResult('j'));
   t.is(early.isErr ? early.error.code : undefined, JobErrorCode.NoResult);
   await zone.clock.advance(5_000);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   const body = await settle(zone.clock, zone.store.readResult('j'));
   t.is(new TextDecoder().decode(body.unwrapOr(new Uint8Array())), 'pairings');
   t.is(startsOf(zone, 'j').length, 1);
   t.is(controller.status().open, 0);
 
-  zone.platform.objects.set('result/j/1', new TextEncoder().encode('pairing'));
+  zone.platform.objects.set('result/j/1', new TextEncoder().encode('Pairings'));
   const damaged = await settle(zone.clock, zone.store.readResult('j'));
   t.is(damaged.isErr ? damaged.error.code : undefined, JobErrorCode.ResultDamaged);
   await controller.close();
@@ -60,57 +53,58 @@
   record: JobRecord;
 }
 
-/** Runs one job with a fault at the nth call of the controller. */
+/** Runs one job with faults from the nth call of the controller on. */
 async function runWithFault(
   n: number,
-  fault: CallFault,
+  faults: readonly CallFault[],
   spec: Partial<JobSpec>,
-  policy: JobZoneOptions['policy'] = {},
 ): Promise<SweepOutcome> {
-  const zone = createJobZone({ policy });
+  const settings = { placementIntervalMs: 1_000 };
+  const zone = createJobZone({ settings });
   let calls = 0;
   const controller = zone.startController((client) =>
     withFaults(client, (_part, name) => {
       // Scans repeat all the time; faults go to the calls that carry a job forward.
       if (name === 'scan') return CallFault.None;
       calls += 1;
-      return calls === n ? fault : CallFault.None;
+      return faults[calls - n] ?? CallFault.None;
     }),
   );
   await zone.submit('j', { runMs: 2_500 }, spec);
-  await zone.clock.advance(120_000);
-  const record = await job(zone, 'j');
+  await zone.clock.advance(90_000);
+  const record = await zone.job('j');
   await controller.close();
   return { calls, starts: startsOf(zone, 'j').length, record };
 }
 
 const LAST_FAULTY_CALL = 9;
 const lostCalls = [CallFault.LoseAnswer, CallFault.LoseCall, CallFault.NotSent];
+const sequences = [...lostCalls.map((fault) => [fault]), ...lostCalls.map((f) => [f, f, f])];
 
 // Guards against lost answers that lose a job, run it twice or leave it running for ever.
-for (const fault of lostCalls) {
+for (const faults of sequences) {
   for (const idempotent of [true, false]) {
-    for (const urgent of [true, false]) {
-      test(`${fault} at each step, idempotent ${idempotent}, urgent ${urgent}`, async (t) => {
-        for (let n = 1; n <= LAST_FAULTY_CALL; n += 1) {
-          const { record, starts } = await runWithFault(n, fault, { idempotent, urgent });
-          const where = `fault at call ${n}`;
-          if (record.state !== JobState.Succeeded) {
-            t.false(idempotent, where);
-            t.is(record.parkReason, ParkReason.MayHaveRun, where);
-          }
-          if (!idempotent) t.true(starts <= 1, where);
-          t.true(starts <= 2, where);
+    test(`${faults.join(', ')} at each step, idempotent ${idempotent}`, async (t) => {
+      for (let n = 1; n <= LAST_FAULTY_CALL; n += 1) {
+        const spec = { idempotent, urgent: n % 2 === 0 };
+        const { record, starts } = await runWithFault(n, faults, spec);
+        const where = `faults from call ${n}`;
+        if (record.state !== JobState.Succeeded) {
+          t.false(idempotent, where);
+          t.is(record.parkReason, ParkReason.MayHaveRun, where);
+          // Only a start whose fate is unknown parks a job.
+          t.is(starts, 0, where);
         }
-      });
-    }
+        t.true(starts <= (idempotent ? 2 : 1), where);
+      }
+    });
   }
 }
 
 test('the sweep sees a lost answer that is taken for a call without effect', async (t) => {
   let mostStarts = 0;
   for (let n = 1; n <= LAST_FAULTY_CALL; n += 1) {
-    const { starts } = await runWithFault(n, CallFault.Misreport, { idempotent: false });
+    const { starts } = await runWithFault(n, [CallFault.Misreport], { idempotent: false });
     mostStarts = Math.max(mostStarts, starts);
   }
   t.is(mostStarts, 2);
@@ -131,13 +125,13 @@
 test('a non-idempotent job that was lost while running is parked and can be released', async (t) => {
   const zone = await restartWorkerUnder({});
   t.is(startsOf(zone, 'j').length, 1);
-  t.is((await job(zone, 'j')).parkReason, ParkReason.MayHaveRun);
+  t.is((await zone.job('j')).parkReason, ParkReason.MayHaveRun);
   const careless = await restartWorkerUnder({ mayRunAgain: () => true });
   t.is(startsOf(careless, 'j').length, 2);
   t.true((await settle(zone.clock, zone.store.release('j'))).isOk);
   const controller = zone.startController();
   await zone.clock.advance(30_000);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   await controller.close();
 });
 
@@ -170,18 +164,108 @@
 test('a job on a silent worker runs elsewhere only after its lease lapsed', async (t) => {
   const { most, zone } = await mostConcurrent({}, false);
   t.is(most, 1);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   t.is((await mostConcurrent({ hasLapsed: () => true }, false)).most, 2);
 });
 
 test('a worker that outlives its lease cannot complete the job', async (t) => {
   const { zone } = await mostConcurrent({}, true);
-  const { result, epoch } = await job(zone, 'j');
+  const { result, epoch } = await zone.job('j');
   t.is(epoch, 2);
   t.is(result?.key, 'result/j/2');
   t.true(zone.platform.objects.has('result/j/1'), 'the late worker did finish');
 });
 
+test('a slow start is not taken for a lost one', async (t) => {
+  const zone = createJobZone();
+  const controller = zone.startController((client) =>
+    withFaults(client, async (_part, name) => {
+      if (name === 'start') await zone.clock.sleep(2_500);
+      return CallFault.None;
+    }),
+  );
+  await zone.submit('j', {}, { idempotent: false });
+  await zone.clock.advance(20_000);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
+  await controller.close();
+});
+
+/**
+ * Delays the first start call in the network beyond its time-out; returns the number of starts.
+ *
+ * @param stopFault - fault of the first `faultyStops` stop calls; None answers without effect
+ */
+async function startsAfterLateCall(stopFault: CallFault, faultyStops: number): Promise<number> {
+  const zone = createJobZone();
+  let starts = 0;
+  let stops = 0;
+  const controller = zone.startController((client) => {
+    const { workers } = client;
+    const lost = withFaults(client, () => CallFault.LoseCall).workers;
+    const start: WorkerService['start'] = async (vm, task) => {
+      starts += 1;
+      if (starts > 1) return workers.start(vm, task);
+      zone.clock.setTimer(10_000, () => void workers.start(vm, task));
+      await zone.clock.sleep(2_000);
+      return lost.start(vm, task);
+    };
+    const stop: WorkerService['stop'] = (vm, taskId) => {
+      stops += 1;
+      if (stops > faultyStops) return workers.stop(vm, taskId);
+      return stopFault === CallFault.None
+        ? Promise.resolve(Result.ok(undefined))
+        : lost.stop(vm, taskId);
+    };
+    return { ...client, workers: { ...workers, start, stop } };
+  });
+  await zone.submit('j', { runMs: 20_000 });
+  await zone.clock.advance(60_000);
+  await controller.close();
+  return startsOf(zone, 'j').length;
+}
+
+// Guards against a start that was given up and takes effect afterwards.
+test('a start call that arrives late is refused by the worker', async (t) => {
+  t.is(await startsAfterLateCall(CallFault.None, 0), 1);
+  t.is(await startsAfterLateCall(CallFault.LoseCall, 1), 1);
+  const withoutFence = await startsAfterLateCall(CallFault.None, 1_000);
+  t.is(withoutFence, 2);
+});
+
+/** Pauses a controller for 15 s after its first row write, while its successor takes over. */
+async function startsAfterPause(policy: JobZoneOptions['policy']): Promise<number> {
+  const zone = createJobZone({ policy });
+  const paused = zone.startController((client) => ({
+    ...client,
+    table: {
+      ...client.table,
+      transact: async (conditions, writes) => {
+        const result = await client.table.transact(conditions, writes);
+        await zone.clock.sleep(15_000);
+        return result;
+      },
+    },
+  }));
+  await zone.submit('j', { runMs: 30_000 });
+  await zone.clock.advance(5_000);
+  const successor = zone.startController();
+  await zone.clock.advance(5_000);
+  // The restart makes the worker forget which tasks it must refuse.
+  const { runs } = await zone.job('j');
+  const others = zone.workers.filter(({ vm }) => vm !== runs[0]?.vm);
+  for (const { vm } of others) zone.platform.workers.restart(vm);
+  await zone.clock.advance(60_000);
+  await paused.close();
+  await successor.close();
+  return startsOf(zone, 'j').length;
+}
+
+// Guards against a process that resumes after a pause and starts what its successor gave up.
+test('a controller that was paused before the start does not start the task', async (t) => {
+  t.is(await startsAfterPause({}), 1);
+  t.is(await startsAfterPause({ mayStart: () => true }), 2);
+});
+
 test('the successor of a paused controller completes what that one started', async (t) => {
   const zone = createJobZone();
   const first = zone.startController();
@@ -245,6 +329,9 @@
   for (const id of idList(300, 'normal')) await zone.submit(id, { runMs: 30_000 });
 }
 
+/** VMs whose calls time out in one of the cases. */
+const hangingVms = new Set<string>();
+
 const urgentCases: UrgentCase[] = [
   { name: 'idle workers' },
   { name: 'a lost notice', options: { notices: false } },
@@ -268,6 +355,23 @@
     slow: (part, [vm]) =>
       part === 'workers' && vm === 'vm-0' ? { ms: 2_000, fault: CallFault.LoseCall } : { ms: 0 },
   },
+  {
+    name: 'calls to most workers time out while they run jobs',
+    options: { workers: 40 },
+    prepare: async (zone) => {
+      for (const id of idList(40, 'normal')) {
+        await zone.submit(id, { runMs: 600_000 }, { cores: 5, kind: 'long' });
+      }
+      await zone.clock.advance(4_000);
+      for (const { vm } of zone.workers.slice(0, 36)) hangingVms.add(vm);
+      // Enough for the next polls to be under way.
+      await zone.clock.advance(1_000);
+    },
+    slow: (part, [vm]) =>
+      part === 'workers' && typeof vm === 'string' && hangingVms.has(vm)
+        ? { ms: 2_000, fault: CallFault.LoseCall }
+        : { ms: 0 },
+  },
   {
     name: 'a slow store and full workers',
     options: { notices: false },
@@ -288,7 +392,7 @@
   );
   await prepare?.(zone);
   const submittedAt = zone.clock.now();
-  await zone.submit('urgent', {}, { urgent: true, cores: 4, team: 'press' });
+  await zone.submit('urgent', {}, { urgent: true, cores: 3, team: 'press' });
   await zone.clock.advance(30_000);
   await controller.close();
   return (startsOf(zone, 'urgent')[0]?.at ?? Infinity) - submittedAt;
--- a/src/jobs/jobController.ts
+++ b/src/jobs/jobController.ts
@@ -151,14 +151,15 @@
   }
 
   async function watchWorkers(): Promise<void> {
-    for (const vm of open.vms()) context.background(() => attempts.poll(vm));
+    for (const vm of open.vms()) attempts.requestPoll(vm);
     const stale = [...open.all()].filter((job) => job.stale && !job.writing);
     for (const job of stale.slice(0, MAX_RELOADS)) await context.reload(job);
   }
 
   async function run(lifecycle: Lifecycle): Promise<void> {
     const { signal } = lifecycle;
-    lifecycle.own('worker calls', () => context.idle());
+    context.admitTasks();
+    lifecycle.own('worker calls', () => context.drain());
     await Promise.all([
       placementLoop(signal),
       repeat(settings.urgentScanIntervalMs, signal, scanUrgent),
@@ -171,7 +172,7 @@
   function notice(jobId: string): void {
     if (noticed.size >= settings.maxKnownUrgentJobs) return;
     noticed.add(jobId);
-    if (noticed.size === 1) context.background(handleNotices, true);
+    if (noticed.size === 1) void context.background(handleNotices, true);
   }
 
   async function vacate(vm: string): Promise<VacateStatus> {
--- a/src/jobs/jobFleet.spec.ts
+++ b/src/jobs/jobFleet.spec.ts
@@ -1,28 +1,17 @@
 import test from 'ava';
-import { createVirtualClock, createJobZone, settle, type JobZone } from '../testing/index.js';
-import type { JobZoneOptions, RunningController } from '../testing/index.js';
 import {
-  JobState,
-  jobsSchema,
-  ParkReason,
-  ResourceModel,
-  WorkerHealth,
-  type JobRecord,
-} from './index.js';
-
-function idList(count: number, prefix = 'j'): string[] {
-  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
-}
-
-async function job(zone: JobZone, id: string): Promise<JobRecord> {
-  const result = await settle(zone.clock, zone.store.get(id));
-  if (result.isErr) throw result.error;
-  return result.value;
-}
+  createVirtualClock,
+  createJobZone,
+  idList,
+  settle,
+  type JobZone,
+} from '../testing/index.js';
+import type { JobZoneOptions, RunningController } from '../testing/index.js';
+import { JobState, jobsSchema, ParkReason, ResourceModel, WorkerHealth } from './index.js';
 
 async function countIn(zone: JobZone, ids: readonly string[], state: JobState): Promise<number> {
   let count = 0;
-  for (const id of ids) if ((await job(zone, id)).state === state) count += 1;
+  for (const id of ids) if ((await zone.job(id)).state === state) count += 1;
   return count;
 }
 
@@ -66,7 +55,7 @@
   await withController({ workers: 6 }, async (zone) => {
     await zone.submit('j', { fail: 'no such draw' });
     await zone.clock.advance(60_000);
-    const { state, error, attempts } = await job(zone, 'j');
+    const { state, error, attempts } = await zone.job('j');
     t.deepEqual([state, error, attempts], [JobState.Failed, 'no such draw', 4]);
     t.is(zone.starts.get('j')?.length, 4);
     t.is(new Set(zone.starts.get('j')?.map(({ vm }) => vm)).size, 4);
@@ -102,17 +91,17 @@
     await zone.submit('j', {}, { cores: 6 });
     if (first) first.cores = 2;
     await zone.clock.advance(10_000);
-    t.is((await job(zone, 'j')).parkReason, ParkReason.NoWorkerLargeEnough);
+    t.is((await zone.job('j')).parkReason, ParkReason.NoWorkerLargeEnough);
     t.is(await zone.total(controller.metrics, 'jobs_parked_total'), 1);
     zone.workers.forEach((worker) => Object.assign(worker, { cores: 8, usable: true }));
     await zone.clock.advance(20_000);
-    t.is((await job(zone, 'j')).state, JobState.Succeeded);
+    t.is((await zone.job('j')).state, JobState.Succeeded);
   });
 });
 
 /** Cancels a wave of jobs; returns table reads and writes and the start of an urgent job. */
 function cancelWave(count: number, settings: JobZoneOptions['settings'] = {}) {
-  return withController({ workers: 4, settings }, async (zone) => {
+  return withController({ workers: 4, settings, tableLatencyMs: 50 }, async (zone) => {
     const ids = idList(count);
     for (const id of ids) await zone.submit(id, { runMs: 600_000 });
     await zone.clock.advance(10_000);
@@ -124,8 +113,17 @@
     const cancelled = await countIn(zone, ids, JobState.Cancelled);
     const running = zone.workers.reduce((sum, { vm }) => sum + zone.platform.workers.active(vm), 0);
     const operations = zone.platform.writes - writes;
+    const starts = ids.flatMap((id) => zone.starts.get(id) ?? []);
+    const uselessStarts = starts.filter(({ at }) => at > cancelledAt + 1_100).length;
     const urgentMs = (zone.starts.get('urgent')?.[0]?.at ?? Infinity) - cancelledAt;
-    return { cancelled, running, operations, reads: zone.platform.reads - reads, urgentMs };
+    return {
+      cancelled,
+      running,
+      operations,
+      uselessStarts,
+      reads: zone.platform.reads - reads,
+      urgentMs,
+    };
   });
 }
 
@@ -140,6 +138,7 @@
     t.is(wave.cancelled, count);
     t.is(wave.running, 0);
     t.true(wave.urgentMs <= 3_900);
+    t.is(wave.uselessStarts, 0);
     t.true(wave.operations <= count / 10 + 20, `${wave.operations} writes for ${count} jobs`);
   }
   t.log(`writes: ${small.operations} for 200, ${large.operations} for 800`);
@@ -159,10 +158,10 @@
     await zone.clock.advance(1_000);
     const { remaining } = await settle(zone.clock, controller.vacate(vm));
     const usedVms = () => zone.starts.get('j')?.map((start) => start.vm) ?? [];
-    let record = await job(zone, 'j');
+    let record = await zone.job('j');
     while (record.state !== JobState.Succeeded && zone.clock.now() < 300_000) {
       await zone.clock.advance(1_000);
-      record = await job(zone, 'j');
+      record = await zone.job('j');
     }
     return { vm, remaining, vms: usedVms(), endMs: zone.clock.now(), record };
   });
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -18,6 +18,7 @@
   readonly #attempts: Attempts;
   #reservation: Reservation | undefined;
   #placed = 0;
+  #late: readonly string[] = [];
 
   constructor(context: JobContext, attempts: Attempts) {
     this.#context = context;
@@ -29,6 +30,7 @@
     if (!this.#context.holdsLease()) return;
     const { open } = this.#context;
     const capacity = this.#capacity();
+    this.#late = this.#attempts.lateWorkers();
     this.#placed = 0;
     for (const job of [...open.urgentQueue()]) this.#placeUrgent(job, capacity);
     this.#reserve(capacity);
@@ -55,7 +57,7 @@
   #placeUrgent(job: OpenJob, capacity: Capacity): void {
     if (!this.#isPlaceable(job)) return;
     const need = this.#context.requirement(job.record);
-    const avoid = new Set(job.record.avoid);
+    const avoid = new Set([...job.record.avoid, ...this.#late]);
     const vm = capacity.choose(need, { avoid, except: none, spread: true });
     if (vm !== undefined) this.#place(job, vm, need, capacity);
     else this.#makeRoom(need, capacity);
@@ -77,7 +79,7 @@
     for (const state of plan.runs) {
       if ((state.evictedAt ?? -Infinity) > pendingSince) continue;
       state.evictedAt = clock.now();
-      this.#context.background(async () => {
+      void this.#context.background(async () => {
         await this.#attempts.evict(state, 'urgent');
         await this.#attempts.poll(plan.vm);
       }, true);
@@ -107,7 +109,7 @@
     const need = this.#context.requirement(job.record);
     const reservation = this.#reservation;
     const except = reservation && reservation.job !== job ? new Set([reservation.vm]) : none;
-    const avoid = new Set(job.record.avoid);
+    const avoid = new Set([...job.record.avoid, ...this.#late]);
     const vm = capacity.choose(need, { avoid, except, spread: false });
     if (vm === undefined) return false;
     this.#place(job, vm, need, capacity);
@@ -165,7 +167,7 @@
       if (job.runs.size > 1 || job.cancelRequested || !this.#context.isWritable(job)) continue;
       const need = this.#context.requirement(job.record);
       const except = new Set([run.vm]);
-      const avoid = new Set(job.record.avoid);
+      const avoid = new Set([...job.record.avoid, ...this.#late]);
       const vm = capacity.choose(need, { avoid, except, spread: true });
       if (job.record.idempotent && budget >= 1 && vm !== undefined) {
         budget -= 1;
@@ -190,7 +192,7 @@
     const { vm, taskId } = state.run;
     state.throttled = true;
     counters.throttled.inc();
-    this.#context.background(async () => {
+    void this.#context.background(async () => {
       const result = await deps.platform.workers.throttle(vm, taskId, settings.throttleShare);
       if (result.isErr) state.throttled = false;
     });
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -4,6 +4,7 @@
 export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
 export {
   createJobZone,
+  idList,
   settle,
   type JobZone,
   type JobZoneOptions,
--- a/src/testing/jobZone.ts
+++ b/src/testing/jobZone.ts
@@ -1,6 +1,6 @@
 import type { JobControllerDeps, JobController, JobSpec, JobStore, Worker } from '../jobs/index.js';
 import { createJobController, createJobStore, fitsSomeWorker, jobsSchema } from '../jobs/index.js';
-import type { JobsSettings } from '../jobs/index.js';
+import type { JobRecord, JobsSettings } from '../jobs/index.js';
 import { Lifecycle } from '../lifecycle/index.js';
 import { silentLogger } from '../logger/index.js';
 import { Metrics } from '../metrics/index.js';
@@ -8,6 +8,7 @@
 import { createRandom } from '../random/index.js';
 import { FakePlatform } from './fakePlatform.js';
 import type { TimedWork } from './fakeWorkers.js';
+import { CallFault, withFaults } from './platformFaults.js';
 import { createVirtualClock, type VirtualClock } from './virtualClock.js';
 
 const ZONE = 'zone-a';
@@ -22,6 +23,8 @@
   wrap?: (client: PlatformClient) => PlatformClient;
   policy?: JobControllerDeps['policy'];
   maxOpenJobs?: number;
+  /** Duration of the controllers' table calls in milliseconds. */
+  tableLatencyMs?: number;
   /** Whether notices reach the controller. */
   notices?: boolean;
 }
@@ -45,11 +48,18 @@
   submit: (id: string, work?: TimedWork, spec?: Partial<JobSpec>) => Promise<void>;
   /** Virtual start times in milliseconds of each job's tasks, and their VMs. */
   starts: Map<string, { at: number; vm: string }[]>;
+  /** Reads a job; throws when it is not found. */
+  job: (id: string) => Promise<JobRecord>;
   /** Total of a counter of a controller over all labels. */
   total: (metrics: Metrics, name: string, labels?: Record<string, string>) => Promise<number>;
   storeMetrics: Metrics;
 }
 
+/** Names with a number at the end. */
+export function idList(count: number, prefix = 'j'): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+}
+
 /** Sets up a zone; nothing runs until a controller is started. */
 export function createJobZone(options: JobZoneOptions = {}): JobZone {
   const clock = createVirtualClock();
@@ -63,6 +73,7 @@
     accelerators: 0,
     usable: true,
   }));
+  let rotation: readonly Worker[] = workers;
   const starts: JobZone['starts'] = new Map();
   platform.workers.onStart = (vm, { jobId }) => {
     starts.set(jobId, [...(starts.get(jobId) ?? []), { at: clock.now(), vm }]);
@@ -83,6 +94,12 @@
     },
   });
 
+  const withLatency = (client: PlatformClient) =>
+    withFaults(client, async (part) => {
+      if (part === 'table' && options.tableLatencyMs) await clock.sleep(options.tableLatencyMs);
+      return CallFault.None;
+    });
+
   function takeLease(): number {
     const version = (platform.rows.get(LEASE_KEY)?.version ?? 0) + 1;
     platform.rows.set(LEASE_KEY, { key: LEASE_KEY, version, value: {} });
@@ -95,23 +112,25 @@
     const lifecycle = new Lifecycle('controller');
     const controller = createJobController({
       zone: ZONE,
-      platform: wrapClient(platform.client()),
+      platform: withLatency(wrapClient(platform.client())),
       settings,
       clock,
       logger: silentLogger,
       metrics,
       // A holder that was replaced does not notice by itself, as after a pause.
       leaseCondition: () => ({ key: LEASE_KEY, version: epoch }),
-      workers: () => workers,
+      // The order differs between calls, so that no test passes by a repeated choice.
+      workers: () => {
+        const [first, ...others] = rotation;
+        if (first) rotation = [...others, first];
+        return rotation;
+      },
       policy: options.policy,
     });
     latest = controller;
     const running = controller.run(lifecycle);
     const close = async () => {
-      const closing = lifecycle.close();
-      await clock.advance(10_000);
-      await closing;
-      await running;
+      await settle(clock, Promise.all([lifecycle.close(), running]));
     };
     return { ...controller, metrics, close };
   }
@@ -135,6 +154,12 @@
     if (result.isErr) throw result.error;
   }
 
+  async function job(id: string): Promise<JobRecord> {
+    const result = await settle(clock, store.get(id));
+    if (result.isErr) throw result.error;
+    return result.value;
+  }
+
   async function total(metrics: Metrics, name: string, labels: Record<string, string> = {}) {
     const metric = await metrics.registry.getSingleMetric(`burdocknotch_${name}`)?.get();
     return (metric?.values ?? [])
@@ -150,6 +175,7 @@
     startController,
     takeLease,
     submit,
+    job,
     starts,
     total,
     storeMetrics,
