--- /dev/null
+++ b/bench/wall.ts
@@ -0,0 +1,171 @@
+import { readFile } from 'node:fs/promises';
+import { build } from 'hdr-histogram-js';
+import { Pool } from 'undici';
+import { ExitCode } from '../src/errors/index.js';
+import { Deployment, waitFor, type TestEntry } from '../testbed/index.js';
+
+// Wall-clock comparison by hand: the path through entry processes against direct calls to the
+// backend stand-in, interleaved in one run. It asserts nothing.
+
+const ROUNDS = 10;
+const REQUESTS_PER_ROUND = 400;
+const CONCURRENCY = 8;
+const RUN_MS = 2;
+const VMS = 6;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Clock ticks per second in /proc, fixed on Linux. */
+const TICKS_PER_SECOND = 100;
+
+interface Route {
+  name: string;
+  pools: Pool[];
+  path: string;
+  headers: Record<string, string>;
+}
+
+function histogram() {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000 });
+}
+
+type Histogram = ReturnType<typeof histogram>;
+
+async function sendOne(route: Route, index: number, times: Histogram): Promise<void> {
+  const pool = route.pools[index % route.pools.length];
+  if (!pool) return;
+  const start = performance.now();
+  const res = await pool.request({ method: 'GET', path: route.path, headers: route.headers });
+  await res.body.dump();
+  if (res.statusCode === 200) {
+    times.recordValue(Math.ceil((performance.now() - start) * MICROSECONDS_PER_MS));
+  }
+}
+
+/** Sends a number of requests with bounded concurrency; returns requests per second. */
+async function sendMany(
+  route: Route,
+  count: number,
+  concurrency: number,
+  times: Histogram,
+): Promise<number> {
+  let next = 0;
+  const start = performance.now();
+  const worker = async () => {
+    while (next < count) {
+      next += 1;
+      await sendOne(route, next, times);
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, worker));
+  return (count * 1000) / (performance.now() - start);
+}
+
+const ms = (microseconds: number) => (microseconds / MICROSECONDS_PER_MS).toFixed(2);
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function printTimes(name: string, times: Histogram): void {
+  const [p50, p99] = [50, 99].map((share) => ms(times.getValueAtPercentile(share)));
+  print(`${name.padEnd(22)} ${times.totalCount} answers, p50 ${p50} ms, p99 ${p99} ms`);
+}
+
+/** Processor time used by a process so far, in seconds. */
+async function processorSeconds(pid: number): Promise<number> {
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
+}
+
+async function residentMib(pid: number): Promise<number> {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024;
+}
+
+function directRoute(deployment: Deployment): Route {
+  const pools = deployment.vms.map((vm) => new Pool(deployment.backendUrl(vm)));
+  return { name: 'direct', pools, path: `/work?ms=${RUN_MS}`, headers: { 'request-id': 'x' } };
+}
+
+function entryRoute(entries: readonly TestEntry[]): Route {
+  const pools = entries.map(({ callers }) => new Pool(callers));
+  const path = `/v1/services/motions/work?ms=${RUN_MS}`;
+  return { name: `${entries.length} entry process(es)`, pools, path, headers: { team: 'league' } };
+}
+
+async function closeRoute({ pools }: Route): Promise<void> {
+  await Promise.all(pools.map((pool) => pool.close()));
+}
+
+async function compareOverhead(deployment: Deployment): Promise<void> {
+  const direct = directRoute(deployment);
+  const through = entryRoute(deployment.entries.slice(0, 1));
+  const times = { direct: histogram(), through: histogram() };
+  await sendMany(through, REQUESTS_PER_ROUND, CONCURRENCY, histogram());
+  await sendMany(direct, REQUESTS_PER_ROUND, CONCURRENCY, histogram());
+  for (let round = 0; round < ROUNDS; round++) {
+    await sendMany(direct, REQUESTS_PER_ROUND, CONCURRENCY, times.direct);
+    await sendMany(through, REQUESTS_PER_ROUND, CONCURRENCY, times.through);
+  }
+  print(`overhead, ${CONCURRENCY} callers, run time ${RUN_MS} ms, ${ROUNDS} interleaved rounds`);
+  printTimes('direct', times.direct);
+  printTimes('one entry process', times.through);
+  const ratio = (share: number) =>
+    times.through.getValueAtPercentile(share) / times.direct.getValueAtPercentile(share);
+  const added = times.through.getValueAtPercentile(99) - times.direct.getValueAtPercentile(99);
+  print(`ratio p50 ${ratio(50).toFixed(2)}, p99 ${ratio(99).toFixed(2)}`);
+  print(`added at the 99th percentile ${ms(added)} ms (target: below 1 ms beyond the network)`);
+  await Promise.all([direct, through].map(closeRoute));
+}
+
+async function compareThroughput(deployment: Deployment): Promise<void> {
+  print('throughput by number of entry processes (callers, backends and processes on one machine)');
+  const callers = 64;
+  const requests = 12_000;
+  for (let count = 1; count <= deployment.entries.length; count++) {
+    const entries = deployment.entries.slice(0, count);
+    const route = entryRoute(entries);
+    const pids = entries.map(({ process }) => process.pid);
+    const before = await Promise.all(pids.map(processorSeconds));
+    const times = histogram();
+    const rate = await sendMany(route, requests, callers, times);
+    const after = await Promise.all(pids.map(processorSeconds));
+    const memory = await Promise.all(pids.map(residentMib));
+    const used = after.reduce((sum, seconds, index) => sum + seconds - (before[index] ?? 0), 0);
+    const perRequest = ((used * 1000) / requests).toFixed(3);
+    const mib = memory.map((each) => each.toFixed(0)).join('+');
+    print(
+      `${route.name.padEnd(22)} ${rate.toFixed(0)} requests/s, ${perRequest} ms of processor time each, resident ${mib} MiB, ${callers} in flight`,
+    );
+    await closeRoute(route);
+  }
+}
+
+const deployment = new Deployment({
+  zones: ['zone-a'],
+  entriesPerZone: 3,
+  vmsPerZone: { motions: VMS },
+});
+try {
+  await deployment.start();
+  const [first] = deployment.entries;
+  if (!first) throw new Error('no entry process was started');
+  const status = () => deployment.cli(first, 'status');
+  await waitFor('the first entry process is ready', async () => (await status()).exitCode === ExitCode.Success);
+  const inventory = deployment.inventory((draft) => {
+    for (const team of draft.teams) Object.assign(team, { maxRunning: 1_000, maxQueued: 1_000 });
+  });
+  await deployment.cli(first, 'apply', await deployment.writeInventory(inventory), '--wait');
+  const warmUp = entryRoute(deployment.entries);
+  await waitFor('all entry processes serve', async () => {
+    const times = histogram();
+    await sendMany(warmUp, deployment.entries.length * 4, 4, times);
+    return times.totalCount === deployment.entries.length * 4;
+  });
+  await closeRoute(warmUp);
+  await compareOverhead(deployment);
+  await compareThroughput(deployment);
+} finally {
+  await deployment.stop();
+}
--- a/src/jobs/jobController.spec.ts
+++ b/src/jobs/jobController.spec.ts
@@ -4,6 +4,7 @@
 import {
   CallFault,
   createJobZone,
+  idList,
   settle,
   withFaults,
   type JobZone,
@@ -14,25 +15,15 @@
 /** Urgent work starts within this time, in virtual milliseconds. */
 const URGENT_START_MS = 3_900;
 
-async function job(zone: JobZone, id: string): Promise<JobRecord> {
-  const result = await settle(zone.clock, zone.store.get(id));
-  if (result.isErr) throw result.error;
-  return result.value;
-}
-
 async function states(zone: JobZone, ids: readonly string[]): Promise<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (const id of ids) {
-    const { state } = await job(zone, id);
+    const { state } = await zone.job(id);
     counts[state] = (counts[state] ?? 0) + 1;
   }
   return counts;
 }
 
-function idList(count: number, prefix = 'j'): string[] {
-  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
-}
-
 function startsOf(zone: JobZone, id: string) {
   return zone.starts.get(id) ?? [];
 }
@@ -44,7 +35,7 @@
   const early = await settle(zone.clock, zone.store.readResult('j'));
   t.is(early.isErr ? early.error.code : undefined, JobErrorCode.NoResult);
   await zone.clock.advance(5_000);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   const body = await settle(zone.clock, zone.store.readResult('j'));
   t.is(new TextDecoder().decode(body.unwrapOr(new Uint8Array())), 'pairings');
   t.is(startsOf(zone, 'j').length, 1);
@@ -81,7 +72,7 @@
   );
   await zone.submit('j', { runMs: 2_500 }, spec);
   await zone.clock.advance(90_000);
-  const record = await job(zone, 'j');
+  const record = await zone.job('j');
   await controller.close();
   return { calls, starts: startsOf(zone, 'j').length, record };
 }
@@ -134,13 +125,13 @@
 test('a non-idempotent job that was lost while running is parked and can be released', async (t) => {
   const zone = await restartWorkerUnder({});
   t.is(startsOf(zone, 'j').length, 1);
-  t.is((await job(zone, 'j')).parkReason, ParkReason.MayHaveRun);
+  t.is((await zone.job('j')).parkReason, ParkReason.MayHaveRun);
   const careless = await restartWorkerUnder({ mayRunAgain: () => true });
   t.is(startsOf(careless, 'j').length, 2);
   t.true((await settle(zone.clock, zone.store.release('j'))).isOk);
   const controller = zone.startController();
   await zone.clock.advance(30_000);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   await controller.close();
 });
 
@@ -173,13 +164,13 @@
 test('a job on a silent worker runs elsewhere only after its lease lapsed', async (t) => {
   const { most, zone } = await mostConcurrent({}, false);
   t.is(most, 1);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   t.is((await mostConcurrent({ hasLapsed: () => true }, false)).most, 2);
 });
 
 test('a worker that outlives its lease cannot complete the job', async (t) => {
   const { zone } = await mostConcurrent({}, true);
-  const { result, epoch } = await job(zone, 'j');
+  const { result, epoch } = await zone.job('j');
   t.is(epoch, 2);
   t.is(result?.key, 'result/j/2');
   t.true(zone.platform.objects.has('result/j/1'), 'the late worker did finish');
@@ -195,7 +186,7 @@
   );
   await zone.submit('j', {}, { idempotent: false });
   await zone.clock.advance(20_000);
-  t.is((await job(zone, 'j')).state, JobState.Succeeded);
+  t.is((await zone.job('j')).state, JobState.Succeeded);
   await controller.close();
 });
 
@@ -241,6 +232,40 @@
   t.is(withoutFence, 2);
 });
 
+/** Pauses a controller for 15 s after its first row write, while its successor takes over. */
+async function startsAfterPause(policy: JobZoneOptions['policy']): Promise<number> {
+  const zone = createJobZone({ policy });
+  const paused = zone.startController((client) => ({
+    ...client,
+    table: {
+      ...client.table,
+      transact: async (conditions, writes) => {
+        const result = await client.table.transact(conditions, writes);
+        await zone.clock.sleep(15_000);
+        return result;
+      },
+    },
+  }));
+  await zone.submit('j', { runMs: 30_000 });
+  await zone.clock.advance(5_000);
+  const successor = zone.startController();
+  await zone.clock.advance(5_000);
+  // The restart makes the worker forget which tasks it must refuse.
+  const { runs } = await zone.job('j');
+  const others = zone.workers.filter(({ vm }) => vm !== runs[0]?.vm);
+  for (const { vm } of others) zone.platform.workers.restart(vm);
+  await zone.clock.advance(60_000);
+  await paused.close();
+  await successor.close();
+  return startsOf(zone, 'j').length;
+}
+
+// Guards against a process that resumes after a pause and starts what its successor gave up.
+test('a controller that was paused before the start does not start the task', async (t) => {
+  t.is(await startsAfterPause({}), 1);
+  t.is(await startsAfterPause({ mayStart: () => true }), 2);
+});
+
 test('the successor of a paused controller completes what that one started', async (t) => {
   const zone = createJobZone();
   const first = zone.startController();
--- a/src/jobs/jobWriter.spec.ts
+++ b/src/jobs/jobWriter.spec.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import type { PlatformClient } from '../platform/index.js';
-import { CallFault, createVirtualClock, FakePlatform, withFaults } from '../testing/index.js';
+import {
+  CallFault,
+  createVirtualClock,
+  FakePlatform,
+  idList,
+  withFaults,
+} from '../testing/index.js';
 import { JobWriter, WriteOutcome } from './jobWriter.js';
 
 const LEASE = 'lease/zone/z';
@@ -119,3 +125,23 @@
     t.deepEqual(isWritten, written);
   });
 }
+
+// Guards against an urgent placement that waits behind a wave of other writes.
+test('urgent changes go into the next transaction, before normal ones', async (t) => {
+  const clock = createVirtualClock();
+  const platform = new FakePlatform(clock);
+  setRow(platform, LEASE, 7);
+  const { table } = platform.client();
+  const leaseCondition = () => ({ key: LEASE, version: 7 });
+  const writer = new JobWriter({ table, clock, leaseCondition, maxBatch: 10 });
+  const order: string[] = [];
+  const write = async (key: string, urgent: boolean) => {
+    const writes = [{ key, value: {} }];
+    await writer.write({ key, version: 0, writes, proofKey: key, writeId: key, urgent });
+    order.push(key);
+  };
+  const normal = idList(25);
+  await Promise.all([...normal.map((key) => write(key, false)), write('urgent', true)]);
+  t.is(order.indexOf('urgent'), 0);
+  t.is(platform.writes, 3);
+});
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -21,6 +21,7 @@
 export { FakeWorkers, type TimedWork, type WorkerFaults } from './fakeWorkers.js';
 export {
   createJobZone,
+  idList,
   settle,
   type JobZone,
   type JobZoneOptions,
--- a/src/testing/jobZone.ts
+++ b/src/testing/jobZone.ts
@@ -1,6 +1,6 @@
 import type { JobControllerDeps, JobController, JobSpec, JobStore, Worker } from '../jobs/index.js';
 import { createJobController, createJobStore, fitsSomeWorker, jobsSchema } from '../jobs/index.js';
-import type { JobsSettings } from '../jobs/index.js';
+import type { JobRecord, JobsSettings } from '../jobs/index.js';
 import { Lifecycle } from '../lifecycle/index.js';
 import { silentLogger } from '../logger/index.js';
 import { Metrics } from '../metrics/index.js';
@@ -48,11 +48,18 @@
   submit: (id: string, work?: TimedWork, spec?: Partial<JobSpec>) => Promise<void>;
   /** Virtual start times in milliseconds of each job's tasks, and their VMs. */
   starts: Map<string, { at: number; vm: string }[]>;
+  /** Reads a job; throws when it is not found. */
+  job: (id: string) => Promise<JobRecord>;
   /** Total of a counter of a controller over all labels. */
   total: (metrics: Metrics, name: string, labels?: Record<string, string>) => Promise<number>;
   storeMetrics: Metrics;
 }
 
+/** Names with a number at the end. */
+export function idList(count: number, prefix = 'j'): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+}
+
 /** Sets up a zone; nothing runs until a controller is started. */
 export function createJobZone(options: JobZoneOptions = {}): JobZone {
   const clock = createVirtualClock();
@@ -147,6 +154,12 @@
     if (result.isErr) throw result.error;
   }
 
+  async function job(id: string): Promise<JobRecord> {
+    const result = await settle(clock, store.get(id));
+    if (result.isErr) throw result.error;
+    return result.value;
+  }
+
   async function total(metrics: Metrics, name: string, labels: Record<string, string> = {}) {
     const metric = await metrics.registry.getSingleMetric(`burdocknotch_${name}`)?.get();
     return (metric?.values ?? [])
@@ -162,6 +175,7 @@
     startController,
     takeLease,
     submit,
+    job,
     starts,
     total,
     storeMetrics,
