Cover the single rules of the request path that mutants survived

Ruled out: dropping the guards that had no test. Each of them keeps a rule when a peer, a caller or a link misbehaves.

--- a/src/requests/listener.spec.ts
+++ b/src/requests/listener.spec.ts
@@ -263,6 +263,34 @@
   t.true(received < size);
 });
 
+test('a malformed request behind one in progress is not answered in its place', async (t) => {
+  const { listener } = await start(t, () => new Promise(() => undefined));
+  const head = `GET ${BASE} HTTP/1.1\r\nhost: a\r\nteam: team\r\n\r\n`;
+  t.is(await exchange(listener.port, `${head}NONSENSE\r\n\r\n`), '');
+});
+
+test('a refused body makes room again', async (t) => {
+  const { listener } = await start(t, echo, { maxBufferedBytes: 10 });
+  const url = `http://127.0.0.1:${listener.port}${BASE}`;
+  const statuses: number[] = [];
+  for (const size of [11, 10, 11, 10]) {
+    const headers = { team: 'team' };
+    const res = await request(url, { method: 'POST', headers, body: 'x'.repeat(size) });
+    statuses.push(res.statusCode);
+    await res.body.dump();
+  }
+  t.deepEqual(statuses, [503, 200, 503, 200]);
+});
+
+test('a status that HTTP does not have is not passed on', async (t) => {
+  const answer = { requestId: 'x', status: 1000, headers: {}, body: Buffer.alloc(0) };
+  const { listener } = await start(t, () => Result.ok(answer));
+  const res = await request(`http://127.0.0.1:${listener.port}${BASE}`, {
+    headers: { team: 'team' },
+  });
+  t.is(((await res.body.json()) as RefusalBody).reason, RequestReason.AnswerRejected);
+});
+
 test('connections over the bound are dropped and counted', async (t) => {
   const { listener, metrics } = await start(t, echo, { maxConnections: 1 });
   const first = connect(listener.port, '127.0.0.1');
