Document the API for callers

Cause: callers need each refusal, whether the request ran, and when to come back.

Ruled out: a table kept by hand, which a new reason would leave incomplete.

--- /dev/null
+++ b/src/requests/refusalTable.ts
@@ -0,0 +1,23 @@
+import { reasonRegistry } from './reasons.js';
+
+const HEADINGS = ['Reason', 'Status', 'Outcome', 'Come back after', 'Meaning'];
+
+/** Renders the registry of reasons as the Markdown table of `docs/callers.md`. */
+export function renderRefusalTable(): string {
+  const rows = Object.entries(reasonRegistry).map(([reason, info]) => [
+    `\`${reason}\``,
+    String(info.status),
+    info.outcomes.join(' or '),
+    info.retryAfterMs > 0 ? `${info.retryAfterMs} ms` : 'do not repeat',
+    info.meaning,
+  ]);
+  const widths = HEADINGS.map((heading, column) =>
+    Math.max(heading.length, ...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  const line = (cells: string[]) => {
+    const padded = cells.map((cell, column) => cell.padEnd(widths[column] ?? 0));
+    return `| ${padded.join(' | ')} |`;
+  };
+  const rule = widths.map((width) => '-'.repeat(width));
+  return [HEADINGS, rule, ...rows].map(line).join('\n');
+}
