--- a/bench/wall.ts
+++ b/bench/wall.ts
@@ -152,7 +152,10 @@
   const [first] = deployment.entries;
   if (!first) throw new Error('no entry process was started');
   const status = () => deployment.cli(first, 'status');
-  await waitFor('the first entry process is ready', async () => (await status()).exitCode === ExitCode.Success);
+  await waitFor(
+    'the first entry process is ready',
+    async () => (await status()).exitCode === ExitCode.Success,
+  );
   const inventory = deployment.inventory((draft) => {
     for (const team of draft.teams) Object.assign(team, { maxRunning: 1_000, maxQueued: 1_000 });
   });
