Commit decisions that wait at the same time together

Cause: 50 stops that were granted at once needed 203 versions in two seconds, one for each step of each VM. An entry process may write 20 times a second, and each version goes to every entry process; VM states would have waited behind the steps.

Change: commitDecision queues decisions. Those that wait are taken one after the other on an overlay of the view and committed as one change set, urgent ones first. A change set that the configuration refuses is tried again decision by decision. A decision that throws rejects its caller only.

Ruled out: larger steps for each stop (fewer states to resume from); a fixed delay to collect decisions (a lone vendor drain would wait for it).

--- a/src/controller/budget.ts
+++ b/src/controller/budget.ts
@@ -150,17 +150,21 @@
 /** Reading the budgets at one version. */
 export type BudgetReport = Pick<Budget, 'count' | 'broken' | 'slack'>;
 
-/** Creates a reader of budgets that counts a pool once for a version and set of silent zones. */
+/**
+ * Creates a reader of budgets that counts each pool of the live view once for a version and set of
+ * silent zones. Other views, such as one with uncommitted changes, are counted each time.
+ */
 export function createBudgetReader(
+  live: ConfigView,
   silentZones: () => ReadonlySet<string>,
 ): (view: ConfigView) => BudgetReport {
-  let last:
-    { view: ConfigView; version: number; silent: ReadonlySet<string>; budget: Budget } | undefined;
+  let last: { version: number; silent: ReadonlySet<string>; budget: Budget } | undefined;
   return (view) => {
     const silent = silentZones();
-    const { version } = view;
-    if (last?.view !== view || last.version !== version || last.silent !== silent) {
-      last = { view, version, silent, budget: new Budget(view, { silentZones: silent }) };
+    if (view !== live) return new Budget(view, { silentZones: silent });
+    if (last?.version !== view.version || last.silent !== silent) {
+      const budget = new Budget(view, { silentZones: silent });
+      last = { version: view.version, silent, budget };
     }
     return last.budget;
   };
--- a/src/controller/commit.ts
+++ b/src/controller/commit.ts
@@ -8,8 +8,9 @@
   type EntityChange,
 } from '../configuration/index.js';
 import type { ConfigDelta } from '../configuration/index.js';
+import { toError } from '../errors/index.js';
 import type { PlatformError } from '../platform/index.js';
-import { Priority } from './serialise.js';
+import { OverlayView } from './overlayView.js';
 import { ControllerError, ControllerErrorCode, type ControllerContext } from './types.js';
 
 /** Counts what it needs in the given view and returns the changes that follow; none for nothing. */
@@ -22,14 +23,48 @@
   applied: boolean;
 }
 
+/** Order among the decisions that wait. */
+export enum Priority {
+  /** Before all normal ones. */
+  Urgent = 'urgent',
+  Normal = 'normal',
+}
+
+/** A decision that waits for its commit. */
+interface Waiting {
+  purpose: string;
+  decide: Decide;
+  resolve: (result: Result<Decided, ControllerError>) => void;
+  reject: (err: Error) => void;
+}
+
+/** Decisions of one term of the lease that wait for a commit. */
+export class CommitQueue {
+  readonly waiting: Record<Priority, Waiting[]> = {
+    [Priority.Urgent]: [],
+    [Priority.Normal]: [],
+  };
+  isBusy = false;
+  /** Change sets of this term, which numbers them. */
+  changeSets = 0;
+
+  /** Takes up to `limit` decisions, urgent ones first, else in the order of the calls. */
+  take(limit: number): Waiting[] {
+    const urgent = this.waiting[Priority.Urgent].splice(0, limit);
+    return [...urgent, ...this.waiting[Priority.Normal].splice(0, limit - urgent.length)];
+  }
+}
+
 /**
  * Takes a decision and commits it against the version that it was counted on, under the lease.
- * When another change is committed first, the decision is taken again on the newer version. The
- * call keeps trying through outages of the platform and ends early only with the lease.
+ * When another change is committed first, the decision is taken again on the newer version.
+ * Decisions that wait at the same time are taken one after the other, each on what the ones before
+ * it change, and are committed together. The call keeps trying through outages of the platform and
+ * ends early only with the lease.
  *
  * @param purpose - label of the commit in metrics
  * @param decide - called synchronously, once for each version that it is tried against
- * @param priority - order among the waiting commits of this controller
+ * @param priority - order among the waiting decisions of this controller
  */
 export function commitDecision(
   ctx: ControllerContext,
@@ -37,36 +72,67 @@
   decide: Decide,
   priority = Priority.Normal,
 ): Promise<Result<Decided, ControllerError>> {
-  return ctx.serialise(() => decideUntilCommitted(ctx, purpose, decide), priority);
+  const { commits } = ctx;
+  const decided = new Promise<Result<Decided, ControllerError>>((resolve, reject) => {
+    commits.waiting[priority].push({ purpose, decide, resolve, reject });
+  });
+  if (!commits.isBusy) void commitWaiting(ctx);
+  return decided;
 }
 
-async function decideUntilCommitted(
+/** Commits what waits until nothing does. */
+async function commitWaiting(ctx: ControllerContext): Promise<void> {
+  const { commits, settings } = ctx;
+  const takeNext = () => commits.take(settings.maxJointDecisions);
+  commits.isBusy = true;
+  for (let taken = takeNext(); taken.length > 0; taken = takeNext()) {
+    try {
+      const refused = await commitTogether(ctx, taken);
+      // One invalid change must not refuse the others, so each is tried alone.
+      for (const one of refused) await commitTogether(ctx, [one]);
+    } catch (err) {
+      for (const { reject } of taken) reject(toError(err));
+    }
+  }
+  commits.isBusy = false;
+}
+
+/**
+ * Commits decisions as one change set and settles them.
+ *
+ * @returns the decisions that the configuration refused together, which are not settled
+ */
+async function commitTogether(
   ctx: ControllerContext,
-  purpose: string,
-  decide: Decide,
-): Promise<Result<Decided, ControllerError>> {
+  taken: readonly Waiting[],
+): Promise<Waiting[]> {
   const { view } = ctx.config;
+  let open = [...taken];
   for (let attempt = 0; ; attempt += 1) {
     const stopped = whyStopped(ctx);
-    if (stopped) return Result.err(stopped);
-    // The view may advance at any await, so version and decision are taken in one step.
+    if (stopped) return settle(open, Result.err(stopped));
+    // The view may advance at any await, so version and decisions are taken in one step.
     const base = view.version;
-    const changes = decide(view);
-    if (changes.length === 0) return Result.ok({ version: base, applied: false });
-    const author = `controller/${ctx.zone}`;
-    const changeSet: ChangeSet = { changeId: ctx.nextChangeId(), author, changes };
+    const round = decideAll(view, open);
+    open = round.open;
+    if (open.length === 0) return [];
+    const changeSet = numberChanges(ctx, round.changes);
     const committed = await commitUntilKnown(ctx, base, changeSet);
-    if (committed.isErr) return Result.err(committed.error);
+    if (committed.isErr) return settle(open, Result.err(committed.error));
     if (committed.value.isOk) {
       const { version } = committed.value.value;
       await adoptCommitted(ctx, { ...changeSet, version });
-      ctx.metrics.commits.inc({ purpose });
-      return Result.ok({ version, applied: true });
+      for (const { purpose } of round.changing) ctx.metrics.commits.inc({ purpose });
+      settle(round.changing, Result.ok({ version, applied: true }));
+      return settle(open, Result.ok({ version, applied: false }));
     }
     const failure = committed.value.error;
     ctx.metrics.commitRetries.inc({ reason: failure.code });
     if (failure.code === ConfigErrorCode.Invalid) {
-      return Result.err(new ControllerError(ControllerErrorCode.Invalid, failure.message, failure));
+      if (open.length > 1) return open;
+      const { message } = failure;
+      const invalid = new ControllerError(ControllerErrorCode.Invalid, message, failure);
+      return settle(open, Result.err(invalid));
     }
     if (failure.code === ConfigErrorCode.ConditionFailed) await ctx.lease.recheck();
     const isConflict = failure.code === ConfigErrorCode.Conflict;
@@ -75,6 +141,43 @@
   }
 }
 
+/** Settles decisions; those that are settled already are left as they are. */
+function settle(waiting: readonly Waiting[], result: Result<Decided, ControllerError>): Waiting[] {
+  for (const { resolve } of waiting) resolve(result);
+  return [];
+}
+
+function numberChanges(ctx: ControllerContext, changes: EntityChange[]): ChangeSet {
+  ctx.commits.changeSets += 1;
+  const author = `controller/${ctx.zone}`;
+  return { changeId: `${author}/${ctx.lease.epoch}/${ctx.commits.changeSets}`, author, changes };
+}
+
+/**
+ * Takes decisions one after the other. Those that change nothing before any other has changed
+ * something are settled at once; they do not depend on the commit.
+ */
+function decideAll(view: ConfigView, waiting: readonly Waiting[]) {
+  const overlay = new OverlayView(view);
+  const open: Waiting[] = [];
+  const changing: Waiting[] = [];
+  for (const one of waiting) {
+    try {
+      const changes = one.decide(overlay.isEmpty ? view : overlay);
+      if (changes.length === 0 && overlay.isEmpty) {
+        one.resolve(Result.ok({ version: view.version, applied: false }));
+        continue;
+      }
+      overlay.apply(changes);
+      open.push(one);
+      if (changes.length > 0) changing.push(one);
+    } catch (err) {
+      one.reject(toError(err));
+    }
+  }
+  return { open, changing, changes: overlay.changes };
+}
+
 /** Commits one change set, the same again for as long as its outcome is unknown. */
 async function commitUntilKnown(
   ctx: ControllerContext,
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -1,6 +1,6 @@
 import { EntityKind } from '../configuration/index.js';
 import { createBudgetReader } from './budget.js';
-import { createSerialise } from './serialise.js';
+import { CommitQueue } from './commit.js';
 import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
 import type { ZoneReports } from './zoneReports.js';
 
@@ -11,19 +11,14 @@
   reports: Pick<ZoneReports, 'silentZones' | 'isComplete'>,
   signal: AbortSignal,
 ): ControllerContext {
-  let changeSets = 0;
   return {
     ...deps,
     lease,
     signal,
     silentZones: reports.silentZones,
-    budgetAt: createBudgetReader(reports.silentZones),
+    budgetAt: createBudgetReader(deps.config.view, reports.silentZones),
     mayGrant: reports.isComplete,
-    serialise: createSerialise(),
-    nextChangeId: () => {
-      changeSets += 1;
-      return `controller/${deps.zone}/${lease.epoch}/${changeSets}`;
-    },
+    commits: new CommitQueue(),
   };
 }
 
--- a/src/controller/defaults.ts
+++ b/src/controller/defaults.ts
@@ -45,6 +45,12 @@
   sweepBatch: count(10, 'VMs that one look for drains without a known reason asks, in VMs.'),
   retryBaseMs: milliseconds(50, 'Upper limit of the first random delay before a retried commit'),
   retryMaxMs: milliseconds(5_000, 'Upper limit of the random delay before a retried commit'),
+  maxJointDecisions: z
+    .number()
+    .int()
+    .positive()
+    .default(200)
+    .describe('Decisions of the controller that are committed as one change set, in decisions.'),
   conflictMaxMs: milliseconds(
     400,
     'Upper limit of the random delay before a commit that lost to another one is tried again; other commits of the controller wait meanwhile',
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -25,8 +25,14 @@
   type BudgetReport,
   type PoolCount,
 } from './budget.js';
-export { catchUp, commitDecision, type Decide, type Decided } from './commit.js';
-export { createSerialise, Priority, type Serialise } from './serialise.js';
+export {
+  catchUp,
+  commitDecision,
+  CommitQueue,
+  Priority,
+  type Decide,
+  type Decided,
+} from './commit.js';
 export { awaitDrained, DrainEnd, type DrainWait } from './confirmation.js';
 export {
   grantStops,
--- a/src/controller/types.ts
+++ b/src/controller/types.ts
@@ -8,9 +8,9 @@
 import type { Random } from '../random/index.js';
 import type { Result } from 'true-myth';
 import type { BudgetReport } from './budget.js';
+import type { CommitQueue } from './commit.js';
 import type { ControllerSettings } from './defaults.js';
 import type { ControllerMetrics } from './metrics.js';
-import type { Serialise } from './serialise.js';
 
 /** Value of the row `lease/zone/<zone>`. */
 export interface LeaseRow {
@@ -107,8 +107,6 @@
   mayGrant: () => boolean;
   /** Aborted when the lease is lost or the process shuts down. */
   signal: AbortSignal;
-  /** Runs commits one after the other, so that they do not conflict with each other. */
-  serialise: Serialise;
-  /** Numbers the change sets of this term. */
-  nextChangeId: () => string;
+  /** Decisions that wait for a commit. */
+  commits: CommitQueue;
 }
--- a/src/controller/vmStatus.ts
+++ b/src/controller/vmStatus.ts
@@ -8,8 +8,7 @@
 } from '../configuration/index.js';
 import { EventName, LeavingSign } from '../events/index.js';
 import { ListedVmState, type ListedVm } from '../platform/index.js';
-import { commitDecision } from './commit.js';
-import { Priority } from './serialise.js';
+import { commitDecision, Priority } from './commit.js';
 import { ProbeResult, type ControllerContext } from './types.js';
 
 /** What is known about the VMs of a zone at one moment. */
