--- a/src/requests/faults.spec.ts
+++ b/src/requests/faults.spec.ts
@@ -1,12 +1,17 @@
 import test from 'ava';
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import { PlatformError, PlatformErrorCode, type Table } from '../platform/index.js';
 import {
   brokenVariants,
   createVirtualClock,
+  HistoryRule,
   Identity,
   persistentCaller,
   RequestCluster,
   scenarioFaults,
   startThree,
+  type ClusterVariant,
   type HistoryViolation,
   type RequestClusterOptions,
   type ScenarioFault,
@@ -58,6 +63,54 @@
   }
 }
 
+/** A table whose writes report a lost answer and take effect after a delay. */
+function lateTable(clock: Clock, table: Table, delayMs: number): Table {
+  return {
+    ...table,
+    transact: (conditions, writes) => {
+      clock.setTimer(delayMs, () => void table.transact(conditions, writes));
+      const message = 'the answer was lost';
+      return Promise.resolve(
+        Result.err(new PlatformError(PlatformErrorCode.OutcomeUnknown, message)),
+      );
+    },
+  };
+}
+
+/** Runs two callers of one key while claims at some processes take effect late. */
+async function runLateClaims(lateAt: string[], delayMs: number, variant?: ClusterVariant) {
+  const clock = createVirtualClock();
+  const table = (own: Table, name: string) =>
+    lateAt.includes(name) ? lateTable(clock, own, delayMs) : own;
+  const cluster = new RequestCluster({ clock, seed: SEED, table, variant });
+  startThree(cluster);
+  void persistentCaller(cluster, 'x', Identity.Key, ['a', 'c', 'b']);
+  void persistentCaller(cluster, 'x', Identity.Key, ['c', 'b', 'a']);
+  await clock.advance(SETTLE_MS);
+  return cluster.violations();
+}
+
+for (const delayMs of [0, 1, 3, 10, 30, 100, 600]) {
+  for (const lateAt of [['a'], ['a', 'c'], ['a', 'b', 'c']]) {
+    // Guards against a claim that takes effect after its process has given up on it.
+    test(`rules hold with claims at ${lateAt.join()} ${delayMs} ms late`, async (t) => {
+      t.deepEqual(await runLateClaims(lateAt, delayMs), []);
+    });
+  }
+}
+
+test('late claims that are taken for granted are noticed', async (t) => {
+  const table = (own: Table): Table => ({
+    ...own,
+    transact: async (conditions, writes) => {
+      await own.transact(conditions, writes);
+      return Result.ok(undefined);
+    },
+  });
+  const rules = (await runLateClaims(['a', 'c'], 30, { table })).map(({ rule }) => rule);
+  t.true(rules.includes(HistoryRule.RunsAtMostOnce));
+});
+
 for (const { title, rule, ...options } of brokenVariants) {
   test(`the sweep notices ${title}`, async (t) => {
     const rules = new Set<string>();
