--- a/src/controller/commit.spec.ts
+++ b/src/controller/commit.spec.ts
@@ -80,6 +80,7 @@
     isHeld: true,
     write: async (run) =>
       Result.ok(await run({ key, version: rig.platform.rows.get(key)?.version ?? 0 })),
+    condition: undefined,
     recheck: () => Promise.resolve(),
   };
   const reports = { silentZones: () => new Set<string>(), isComplete: () => true };
