Show that takeover tests fail for a holder that does not resume

Cause: the tables of crashes had no broken variant, and nothing checked that they cover all platform calls of a stop or move.

Change: a holder that does not read what earlier holders recorded of stops is found not to finish. A run without faults must need no more calls than the tables inject faults at.

Ruled out: a variant that takes a lost answer for a refusal; decisions are taken again on the newer version, so it does no harm.

Conclusion: the tables of faults cover every call of a stop and of a move.

--- a/src/controller/moves.spec.ts
+++ b/src/controller/moves.spec.ts
@@ -17,6 +17,9 @@
 /** A VM of pool p0; the pools take turns in a rack. */
 const VM = 'z0r0v0';
 
+/** Numbers of the platform calls at which faults are injected. */
+const steps = Array.from({ length: 50 }, (_, index) => index);
+
 const requestMove = (id: string, from = 'p0', to = 'p1'): EntityChange => {
   return { kind: EntityKind.Move, id, value: { id, from, to, state: MoveState.Requested } };
 };
@@ -32,8 +35,10 @@
 
 test('a requested move drains the VM, writes the assignment and puts it in service', async (t) => {
   const rig = await setUp();
-  rig.start('z0', 'a');
+  let calls = 0;
+  rig.start('z0', 'a', { faultOf: ({ index }) => ((calls = index + 1), CallFault.None) });
   t.true(await rig.until(isSettled, MINUTE));
+  t.true(calls <= steps.length, `${calls} calls; the tables of faults must cover them`);
   const view = await rig.newest();
   t.is(view.poolOf(VM), 'p1');
   t.false(rig.platform.drains.has(VM));
@@ -41,7 +46,6 @@
   await rig.close();
 });
 
-const steps = Array.from({ length: 50 }, (_, index) => index);
 const faults = [
   CallFault.CrashBefore,
   CallFault.CrashAfter,
--- a/src/controller/stops.spec.ts
+++ b/src/controller/stops.spec.ts
@@ -1,5 +1,11 @@
 import test from 'ava';
-import { EntityKind, StopState, VmState, type EntityChange } from '../configuration/index.js';
+import {
+  EntityKind,
+  StopState,
+  VmState,
+  type ConfigHistory,
+  type EntityChange,
+} from '../configuration/index.js';
 import { ListedVmState } from '../platform/index.js';
 import { ControllerRig, findViolations, fleetOf, memberOf } from '../testing/controllerRig.js';
 import { CallFault, type PlatformCall } from '../testing/interceptedPlatform.js';
@@ -8,6 +14,9 @@
 const VM = 'z0r0v0';
 const MINUTE = 60_000;
 
+/** Numbers of the platform calls at which faults are injected. */
+const steps = Array.from({ length: 60 }, (_, index) => index);
+
 const grant = (id: string): EntityChange => {
   return { kind: EntityKind.Stop, id, value: { id, wave: 'w', state: StopState.Granted } };
 };
@@ -25,15 +34,15 @@
 test('a granted stop drains, reboots once, returns and is deleted', async (t) => {
   const rig = await setUp();
   await rig.operate([grant(VM)]);
-  rig.start('z0', 'a');
+  let calls = 0;
+  rig.start('z0', 'a', { faultOf: ({ index }) => ((calls = index + 1), CallFault.None) });
   t.true(await rig.until(isGone(VM), MINUTE));
+  t.true(calls <= steps.length, `${calls} calls; the tables of faults must cover them`);
   t.deepEqual(rig.platform.reboots, [VM]);
   t.deepEqual(findViolations(await rig.deltas()), []);
   await rig.close();
 });
 
-const steps = Array.from({ length: 60 }, (_, index) => index);
-
 for (const fault of [CallFault.CrashBefore, CallFault.CrashAfter]) {
   // The next holder of the lease must finish the stop from whatever state it was left in.
   test(`a stop is finished by the next holder when the first has ${fault} at any call`, async (t) => {
@@ -65,6 +74,34 @@
   });
 }
 
+/** Broken variant: what earlier holders recorded of stops is not read. */
+const forgetStops = (history: ConfigHistory): ConfigHistory => ({
+  ...history,
+  deltasAfter: async (version, limit) =>
+    (await history.deltasAfter(version, limit)).map((deltas) =>
+      deltas.map((delta) => ({
+        ...delta,
+        changes: delta.changes.filter(({ kind }) => kind !== EntityKind.Stop),
+      })),
+    ),
+});
+
+test('a stop is not finished by a holder that does not read what the last one recorded', async (t) => {
+  for (const [history, isFinished] of [
+    [undefined, true],
+    [forgetStops, false],
+  ] as const) {
+    const rig = await setUp();
+    await rig.operate([grant(VM)]);
+    const first = rig.start('z0', 'a', { inFlight: () => 1 });
+    await rig.clock.advance(5_000);
+    await rig.close([first.lifecycle]);
+    const second = rig.start('z0', 'b', { history });
+    t.is(await rig.until(isGone(VM), 5 * MINUTE), isFinished);
+    await rig.close([second.lifecycle]);
+  }
+});
+
 // Rebooting under a member that may still send would cut off its requests.
 test('a stop waits for each member of the zone, and for the silent ones until they expire', async (t) => {
   const cases = [
