--- a/src/entry/children.ts
+++ b/src/entry/children.ts
@@ -2,6 +2,7 @@
 import { createControllerMetrics, runZoneController, type HeldLease } from '../controller/index.js';
 import { RestartPolicy, type ChildSpec, type Lifecycle } from '../lifecycle/index.js';
 import { CallPurpose } from '../platform/index.js';
+import { runHousekeeping } from './housekeeping.js';
 import type { JobParts } from './jobParts.js';
 import { runOwnership } from './ownership.js';
 import type { EntryParts } from './parts.js';
@@ -70,7 +71,9 @@
     settings: ctx.settings.controller,
     metrics: createControllerMetrics(ctx.metrics),
     vacate: (vm: string) => jobs.vacate(vm),
-    alsoWhileHeld: (lease: HeldLease, term: Lifecycle) => jobs.runWhileHeld(lease, term),
+    alsoWhileHeld: async (lease: HeldLease, term: Lifecycle) => {
+      await Promise.all([jobs.runWhileHeld(lease, term), runHousekeeping(ctx, parts, term)]);
+    },
     inFlight: (vm: string) => request.backends.inFlight(vm),
     probe: (vm: string) => probes.probe(vm),
     lastProbe: (vm: string) => probes.lastProbe(vm),
--- /dev/null
+++ b/src/entry/housekeeping.ts
@@ -0,0 +1,72 @@
+import type { Lifecycle } from '../lifecycle/index.js';
+import { createMemberRowSweep } from '../membership/index.js';
+import { CallPurpose, type PlatformResult } from '../platform/index.js';
+import { sweepClaims } from '../requests/index.js';
+import type { EntryParts } from './parts.js';
+import type { EntryContext } from './types.js';
+
+/** Time between two sweeps of the member rows of the zone, in milliseconds. */
+const MEMBER_SWEEP_MS = 60_000;
+
+/** Time for which a member must be unknown before its row is deleted, in milliseconds. */
+const MEMBER_STALE_MS = 600_000;
+
+/** Time between two pages of the sweep of claims, in milliseconds. */
+const CLAIM_PAGE_MS = 2_000;
+
+/** Claims in one page, all of which may be deleted by one transaction. */
+const CLAIM_PAGE_ROWS = 100;
+
+/** Deletes rows that nobody needs any more while the zone lease is held. */
+export async function runHousekeeping(
+  ctx: EntryContext,
+  parts: EntryParts,
+  lifecycle: Lifecycle,
+): Promise<void> {
+  await Promise.all([
+    sweepMembers(ctx, parts, lifecycle.signal),
+    sweepAllClaims(ctx, parts, lifecycle.signal),
+  ]);
+}
+
+async function sweepMembers(
+  ctx: EntryContext,
+  { platform, network, membership }: EntryParts,
+  signal: AbortSignal,
+): Promise<void> {
+  const { zone, name: own } = network.self;
+  const sweep = createMemberRowSweep({
+    clock: ctx.clock,
+    zone,
+    table: platform.table,
+    staleAfterMs: MEMBER_STALE_MS,
+    isKnown: (name) => name === own || membership.member(name) !== undefined,
+  });
+  while (await ctx.clock.sleep(MEMBER_SWEEP_MS, signal)) {
+    const swept = await sweep();
+    logSweep(ctx, 'member_rows_swept', swept);
+  }
+}
+
+async function sweepAllClaims(
+  ctx: EntryContext,
+  { platform, network, store }: EntryParts,
+  signal: AbortSignal,
+): Promise<void> {
+  const { table } = platform.forPurpose(CallPurpose.Request);
+  let after: string | undefined;
+  while (await ctx.clock.sleep(CLAIM_PAGE_MS, signal)) {
+    // One zone sweeps for all; any zone would do.
+    const [first] = [...store.view.zones()].sort();
+    if (first !== network.self.zone) continue;
+    const page = await sweepClaims(table, ctx.clock.wallTime(), after, CLAIM_PAGE_ROWS);
+    after = page.isOk ? page.value.next : undefined;
+    const swept = page.map((result) => result.swept);
+    logSweep(ctx, 'claims_swept', swept);
+  }
+}
+
+function logSweep({ logger }: EntryContext, event: string, swept: Awaited<PlatformResult<number>>) {
+  if (swept.isErr) logger.debug({ event: `${event}_failed`, error: swept.error.message });
+  else if (swept.value > 0) logger.info({ event, rows: swept.value });
+}
--- a/src/entry/requestParts.ts
+++ b/src/entry/requestParts.ts
@@ -1,5 +1,4 @@
 import {
-  BackendErrorCode,
   createBackendConnections,
   createBackendHealth,
   createChooser,
@@ -12,7 +11,6 @@
   type Probe,
 } from '../backends/index.js';
 import { EntityKind, type IndexedConfigView } from '../configuration/index.js';
-import { EventName, LeavingSign } from '../events/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { createScheduler, type Scheduler } from '../scheduling/index.js';
 import type { EntryContext } from './types.js';
@@ -38,7 +36,7 @@
   const onSend = (vm: string) => {
     health.started(vm);
   };
-  const connections = createBackendConnections({ clock, metrics, settings, lifecycle, onSend });
+  const backends = createBackendConnections({ clock, metrics, settings, lifecycle, onSend });
   const leaving = createLeavingSet({ clock, bus: events, view, metrics, settings, lifecycle });
   const chooser: ChooserOptions = {
     random,
@@ -54,23 +52,5 @@
     choose: createChooser(chooser),
     usable: createUsable(chooser),
   });
-  return { backends: announceRefusals(ctx, connections), health, scheduler, probe };
-}
-
-/** Announces a VM as leaving when it refuses a request because it drains or changed pools. */
-function announceRefusals(ctx: EntryContext, connections: BackendConnections): BackendConnections {
-  return {
-    setExecutors: (executors) => {
-      connections.setExecutors(executors);
-    },
-    inFlight: (vm) => connections.inFlight(vm),
-    close: () => connections.close(),
-    send: async (vm, req) => {
-      const result = await connections.send(vm, req);
-      if (result.isErr && result.error.code === BackendErrorCode.Leaving) {
-        void ctx.events.emit(EventName.VmLeaving, { vm, sign: LeavingSign.OwnRefusal });
-      }
-      return result;
-    },
-  };
+  return { backends, health, scheduler, probe };
 }
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -16,3 +16,4 @@
   type MembershipOptions,
   type RunningMembership,
 } from './membership.js';
+export { createMemberRowSweep, type MemberRowSweepDeps } from './rowSweep.js';
--- /dev/null
+++ b/src/membership/rowSweep.ts
@@ -0,0 +1,60 @@
+import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
+import type { PlatformResult, Row, Table } from '../platform/index.js';
+import { MEMBER_PREFIX } from './registration.js';
+
+/** Most member rows of one zone that are looked at. */
+const MAX_ROWS = 1_000;
+
+/** What {@link createMemberRowSweep} works with. */
+export interface MemberRowSweepDeps {
+  table: Table;
+  clock: Clock;
+  zone: string;
+  /** Time for which a member must be unknown before its row is deleted, in milliseconds. */
+  staleAfterMs: number;
+  /** Whether a member is this process or was heard of lately. */
+  isKnown: (name: string) => boolean;
+}
+
+interface Sighting {
+  version: number;
+  since: number;
+}
+
+/**
+ * Creates the sweep of member rows that crashed processes left behind. Each call returns the number
+ * of rows deleted. A process that is merely cut off writes its row again, and the drain of a VM does
+ * not rely on the row alone.
+ */
+export function createMemberRowSweep(deps: MemberRowSweepDeps): () => PlatformResult<number> {
+  const { table, clock, zone, staleAfterMs, isKnown } = deps;
+  const prefix = `${MEMBER_PREFIX}${zone}/`;
+  let unknown = new Map<string, Sighting>();
+
+  function isStale({ key, version }: Row): boolean {
+    const seen = unknown.get(key);
+    return seen?.version === version && clock.now() - seen.since >= staleAfterMs;
+  }
+
+  function remember(rows: readonly Row[]): void {
+    const next = new Map<string, Sighting>();
+    for (const { key, version } of rows) {
+      const seen = unknown.get(key);
+      next.set(key, seen?.version === version ? seen : { version, since: clock.now() });
+    }
+    unknown = next;
+  }
+
+  return async () => {
+    const page = await table.scan(prefix, MAX_ROWS);
+    if (page.isErr) return Result.err(page.error);
+    const rows = page.value.rows.filter(({ key }) => !isKnown(key.slice(prefix.length)));
+    remember(rows);
+    const stale = rows.filter(isStale);
+    if (stale.length === 0) return Result.ok(0);
+    const conditions = stale.map(({ key, version }) => ({ key, version }));
+    const writes = stale.map(({ key }) => ({ key }));
+    return (await table.transact(conditions, writes)).map(() => stale.length);
+  };
+}
--- a/src/operators/changes.ts
+++ b/src/operators/changes.ts
@@ -47,7 +47,7 @@
   return decide(deps, author, changeId, () => {
     const won = operatorWinner(deps, body.base);
     if (won) throw conflict(won);
-    const moves = changes.flatMap((change) => requestedMove(deps, change) ?? []);
+    const moves = changes.flatMap((change) => requestedMove(deps, change));
     return [...changes, ...moves, operatorChange(deps, changeId, author)];
   });
 }
@@ -82,13 +82,22 @@
   return { kind: EntityKind.OperatorChange, id: LAST_OPERATOR_CHANGE, value };
 }
 
-function requestedMove(deps: OperatorDeps, change: EntityChange): EntityChange | undefined {
-  if (change.kind !== EntityKind.Vm || !change.value) return undefined;
-  const current = deps.view.poolOf(change.id);
-  const known = deps.view.get(EntityKind.Vm, change.id);
-  if (!known || current === undefined || known.pool === change.value.pool) return undefined;
-  if (current === change.value.pool) return undefined;
-  return moveChange(change.id, current, change.value.pool);
+/**
+ * A VM that was never moved is in its home pool without an assignment. Changing its home pool must
+ * not take it out of the pool that it serves, so the assignment is written with the requested move.
+ */
+function requestedMove(deps: OperatorDeps, change: EntityChange): EntityChange[] {
+  if (change.kind !== EntityKind.Vm || !change.value) return [];
+  const { id } = change;
+  const current = deps.view.poolOf(id);
+  const known = deps.view.get(EntityKind.Vm, id);
+  if (!known || current === undefined || known.pool === change.value.pool) return [];
+  const changes: EntityChange[] = [];
+  if (!deps.view.get(EntityKind.Assignment, id)) {
+    changes.push({ kind: EntityKind.Assignment, id, value: { id, pool: current } });
+  }
+  if (current !== change.value.pool) changes.push(moveChange(id, current, change.value.pool));
+  return changes;
 }
 
 function moveChange(vm: string, from: string, to: string): EntityChange {
--- a/src/operators/operators.spec.ts
+++ b/src/operators/operators.spec.ts
@@ -189,11 +189,12 @@
     },
   },
   {
-    title: 'a changed home pool becomes a requested move',
+    title: 'a changed home pool becomes a requested move, and the VM stays in its pool until then',
     run: async (t, bed) => {
       await bed.apply('first', 0, [pool('p'), pool('q'), upsert(vm('v', 'p'))]);
       t.is((await bed.apply('second', 1, [upsert(vm('v', 'q'))])).status, 200);
       t.like(bed.store.view.get(EntityKind.Move, 'v'), { from: 'p', to: 'q', state: 'requested' });
+      t.is(bed.store.view.poolOf('v'), 'p');
     },
   },
   {
--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -35,9 +35,12 @@
   onCall: (kind: 'read' | 'write') => void;
 }
 
+/** Prefix of the claim rows. */
+export const CLAIM_PREFIX = 'claim/';
+
 /** Key of the row that holds the claim of a caller key. */
 export function claimRowKey(team: string, key: string): string {
-  return `claim/${encodeURIComponent(team)}/${encodeURIComponent(key)}`;
+  return `${CLAIM_PREFIX}${encodeURIComponent(team)}/${encodeURIComponent(key)}`;
 }
 
 /**
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -22,3 +22,4 @@
 export type { RefusalBody } from './callerResponse.js';
 export { claimRowKey, type ClaimValue } from './claims.js';
 export { ForwardKind, LateAnswer, RetryDenial } from './requestMetrics.js';
+export { sweepClaims, type ClaimSweep } from './claimSweep.js';
