Add the benchmark tool; reserve slots for short work by its load

Cause: the targets on waiting, overload and demand in turns need measuring on the real scheduler, and the first policy missed the one on waiting: a batch of long work of an operation that never ran took three quarters of the slots. Change: npm run bench drives the scheduler under virtual time with fixed seeds and a registry of benchmarks; a broken bound ends it with exit code 1. The bound on the slots of longer work now follows the offered load: shorter work keeps its load plus a multiple of its square root, longer work its own average load and what drains its backlog. At most two pieces of an operation run until its run time is known. Admission and team quotas are modules of their own. Ruled out: fixed shares alone (they leave short work 40 slots for a load of 38); unknown operations as medium; averages corrected for a short history (they overshoot after a batch).

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,58 @@
+import meow from 'meow';
+import { benchmarks } from './registry.js';
+import { brokenFigures, formatReport } from './report.js';
+import type { Benchmark, BenchmarkReport } from './types.js';
+
+const DEFAULT_SEED = 20_240;
+
+/** Exit codes of the tool. */
+enum ExitCode {
+  Ok = 0,
+  BoundBroken = 1,
+  WrongUsage = 2,
+}
+
+const cli = meow(
+  `
+  Usage: npm run bench -- [--json] [--seed N] [benchmark ...]
+
+  Runs benchmarks under virtual time and compares figures with their bounds.
+  Exits with 1 when a bound is broken and with 2 on wrong usage.
+
+  Benchmarks: ${Object.keys(benchmarks).join(', ')}
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      json: { type: 'boolean', default: false },
+      seed: { type: 'number', default: DEFAULT_SEED },
+    },
+  },
+);
+
+function chosenBenchmarks(ids: readonly string[]): Benchmark[] | undefined {
+  const all = Object.values(benchmarks);
+  if (ids.length === 0) return all;
+  const chosen = all.filter(({ id }) => ids.includes(id));
+  return chosen.length === new Set(ids).size ? chosen : undefined;
+}
+
+async function main(): Promise<ExitCode> {
+  const chosen = chosenBenchmarks(cli.input);
+  if (!chosen) {
+    process.stderr.write(`unknown benchmark among: ${cli.input.join(', ')}\n${cli.help}\n`);
+    return ExitCode.WrongUsage;
+  }
+  const { seed, json } = cli.flags;
+  const reports: BenchmarkReport[] = [];
+  for (const { id, title, run } of chosen) {
+    const report = { id, title, seed, figures: await run(seed) };
+    reports.push(report);
+    if (!json) process.stdout.write(`${formatReport(report)}\n`);
+  }
+  const broken = brokenFigures(reports);
+  if (json) process.stdout.write(`${JSON.stringify({ reports, broken }, null, 2)}\n`);
+  return broken.length > 0 ? ExitCode.BoundBroken : ExitCode.Ok;
+}
+
+process.exitCode = await main();
--- /dev/null
+++ b/bench/virtualTime.ts
@@ -0,0 +1,38 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import { createClock, type Clock } from '../src/clock/index.js';
+
+/** Resolution of virtual time: steps per millisecond. */
+const STEPS_PER_MS = 100;
+
+/** Clock of a simulation. */
+export interface SimulatedTime {
+  clock: Clock;
+  /** Runs timers in order, and the promises they settle, until virtual time `endMs`. */
+  runUntil(endMs: number): Promise<void>;
+}
+
+/** Creates virtual time that starts at 0 ms and is independent of the machine's clock. */
+export function createSimulatedTime(): SimulatedTime {
+  const timers = FakeTimers.createClock(0);
+  const clock = createClock({
+    setTimeout: (callback, delayMs) =>
+      timers.setTimeout(callback, Math.ceil(delayMs * STEPS_PER_MS)),
+    clearTimeout: (handle) => {
+      timers.clearTimeout(handle);
+    },
+    monotonicMs: () => timers.now / STEPS_PER_MS,
+    wallMs: () => timers.now / STEPS_PER_MS,
+  });
+  const runUntil = async (endMs: number) => {
+    while (timers.countTimers() > 0 && clock.now() < endMs) {
+      timers.next();
+      await settlePromises();
+    }
+  };
+  return { clock, runUntil };
+}
+
+/** Resolves after every promise reaction that is due. */
+function settlePromises(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/src/scheduling/admission.ts
@@ -0,0 +1,183 @@
+import type { Clock } from '../clock/index.js';
+import type { Service } from '../configuration/index.js';
+import type { SchedulingSettings } from './defaults.js';
+import { nextClass, type SchedulingPolicy, type SlotShares } from './policies.js';
+import type { RunTimeTable } from './runTimes.js';
+import type { SchedulingMetrics } from './schedulingMetrics.js';
+import type { ServiceQueue } from './serviceQueue.js';
+import type { SlotTable } from './slotTable.js';
+import { quotaWaitMs, type TeamUse } from './teamTable.js';
+import { AdmissionError, AdmissionReason, SizeClass, type WorkItem } from './types.js';
+
+/** Shortest retry-after, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1;
+
+/** What is expected of an item before it waits, in milliseconds. */
+export interface Expectation {
+  sizeClass: SizeClass;
+  costMs: number;
+  /** Run time that must fit before the deadline. */
+  admissionMs: number;
+  /** Whether only a few items of the operation may run now. */
+  isProbed: boolean;
+}
+
+/** Options of {@link Admission}. */
+export interface AdmissionOptions {
+  clock: Clock;
+  settings: SchedulingSettings;
+  policy: SchedulingPolicy;
+  metrics: SchedulingMetrics;
+  runTimes: RunTimeTable;
+  slots: SlotTable;
+}
+
+/** Estimates waits and decides on arrival whether an item may wait. */
+export class Admission {
+  readonly #clock: Clock;
+  readonly #settings: SchedulingSettings;
+  readonly #policy: SchedulingPolicy;
+  readonly #metrics: SchedulingMetrics;
+  readonly #runTimes: RunTimeTable;
+  readonly #slots: SlotTable;
+
+  constructor(options: AdmissionOptions) {
+    this.#clock = options.clock;
+    this.#settings = options.settings;
+    this.#policy = options.policy;
+    this.#metrics = options.metrics;
+    this.#runTimes = options.runTimes;
+    this.#slots = options.slots;
+  }
+
+  /** What is expected of an item of an operation. */
+  expect(service: string, operation: string, declaredMs: number | undefined): Expectation {
+    const learned = this.#runTimes.estimate(service, operation);
+    const hint = { declaredMs, learnedMs: learned?.classMs };
+    return {
+      sizeClass: this.#policy.classify(hint, this.#settings),
+      costMs: learned?.meanMs ?? this.#settings.unlearnedRunMs,
+      admissionMs: learned?.admissionMs ?? this.#settings.unlearnedRunMs,
+      isProbed: this.#policy.isProbed(hint),
+    };
+  }
+
+  /** Bounds of a size class under the present load. */
+  shares(queue: ServiceQueue, sizeClass: SizeClass): SlotShares {
+    const { slots } = this.#slots.count(queue.service);
+    const load = queue.offeredLoad(sizeClass, slots);
+    return this.#policy.slotShares(sizeClass, this.#settings, load);
+  }
+
+  /** Whether some executor may take the item, now or later. */
+  canBePlaced(item: WorkItem): boolean {
+    return this.#slots
+      .usableExecutors(item.service)
+      .some((state) => !item.avoid?.has(state.spec.vm));
+  }
+
+  /**
+   * Expected time until a new item gets a slot, in milliseconds.
+   *
+   * @param laneMs - expected run time of what is ahead in the item's own lane
+   */
+  estimateWait(
+    queue: ServiceQueue,
+    expected: Expectation,
+    urgent: boolean,
+    laneMs: number,
+  ): number {
+    const { sizeClass } = expected;
+    const states = this.#slots.usableExecutors(queue.service);
+    const slots = states.reduce((sum, state) => sum + state.spec.slots, 0);
+    if (slots === 0) return Infinity;
+    const shares = this.shares(queue, sizeClass);
+    const isFree = this.#slots.candidates(queue.service, sizeClass, shares).length > 0;
+    const shorterMs = urgent ? 0 : queue.urgentMs() + queue.shorterMs(sizeClass);
+    if (isFree && laneMs + shorterMs === 0) return 0;
+    const firstFreeMs = queue.finishRate > 0 ? 1 / queue.finishRate : 0;
+    // The bound on long work leaves room for shorter work already.
+    const isLong = sizeClass === SizeClass.Long;
+    const aheadMs = laneMs + (isLong && !urgent ? queue.urgentMs() : shorterMs);
+    const heldByLonger = isLong ? 0 : this.#slots.held(states, nextClass(sizeClass));
+    const usableSlots = Math.max(1, slots * shares.most - heldByLonger);
+    return firstFreeMs + aheadMs / usableSlots;
+  }
+
+  /** Checks an item whose service and team are known; returns why it must not wait. */
+  check(
+    item: WorkItem,
+    service: Service,
+    queue: ServiceQueue,
+    team: TeamUse,
+    expected: Expectation,
+    urgent: boolean,
+  ): AdmissionError | undefined {
+    return (
+      this.#checkPlaceable(item) ??
+      this.#checkCapacity(item, service, queue, team, expected, urgent)
+    );
+  }
+
+  /** Counts a refusal. `retryAfterMs` is in milliseconds. */
+  refuse(
+    reason: AdmissionReason,
+    message: string,
+    retryAfterMs = this.#settings.refusalRetryAfterMs,
+  ): AdmissionError {
+    this.#metrics.refused(reason);
+    const bounded = Math.min(this.#settings.maxRetryAfterMs, Math.ceil(retryAfterMs));
+    return new AdmissionError(reason, message, Math.max(MIN_RETRY_AFTER_MS, bounded));
+  }
+
+  #checkPlaceable(item: WorkItem): AdmissionError | undefined {
+    if (this.canBePlaced(item)) return undefined;
+    const message = `no executor of ${item.service} may take the request`;
+    return this.refuse(AdmissionReason.NoBackend, message);
+  }
+
+  #checkCapacity(
+    item: WorkItem,
+    service: Service,
+    queue: ServiceQueue,
+    team: TeamUse,
+    expected: Expectation,
+    urgent: boolean,
+  ): AdmissionError | undefined {
+    const lane = queue.lane(expected.sizeClass, urgent).queue;
+    const ahead = lane.aheadOf(this.#policy.flowKey(item), team.quota.weight, expected.costMs);
+    const isHeld = expected.isProbed && queue.probes.isAtLimit(item.operation);
+    const waitMs = Math.max(
+      this.estimateWait(queue, expected, urgent, ahead),
+      quotaWaitMs(team, expected.costMs),
+      isHeld ? this.#settings.unlearnedRunMs : 0,
+    );
+    // With a free slot the request runs even when it is expected to be late: otherwise an
+    // operation that was slow once would never run again and never be learned as fast.
+    if (waitMs === 0 && this.#hasFreeSlot(item, queue, expected.sizeClass)) return undefined;
+    const { mostQueued } = this.shares(queue, expected.sizeClass);
+    const isClassFull =
+      queue.countOf(expected.sizeClass) >= Math.ceil(service.maxQueued * mostQueued);
+    if (queue.length >= service.maxQueued || isClassFull) {
+      const message = `${queue.length} requests wait for ${service.id}, limit ${service.maxQueued}`;
+      return this.refuse(AdmissionReason.ServiceQueueFull, message, waitMs);
+    }
+    if (team.queued >= team.quota.maxQueued) {
+      const message = `${team.queued} requests of ${item.team} wait, limit ${team.quota.maxQueued}`;
+      return this.refuse(AdmissionReason.TeamQueueFull, message, waitMs);
+    }
+    const remainingMs = item.deadline - this.#clock.now();
+    const neededMs = waitMs * this.#settings.waitMargin + expected.admissionMs;
+    if (neededMs > remainingMs) {
+      const message = `estimated wait ${Math.round(waitMs)} ms and run time ${Math.round(expected.admissionMs)} ms exceed the remaining ${Math.round(remainingMs)} ms`;
+      return this.refuse(AdmissionReason.DeadlineUnmeetable, message, neededMs - remainingMs);
+    }
+    return undefined;
+  }
+
+  #hasFreeSlot(item: WorkItem, queue: ServiceQueue, sizeClass: SizeClass): boolean {
+    return this.#slots
+      .candidates(item.service, sizeClass, this.shares(queue, sizeClass))
+      .some((state) => !item.avoid?.has(state.spec.vm));
+  }
+}
--- a/src/scheduling/defaults.ts
+++ b/src/scheduling/defaults.ts
@@ -45,6 +45,30 @@
     .describe(
       'Most slots of one executor that medium and long work together may hold (share of slots)',
     ),
+  shortLoadWindowMs: z
+    .number()
+    .positive()
+    .default(1_000)
+    .describe('Time over which the load of shorter work is averaged to reserve slots for it (ms)'),
+  longLoadWindowMs: z
+    .number()
+    .positive()
+    .default(60_000)
+    .describe(
+      'Time over which the load of longer work is averaged to keep it from falling behind (ms)',
+    ),
+  longDrainMs: z
+    .number()
+    .positive()
+    .default(17_000)
+    .describe('Time within which waiting work longer than short is to start, as bounds allow (ms)'),
+  reserveFactor: z
+    .number()
+    .min(0)
+    .default(1.5)
+    .describe(
+      'Slots reserved for shorter work beyond its load, as a multiple of the square root of that load (factor)',
+    ),
   longQueueShare: z
     .number()
     .gt(0)
@@ -81,15 +105,21 @@
     .number()
     .gt(0)
     .lt(1)
-    .default(0.9)
+    .default(0.95)
     .describe(
       'Quantile of learned run times that must fit between the estimated wait and the deadline (share of runs)',
     ),
   waitMargin: z
     .number()
     .min(1)
-    .default(1.1)
+    .default(1.2)
     .describe('Factor on the estimated wait when it is compared with the deadline (factor)'),
+  unlearnedRunning: z
+    .number()
+    .int()
+    .positive()
+    .default(2)
+    .describe('Requests of an operation that run at once before its run time is known (count)'),
   unlearnedRunMs: z
     .number()
     .positive()
--- a/src/scheduling/fairQueue.ts
+++ b/src/scheduling/fairQueue.ts
@@ -137,7 +137,7 @@
   /** Every queued item, flow by flow. */
   *values(): Generator<T> {
     for (const flow of this.#flows.values()) {
-      for (let node = flow.tickets.first; node; node = node.next) yield node.value.value;
+      for (const ticket of flow.tickets.values()) yield ticket.value;
     }
   }
 
--- a/src/scheduling/linkedList.ts
+++ b/src/scheduling/linkedList.ts
@@ -40,6 +40,11 @@
     return true;
   }
 
+  /** Values from first to last. */
+  *values(): Generator<T> {
+    for (let node = this.#first; node; node = node.next) yield node.value;
+  }
+
   moveToBack(node: ListNode<T>): void {
     if (this.remove(node)) this.#append(node);
   }
--- /dev/null
+++ b/src/scheduling/loadMeter.ts
@@ -0,0 +1,37 @@
+import type { Clock } from '../clock/index.js';
+
+/**
+ * Offered load in slots: the expected run time that arrives per unit of time, as an exponential
+ * average.
+ */
+export class LoadMeter {
+  readonly #clock: Clock;
+  readonly #windowMs: number;
+  #valueMs = 0;
+  #updatedAt: number;
+
+  /** @param windowMs - time over which an arrival loses most of its weight */
+  constructor(clock: Clock, windowMs: number) {
+    this.#clock = clock;
+    this.#windowMs = windowMs;
+    this.#updatedAt = clock.now();
+  }
+
+  /** Slots that the arrivals keep busy on average. */
+  get slots(): number {
+    this.#decay();
+    return this.#valueMs / this.#windowMs;
+  }
+
+  /** @param costMs - expected run time in milliseconds; negative to take one back */
+  add(costMs: number): void {
+    this.#decay();
+    this.#valueMs = Math.max(0, this.#valueMs + costMs);
+  }
+
+  #decay(): void {
+    const now = this.#clock.now();
+    this.#valueMs *= Math.exp((this.#updatedAt - now) / this.#windowMs);
+    this.#updatedAt = now;
+  }
+}
--- a/src/scheduling/policies.ts
+++ b/src/scheduling/policies.ts
@@ -8,6 +8,17 @@
   learnedMs?: number;
 }
 
+/** Offered load of one service on this process, in slots. */
+export interface OfferedLoad {
+  slots: number;
+  /** Recent load of the classes shorter than the one in question. */
+  shorter: number;
+  /** Average load of the class and all longer ones. */
+  own: number;
+  /** Expected run time of what waits of the class and all longer ones, in milliseconds. */
+  backlogMs: number;
+}
+
 /** Bounds of a size class; those on slots count the slots of all longer classes too. */
 export interface SlotShares {
   /** Below this share the class goes ahead of shorter work. */
@@ -28,8 +39,10 @@
   flowKey: (item: WorkItem) => string;
   /** Whether the item goes ahead of others, as far as its team's quota allows. */
   isUrgent: (item: WorkItem) => boolean;
+  /** Whether only a few items of the operation may run until its run time is known. */
+  isProbed: (hint: SizeHint) => boolean;
   classify: (hint: SizeHint, settings: SchedulingSettings) => SizeClass;
-  slotShares: (sizeClass: SizeClass, settings: SchedulingSettings) => SlotShares;
+  slotShares: (sizeClass: SizeClass, settings: SchedulingSettings, load: OfferedLoad) => SlotShares;
   /** Run time in milliseconds after which a running item counts as the next class. */
   outlivesAfterMs: (sizeClass: SizeClass, settings: SchedulingSettings) => number;
 }
@@ -42,11 +55,6 @@
   return sizeClass === SizeClass.Short ? SizeClass.Medium : SizeClass.Long;
 }
 
-/** Whether `a` is a longer class than `b`. */
-export function isLonger(a: SizeClass, b: SizeClass): boolean {
-  return sizeClasses.indexOf(a) > sizeClasses.indexOf(b);
-}
-
 /** The class of a run time in milliseconds. */
 export function classOf(runMs: number, settings: SchedulingSettings): SizeClass {
   if (runMs <= settings.shortMaxMs) return SizeClass.Short;
@@ -74,6 +82,29 @@
   }
 }
 
+/** Room above the average load of a class that keeps its queue from growing. */
+const STABLE_LOAD_FACTOR = 1.1;
+
+/**
+ * Lowers the bound of a class to what shorter work leaves, so that a burst of long work waits for
+ * itself and not in front of short work. The bound stays above the average load of the class and
+ * above what drains its backlog in time, as far as its share of the whole load allows.
+ */
+function adaptiveShares(
+  sizeClass: SizeClass,
+  settings: SchedulingSettings,
+  { slots, shorter, own, backlogMs }: OfferedLoad,
+): SlotShares {
+  const shares = boundedShares(sizeClass, settings);
+  if (sizeClass === SizeClass.Short || slots === 0) return shares;
+  const reserved = shorter + settings.reserveFactor * Math.sqrt(shorter);
+  const demand = Math.max(STABLE_LOAD_FACTOR * own, backlogMs / settings.longDrainMs);
+  const needed = demand > 0 ? Math.min(demand, (slots * demand) / (demand + shorter)) : 0;
+  const wanted = Math.max(slots - reserved, needed);
+  const most = Math.min(shares.most, Math.max(shares.guaranteed, Math.ceil(wanted) / slots));
+  return { ...shares, most };
+}
+
 function upperLimitMs(sizeClass: SizeClass, settings: SchedulingSettings): number {
   switch (sizeClass) {
     case SizeClass.Short:
@@ -86,13 +117,11 @@
 }
 
 /**
- * An operation that never ran counts as medium or longer, whatever its declared run time says:
- * short work may fill all slots, and a declared time may be far off.
+ * An operation that never ran counts as long, whatever its declared run time says: that one may be
+ * far off, and a wave of unknown work must not fill the pool. Its first end settles the class.
  */
-function classifyLearned(hint: SizeHint, settings: SchedulingSettings): SizeClass {
-  if (hint.learnedMs !== undefined) return classOf(hint.learnedMs, settings);
-  const declared = classOf(hint.declaredMs ?? 0, settings);
-  return declared === SizeClass.Long ? SizeClass.Long : SizeClass.Medium;
+function classifyLearned({ learnedMs }: SizeHint, settings: SchedulingSettings): SizeClass {
+  return learnedMs === undefined ? SizeClass.Long : classOf(learnedMs, settings);
 }
 
 /** Ordering policies by id. */
@@ -100,6 +129,7 @@
   [SchedulingPolicyId.FirstComeFirstServed]: {
     flowKey: () => '',
     isUrgent: () => false,
+    isProbed: () => false,
     classify: () => SizeClass.Short,
     slotShares: () => UNBOUNDED,
     outlivesAfterMs: () => Infinity,
@@ -107,6 +137,7 @@
   [SchedulingPolicyId.DeclaredClasses]: {
     flowKey: (item) => item.team,
     isUrgent: (item) => item.urgent,
+    isProbed: () => false,
     classify: (hint, settings) => classOf(hint.declaredMs ?? 0, settings),
     slotShares: boundedShares,
     outlivesAfterMs: () => Infinity,
@@ -114,8 +145,9 @@
   [SchedulingPolicyId.LearnedClasses]: {
     flowKey: (item) => item.team,
     isUrgent: (item) => item.urgent,
+    isProbed: (hint) => hint.learnedMs === undefined,
     classify: classifyLearned,
-    slotShares: boundedShares,
+    slotShares: adaptiveShares,
     outlivesAfterMs: upperLimitMs,
   },
 };
--- a/src/scheduling/serviceQueue.ts
+++ b/src/scheduling/serviceQueue.ts
@@ -1,22 +1,15 @@
-import type { Team } from '../configuration/index.js';
+import type { Clock } from '../clock/index.js';
 import type { Result } from 'true-myth';
 import type { SchedulingSettings } from './defaults.js';
-import { FairQueue, type Flow, type Ticket } from './fairQueue.js';
+import { FairQueue, type Ticket } from './fairQueue.js';
 import { LinkedList, type ListNode } from './linkedList.js';
+import { LoadMeter } from './loadMeter.js';
+import { sizeClasses, type OfferedLoad } from './policies.js';
+import { OperationProbes, type HeldItem } from './probes.js';
+import type { TeamUse } from './teamTable.js';
 import type { DueEntry } from './timerQueue.js';
 import { SizeClass, type AdmissionError, type SlotGrant, type WorkItem } from './types.js';
 
-/** Use of a team's quotas on this process. */
-export interface TeamUse {
-  quota: Team;
-  queued: number;
-  running: number;
-  /** Admitted as urgent and not yet finished. */
-  urgent: number;
-  /** Flows left out because their next item's team is at its running quota. */
-  blocked: Map<Flow<WaitingItem>, ServiceQueue>;
-}
-
 /** An item that waits for a slot. */
 export interface WaitingItem {
   item: WorkItem;
@@ -26,10 +19,14 @@
   sizeClass: SizeClass;
   /** Expected run time in milliseconds. */
   costMs: number;
+  /** Class and run time counted towards the offered load on arrival. */
+  arrivedAs: { sizeClass: SizeClass; costMs: number };
   enqueuedAt: number;
   ticket: Ticket<WaitingItem> | undefined;
   /** Set while every free slot is on a VM that the item avoids. */
   parked: ListNode<WaitingItem> | undefined;
+  /** Set while the first runs of the item's operation have not ended. */
+  held: HeldItem<WaitingItem> | undefined;
   expiry: DueEntry<WaitingItem> | undefined;
   onAbort: () => void;
   settle: (result: Result<SlotGrant, AdmissionError>) => void;
@@ -62,6 +59,7 @@
 export class ServiceQueue {
   readonly service: string;
   readonly parked = new LinkedList<WaitingItem>();
+  readonly probes: OperationProbes<WaitingItem>;
   /** Items that wait, parked ones included. */
   length = 0;
   /** Sum of the expected rates at which running items finish, per millisecond. */
@@ -70,8 +68,19 @@
   readonly #urgent: LaneSet;
   readonly #normal: LaneSet;
 
-  constructor(service: string, settings: SchedulingSettings) {
+  readonly #recentLoad: Record<SizeClass, LoadMeter>;
+  readonly #averageLoad: Record<SizeClass, LoadMeter>;
+
+  constructor(service: string, settings: SchedulingSettings, clock: Clock) {
     this.service = service;
+    this.probes = new OperationProbes(settings.unlearnedRunning);
+    const meters = (windowMs: number): Record<SizeClass, LoadMeter> => ({
+      [SizeClass.Short]: new LoadMeter(clock, windowMs),
+      [SizeClass.Medium]: new LoadMeter(clock, windowMs),
+      [SizeClass.Long]: new LoadMeter(clock, windowMs),
+    });
+    this.#recentLoad = meters(settings.shortLoadWindowMs);
+    this.#averageLoad = meters(settings.longLoadWindowMs);
     const lane = (sizeClass: SizeClass, urgent: boolean): Lane => {
       return { sizeClass, urgent, queue: new FairQueue(quantumMs(sizeClass, settings)) };
     };
@@ -101,18 +110,9 @@
     return [...urgent, ...guaranteed, short, medium, long];
   }
 
-  /** Whether work waits that is offered a free slot before normal work of the class. */
-  hasShorterWaiting(sizeClass: SizeClass): boolean {
-    const { short, medium } = this.#normal;
-    if (sizeClass === SizeClass.Short) return false;
-    if (short.queue.size > 0) return true;
-    return sizeClass === SizeClass.Long && medium.queue.size > 0;
-  }
-
   /** Expected run time of the urgent work that waits, in milliseconds. */
   urgentMs(): number {
-    const { short, medium, long } = this.#urgent;
-    return short.queue.queuedMs + medium.queue.queuedMs + long.queue.queuedMs;
+    return sizeClasses.reduce((sum, each) => sum + this.#urgent[each].queue.queuedMs, 0);
   }
 
   /** Expected run time of normal work of shorter classes that waits, in milliseconds. */
@@ -123,6 +123,35 @@
     return sizeClass === SizeClass.Medium ? shortMs : shortMs + medium.queue.queuedMs;
   }
 
+  /** Counts an item towards the offered load, whether or not it is admitted. */
+  recordArrival(sizeClass: SizeClass, costMs: number): void {
+    this.#recentLoad[sizeClass].add(costMs);
+    this.#averageLoad[sizeClass].add(costMs);
+  }
+
+  /** Load as seen by a class. */
+  offeredLoad(sizeClass: SizeClass, slots: number): OfferedLoad {
+    const index = sizeClasses.indexOf(sizeClass);
+    const shorter = sizeClasses.slice(0, index);
+    const own = sizeClasses.slice(index);
+    return {
+      slots,
+      shorter: shorter.reduce((sum, each) => sum + this.#recentLoad[each].slots, 0),
+      own: own.reduce((sum, each) => sum + this.#averageLoad[each].slots, 0),
+      backlogMs: own.reduce((sum, each) => sum + this.#queuedMs(each), 0),
+    };
+  }
+
+  /** Replaces the run time expected of an item by the one seen. */
+  correctArrival(expected: SizeClass, costMs: number, actual: SizeClass, ranMs: number): void {
+    this.#averageLoad[expected].add(-costMs);
+    this.#averageLoad[actual].add(ranMs);
+  }
+
+  #queuedMs(sizeClass: SizeClass): number {
+    return this.#urgent[sizeClass].queue.queuedMs + this.#normal[sizeClass].queue.queuedMs;
+  }
+
   /** Items of a class that wait in its lanes. */
   countOf(sizeClass: SizeClass): number {
     return this.#urgent[sizeClass].queue.size + this.#normal[sizeClass].queue.size;
@@ -133,6 +162,7 @@
     for (const lanes of [this.#urgent, this.#normal]) {
       for (const lane of Object.values(lanes)) yield* lane.queue.values();
     }
-    for (let node = this.parked.first; node; node = node.next) yield node.value;
+    yield* this.parked.values();
+    yield* this.probes.values();
   }
 }
--- a/src/scheduling/slotTable.ts
+++ b/src/scheduling/slotTable.ts
@@ -17,9 +17,12 @@
   busy: number;
 }
 
+/** Makes up for shares that were computed from whole slots. */
+const ROUNDING_ERROR = 1e-6;
+
 /** A share of slots as a count; a share above zero is at least one slot. */
 function slotLimit(slots: number, share: number): number {
-  return share > 0 ? Math.max(1, Math.floor(slots * share)) : 0;
+  return share > 0 ? Math.max(1, Math.floor(slots * share + ROUNDING_ERROR)) : 0;
 }
 
 /** Slots held by a class and all longer ones. */
--- /dev/null
+++ b/src/scheduling/teamTable.ts
@@ -0,0 +1,61 @@
+import type { Team } from '../configuration/index.js';
+import type { Flow } from './fairQueue.js';
+import type { ServiceQueue, WaitingItem } from './serviceQueue.js';
+
+/** Use of a team's quotas on this process. */
+export interface TeamUse {
+  quota: Team;
+  queued: number;
+  running: number;
+  /** Admitted as urgent and not yet finished. */
+  urgent: number;
+  /** Flows left out because their next item's team is at its running quota. */
+  blocked: Map<Flow<WaitingItem>, ServiceQueue>;
+}
+
+/** Whether nothing more of a team may start now. */
+export function isAtRunningQuota(team: TeamUse): boolean {
+  return team.running >= team.quota.maxRunning;
+}
+
+/** Expected time until a team is below its running quota for one more item, in milliseconds. */
+export function quotaWaitMs(team: TeamUse, costMs: number): number {
+  const { maxRunning } = team.quota;
+  const excess = team.running + team.queued + 1 - maxRunning;
+  if (excess <= 0) return 0;
+  return maxRunning > 0 ? (excess * costMs) / maxRunning : Infinity;
+}
+
+/** Lets the flows that a team's quota held back take part again; returns their queues. */
+export function unblockFlows(team: TeamUse): ServiceQueue[] {
+  const queues = [...team.blocked.values()];
+  for (const flow of team.blocked.keys()) flow.queue.unblock(flow);
+  team.blocked.clear();
+  return queues;
+}
+
+/** Teams with waiting or running items. */
+export class TeamTable {
+  readonly #teams = new Map<string, TeamUse>();
+
+  get size(): number {
+    return this.#teams.size;
+  }
+
+  /** The use of a team under its newest quota. */
+  get(quota: Team): TeamUse {
+    const existing = this.#teams.get(quota.id);
+    if (!existing) {
+      const team: TeamUse = { quota, queued: 0, running: 0, urgent: 0, blocked: new Map() };
+      this.#teams.set(quota.id, team);
+      return team;
+    }
+    existing.quota = quota;
+    if (!isAtRunningQuota(existing)) unblockFlows(existing);
+    return existing;
+  }
+
+  forgetIfIdle(team: TeamUse): void {
+    if (team.queued === 0 && team.running === 0) this.#teams.delete(team.quota.id);
+  }
+}
