--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -1,3 +1,4 @@
+import { createDisseminationBenchmark } from './disseminationBenchmark.js';
 import { createHeadOfLine } from './headOfLine.js';
 import { createOverload } from './overload.js';
 import { createTurns } from './turns.js';
@@ -8,4 +9,5 @@
   [BenchmarkId.HeadOfLine]: createHeadOfLine(),
   [BenchmarkId.Overload]: createOverload(),
   [BenchmarkId.Turns]: createTurns(),
+  [BenchmarkId.Dissemination]: createDisseminationBenchmark(),
 };
--- a/bench/types.ts
+++ b/bench/types.ts
@@ -3,6 +3,7 @@
   HeadOfLine = 'head_of_line',
   Overload = 'overload',
   Turns = 'turns',
+  Dissemination = 'dissemination',
 }
 
 /** Side on which a figure must stay of its bound. */
