--- a/src/jobs/attempts.ts
+++ b/src/jobs/attempts.ts
@@ -12,6 +12,8 @@
 export class Attempts {
   readonly #context: JobContext;
   readonly #polling = new Set<string>();
+  /** Time of the latest poll, by VM. */
+  #polledAt = new Map<string, number>();
   /** When a poll was requested that has not ended, by VM. */
   readonly #pollsRequested = new Map<string, number>();
   /** Task ids whose start call is not yet answered. */
@@ -58,8 +60,20 @@
     if (end) await this.end(state, end);
   }
 
+  /** Polls suspect workers and those with attempts, the longest unpolled first, at most so many per call. */
+  pollRound(): void {
+    const polledAt = this.#polledAt;
+    const vms = [...new Set([...this.#context.open.vms(), ...this.#context.suspects()])];
+    const order = vms.sort((a, b) => (polledAt.get(a) ?? 0) - (polledAt.get(b) ?? 0));
+    this.#polledAt = new Map(order.map((vm) => [vm, polledAt.get(vm) ?? 0]));
+    for (const vm of order.slice(0, this.#context.settings.maxPollsPerRound)) {
+      this.#polledAt.set(vm, this.#context.clock.now());
+      this.#requestPoll(vm);
+    }
+  }
+
   /** Polls a worker in the background, unless that is already under way. */
-  requestPoll(vm: string): void {
+  #requestPoll(vm: string): void {
     if (this.#pollsRequested.has(vm)) return;
     this.#pollsRequested.set(vm, this.#context.clock.now());
     void this.#context
@@ -85,7 +99,8 @@
       const result = await this.#context.deps.platform.workers.tasks(vm);
       if (!this.#context.holdsLease()) return;
       if (result.isErr) {
-        this.#context.suspect(vm);
+        // A spent share says nothing about the worker.
+        if (result.error.code !== PlatformErrorCode.RateLimited) this.#context.suspect(vm);
         for (const state of expected) await this.#endIfLapsed(state);
         return;
       }
--- a/src/jobs/context.ts
+++ b/src/jobs/context.ts
@@ -169,8 +169,13 @@
     this.#suspects.set(vm, this.clock.now() + this.settings.suspectMs);
   }
 
+  /** Ends the suspicion, as the worker answered. */
   trust(vm: string): void {
-    this.#suspects.delete(vm);
+    if (this.#suspects.delete(vm)) this.wakeForUrgent();
+  }
+
+  suspects(): Iterable<string> {
+    return this.#suspects.keys();
   }
 
   /** Workers that may get new tasks. */
--- a/src/jobs/defaults.ts
+++ b/src/jobs/defaults.ts
@@ -23,6 +23,7 @@
   maxKnownUrgentJobs: count(500, 'Further urgent jobs in memory beyond maxKnownJobs'),
   maxLearnedKinds: count(1_000, 'Most job kinds with learned use; the least recent is dropped'),
   maxWorkerRecords: count(2_000, 'Most workers with a failure record'),
+  maxPollsPerRound: count(200, 'Most workers polled per poll interval; the others wait their turn'),
   maxWorkerCalls: count(32, 'Most calls to workers at once'),
   pageSize: count(200, 'Rows per page of a scan'),
   maxBatch: count(20, 'Most job rows written in one transaction'),
--- a/src/jobs/jobController.spec.ts
+++ b/src/jobs/jobController.spec.ts
@@ -355,6 +355,14 @@
     slow: (part, [vm]) =>
       part === 'workers' && vm === 'vm-0' ? { ms: 2_000, fault: CallFault.LoseCall } : { ms: 0 },
   },
+  {
+    name: 'a lost answer of the only worker',
+    options: { workers: 1 },
+    slow: (part, [, task]) => {
+      const isFirst = part === 'workers' && (task as { epoch?: number } | undefined)?.epoch === 1;
+      return { ms: 0, fault: isFirst ? CallFault.LoseCall : undefined };
+    },
+  },
   {
     name: 'calls to most workers time out while they run jobs',
     options: { workers: 40 },
--- a/src/jobs/jobController.ts
+++ b/src/jobs/jobController.ts
@@ -151,7 +151,7 @@
   }
 
   async function watchWorkers(): Promise<void> {
-    for (const vm of open.vms()) attempts.requestPoll(vm);
+    attempts.pollRound();
     const stale = [...open.all()].filter((job) => job.stale && !job.writing);
     for (const job of stale.slice(0, MAX_RELOADS)) await context.reload(job);
   }
--- a/src/jobs/jobFleet.spec.ts
+++ b/src/jobs/jobFleet.spec.ts
@@ -265,3 +265,19 @@
   }
   t.deepEqual([model.size, dropped, health.size], [10, 40, 10]);
 });
+
+/** Runs jobs of 60 s on 30 workers; returns the most starts of one job. */
+function mostStarts(maxPollsPerRound: number) {
+  return withController({ workers: 30, settings: { maxPollsPerRound } }, async (zone) => {
+    const ids = idList(30);
+    for (const id of ids) await zone.submit(id, { runMs: 60_000 }, { cores: 8 });
+    await zone.clock.advance(90_000);
+    return Math.max(...ids.map((id) => zone.starts.get(id)?.length ?? 0));
+  });
+}
+
+// Guards against workers that are left out of bounded poll rounds until their leases lapse.
+test('poll rounds reach every worker in turn', async (t) => {
+  t.is(await mostStarts(3), 1);
+  t.true((await mostStarts(1)) > 1);
+});
