Check the scheduler's histograms and gauges

Cause: only the refusal counters were looked at by a test. Change: one test reads waits and run times by class, demotions, queue length and slots. Conclusion: each kind of scheduling metric has a check.

--- a/src/scheduling/scheduler.spec.ts
+++ b/src/scheduling/scheduler.spec.ts
@@ -388,6 +388,20 @@
   t.is(grants.length, 1);
 });
 
+test('waits and run times are counted by class, and queue and slots are shown', async (t) => {
+  const rig = createRig();
+  const held = await fillSlots(rig);
+  track(rig).submit();
+  held[0]?.release(50);
+  await rig.clock.advance(500);
+  const text = await rig.metrics.registry.metrics();
+  t.regex(text, /scheduling_wait_seconds_count{class="short"} 16$/m);
+  t.regex(text, /scheduling_run_seconds_count{class="short"} 8$/m);
+  t.regex(text, /scheduling_demoted_total{class="medium"} 8$/m);
+  t.regex(text, /scheduling_queue_length{service="draws"} 0$/m);
+  t.regex(text, /scheduling_slots{service="draws",state="busy"} 8$/m);
+});
+
 test('every queue is bounded, and a full one refuses with its reason', async (t) => {
   const rig = createRig();
   await teach(rig, 'draw', 20);
