State what a backend server does, and measure overhead below saturation

Cause: a full stand-in looked like a leaving one, because it refused without Retry-After; the wall-clock comparison ran at saturation, so that it measured queueing.

--- a/bench/wall.ts
+++ b/bench/wall.ts
@@ -8,8 +8,8 @@
 // backend stand-in, interleaved in one run. It asserts nothing.
 
 const ROUNDS = 10;
-const REQUESTS_PER_ROUND = 400;
-const CONCURRENCY = 8;
+const REQUESTS_PER_ROUND = 300;
+const PACED_PER_SECOND = 200;
 const RUN_MS = 2;
 const VMS = 6;
 const MICROSECONDS_PER_MS = 1_000;
@@ -60,6 +60,18 @@
   return (count * 1000) / (performance.now() - start);
 }
 
+/** Sends requests at a fixed rate, whether or not earlier ones have ended. */
+async function sendPaced(route: Route, count: number, times: Histogram): Promise<void> {
+  const start = performance.now();
+  const open: Promise<void>[] = [];
+  for (let index = 0; index < count; index++) {
+    const dueIn = start + (index * 1000) / PACED_PER_SECOND - performance.now();
+    if (dueIn > 0) await new Promise((resolve) => setTimeout(resolve, dueIn));
+    open.push(sendOne(route, index, times));
+  }
+  await Promise.all(open);
+}
+
 const ms = (microseconds: number) => (microseconds / MICROSECONDS_PER_MS).toFixed(2);
 
 function print(line: string): void {
@@ -102,13 +114,15 @@
   const direct = directRoute(deployment);
   const through = entryRoute(deployment.entries.slice(0, 1));
   const times = { direct: histogram(), through: histogram() };
-  await sendMany(through, REQUESTS_PER_ROUND, CONCURRENCY, histogram());
-  await sendMany(direct, REQUESTS_PER_ROUND, CONCURRENCY, histogram());
+  await sendPaced(through, REQUESTS_PER_ROUND, histogram());
+  await sendPaced(direct, REQUESTS_PER_ROUND, histogram());
   for (let round = 0; round < ROUNDS; round++) {
-    await sendMany(direct, REQUESTS_PER_ROUND, CONCURRENCY, times.direct);
-    await sendMany(through, REQUESTS_PER_ROUND, CONCURRENCY, times.through);
+    await sendPaced(direct, REQUESTS_PER_ROUND, times.direct);
+    await sendPaced(through, REQUESTS_PER_ROUND, times.through);
   }
-  print(`overhead, ${CONCURRENCY} callers, run time ${RUN_MS} ms, ${ROUNDS} interleaved rounds`);
+  print(
+    `overhead at ${PACED_PER_SECOND} requests/s, run time ${RUN_MS} ms, ${ROUNDS} interleaved rounds`,
+  );
   printTimes('direct', times.direct);
   printTimes('one entry process', times.through);
   const ratio = (share: number) =>
--- a/standins/backend/backend.ts
+++ b/standins/backend/backend.ts
@@ -35,9 +35,11 @@
   let cutOff = 0;
   let rebooted = new AbortController();
 
-  function refuse(call: Call, status: number, message: string): Answer {
+  /** A refusal with `retryAfterS` is temporary; without it the backend server is leaving. */
+  function refuse(call: Call, status: number, message: string, retryAfterS?: number): Answer {
     refused += 1;
-    const headers = { 'not-started': call.header('request-id') ?? '' };
+    const headers: Record<string, string> = { 'not-started': call.header('request-id') ?? '' };
+    if (retryAfterS !== undefined) headers['retry-after'] = String(retryAfterS);
     return { status, headers, body: { message, state } };
   }
 
@@ -55,7 +57,7 @@
       return refuse(call, 421, `this backend server serves pool ${pool}`);
     }
     if (state === BackendState.Draining) return refuse(call, 503, 'draining');
-    if (active >= options.slots) return refuse(call, 503, 'all slots are in use');
+    if (active >= options.slots) return refuse(call, 503, 'all slots are in use', 1);
     const id = call.header('request-id') ?? 'none';
     countRun(id);
     active += 1;
