Apply inventories of more than 10,000 entities in parts

Cause: a change set holds at most 10,000 changes, so the inventory of the design size was refused. Change: the command line splits the difference by pool and commits part after part, each with its own change id; rules hold between parts because a pool stays with its services and VMs. Ruled out: one larger change set, whose version row would exceed what peers send in one frame.

--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -1,14 +1,20 @@
 import { ExitCode } from '../../errors/index.js';
 import { createHash } from 'node:crypto';
 import { systemClock } from '../../clock/index.js';
-import type { Commit, ConfigSnapshot } from '../../configuration/index.js';
+import {
+  MAX_CHANGES,
+  type Commit,
+  type ConfigSnapshot,
+  type EntityChange,
+} from '../../configuration/index.js';
 import {
   diffInventory,
   formatDifference,
   readInventory,
+  splitChanges,
   type Inventory,
 } from '../../inventory/index.js';
-import { OperatorErrorCode, type StatusAnswer } from '../../operators/index.js';
+import { OperatorErrorCode, type ChangeRequest, type StatusAnswer } from '../../operators/index.js';
 import { createOperatorClient, type OperatorClient } from '../operatorClient.js';
 import { authorOf } from './listings.js';
 import {
@@ -50,20 +56,49 @@
       report(output, flags, { version: current.version, alreadyApplied: true });
       return ExitCode.Success;
     }
-    const body = {
-      changeId: flags.changeId ?? defaultChangeId(inventory.value, current.version),
-      author: authorOf(flags),
+    const changeId = flags.changeId ?? defaultChangeId(inventory.value, current.version);
+    const commit = await submitParts(client, flags, {
+      changeId,
       base: inventory.value.baseVersion ?? current.version,
-      changes: differences.map((line) => line.change),
-    };
-    const commit = await submit(client, body);
-    report(output, flags, { ...commit, changeId: body.changeId });
+      parts: splitChanges(
+        current,
+        differences.map((line) => line.change),
+        MAX_CHANGES,
+      ),
+    });
+    report(output, flags, { ...commit, changeId });
     if (flags.wait) await waitUntilInForce(client, commit.version, flags, output);
     return ExitCode.Success;
   },
 };
 
-async function submit(client: OperatorClient, body: { changeId: string }): Promise<Commit> {
+interface SplitChange {
+  changeId: string;
+  base: number;
+  parts: EntityChange[][];
+}
+
+/** Submits the parts one after the other; a part that was applied before is not applied again. */
+async function submitParts(
+  client: OperatorClient,
+  flags: CommandFlags,
+  { changeId, base, parts }: SplitChange,
+): Promise<Commit> {
+  let commit: Commit = { version: base, alreadyApplied: true };
+  for (const [index, changes] of parts.entries()) {
+    const suffix = parts.length > 1 ? `-part-${index + 1}-of-${parts.length}` : '';
+    commit = await submit(client, {
+      changeId: changeId + suffix,
+      author: authorOf(flags),
+      // Later parts follow the version of the part before.
+      base: index === 0 ? base : commit.version,
+      changes,
+    });
+  }
+  return commit;
+}
+
+async function submit(client: OperatorClient, body: ChangeRequest): Promise<Commit> {
   try {
     return await client.post<Commit>('/v1/config/changes', body);
   } catch (err) {
