Handle job notices in one task and count dropped ones

Cause: each notice that found the set empty started a task of its own, so the number of reads under way was not bounded, and notices beyond the limit were dropped without a count. Change: one task reads the announced jobs in turn; jobs_notices_dropped_total counts the rest, which the scans find. Two tests with late starts take the first worker out of service, so that their broken variants do not depend on which worker is chosen next. Ruled out: queueing notices without a limit.

--- a/src/jobs/context.ts
+++ b/src/jobs/context.ts
@@ -79,6 +79,7 @@
       throttled: metrics.counter('jobs_throttles_total', 'Stragglers throttled'),
       evicted: metrics.counter('jobs_evictions_total', 'Attempts asked to make room', ['reason']),
       notLoaded: metrics.counter('jobs_not_loaded_total', 'Job rows left unread for lack of room'),
+      noticesDropped: metrics.counter('jobs_notices_dropped_total', 'Notices left to the scans'),
       dropped: metrics.counter('jobs_kinds_dropped_total', 'Learned job kinds forgotten'),
       quarantined: metrics.counter('jobs_quarantines_total', 'Workers put in quarantine'),
       writes: metrics.counter('jobs_writes_total', 'Job row writes by outcome', ['outcome']),
--- a/src/jobs/jobController.spec.ts
+++ b/src/jobs/jobController.spec.ts
@@ -190,6 +190,10 @@
   await controller.close();
 });
 
+function takeOutOfService(zone: JobZone, vm: string): void {
+  for (const worker of zone.workers) if (worker.vm === vm) worker.usable = false;
+}
+
 /**
  * Delays the first start call in the network beyond its time-out; returns the number of starts.
  *
@@ -205,6 +209,8 @@
     const start: WorkerService['start'] = async (vm, task) => {
       starts += 1;
       if (starts > 1) return workers.start(vm, task);
+      // On the same worker, the larger epoch alone would refuse the late start.
+      takeOutOfService(zone, vm);
       zone.clock.setTimer(10_000, () => void workers.start(vm, task));
       await zone.clock.sleep(2_000);
       return lost.start(vm, task);
@@ -248,6 +254,7 @@
   }));
   await zone.submit('j', { runMs: 30_000 });
   await zone.clock.advance(5_000);
+  takeOutOfService(zone, (await zone.job('j')).runs[0]?.vm ?? '');
   const successor = zone.startController();
   await zone.clock.advance(5_000);
   // The restart makes the worker forget which tasks it must refuse.
--- a/src/jobs/jobController.ts
+++ b/src/jobs/jobController.ts
@@ -43,6 +43,7 @@
   const attempts = new Attempts(context);
   const placer = new Placer(context, attempts);
   const noticed = new Set<string>();
+  let handlesNotices = false;
   let wake = new AbortController();
   context.wake = () => {
     wake.abort();
@@ -143,11 +144,16 @@
     if (job) await context.write(job, { ...job.record, state: JobState.Cancelled, runs: [] });
   }
 
+  /** Reads the announced jobs, one at a time; one such task runs at most. */
   async function handleNotices(): Promise<void> {
-    const ids = [...noticed];
-    noticed.clear();
-    for (const id of ids) await load(id);
-    if (ids.length > 0) context.wake();
+    if (handlesNotices) return;
+    handlesNotices = true;
+    for (const id of noticed) {
+      noticed.delete(id);
+      await load(id);
+      context.wake();
+    }
+    handlesNotices = false;
   }
 
   async function watchWorkers(): Promise<void> {
@@ -170,9 +176,12 @@
   }
 
   function notice(jobId: string): void {
-    if (noticed.size >= settings.maxKnownUrgentJobs) return;
+    if (noticed.size >= settings.maxKnownUrgentJobs) {
+      context.counters.noticesDropped.inc();
+      return;
+    }
     noticed.add(jobId);
-    if (noticed.size === 1) void context.background(handleNotices, true);
+    void context.background(handleNotices, true);
   }
 
   async function vacate(vm: string): Promise<VacateStatus> {
--- a/src/jobs/jobFleet.spec.ts
+++ b/src/jobs/jobFleet.spec.ts
@@ -243,6 +243,8 @@
   await withController({ workers: 1, settings }, async (zone, controller) => {
     const ids = idList(40);
     for (const id of ids) await zone.submit(id, { runMs: 100 });
+    for (const id of ids) controller.notice(id);
+    t.is(await zone.total(controller.metrics, 'jobs_notices_dropped_total'), 37);
     let most = 0;
     for (let second = 0; second < 120; second += 1) {
       await zone.clock.advance(1_000);
