Forget ended jobs after a week

Cause: rows of ended jobs and their ids were never deleted. Ruled out: deleting result objects, since the object store interface has no delete. Conclusion: table rows of jobs are bounded by a week of jobs.

--- a/src/entry/housekeeping.ts
+++ b/src/entry/housekeeping.ts
@@ -1,3 +1,4 @@
+import { sweepEndedJobs } from '../jobs/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { createMemberRowSweep } from '../membership/index.js';
 import { CallPurpose, type PlatformResult } from '../platform/index.js';
@@ -11,11 +12,11 @@
 /** Time for which a member must be unknown before its row is deleted, in milliseconds. */
 const MEMBER_STALE_MS = 600_000;
 
-/** Time between two pages of the sweep of claims, in milliseconds. */
-const CLAIM_PAGE_MS = 2_000;
+/** Time between two pages of a sweep, in milliseconds. */
+const PAGE_MS = 2_000;
 
-/** Claims in one page, all of which may be deleted by one transaction. */
-const CLAIM_PAGE_ROWS = 100;
+/** Rows in one page, all of which may be deleted by one transaction. */
+const PAGE_ROWS = 100;
 
 /** Deletes rows that nobody needs any more while the zone lease is held. */
 export async function runHousekeeping(
@@ -25,7 +26,8 @@
 ): Promise<void> {
   await Promise.all([
     sweepMembers(ctx, parts, lifecycle.signal),
-    sweepAllClaims(ctx, parts, lifecycle.signal),
+    sweepPages(ctx, 'claims_swept', lifecycle.signal, claimPages(ctx, parts)),
+    sweepPages(ctx, 'ended_jobs_swept', lifecycle.signal, endedJobPages(ctx, parts)),
   ]);
 }
 
@@ -48,21 +50,46 @@
   }
 }
 
-async function sweepAllClaims(
+interface PageSweep {
+  swept: number;
+  next?: string;
+}
+
+/** Sweeps one page that starts after a key; undefined when this process need not sweep. */
+type SweepPage = (after: string | undefined) => PlatformResult<PageSweep> | undefined;
+
+function claimPages(ctx: EntryContext, { platform, network, store }: EntryParts): SweepPage {
+  const { table } = platform.forPurpose(CallPurpose.Request);
+  return (after) => {
+    // One zone sweeps for all; any zone would do.
+    const [first] = [...store.view.zones()].sort();
+    if (first !== network.self.zone) return undefined;
+    return sweepClaims(table, ctx.clock.wallTime(), after, PAGE_ROWS);
+  };
+}
+
+function endedJobPages(ctx: EntryContext, { platform, network }: EntryParts): SweepPage {
+  const { table } = platform.forPurpose(CallPurpose.Job);
+  const { endedRetentionMs } = ctx.settings.jobs;
+  return (after) => {
+    const before = ctx.clock.wallTime() - endedRetentionMs;
+    return sweepEndedJobs(table, network.self.zone, before, after, PAGE_ROWS);
+  };
+}
+
+async function sweepPages(
   ctx: EntryContext,
-  { platform, network, store }: EntryParts,
+  event: string,
   signal: AbortSignal,
+  sweepPage: SweepPage,
 ): Promise<void> {
-  const { table } = platform.forPurpose(CallPurpose.Request);
   let after: string | undefined;
-  while (await ctx.clock.sleep(CLAIM_PAGE_MS, signal)) {
-    // One zone sweeps for all; any zone would do.
-    const [first] = [...store.view.zones()].sort();
-    if (first !== network.self.zone) continue;
-    const page = await sweepClaims(table, ctx.clock.wallTime(), after, CLAIM_PAGE_ROWS);
+  while (await ctx.clock.sleep(PAGE_MS, signal)) {
+    const page = await sweepPage(after);
+    if (!page) continue;
     after = page.isOk ? page.value.next : undefined;
     const swept = page.map((result) => result.swept);
-    logSweep(ctx, 'claims_swept', swept);
+    logSweep(ctx, event, swept);
   }
 }
 
--- a/src/jobs/defaults.ts
+++ b/src/jobs/defaults.ts
@@ -25,6 +25,10 @@
   maxWorkerRecords: count(2_000, 'Most workers with a failure record'),
   maxPollsPerRound: count(200, 'Most workers polled per poll interval; the others wait their turn'),
   maxWorkerCalls: count(32, 'Most calls to workers at once'),
+  endedRetentionMs: ms(
+    604_800_000,
+    'Time from submission after which an ended job is forgotten and its id is free again',
+  ),
   pageSize: count(200, 'Rows per page of a scan'),
   maxBatch: count(20, 'Most job rows written in one transaction'),
   maxPlacementsPerRound: count(100, 'Most jobs placed in one round'),
--- /dev/null
+++ b/src/jobs/endedJobs.ts
@@ -0,0 +1,42 @@
+import { Result } from 'true-myth';
+import type { PlatformResult, Row, Table } from '../platform/index.js';
+import { jobKeys } from './rows.js';
+import type { JobRecord } from './types.js';
+
+/** Result of sweeping one page of ended jobs. */
+export interface EndedJobSweep {
+  swept: number;
+  /** Where the next page starts; undefined after the last one. */
+  next?: string;
+}
+
+/**
+ * Deletes the rows of jobs that ended and were submitted before a moment. From then on the id of
+ * such a job is free again, and its result can no longer be looked up.
+ *
+ * @param submittedBefore - wall-clock time in milliseconds
+ * @param after - key after which the page starts
+ * @param limit - rows in the page
+ */
+export async function sweepEndedJobs(
+  table: Table,
+  zone: string,
+  submittedBefore: number,
+  after: string | undefined,
+  limit: number,
+): PlatformResult<EndedJobSweep> {
+  const page = await table.scan(jobKeys.endedPrefix(zone), limit, after);
+  if (page.isErr) return Result.err(page.error);
+  const { rows, next } = page.value;
+  const old = rows.filter((row) => jobOf(row).submittedAt < submittedBefore);
+  if (old.length === 0) return Result.ok({ swept: 0, next });
+  const deleted = await table.transact(
+    old.map(({ key, version }) => ({ key, version })),
+    old.flatMap((row) => [{ key: row.key }, { key: jobKeys.id(jobOf(row).id) }]),
+  );
+  return deleted.map(() => ({ swept: old.length, next }));
+}
+
+function jobOf({ value }: Row): JobRecord {
+  return value as JobRecord;
+}
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -21,3 +21,4 @@
 export { WorkerHealth } from './workerHealth.js';
 export { jobKeys } from './rows.js';
 export { createJobRoutes, jobErrorInfo, type JobRouteDeps } from './callerRoutes.js';
+export { sweepEndedJobs, type EndedJobSweep } from './endedJobs.js';
--- a/src/jobs/rows.ts
+++ b/src/jobs/rows.ts
@@ -20,6 +20,7 @@
   open: (zone: string, id: string) => `job/${zone}/${id}`,
   openPrefix: (zone: string) => `job/${zone}/`,
   ended: (zone: string, id: string) => `job-ended/${zone}/${id}`,
+  endedPrefix: (zone: string) => `job-ended/${zone}/`,
   team: (team: string, id: string) => `job-team/${team}/${id}`,
   teamPrefix: (team: string) => `job-team/${team}/`,
   urgent: (zone: string, id: string) => `job-urgent/${zone}/${id}`,
