--- /dev/null
+++ b/testbed/lifecycle.spec.ts
@@ -0,0 +1,113 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { ExitCode } from '../src/errors/index.js';
+import type { StatusAnswer } from '../src/operators/index.js';
+import { Outcome } from '../src/peers/index.js';
+import { Deployment, startProcess, waitFor, type TestEntry } from './index.js';
+import { RecordedCallers } from './requests.js';
+
+const SOUND =
+  'name: e\nzone: z\npeers: { port: 0 }\noperators: { port: 0 }\ncallers: { port: 0 }\n';
+const SECRET = 'a-secret-of-the-test-deployment';
+
+const startCases = [
+  {
+    title: 'no settings file',
+    settings: undefined,
+    env: {},
+    exitCode: ExitCode.Usage,
+    text: /needs --config/,
+  },
+  {
+    title: 'an unknown key',
+    settings: `${SOUND}nope: 1\n`,
+    env: {},
+    exitCode: ExitCode.Usage,
+    text: /:6: nope: found unknown key/,
+  },
+  {
+    title: 'no peer secret',
+    settings: SOUND,
+    env: { BURDOCKNOTCH_SECRET: '', BURDOCKNOTCH_TOKEN: 't' },
+    exitCode: ExitCode.Unexpected,
+    text: /event=start_failed.*secret/,
+  },
+  {
+    title: 'no operator token',
+    settings: SOUND,
+    env: { BURDOCKNOTCH_SECRET: SECRET, BURDOCKNOTCH_TOKEN: '' },
+    exitCode: ExitCode.Unexpected,
+    text: /event=start_failed.*token/,
+  },
+];
+
+// Guards against a daemon that starts with settings it cannot work with, or hides why it does not.
+for (const { title, settings, env, exitCode, text } of startCases) {
+  test(`${title} ends the daemon with exit code ${exitCode}`, async (t) => {
+    const folder = await mkdtemp(join(tmpdir(), 'lifecycle-'));
+    const file = join(folder, 'entry.yaml');
+    if (settings !== undefined) await writeFile(file, settings);
+    const args = settings === undefined ? ['entry'] : ['entry', '--config', file];
+    const daemon = startProcess('entry', 'src/cli/main.js', args, env);
+    await daemon.waitForLine((line) => (text.test(line) ? line : undefined));
+    await waitFor('the daemon ends', () => daemon.hasExited);
+    t.is(await daemon.stop(), exitCode);
+    await rm(folder, { recursive: true });
+  });
+}
+
+// Guards against a shutdown that cuts off requests, keeps the lease, or goes on taking work.
+test('SIGTERM under load: requests finish, the lease is released, exit code 0', async (t) => {
+  const deployment = new Deployment({
+    zones: ['zone-a'],
+    entriesPerZone: 2,
+    vmsPerZone: { motions: 1 },
+    // Long enough that a lapse cannot be mistaken for a release.
+    settings: { controller: { leaseTtlMs: 60_000 } },
+  });
+  try {
+    await deployment.start();
+    const [first, second] = deployment.entries as [TestEntry, TestEntry];
+    const callers = new RecordedCallers(deployment);
+    const status = (entry: TestEntry) => deployment.cliJson<StatusAnswer>(entry, 'status');
+    await waitFor('both are ready', async () => {
+      const all = await Promise.all([first, second].map(status));
+      return all.every(({ ready, members }) => ready && members.length === 1);
+    });
+    await waitFor('the zone has a controller', async () => {
+      const all = await Promise.all([first, second].map(status));
+      return all.some(({ holdsZoneLease }) => holdsZoneLease);
+    });
+    const file = await deployment.writeInventory(deployment.inventory());
+    await deployment.cli(first, 'apply', file, '--wait');
+    const leaving = (await status(first)).holdsZoneLease ? first : second;
+    const staying = leaving === first ? second : first;
+    await waitFor('it serves', async () => {
+      const end = await callers.send(leaving, await callers.issueId(leaving), '/work?ms=1');
+      return end.outcome === Outcome.Answered;
+    });
+    const ids = await Promise.all([1, 2, 3].map(() => callers.issueId(leaving)));
+    const inFlight = ids.map((id) => callers.send(leaving, id, '/work?ms=1500'));
+    const vm = deployment.vms[0];
+    await waitFor('they run', async () => {
+      if (!vm) return false;
+      const { active } = await deployment.control<{ active: number }>(
+        deployment.backendUrl(vm),
+        'status',
+      );
+      return active === ids.length;
+    });
+    t.is(await leaving.process.stop(), ExitCode.Success);
+    const ends = await Promise.all(inFlight);
+    t.deepEqual(
+      ends.map(({ outcome }) => outcome),
+      ids.map(() => Outcome.Answered),
+    );
+    await waitFor('the other takes the lease', async () => (await status(staying)).holdsZoneLease);
+    t.deepEqual(callers.history.violations(), []);
+  } finally {
+    await deployment.stop();
+  }
+});
