Bound what a member spends on heartbeats

Cause: in a full mesh every member sends a heartbeat to every other one at a fixed interval, with the load of all services and all draining VMs.

Change: `membership.heartbeatBytesPerSecond` (8,000, packet headers included) bounds it. Half is for the own zone, whose interval stays 500 ms; the room for load follows from it, and services that do not fit are told in turn, changed ones first. The other half is for other zones, whose interval grows with the number of members there; they get the load of services that spill, and no draining VMs. Each heartbeat announces the time until the next one. Receivers suspect after three and remove after ten such intervals if that is longer than 3 s and 10 s, and let links be silent for as long. The announcement of live members is recomputed only after a change of state. Heartbeats no longer repeat the sender's identity, which the link proves.

Ruled out: deriving the remote suspicion time from the receiver's own count of members, because views and settings differ; relays per zone, which need a second notion of who is heard by whom; a shorter list of draining VMs, because a VM that is absent from it counts as drained.

Proof under virtual time in heartbeatBudget.spec.ts: 91 members stay below 8,000 bytes/s and nobody is suspected; with a fifth of heartbeats lost nobody is removed; a version whose pushes to a zone and to one member of each zone are lost is everywhere within 2 s. Each check fails against a broken variant: no budget, hidden interval, hidden version.

--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -71,6 +71,7 @@
     heartbeat: {
       configVersion: () => view.version,
       load: () => request.scheduler.load(),
+      spills: (service) => view.get(EntityKind.Service, service)?.spill ?? false,
       draining: () => drainingVms(store, request, settings.zone),
     },
   });
--- a/src/membership/defaults.ts
+++ b/src/membership/defaults.ts
@@ -15,9 +15,29 @@
     .default([])
     .describe('Peer listeners to contact first; the process itself may be listed'),
   zoneHeartbeatMs: milliseconds(500, 'Time between heartbeats to members of the own zone'),
-  remoteHeartbeatMs: milliseconds(1_000, 'Time between heartbeats to members of other zones'),
-  suspectAfterMs: milliseconds(3_000, 'Silence after which a member is Suspect'),
-  removeAfterMs: milliseconds(10_000, 'Silence after which a member is removed'),
+  remoteHeartbeatMs: milliseconds(
+    1_000,
+    'Shortest time between heartbeats to a member of another zone; it grows with their number by `heartbeatBytesPerSecond`',
+  ),
+  maxRemoteHeartbeatMs: milliseconds(
+    20_000,
+    'Longest time between heartbeats to a member of another zone',
+  ),
+  heartbeatBytesPerSecond: z
+    .int()
+    .min(1_000)
+    .default(8_000)
+    .describe(
+      'Bytes per second that this process may send as heartbeats, packet headers included; half of it for the own zone, whose interval is fixed',
+    ),
+  suspectAfterMs: milliseconds(
+    3_000,
+    'Silence after which a member is Suspect, or three of its heartbeat intervals if that is longer',
+  ),
+  removeAfterMs: milliseconds(
+    10_000,
+    'Silence after which a member is removed, or ten of its heartbeat intervals if that is longer',
+  ),
   sweepIntervalMs: milliseconds(250, 'Time between checks for silent members'),
   pauseThresholdMs: milliseconds(
     2_000,
--- /dev/null
+++ b/src/membership/heartbeatBudget.spec.ts
@@ -0,0 +1,326 @@
+import test from 'ava';
+import {
+  createCommitter,
+  createConfigHistory,
+  createConfigStore,
+  configurationDefaults,
+  EntityKind,
+  runConfigSync,
+  type ConfigStore,
+} from '../configuration/index.js';
+import { createEventBus } from '../events/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { Metrics } from '../metrics/index.js';
+import {
+  PeerMessageType,
+  encodeFrame,
+  type HeartbeatMessage,
+  type MemberInfo,
+  type ServiceLoad,
+} from '../peers/index.js';
+import { createRandom } from '../random/index.js';
+import { createMemberFleet, type MemberFleet } from '../testing/memberFleet.js';
+import {
+  FIXED_HEARTBEAT_BYTES,
+  LoadReport,
+  MIN_LOAD_BYTES,
+  MemberState,
+  loadEntryBytes,
+  membershipSchema,
+  mergeLoad,
+  planRemoteHeartbeats,
+  type HeartbeatSources,
+  type MembershipSettings,
+} from './index.js';
+
+/** Ethernet, IP and TCP headers of one segment in bytes. */
+const SEGMENT_BYTES = 66;
+
+/** Seed of the losses. */
+const SEED = 20261204;
+
+/** Virtual time in milliseconds in which the members meet. */
+const WARM_UP_MS = 3_000;
+
+/** The design size: 13 zones with 7 entry processes each. */
+const DESIGN = { zones: 13, perZone: 7 };
+
+/** A small fleet whose budget stretches the remote interval beyond the shortest suspicion time. */
+const STRETCHED = { zones: 3, perZone: 4 };
+const STRETCHED_SETTINGS: Partial<MembershipSettings> = { heartbeatBytesPerSecond: 1_000 };
+
+function frameBytes(message: unknown): number {
+  return encodeFrame(message, Number.MAX_SAFE_INTEGER)
+    .map(({ length }) => length)
+    .unwrapOr(0);
+}
+
+function infos({ zones, perZone }: typeof DESIGN): MemberInfo[] {
+  return Array.from({ length: zones * perZone }, (_, index) => ({
+    name: `entry-${index % zones}-${Math.floor(index / zones)}`,
+    incarnation: String(index).padStart(16, '0'),
+    zone: `zone-${index % zones}`,
+    host: `10.100.${100 + (index % zones)}.${100 + Math.floor(index / zones)}`,
+    port: 7_400,
+    startedAt: 1_700_000_000_000,
+  }));
+}
+
+/** Load of 92 services that changes all the time. */
+function busyLoad(): () => ServiceLoad[] {
+  let calls = 0;
+  return () => {
+    calls += 1;
+    const queued = 1_000 + calls;
+    return Array.from({ length: 92 }, (_, index) => ({
+      service: `service-${index}`,
+      slots: 1_848,
+      freeSlots: 300 + (calls % 200),
+      queued,
+    }));
+  };
+}
+
+async function startFleet(
+  size: typeof DESIGN,
+  settings: Partial<MembershipSettings> = {},
+  sources: Partial<HeartbeatSources> = {},
+  onSend?: MemberFleet['hub']['onSend'],
+): Promise<MemberFleet> {
+  const fleet = createMemberFleet();
+  fleet.hub.onSend = onSend;
+  for (const info of infos(size)) fleet.join(info, settings, sources);
+  await fleet.clock.advance(WARM_UP_MS);
+  return fleet;
+}
+
+async function stopAll(fleet: MemberFleet): Promise<void> {
+  await Promise.all([...fleet.nodes.values()].map(({ stop }) => stop()));
+}
+
+/** Number of pairs of members of which one does not see the other as Alive. */
+function doubts(fleet: MemberFleet): number {
+  const nodes = [...fleet.nodes.values()];
+  return nodes
+    .map(({ membership }) => {
+      const members = membership.members();
+      const alive = members.filter(({ state }) => state === MemberState.Alive).length;
+      return nodes.length - 1 - alive;
+    })
+    .reduce((sum, count) => sum + count, 0);
+}
+
+/** Most bytes per second, headers included, that one member sends as heartbeats. */
+async function measuredBytes(fleet: MemberFleet, seconds: number): Promise<number> {
+  const bytes = new Map<string, number>();
+  fleet.hub.onSend = ({ name }, _to, message) => {
+    bytes.set(name, (bytes.get(name) ?? 0) + frameBytes(message) + SEGMENT_BYTES);
+  };
+  await fleet.clock.advance(seconds * 1_000);
+  fleet.hub.onSend = undefined;
+  return Math.max(...bytes.values()) / seconds;
+}
+
+// Guards against control traffic that grows with the number of members and of services.
+test('heartbeats stay within their budget at the design size', async (t) => {
+  const load = busyLoad();
+  const draining = () => [];
+  const budget = membershipSchema.parse({}).heartbeatBytesPerSecond;
+  const fleet = await startFleet(DESIGN, {}, { load, draining });
+  const bytes = await measuredBytes(fleet, 14);
+  t.true(bytes <= budget, `${bytes} bytes per second`);
+  t.is(doubts(fleet), 0);
+  await stopAll(fleet);
+  const unbounded = { heartbeatBytesPerSecond: 1_000_000 };
+  const wasteful = await startFleet(DESIGN, unbounded, { load, draining });
+  t.true((await measuredBytes(wasteful, 2)) > budget);
+  await stopAll(wasteful);
+});
+
+// Guards against heartbeats that are larger than the plan assumes.
+test('the sizes that the plan assumes are upper bounds', (t) => {
+  const heartbeat: HeartbeatMessage = {
+    type: PeerMessageType.Heartbeat,
+    sequence: 4_000_000_000,
+    configVersion: 4_000_000_000,
+    everyMs: 20_000,
+    load: [],
+    hears: false,
+  };
+  t.true(frameBytes(heartbeat) + SEGMENT_BYTES <= FIXED_HEARTBEAT_BYTES);
+  for (const service of ['s', 'a-service-with-a-long-name']) {
+    const withLoad = { ...heartbeat, load: [[service, 70_000, 70_000, 70_000]] };
+    t.true(frameBytes(withLoad) - frameBytes(heartbeat) <= loadEntryBytes(service));
+  }
+  const settings = membershipSchema.parse({});
+  const rounds = [1, 84, 168, 350].map((members) => {
+    const { intervalMs, loadBytes } = planRemoteHeartbeats(settings, members);
+    return (members * (FIXED_HEARTBEAT_BYTES + loadBytes) * 1_000) / intervalMs;
+  });
+  t.true(rounds.every((bytes) => bytes <= settings.heartbeatBytesPerSecond / 2));
+});
+
+/** Breaks heartbeats: their receivers do not learn how rare they are. */
+const hideInterval: MemberFleet['hub']['onSend'] = (_from, _to, message) => {
+  if (message.type === PeerMessageType.Heartbeat) message.everyMs = undefined;
+};
+
+/** Changes in the number of live members that the members announced while nobody died. */
+async function announcedChanges(fleet: MemberFleet, ms: number): Promise<number> {
+  const count = () =>
+    [...fleet.nodes.values()].reduce((sum, { changes }) => sum + changes.length, 0);
+  const before = count();
+  await fleet.clock.advance(ms);
+  return count() - before;
+}
+
+// Guards against live members of other zones that are suspected because their heartbeats are rare.
+test('a longer interval to other zones makes nobody suspect, and the dead are still found', async (t) => {
+  const fleet = await startFleet(STRETCHED, STRETCHED_SETTINGS);
+  const { intervalMs } = planRemoteHeartbeats(
+    { ...membershipSchema.parse({}), ...STRETCHED_SETTINGS },
+    STRETCHED.zones * STRETCHED.perZone - STRETCHED.perZone,
+  );
+  t.true(intervalMs > membershipSchema.parse({}).suspectAfterMs);
+  t.is(await announcedChanges(fleet, 120_000), 0);
+  t.is(doubts(fleet), 0);
+
+  fleet.node('entry-1-0').pause();
+  await fleet.clock.advance(3_500);
+  const seenBy = (name: string) => fleet.node(name).membership.member('entry-1-0')?.state;
+  t.is(seenBy('entry-1-1'), MemberState.Suspect);
+  await fleet.clock.advance(3 * intervalMs);
+  t.is(seenBy('entry-0-0'), MemberState.Suspect);
+  await fleet.clock.advance(7 * intervalMs);
+  t.is(seenBy('entry-0-0'), undefined);
+  fleet.node('entry-1-0').resume();
+  await fleet.clock.advance(2 * intervalMs);
+  t.is(doubts(fleet), 0);
+  await stopAll(fleet);
+
+  const broken = await startFleet(STRETCHED, STRETCHED_SETTINGS, {}, hideInterval);
+  t.true((await announcedChanges(broken, 60_000)) > 0);
+  await stopAll(broken);
+});
+
+// Guards against the removal of live members when some of the rare heartbeats are lost.
+test(`lost heartbeats remove no live member (seed ${SEED})`, async (t) => {
+  const removed = async (onSend?: MemberFleet['hub']['onSend']): Promise<number> => {
+    const fleet = await startFleet(STRETCHED, STRETCHED_SETTINGS, {}, onSend);
+    const random = createRandom(SEED);
+    const names = [...fleet.nodes.keys()];
+    let missing = 0;
+    for (let second = 0; second < 150; second++) {
+      const pairs = names.flatMap((from) =>
+        names.filter((to) => to !== from && random.next() < 0.2).map((to) => ({ from, to })),
+      );
+      for (const { from, to } of pairs) fleet.hub.setLossy(from, to, true);
+      await fleet.clock.advance(1_000);
+      for (const { from, to } of pairs) fleet.hub.setLossy(from, to, false);
+      const known = [...fleet.nodes.values()].map(({ membership }) => membership.members().length);
+      missing += known.filter((count) => count < names.length - 1).length;
+    }
+    await stopAll(fleet);
+    return missing;
+  };
+  t.is(await removed(), 0);
+  t.true((await removed(hideInterval)) > 0);
+});
+
+interface SyncedMember {
+  store: ConfigStore;
+  commit: ReturnType<typeof createCommitter>;
+}
+
+/** Members with real membership and configuration sync; nobody reads the head row again. */
+function startSynced(fleet: MemberFleet, lifecycle: Lifecycle, tellsVersion: boolean) {
+  const synced = new Map<string, SyncedMember>();
+  for (const info of infos(DESIGN)) {
+    const random = createRandom(synced.size + SEED);
+    const common = { clock: fleet.clock, random, logger: silentLogger, metrics: new Metrics() };
+    const settings = { ...configurationDefaults, headPollMs: 1_000_000_000 };
+    const store = createConfigStore({ ...common, ...settings, events: createEventBus() });
+    const history = createConfigHistory(fleet.platform.client().table, { ...common, ...settings });
+    const configVersion = () => (tellsVersion ? store.view.version : 0);
+    const { network, membership } = fleet.join(info, {}, { configVersion, draining: () => [] });
+    const own = lifecycle.child(info.name);
+    const task = runConfigSync(
+      {
+        ...{ ...common, store, history, network, settings },
+        peers: () => membership.members().map((member) => member.info),
+        onPeerVersion: (listener) =>
+          membership.onHeartbeat((member, heartbeat) => {
+            listener(member.info, heartbeat.configVersion);
+          }),
+        isLeaseHolder: () => false,
+      },
+      own,
+    );
+    own.own('sync', () => task);
+    synced.set(info.name, { store, commit: createCommitter(history, store) });
+  }
+  return synced;
+}
+
+/** Time until all have a version whose pushes to a whole zone and to others are lost, if ever. */
+async function spreadMs(tellsVersion: boolean): Promise<number> {
+  const fleet = createMemberFleet();
+  const lifecycle = new Lifecycle('sync');
+  const synced = startSynced(fleet, lifecycle, tellsVersion);
+  await fleet.clock.advance(WARM_UP_MS);
+  const origin = 'entry-0-0';
+  const cutOff = [...synced.keys()].filter(
+    (name) => name !== origin && (name.startsWith('entry-5-') || name.endsWith('-3')),
+  );
+  for (const name of cutOff) fleet.hub.setLossy(origin, name, true);
+  const value = { id: 'p', minAvailable: 0, maxAway: 1, maxAwayPerRack: 1, maxAwayPerZone: 1 };
+  const pool = { ...value, isSpare: false, mayBorrow: false };
+  const changes = [{ kind: EntityKind.Pool as const, id: 'p', value: pool }];
+  void synced.get(origin)?.commit(0, { changeId: 'c1', author: 'operator', changes });
+  let elapsed = 0;
+  const isEverywhere = () => [...synced.values()].every(({ store }) => store.view.version === 1);
+  while (!isEverywhere() && elapsed < 12_000) {
+    await fleet.clock.advance(10);
+    elapsed += 10;
+  }
+  const progress = { isClosed: false };
+  const closing = lifecycle.close().then(() => (progress.isClosed = true));
+  // Platform calls under way end as virtual time passes.
+  while (!progress.isClosed) await fleet.clock.advance(1);
+  await closing;
+  await stopAll(fleet);
+  return elapsed;
+}
+
+// Guards against P8 being missed when pushes are lost and remote heartbeats are rare.
+test('a version reaches all 91 members by push and heartbeats although a zone misses the push', async (t) => {
+  const elapsed = await spreadMs(true);
+  t.true(elapsed <= 2_000, `${elapsed} ms`);
+  t.true((await spreadMs(false)) > 8_000);
+});
+
+// Guards against services whose load is never told, and against load that stays after its service.
+test('load that does not fit into one heartbeat is told in turn, changes first', (t) => {
+  const services = Array.from({ length: 20 }, (_, index) => `s${index}`);
+  const loads = (changed?: string) =>
+    services.map((service) => ({
+      service,
+      slots: 8,
+      freeSlots: service === changed ? 1 : 4,
+      queued: 0,
+    }));
+  const report = new LoadReport();
+  let known: readonly ServiceLoad[] = [];
+  const rounds = Math.ceil(20 / Math.floor(MIN_LOAD_BYTES / loadEntryBytes('s19')));
+  for (let round = 0; round < rounds; round++) {
+    known = mergeLoad(known, report.next(loads(), MIN_LOAD_BYTES));
+  }
+  t.is(known.length, 20);
+  t.is(report.next(loads('s13'), MIN_LOAD_BYTES)[0]?.[0], 's13');
+  const rest = loads().filter(({ service }) => service !== 's7');
+  const entries = report.next(rest, MIN_LOAD_BYTES);
+  known = mergeLoad(known, entries);
+  t.false(known.some(({ service }) => service === 's7'));
+  t.is(known.length, 19);
+});
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -9,6 +9,16 @@
   registerMember,
   registeredMembers,
 } from './registration.js';
+export {
+  DIGEST_ENTRY_BYTES,
+  FIXED_HEARTBEAT_BYTES,
+  MIN_LOAD_BYTES,
+  planRemoteHeartbeats,
+  planZoneHeartbeats,
+  type HeartbeatBudget,
+  type HeartbeatPlan,
+} from './heartbeatPlan.js';
+export { LoadReport, loadEntryBytes, mergeLoad } from './loadReport.js';
 export {
   createMembership,
   type HeartbeatListener,
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -1,15 +1,24 @@
 import type { HeartbeatMessage, MemberInfo } from '../peers/index.js';
+import { mergeLoad } from './loadReport.js';
 import { MemberState, type Member } from './types.js';
 
 /** Most incarnations remembered as gone; the oldest are forgotten first. */
 export const MAX_GONE = 1_024;
 
+/** Heartbeat intervals of a member that may pass in silence before it is Suspect. */
+const SUSPECT_INTERVALS = 3;
+
+/** Heartbeat intervals of a member that may pass in silence before it is removed. */
+const REMOVE_INTERVALS = 10;
+
 /** A member with what is needed to judge its heartbeats. */
 export interface MemberEntry extends Member {
   /** Sequence of the newest heartbeat. */
   sequence: number;
   /** Whether the member hears this process, by its own account. */
   hearsUs: boolean;
+  /** Time in milliseconds between its heartbeats, as it announced. */
+  everyMs: number;
 }
 
 interface Candidate {
@@ -24,6 +33,16 @@
   forgetAfterMs: number;
 }
 
+/** Silence in milliseconds after which a member is Suspect. */
+export function suspectAfter({ everyMs }: MemberEntry, limits: SilenceLimits): number {
+  return Math.max(limits.suspectAfterMs, everyMs * SUSPECT_INTERVALS);
+}
+
+/** Silence in milliseconds after which a member is removed. */
+export function removeAfter({ everyMs }: MemberEntry, limits: SilenceLimits): number {
+  return Math.max(limits.removeAfterMs, everyMs * REMOVE_INTERVALS);
+}
+
 /** What a check for silent members found. */
 export interface SweepResult {
   removed: MemberInfo[];
@@ -36,11 +55,17 @@
   readonly #candidates = new Map<string, Candidate>();
   readonly #gone = new Set<string>();
   readonly #maxMembers: number;
+  #revision = 0;
 
   constructor(maxMembers: number) {
     this.#maxMembers = maxMembers;
   }
 
+  /** Grows with each change of the members or of their states. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   get(name: string): MemberEntry | undefined {
     return this.#entries.get(name);
   }
@@ -77,8 +102,10 @@
       draining: [],
       sequence: -1,
       hearsUs: true,
+      everyMs: 0,
     };
     this.#entries.set(info.name, entry);
+    this.#revision += 1;
     return entry;
   }
 
@@ -87,10 +114,11 @@
     if (message.sequence <= entry.sequence) return false;
     entry.sequence = message.sequence;
     entry.configVersion = message.configVersion;
-    entry.load = message.load;
-    entry.draining = message.draining;
+    entry.everyMs = message.everyMs ?? 0;
+    entry.load = mergeLoad(entry.load, message.load);
+    entry.draining = message.draining ?? [];
     entry.hearsUs = message.hears !== false;
-    if (entry.hearsUs) entry.state = MemberState.Alive;
+    if (entry.hearsUs) this.#setState(entry, MemberState.Alive);
     return true;
   }
 
@@ -117,6 +145,7 @@
     this.#candidates.delete(name);
     if (!entry) return;
     this.#entries.delete(name);
+    this.#revision += 1;
     this.#gone.add(entry.info.incarnation);
     const [oldest] = this.#gone;
     if (this.#gone.size > MAX_GONE && oldest !== undefined) this.#gone.delete(oldest);
@@ -140,18 +169,25 @@
     }
     for (const [name, entry] of this.#entries) {
       const silence = now - entry.lastHeardAt;
-      if (silence >= limits.removeAfterMs) {
+      if (silence >= removeAfter(entry, limits)) {
         this.#entries.delete(name);
+        this.#revision += 1;
         this.#candidates.set(name, { info: entry.info, since: now });
         result.removed.push(entry.info);
         continue;
       }
-      const isUsable = entry.hearsUs && silence < limits.suspectAfterMs;
-      entry.state = isUsable ? MemberState.Alive : MemberState.Suspect;
+      const isUsable = entry.hearsUs && silence < suspectAfter(entry, limits);
+      this.#setState(entry, isUsable ? MemberState.Alive : MemberState.Suspect);
     }
     return result;
   }
 
+  #setState(entry: MemberEntry, state: MemberState): void {
+    if (entry.state === state) return;
+    entry.state = state;
+    this.#revision += 1;
+  }
+
   #isFull(): boolean {
     return this.#entries.size + this.#candidates.size >= this.#maxMembers;
   }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -14,7 +14,14 @@
 import type { Table } from '../platform/index.js';
 import type { Random } from '../random/index.js';
 import type { MembershipSettings } from './defaults.js';
-import { MemberTable } from './memberTable.js';
+import {
+  planRemoteHeartbeats,
+  planZoneHeartbeats,
+  type HeartbeatBudget,
+  type HeartbeatPlan,
+} from './heartbeatPlan.js';
+import { LoadReport, toEntries } from './loadReport.js';
+import { MemberTable, removeAfter, suspectAfter, type MemberEntry } from './memberTable.js';
 import { deregisterMember, registerMember, registeredMembers } from './registration.js';
 import { rendezvousOwner } from './rendezvous.js';
 import { MemberState, type Member, type Membership } from './types.js';
@@ -23,12 +30,17 @@
 export interface HeartbeatSources {
   configVersion: () => number;
   load: () => ServiceLoad[];
+  /** Whether requests of a service may be forwarded to other zones; all may by default. */
+  spills?: (service: string) => boolean;
   draining: () => DrainingVm[];
 }
 
 /** Called for each heartbeat that was taken over. */
 export type HeartbeatListener = (member: Member, message: HeartbeatMessage) => void;
 
+/** Bytes that a draining VM takes in a heartbeat. */
+const DRAINING_ENTRY_BYTES = 40;
+
 /** Options of {@link createMembership}. */
 export interface MembershipOptions {
   network: PeerNetwork;
@@ -58,6 +70,15 @@
   return new PeerMembership(options);
 }
 
+/** Heartbeats to one kind of members: those of the own zone, or those of other zones. */
+interface HeartbeatGroup {
+  isLocal: boolean;
+  plan: (budget: HeartbeatBudget, members: number) => HeartbeatPlan;
+  report: LoadReport;
+  /** Longest time in milliseconds until the next round. */
+  everyMs: number;
+}
+
 class PeerMembership implements RunningMembership {
   readonly self: MemberInfo;
   readonly #options: MembershipOptions;
@@ -68,7 +89,11 @@
   /** Identifies the live members that were announced last. */
   #liveKey = 'none';
   #sequence = 0;
-  #graceUntil = 0;
+  /** Time at which a pause of this process ended. */
+  #resumedAt = Number.NEGATIVE_INFINITY;
+  #publishedRevision = -1;
+  readonly #zoneGroup: HeartbeatGroup;
+  readonly #remoteGroup: HeartbeatGroup;
   #hasLeft = false;
 
   constructor(options: MembershipOptions) {
@@ -76,6 +101,19 @@
     this.self = options.network.self;
     this.#table = new MemberTable(options.settings.maxMembers);
     this.#counters = createCounters(options.metrics);
+    const { zoneHeartbeatMs, remoteHeartbeatMs } = options.settings;
+    this.#zoneGroup = {
+      isLocal: true,
+      plan: planZoneHeartbeats,
+      report: new LoadReport(),
+      everyMs: zoneHeartbeatMs,
+    };
+    this.#remoteGroup = {
+      isLocal: false,
+      plan: planRemoteHeartbeats,
+      report: new LoadReport(),
+      everyMs: remoteHeartbeatMs,
+    };
     this.#liveByZone.set(this.self.zone, [this.self]);
     const { network } = options;
     network.handle(PeerMessageType.Heartbeat, (from, message) => {
@@ -114,11 +152,10 @@
   async run(lifecycle: Lifecycle): Promise<void> {
     const { network, settings } = this.#options;
     for (const { host, port } of settings.seeds) network.addSeed?.(host, port);
-    const isLocal = ({ zone }: MemberInfo) => zone === this.self.zone;
     await Promise.all([
       this.#sweepLoop(lifecycle.signal),
-      this.#heartbeatLoop(settings.zoneHeartbeatMs, isLocal, lifecycle.signal),
-      this.#heartbeatLoop(settings.remoteHeartbeatMs, (info) => !isLocal(info), lifecycle.signal),
+      this.#heartbeatLoop(this.#zoneGroup, lifecycle.signal),
+      this.#heartbeatLoop(this.#remoteGroup, lifecycle.signal),
       this.#registrationLoop(lifecycle.signal),
       this.#discoveryLoop(lifecycle.signal),
     ]);
@@ -128,6 +165,7 @@
     const { network, table, logger } = this.#options;
     this.#hasLeft = true;
     this.#liveKey = '';
+    this.#publishedRevision = -1;
     this.#publish();
     const { name, incarnation } = this.self;
     for (const member of network.connected()) {
@@ -153,7 +191,7 @@
     const now = clock.now();
     if (lateMs > settings.pauseThresholdMs) {
       this.#table.refreshAll(now);
-      this.#graceUntil = now + settings.suspectAfterMs;
+      this.#resumedAt = now;
       this.#counters.pauses.inc();
       logger.warn({ event: 'process_was_paused', lateMs });
     }
@@ -168,53 +206,81 @@
     this.#publish();
   }
 
-  async #heartbeatLoop(
-    intervalMs: number,
-    isTarget: (info: MemberInfo) => boolean,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock, random, network } = this.#options;
-    await clock.sleep(random.next() * intervalMs, signal);
+  async #heartbeatLoop(group: HeartbeatGroup, signal: AbortSignal): Promise<void> {
+    const { clock, random, network, settings } = this.#options;
+    const firstPlan = group.plan(settings, 0);
+    await clock.sleep(random.next() * firstPlan.intervalMs, signal);
     while (!signal.aborted) {
-      const targets = network.connected().filter(isTarget);
-      if (targets.length > 0 && !this.#hasLeft) {
-        this.#sendHeartbeats(targets, this.#digest(), random.pick(targets));
-      }
-      await clock.sleep(intervalMs, signal);
+      const targets = network.connected().filter((info) => this.#groupOf(info) === group);
+      const plan = group.plan(settings, targets.length);
+      group.everyMs = plan.intervalMs;
+      if (targets.length > 0 && !this.#hasLeft) this.#sendRound(group, targets, plan);
+      await clock.sleep(plan.intervalMs, signal);
     }
   }
 
+  #groupOf({ zone }: MemberInfo): HeartbeatGroup {
+    return zone === this.self.zone ? this.#zoneGroup : this.#remoteGroup;
+  }
+
   /** Sends one heartbeat to each target; one of them also gets members that it may not know. */
-  #sendHeartbeats(
+  #sendRound(
+    { isLocal, report, everyMs }: HeartbeatGroup,
     targets: readonly MemberInfo[],
-    members: MemberInfo[],
-    informed: MemberInfo | undefined,
+    { loadBytes }: HeartbeatPlan,
   ): void {
-    const { network, heartbeat } = this.#options;
-    this.#sequence += 1;
-    const { name, incarnation } = this.self;
+    const draining = isLocal ? this.#options.heartbeat.draining() : [];
+    const room = loadBytes - draining.length * DRAINING_ENTRY_BYTES;
     const common = {
-      type: PeerMessageType.Heartbeat as const,
-      from: { name, incarnation },
-      sequence: this.#sequence,
-      configVersion: heartbeat.configVersion(),
-      load: heartbeat.load(),
-      draining: heartbeat.draining(),
+      ...this.#commonFields(everyMs),
+      load: report.next(this.#loadFor(isLocal), room),
+      ...(draining.length > 0 && { draining }),
     };
+    const informed = this.#options.random.pick(targets);
+    const members = this.#digest();
     for (const target of targets) {
-      const sent = network.send(target.name, {
-        ...common,
-        members: target === informed ? members : [],
-        hears: this.#hears(target),
-      });
-      this.#counters.heartbeats.inc({ result: sent.isOk ? 'sent' : 'refused' });
+      this.#send(target, target === informed ? { ...common, members } : common);
     }
   }
 
+  /** The first heartbeat on a link carries everything. */
+  #sendWhole(target: MemberInfo): void {
+    const { isLocal, everyMs } = this.#groupOf(target);
+    this.#send(target, {
+      ...this.#commonFields(everyMs),
+      load: toEntries(this.#loadFor(isLocal)),
+      draining: isLocal ? this.#options.heartbeat.draining() : [],
+      members: this.#aliveInfos(),
+    });
+  }
+
+  #commonFields(everyMs: number) {
+    this.#sequence += 1;
+    const configVersion = this.#options.heartbeat.configVersion();
+    const type = PeerMessageType.Heartbeat as const;
+    return { type, sequence: this.#sequence, configVersion, everyMs };
+  }
+
+  /** Members of other zones are told only of services whose requests they may forward. */
+  #loadFor(isLocal: boolean): ServiceLoad[] {
+    const { load, spills } = this.#options.heartbeat;
+    return load().filter(({ service }) => isLocal || (spills?.(service) ?? true));
+  }
+
+  #send(target: MemberInfo, message: HeartbeatMessage): void {
+    const hears = this.#hears(target);
+    const sent = this.#options.network.send(
+      target.name,
+      hears ? { ...message } : { ...message, hears },
+    );
+    this.#counters.heartbeats.inc({ result: sent.isOk ? 'sent' : 'refused' });
+  }
+
   #hears({ name }: MemberInfo): boolean {
     const entry = this.#table.get(name);
     if (!entry) return false;
-    return this.#options.clock.now() - entry.lastHeardAt < this.#options.settings.suspectAfterMs;
+    const silence = this.#options.clock.now() - entry.lastHeardAt;
+    return silence < suspectAfter(entry, this.#options.settings);
   }
 
   /** A random sample of live members; all of them are sent only when a link comes up. */
@@ -235,17 +301,24 @@
   #onHeartbeat(from: MemberInfo, message: HeartbeatMessage): void {
     const entry = this.#note(from);
     if (!entry || !this.#table.update(entry, message)) return;
-    if (this.#options.clock.now() < this.#graceUntil) entry.hearsUs = true;
-    this.#learn(message.members);
+    if (this.#isInGrace(entry)) entry.hearsUs = true;
+    this.#options.network.allowSilence?.(from.name, removeAfter(entry, this.#options.settings));
+    this.#learn(message.members ?? []);
     this.#publish();
     for (const listener of this.#listeners) listener(entry, message);
   }
 
+  /** After a pause of this process, members need a while to hear it again. */
+  #isInGrace(entry: MemberEntry): boolean {
+    const { clock, settings } = this.#options;
+    return clock.now() - this.#resumedAt < suspectAfter(entry, settings);
+  }
+
   #onLinkUp(member: MemberInfo): void {
     if (!this.#note(member)) return;
     this.#options.network.addMember(member);
     this.#publish();
-    if (!this.#hasLeft) this.#sendHeartbeats([member], this.#aliveInfos(), member);
+    if (!this.#hasLeft) this.#sendWhole(member);
   }
 
   #onLeave({ name }: MemberInfo): void {
@@ -279,6 +352,8 @@
 
   /** Announces a change of the live members, if there is one. */
   #publish(): void {
+    if (this.#publishedRevision === this.#table.revision) return;
+    this.#publishedRevision = this.#table.revision;
     const alive = this.#aliveInfos();
     const key = alive.map(({ name, incarnation }) => `${name}/${incarnation}`).join() || 'none';
     if (key === this.#liveKey) return;
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -38,6 +38,7 @@
   readonly #observer: ConnectionObserver;
   readonly #frames: AsyncGenerator<Buffer, void, undefined>;
   #lastHeardAt: number;
+  #silenceMs: number;
   #idleTimer: Timer | undefined;
   #closing = false;
 
@@ -52,6 +53,7 @@
     this.#limits = limits;
     this.#observer = observer;
     this.#lastHeardAt = clock.now();
+    this.#silenceMs = limits.idleTimeoutMs;
     // Failures reach the reader through the stream's iterator.
     socket.on('error', () => undefined);
     socket.setNoDelay(true);
@@ -79,6 +81,11 @@
     this.#lastHeardAt = this.#clock.now();
   }
 
+  /** Sets the silence in milliseconds after which the connection is closed, if it is longer. */
+  allowSilence(ms: number): void {
+    this.#silenceMs = Math.max(this.#limits.idleTimeoutMs, ms);
+  }
+
   /** Receives the next message; throws PeerError when the connection ended or sent a bad frame. */
   async receive(): Promise<unknown> {
     const frame = await this.#nextFrame();
@@ -145,7 +152,7 @@
 
   #watchIdle(): void {
     const silence = this.#clock.now() - this.#lastHeardAt;
-    const left = this.#limits.idleTimeoutMs - silence;
+    const left = this.#silenceMs - silence;
     if (left <= 0) {
       this.destroy();
       return;
--- a/src/peers/network.ts
+++ b/src/peers/network.ts
@@ -129,6 +129,10 @@
     void target?.lifecycle.close();
   }
 
+  allowSilence(name: string, ms: number): void {
+    this.#links.get(name)?.allowSilence(ms);
+  }
+
   send(name: string, message: PeerMessage): Result<void, PeerError> {
     const result = this.#trySend(name, message);
     if (result.isErr) this.#refuse(refusalOfError(result.error));
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -45,22 +45,28 @@
   queued: number;
 }
 
+/** Load of one service in a heartbeat: service, slots, free slots, queued requests. */
+export type LoadEntry = [service: string, slots: number, freeSlots: number, queued: number];
+
 /** A VM that the sender drains, with the requests it still has in flight there. */
 export interface DrainingVm {
   vm: string;
   inFlight: number;
 }
 
-/** Periodic sign of life. */
+/** Periodic sign of life. The link tells who sent it. */
 export interface HeartbeatMessage {
   type: PeerMessageType.Heartbeat;
-  from: MemberId;
   sequence: number;
   configVersion: number;
-  load: ServiceLoad[];
-  draining: DrainingVm[];
-  /** Members known to the sender, for discovery. */
-  members: MemberInfo[];
+  /** Longest time in milliseconds until the next heartbeat to the same receiver. */
+  everyMs?: number;
+  /** Services whose load is new or due again; others keep the load reported before. */
+  load: LoadEntry[];
+  /** All VMs that the sender drains; sent within the zone only. */
+  draining?: DrainingVm[];
+  /** Some members known to the sender, for discovery. */
+  members?: MemberInfo[];
   /**
    * False when the sender has not heard the receiver for a while. The receiver then treats the
    * sender as Suspect, so that a link that works in one direction only is used by neither side.
@@ -212,6 +218,8 @@
   addSeed?(host: string, port: number): void;
   /** Closes the link to a member and stops reconnecting. */
   removeMember(name: string): void;
+  /** Lets the link to a member be silent for longer than the settings allow, in milliseconds. */
+  allowSilence?(name: string, ms: number): void;
   /**
    * Hands a message to the link. Ok means that it was queued for writing, not that it arrived.
    * An error means that nothing was sent.
--- a/src/testing/configFleet.ts
+++ b/src/testing/configFleet.ts
@@ -113,9 +113,8 @@
   { heartbeatMs, maxHeartbeats }: ConfigFleetOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { name, incarnation } = network.self;
   const type = PeerMessageType.Heartbeat as const;
-  const common = { type, from: { name, incarnation }, load: [], draining: [], members: [] };
+  const common = { type, load: [] };
   await clock.sleep(random.next() * heartbeatMs, signal);
   for (let sequence = 1; !signal.aborted; sequence++) {
     const heartbeat = { ...common, sequence, configVersion: store.view.version };
--- a/src/testing/memberFleet.ts
+++ b/src/testing/memberFleet.ts
@@ -5,11 +5,12 @@
 import {
   createMembership,
   membershipSchema,
+  type HeartbeatSources,
   type MembershipSettings,
   type RunningMembership,
 } from '../membership/index.js';
 import { Metrics } from '../metrics/index.js';
-import type { MemberInfo } from '../peers/index.js';
+import type { MemberInfo, PeerNetwork } from '../peers/index.js';
 import { createRandom } from '../random/index.js';
 import { FakePeerHub } from './fakePeers.js';
 import { FakePlatform } from './fakePlatform.js';
@@ -18,6 +19,7 @@
 
 /** One member that can be paused and stopped. */
 export interface MemberProcess {
+  network: PeerNetwork;
   membership: RunningMembership;
   /** Numbers of live members as announced, in order. */
   changes: number[];
@@ -33,7 +35,11 @@
   hub: FakePeerHub;
   platform: FakePlatform;
   nodes: Map<string, MemberProcess>;
-  join: (info: MemberInfo, overrides?: Partial<MembershipSettings>) => MemberProcess;
+  join: (
+    info: MemberInfo,
+    overrides?: Partial<MembershipSettings>,
+    sources?: Partial<HeartbeatSources>,
+  ) => MemberProcess;
   node: (name: string) => MemberProcess;
 }
 
@@ -43,18 +49,20 @@
   const hub = new FakePeerHub(clock, () => 1);
   const platform = new FakePlatform(clock);
   const nodes = new Map<string, MemberProcess>();
-  const join: MemberFleet['join'] = (self, overrides = {}) => {
+  const join: MemberFleet['join'] = (self, overrides = {}, sources = {}) => {
     const process = createPausableProcess(clock);
     const events = createEventBus();
     const changes: number[] = [];
     events.on(EventName.MembersChanged, ({ live }) => void changes.push(live));
+    const network = process.wrap(hub.join(self));
     const membership = createMembership({
-      network: process.wrap(hub.join(self)),
+      network,
       settings: { ...membershipSchema.parse({}), ...overrides },
       heartbeat: {
         configVersion: () => 7,
         load: () => [{ service: 's', slots: 8, freeSlots: 3, queued: 1 }],
         draining: () => [{ vm: 'v', inFlight: 2 }],
+        ...sources,
       },
       table: platform.client().table,
       clock: process.clock,
@@ -70,7 +78,7 @@
       await lifecycle.close();
       await task;
     };
-    const node = { ...process, membership, changes, stop };
+    const node = { ...process, network, membership, changes, stop };
     nodes.set(self.name, node);
     return node;
   };
