Report leaving VMs within the zone before the configuration records them

Cause: only the lease holder reads the VM list and only the owner of an executor hears a VM's own refusal. The other entry processes of the zone learned of a leaving VM through a commit, which takes several calls of a slow platform and starts over at a conflict, or not at all before the regular probes failed. A refusal also ended after 5 s, so new work was what found out that the VM still refused. Besides, a sign of the VM list never ended on the lease holder when the VM was live again before its leaving could be recorded, or the lease was lost first.

Change: heartbeats within the zone name the VMs that the sender itself saw leaving and that its configuration does not show. Reports are not passed on, so they end. A VM that refused gets new work only after a probe found it healthy. A VM that is listed as live again is announced, and signs of the VM list end some time after the lease was lost.

Ruled out: pushes and anti-entropy; with them a committed drain order is in force within 250 ms. The delay is before the commit.

--- a/src/backends/createLeavingSet.ts
+++ b/src/backends/createLeavingSet.ts
@@ -14,10 +14,15 @@
 /** VMs that must get no new work. */
 export interface LeavingSet {
   has(vm: string): boolean;
-  /** Records a sign; a VM's own refusal counts for a limited time, the others until cleared. */
+  /**
+   * Records a sign. A VM's own refusal and the report of another member count for a limited time
+   * and then for as long as the VM may not return, the others until cleared.
+   */
   add(vm: string, sign: LeavingSign): void;
   /** Drops the signs of a VM that is back. What the configuration says stays in force. */
   clear(vm: string): void;
+  /** VMs whose signs this process saw itself and the configuration does not show, bounded. */
+  firstHand(): string[];
 }
 
 /** Options of {@link createLeavingSet}. */
@@ -27,6 +32,8 @@
   view: ConfigView;
   metrics: Metrics;
   settings: BackendsSettings;
+  /** Whether a VM may be tried again when its signs are out of date; all may when absent. */
+  mayReturn?: (vm: string) => boolean;
   /** Ends the subscriptions when it is closed. */
   lifecycle: Lifecycle;
 }
@@ -39,11 +46,20 @@
   return new Set([...stops, ...moves, ...away].map(({ id }) => id));
 }
 
+/** Signs after which a VM may be back without anything being announced. */
+const LIMITED_SIGNS: ReadonlySet<LeavingSign> = new Set([
+  LeavingSign.OwnRefusal,
+  LeavingSign.PeerReport,
+]);
+
 /** Creates the set of leaving VMs, fed by events, the configuration and {@link LeavingSet.add}. */
 export function createLeavingSet(options: LeavingSetOptions): LeavingSet {
   const { clock, bus, view, settings, lifecycle } = options;
+  const mayReturn = options.mayReturn ?? (() => true);
   /** Time until which the signs of a VM count. */
   const signs = new Map<string, number>();
+  /** VMs that only other members reported. They are not reported again, so that reports end. */
+  const hearsay = new Set<string>();
   const dropped = options.metrics.counter(
     'backend_leaving_dropped_total',
     'Signs of leaving VMs that were not kept because the table was full',
@@ -54,14 +70,20 @@
     if (configured.has(vm)) return true;
     const until = signs.get(vm);
     if (until === undefined) return false;
-    if (until > clock.now()) return true;
-    signs.delete(vm);
+    // New work must not be what finds out that a VM still refuses.
+    if (until > clock.now() || !mayReturn(vm)) return true;
+    drop(vm);
     return false;
   };
 
+  const drop = (vm: string) => {
+    signs.delete(vm);
+    hearsay.delete(vm);
+  };
+
   const removeExpired = () => {
     const now = clock.now();
-    for (const [vm, until] of signs) if (until <= now) signs.delete(vm);
+    for (const [vm, until] of signs) if (until <= now && mayReturn(vm)) drop(vm);
   };
 
   const add = (vm: string, sign: LeavingSign): void => {
@@ -70,14 +92,16 @@
       dropped.inc();
       return;
     }
-    const until = sign === LeavingSign.OwnRefusal ? clock.now() + settings.refusalHoldMs : Infinity;
+    if (sign !== LeavingSign.PeerReport) hearsay.delete(vm);
+    else if (!signs.has(vm)) hearsay.add(vm);
+    const until = LIMITED_SIGNS.has(sign) ? clock.now() + settings.refusalHoldMs : Infinity;
     signs.set(vm, Math.max(until, signs.get(vm) ?? 0));
   };
 
   /** A VM that leaves the configured set is back, so earlier signs no longer count. */
   const adoptConfig = () => {
     const next = leavingByConfig(view);
-    for (const vm of configured) if (!next.has(vm)) signs.delete(vm);
+    for (const vm of configured) if (!next.has(vm)) drop(vm);
     configured = next;
   };
 
@@ -87,6 +111,28 @@
       add(vm, sign);
     }),
   );
+  /** The VM list is read by the lease holder only, so another one has to confirm its signs. */
+  const limitSigns = () => {
+    const until = clock.now() + settings.refusalHoldMs;
+    for (const vm of signs.keys()) signs.set(vm, Math.min(until, signs.get(vm) ?? until));
+  };
+
+  lifecycle.own(
+    'return events',
+    bus.on(EventName.VmReturned, ({ vm }) => {
+      drop(vm);
+    }),
+  );
+  lifecycle.own(
+    'lease events',
+    bus.on(EventName.LeaseChanged, ({ held }) => {
+      if (!held) limitSigns();
+    }),
+  );
   lifecycle.own('config events', bus.on(EventName.ConfigInForce, adoptConfig));
-  return { has, add, clear: (vm) => void signs.delete(vm) };
+  const firstHand = () =>
+    [...signs.keys()]
+      .filter((vm) => !hearsay.has(vm) && !configured.has(vm) && has(vm))
+      .slice(0, settings.maxReportedLeaving);
+  return { has, add, clear: drop, firstHand };
 }
--- a/src/backends/defaults.ts
+++ b/src/backends/defaults.ts
@@ -106,13 +106,21 @@
     .number()
     .positive()
     .default(5_000)
-    .describe("Time for which an executor's own refusal counts as a sign of leaving (ms)"),
+    .describe(
+      "Shortest time for which an executor's own refusal, or the report of another member, counts as a sign of leaving (ms)",
+    ),
   maxLeaving: z
     .number()
     .int()
     .positive()
     .default(32_768)
     .describe('Leaving VMs remembered from events (count)'),
+  maxReportedLeaving: z
+    .number()
+    .int()
+    .positive()
+    .default(2_000)
+    .describe('Leaving VMs named in one heartbeat (count)'),
 });
 
 /** Settings of the backends module. */
--- a/src/backends/health.spec.ts
+++ b/src/backends/health.spec.ts
@@ -1,10 +1,11 @@
 import test from 'ava';
-import { createEventBus, EventName, LeavingSign } from '../events/index.js';
+import { createEventBus, EventName, LeavingSign, type EventBus } from '../events/index.js';
 import { EntityKind, VmState, type ConfigView } from '../configuration/index.js';
 import { Lifecycle } from '../lifecycle/index.js';
 import { Metrics } from '../metrics/index.js';
 import { createRandom } from '../random/index.js';
 import { createVirtualClock } from '../testing/index.js';
+import { MemoryView } from '../testing/memoryView.js';
 import {
   BackendError,
   BackendErrorCode,
@@ -243,3 +244,75 @@
   );
   t.regex(counter, /total 10$/m);
 });
+
+interface LeavingCase {
+  title: string;
+  events: (bus: EventBus) => Promise<void>;
+  /** Whether the VM may be tried again, by its probes. */
+  mayReturn: boolean;
+  waitMs: number;
+  leaves: boolean;
+  reported: boolean;
+}
+
+const says = (sign: LeavingSign) => (bus: EventBus) =>
+  bus.emit(EventName.VmLeaving, { vm: 'v', sign });
+
+const leavingCases: LeavingCase[] = [
+  {
+    title: 'a report of another member counts and is not reported again, so that reports end',
+    ...{ events: says(LeavingSign.PeerReport), mayReturn: true, waitMs: 0 },
+    ...{ leaves: true, reported: false },
+  },
+  {
+    title: 'a report that is not repeated ends',
+    ...{ events: says(LeavingSign.PeerReport), mayReturn: true, waitMs: 5_000 },
+    ...{ leaves: false, reported: false },
+  },
+  {
+    title: 'a VM that refuses probes too gets no work to find that out',
+    ...{ events: says(LeavingSign.OwnRefusal), mayReturn: false, waitMs: 60_000 },
+    ...{ leaves: true, reported: true },
+  },
+  {
+    title: 'a refusal ends a report, so that it is reported from here',
+    events: async (bus) => {
+      await says(LeavingSign.PeerReport)(bus);
+      await says(LeavingSign.OwnRefusal)(bus);
+    },
+    ...{ mayReturn: true, waitMs: 0, leaves: true, reported: true },
+  },
+  {
+    title: 'a VM that is listed as live before its leaving was recorded is back at once',
+    events: async (bus) => {
+      await says(LeavingSign.VmList)(bus);
+      await bus.emit(EventName.VmReturned, { vm: 'v' });
+    },
+    ...{ mayReturn: true, waitMs: 0, leaves: false, reported: false },
+  },
+  {
+    title: 'a sign of the VM list ends after the lease was lost, as this process reads it no more',
+    events: async (bus) => {
+      await says(LeavingSign.VmList)(bus);
+      await bus.emit(EventName.LeaseChanged, { zone: 'z', epoch: 1, held: false });
+    },
+    ...{ mayReturn: true, waitMs: 5_000, leaves: false, reported: false },
+  },
+];
+
+for (const { title, events, mayReturn, waitMs, leaves, reported } of leavingCases) {
+  test(`leaving set: ${title}`, async (t) => {
+    const clock = createVirtualClock();
+    const bus = createEventBus();
+    const leaving = createLeavingSet({
+      ...{ clock, bus, view: new MemoryView(), metrics: new Metrics() },
+      settings: backendsSchema.parse({}),
+      lifecycle: new Lifecycle('test'),
+      mayReturn: () => mayReturn,
+    });
+    await events(bus);
+    await clock.advance(waitMs);
+    t.is(leaving.has('v'), leaves);
+    t.deepEqual(leaving.firstHand(), reported ? ['v'] : []);
+  });
+}
--- a/src/controller/vmStatus.spec.ts
+++ b/src/controller/vmStatus.spec.ts
@@ -79,6 +79,8 @@
   await rig.load(FLEET);
   const { deps, lifecycle } = rig.start('z0', 'a');
   const leaving: string[] = [];
+  const returned: string[] = [];
+  deps.events.on(EventName.VmReturned, ({ vm }) => void returned.push(vm));
   deps.events.on(EventName.VmLeaving, ({ vm }) => void leaving.push(vm));
   await rig.clock.advance(5_000);
   const before = (await rig.deltas()).length;
@@ -93,5 +95,6 @@
   for (const vm of vms) vm.state = ListedVmState.Live;
   await rig.clock.advance(5_000);
   t.is((await rig.newest()).list(EntityKind.VmStatus).length, 0);
+  t.deepEqual(returned.sort(), vms.map(({ id }) => id).sort());
   await rig.close([lifecycle]);
 });
--- a/src/controller/vmStatus.ts
+++ b/src/controller/vmStatus.ts
@@ -96,7 +96,10 @@
   await commitDecision(ctx, 'vm_status', decide, Priority.Urgent);
 }
 
-/** Announces each VM that is leaving once, without waiting for the commit. */
+/**
+ * Announces each VM that starts to leave, and each that is live again, without waiting for the
+ * commit: a VM may be back before its leaving could be recorded.
+ */
 function announceLeaving(
   ctx: ControllerContext,
   listed: readonly ListedVm[],
@@ -104,7 +107,7 @@
 ): void {
   for (const { id, state } of listed) {
     if (state !== ListedVmState.Leaving) {
-      announced.delete(id);
+      if (announced.delete(id)) void ctx.events.emit(EventName.VmReturned, { vm: id });
     } else if (!announced.has(id)) {
       announced.add(id);
       ctx.metrics.vmsLeaving.inc();
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -22,10 +22,11 @@
 } from '../platform/index.js';
 import { createRequestRouter, type RequestRouter } from '../requests/index.js';
 import { newIdentity, peerSecret } from './identity.js';
+import { hearLeaving } from './leavingReports.js';
 import { addMemberGauge, createProcessState, type ProcessState } from './processState.js';
 import { createRequestParts, type RequestParts } from './requestParts.js';
 import { EntryError, EntryErrorCode, type EntryContext } from './types.js';
-import { createVmProbes, type VmProbes } from './vmProbes.js';
+import { createVmProbes, mayBeTried, type VmProbes } from './vmProbes.js';
 
 /** The parts of an entry process, in the order of their creation. */
 export interface EntryParts {
@@ -62,7 +63,9 @@
       lifecycle,
     ),
   );
-  const request = createRequestParts(ctx, view, lifecycle);
+  const mayReturn = (vm: string) => mayBeTried(probes.lastProbe(vm));
+  const request = createRequestParts(ctx, view, mayReturn, lifecycle);
+  const probes = createVmProbes({ ...shared, view, zone: settings.zone, probe: request.probe });
   const membership = createMembership({
     ...shared,
     network,
@@ -72,8 +75,10 @@
       configVersion: () => view.version,
       load: () => request.scheduler.load(),
       draining: () => drainingVms(store, request, settings.zone),
+      leaving: () => request.leaving.firstHand(),
     },
   });
+  hearLeaving(membership, request.leaving);
   addMemberGauge(ctx, membership);
   const router = createRequestRouter({
     ...{ ...shared, view, membership },
@@ -83,7 +88,6 @@
     table: platform.forPurpose(CallPurpose.Request).table,
     settings: settings.requests,
   });
-  const probes = createVmProbes({ ...shared, view, zone: settings.zone, probe: request.probe });
   const state = createProcessState(ctx, store, lifecycle);
   const commit = createCheckedCommit(store, history);
   return { platform, store, history, network, request, membership, router, probes, state, commit };
--- a/src/entry/requestParts.ts
+++ b/src/entry/requestParts.ts
@@ -8,6 +8,7 @@
   type BackendConnections,
   type BackendHealthControl,
   type ChooserOptions,
+  type LeavingSet,
   type Probe,
 } from '../backends/index.js';
 import { EntityKind, type IndexedConfigView } from '../configuration/index.js';
@@ -21,12 +22,14 @@
   health: BackendHealthControl;
   scheduler: Scheduler;
   probe: Probe;
+  leaving: LeavingSet;
 }
 
 /** Creates connections, health, leaving set and scheduler, and joins them. */
 export function createRequestParts(
   ctx: EntryContext,
   view: IndexedConfigView,
+  mayReturn: (vm: string) => boolean,
   lifecycle: Lifecycle,
 ): RequestParts {
   const { clock, random, metrics, events } = ctx;
@@ -37,7 +40,10 @@
     health.started(vm);
   };
   const backends = createBackendConnections({ clock, metrics, settings, lifecycle, onSend });
-  const leaving = createLeavingSet({ clock, bus: events, view, metrics, settings, lifecycle });
+  const leaving = createLeavingSet({
+    ...{ clock, bus: events, view, metrics, settings, lifecycle },
+    mayReturn,
+  });
   const chooser: ChooserOptions = {
     random,
     weight: (vm) => health.weight(vm),
@@ -52,5 +58,5 @@
     choose: createChooser(chooser),
     usable: createUsable(chooser),
   });
-  return { backends, health, scheduler, probe };
+  return { backends, health, scheduler, probe, leaving };
 }
--- a/src/entry/vmProbes.ts
+++ b/src/entry/vmProbes.ts
@@ -27,6 +27,11 @@
   run(lifecycle: Lifecycle): Promise<void>;
 }
 
+/** Whether a VM that refused work may get some again, by its last probe. */
+export function mayBeTried(probe: ProbeResult): boolean {
+  return probe === ProbeResult.Healthy || probe === ProbeResult.Unknown;
+}
+
 /** Creates the probes of the VMs of a zone. */
 export function createVmProbes(deps: VmProbeDeps): VmProbes {
   const last = new Map<string, ProbeResult>();
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -8,6 +8,8 @@
   MembersChanged = 'members_changed',
   /** A VM must get no new work from now on. */
   VmLeaving = 'vm_leaving',
+  /** A VM that was announced as leaving by the VM list is listed as live again. */
+  VmReturned = 'vm_returned',
   /** The zone controller lease was acquired or lost by this process. */
   LeaseChanged = 'lease_changed',
   /** A job was recorded for a zone; its controller should place it. */
@@ -21,6 +23,8 @@
   VmList = 'vm_list',
   DrainOrder = 'drain_order',
   OwnRefusal = 'own_refusal',
+  /** Another member of the zone saw one of the other signs. */
+  PeerReport = 'peer_report',
 }
 
 /** Data of each event. */
@@ -28,6 +32,7 @@
   [EventName.ConfigInForce]: { version: number };
   [EventName.MembersChanged]: { live: number };
   [EventName.VmLeaving]: { vm: string; sign: LeavingSign };
+  [EventName.VmReturned]: { vm: string };
   [EventName.LeaseChanged]: { zone: string; epoch: number; held: boolean };
   [EventName.JobRecorded]: { zone: string; jobId: string; urgent: boolean };
   [EventName.PlatformReachability]: { reachable: boolean };
--- a/src/membership/membership.spec.ts
+++ b/src/membership/membership.spec.ts
@@ -215,6 +215,20 @@
   await stopAll(fleet);
 });
 
+// Guards against a report that the zone misses, and against its bytes on links that need none.
+test('heartbeats carry leaving VMs to members of the own zone only', async (t) => {
+  const fleet = await wholeFleet();
+  const heard = new Map<string, readonly string[] | undefined>();
+  fleet.node('a0').membership.onHeartbeat(({ info: { name } }, { leaving }) => {
+    heard.set(name, leaving);
+  });
+  await fleet.clock.advance(2_000);
+  t.deepEqual(heard.get('a1'), ['w']);
+  t.true(heard.has('b0'));
+  t.is(heard.get('b0'), undefined);
+  await stopAll(fleet);
+});
+
 // Guards against a process that stays alone because no seed answers.
 test('member rows are read while no link is up', async (t) => {
   const clock = createVirtualClock();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -24,6 +24,8 @@
   configVersion: () => number;
   load: () => ServiceLoad[];
   draining: () => DrainingVm[];
+  /** Sent to members of the own zone only; the others send nothing to its VMs. */
+  leaving?: () => string[];
 }
 
 /** Called for each heartbeat that was taken over. */
@@ -201,9 +203,11 @@
       load: heartbeat.load(),
       draining: heartbeat.draining(),
     };
+    const leaving = heartbeat.leaving?.() ?? [];
     for (const target of targets) {
       const sent = network.send(target.name, {
         ...common,
+        leaving: target.zone === this.self.zone && leaving.length > 0 ? leaving : undefined,
         members: target === informed ? members : [],
         hears: this.#hears(target),
       });
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -59,6 +59,8 @@
   configVersion: number;
   load: ServiceLoad[];
   draining: DrainingVm[];
+  /** VMs that the sender saw leaving and that its configuration does not show as leaving. */
+  leaving?: string[];
   /** Members known to the sender, for discovery. */
   members: MemberInfo[];
   /**
--- a/src/testing/memberFleet.ts
+++ b/src/testing/memberFleet.ts
@@ -55,6 +55,7 @@
         configVersion: () => 7,
         load: () => [{ service: 's', slots: 8, freeSlots: 3, queued: 1 }],
         draining: () => [{ vm: 'v', inFlight: 2 }],
+        leaving: () => ['w'],
       },
       table: platform.client().table,
       clock: process.clock,
