--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -33,6 +33,8 @@
   /** Whether requests of a service may be forwarded to other zones; all may by default. */
   spills?: (service: string) => boolean;
   draining: () => DrainingVm[];
+  /** Sent to members of the own zone only; the others send nothing to its VMs. */
+  leaving?: () => string[];
 }
 
 /** Called for each heartbeat that was taken over. */
@@ -230,11 +232,13 @@
     { loadBytes }: HeartbeatPlan,
   ): void {
     const draining = isLocal ? this.#options.heartbeat.draining() : [];
-    const room = loadBytes - draining.length * DRAINING_ENTRY_BYTES;
+    const leaving = isLocal ? (this.#options.heartbeat.leaving?.() ?? []) : [];
+    const room = loadBytes - (draining.length + leaving.length) * DRAINING_ENTRY_BYTES;
     const common = {
       ...this.#commonFields(everyMs),
       load: report.next(this.#loadFor(isLocal), room),
       ...(draining.length > 0 && { draining }),
+      ...(leaving.length > 0 && { leaving }),
     };
     const informed = this.#options.random.pick(targets);
     const members = this.#digest();
@@ -250,6 +254,7 @@
       ...this.#commonFields(everyMs),
       load: toEntries(this.#loadFor(isLocal)),
       draining: isLocal ? this.#options.heartbeat.draining() : [],
+      leaving: isLocal ? this.#options.heartbeat.leaving?.() : undefined,
       members: this.#aliveInfos(),
     });
   }
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -67,6 +67,8 @@
   draining?: DrainingVm[];
   /** Some members known to the sender, for discovery. */
   members?: MemberInfo[];
+  /** VMs that the sender saw leaving and that its configuration does not show as leaving. */
+  leaving?: string[];
   /**
    * False when the sender has not heard the receiver for a while. The receiver then treats the
    * sender as Suspect, so that a link that works in one direction only is used by neither side.
