Keep the link to a member that shuts down until its requests have ended

Cause: a member that was told of a shutdown closed the link at once, so requests that were running over it ended as unknown (testbed/lifecycle.spec.ts, seen failing: three of three requests). Change: the member gets no new work and owns nothing any more, but its link stays until it closes it, with silence allowed for 120 s, since it sends no more heartbeats. Ruled out: sending Leave only after the drain, which would let others send new work meanwhile. Conclusion: a graceful shutdown finishes what runs, in both directions.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -26,6 +26,9 @@
 import { rendezvousOwner } from './rendezvous.js';
 import { MemberState, type Member, type Membership } from './types.js';
 
+/** Silence allowed to a member that shuts down and sends no more heartbeats, in milliseconds. */
+const LEAVE_SILENCE_MS = 120_000;
+
 /** Functions that fill a heartbeat; called for each round of heartbeats. */
 export interface HeartbeatSources {
   configVersion: () => number;
@@ -97,6 +100,8 @@
   readonly #zoneGroup: HeartbeatGroup;
   readonly #remoteGroup: HeartbeatGroup;
   #hasLeft = false;
+  /** Members that told that they leave and whose link is still up. */
+  readonly #leavers = new Set<string>();
 
   constructor(options: MembershipOptions) {
     this.#options = options;
@@ -126,6 +131,7 @@
     });
     network.onLink((member, up) => {
       if (up) this.#onLinkUp(member);
+      else if (this.#leavers.delete(member.name)) network.removeMember(member.name);
     });
   }
 
@@ -326,10 +332,16 @@
     if (!this.#hasLeft) this.#sendWhole(member);
   }
 
+  /**
+   * A member that shuts down gets no new work, but its link stays up until it closes it, because
+   * answers to requests in flight still travel over it in both directions.
+   */
   #onLeave({ name }: MemberInfo): void {
+    const { network, logger } = this.#options;
     this.#table.drop(name);
-    this.#options.network.removeMember(name);
-    this.#options.logger.info({ event: 'member_left', member: name });
+    this.#leavers.add(name);
+    network.allowSilence?.(name, LEAVE_SILENCE_MS);
+    logger.info({ event: 'member_left', member: name });
     this.#publish();
   }
 
--- a/testbed/lifecycle.spec.ts
+++ b/testbed/lifecycle.spec.ts
@@ -88,8 +88,10 @@
       const end = await callers.send(leaving, await callers.issueId(leaving), '/work?ms=1');
       return end.outcome === Outcome.Answered;
     });
-    const ids = await Promise.all([1, 2, 3].map(() => callers.issueId(leaving)));
-    const inFlight = ids.map((id) => callers.send(leaving, id, '/work?ms=1500'));
+    // Whichever of the two owns the executor, some of these travel over the link between them.
+    const senders = [leaving, leaving, staying, staying];
+    const ids = await Promise.all(senders.map((entry) => callers.issueId(entry)));
+    const inFlight = senders.map((entry, i) => callers.send(entry, ids[i] ?? '', '/work?ms=1500'));
     const vm = deployment.vms[0];
     await waitFor('they run', async () => {
       if (!vm) return false;
