Close inbound links before waiting for the tasks that read them

Cause: closing the peer listener waited for the task of an inbound link, which reads until its connection ends; nothing ended it, so a shutdown lasted until the peer noticed 120 s of silence. Change: the connection is closed as soon as its life cycle is. Conclusion: links end with the process that closes them.

--- a/src/peers/network.ts
+++ b/src/peers/network.ts
@@ -248,6 +248,8 @@
     this.#inbound += 1;
     const lifecycle = this.#lifecycle.child('inbound');
     const connection = this.#connection(socket, lifecycle);
+    // Closing waits for the task, which reads until the connection ends.
+    lifecycle.signal.addEventListener('abort', () => void connection.close(), { once: true });
     const task = this.#serve(connection).finally(() => {
       this.#inbound -= 1;
       void lifecycle.close();
--- a/testbed/lifecycle.spec.ts
+++ b/testbed/lifecycle.spec.ts
@@ -12,6 +12,9 @@
   'name: e\nzone: z\npeers: { port: 0 }\noperators: { port: 0 }\ncallers: { port: 0 }\n';
 const SECRET = 'a-secret-of-the-test-deployment';
 
+/** The grace period of the defaults, and as much again. */
+const SHUTDOWN_TIMEOUT_MS = 60_000;
+
 const startCases = [
   {
     title: 'no settings file',
@@ -101,6 +104,9 @@
       );
       return active === ids.length;
     });
+    leaving.process.signal('SIGTERM');
+    // A link that is waited for until it is silent for too long would keep the process alive.
+    await waitFor('it ends by itself', () => leaving.process.hasExited, SHUTDOWN_TIMEOUT_MS);
     t.is(await leaving.process.stop(), ExitCode.Success);
     const ends = await Promise.all(inFlight);
     t.deepEqual(
