--- a/src/configuration/history.spec.ts
+++ b/src/configuration/history.spec.ts
@@ -230,6 +230,39 @@
   t.is((await settle(history.head())).map((head) => head.snapshotVersion).unwrapOr(0), 6);
 });
 
+/** Versions of the snapshots that have rows, and whether a load gives the newest version. */
+async function keptSnapshots(wrap: Wrap): Promise<{ versions: number[]; loaded: number }> {
+  const { platform, createProcess, settle } = setUp(wrap, { snapshotInterval: 3 });
+  const { history } = createProcess();
+  const fleet = sampleFleet({ zones: 3, services: 2, vmsPerPool: 1_500 });
+  await settle(history.commit(0, changeSetOf(fleet, 'fleet')));
+  for (let base = 1; base < 16; base++) {
+    const state = base % 2 ? VmState.Failed : VmState.Up;
+    await settle(history.commit(base, change(`c${base}`, 'ann', state)));
+    await settle(history.idle());
+  }
+  const prefix = 'config/snapshot/';
+  const keys = [...platform.rows.keys()].filter((key) => key.startsWith(prefix));
+  const versions = keys.map((key) => Number(key.slice(prefix.length).split('/')[0]));
+  const loaded = await settle(createProcess().history.load());
+  return { versions, loaded: loaded.map(({ version }) => version).unwrapOr(0) };
+}
+
+// Guards against snapshots that pile up in the platform, and against the deletion of one in use.
+test('only the newest snapshot and the one before it are kept, with all their rows', async (t) => {
+  t.deepEqual(await keptSnapshots(unchanged), { versions: [12, 12, 15, 15], loaded: 16 });
+  const undeletable: Wrap = (table) => ({
+    ...table,
+    transact: (conditions, writes) => {
+      const kept = writes.filter(
+        ({ key, value }) => value !== undefined || !key.startsWith('config/snapshot/'),
+      );
+      return table.transact(conditions, kept);
+    },
+  });
+  t.not((await keptSnapshots(undeletable)).versions.length, 4);
+});
+
 // Guards against adopting rows that were damaged or lost.
 test('a load fails when a version row is missing or changed', async (t) => {
   const { platform, createProcess, settle } = setUp();
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -31,6 +31,7 @@
   type ConfigHead,
   type ConfigHistory,
   type ConfigSnapshot,
+  type SnapshotRef,
 } from './types.js';
 
 /** Options of {@link createConfigHistory}. */
@@ -193,10 +194,16 @@
       const written = await table.transact([], [{ key, value }]);
       if (written.isErr) return written;
     }
-    return announceSnapshot(snapshot.version);
+    const outdated = await announceSnapshot({ version: snapshot.version, parts: parts.length });
+    if (outdated.isErr) return Result.err(outdated.error);
+    return outdated.value ? deleteSnapshot(outdated.value) : Result.ok(undefined);
   }
 
-  async function announceSnapshot(version: number): PlatformResult<void> {
+  /** Returns the snapshot that no starting process reads any more, if there is one. */
+  async function announceSnapshot({
+    version,
+    parts,
+  }: SnapshotRef): PlatformResult<SnapshotRef | undefined> {
     for (let tries = 0; tries < options.maxAttempts; tries++) {
       const state = await readHead();
       if (state.isErr) return Result.err(state.error);
@@ -204,14 +211,26 @@
       if (head.snapshotVersion >= version) return Result.ok(undefined);
       const written = await table.transact(
         [{ key: HEAD_KEY, version: rowVersion }],
-        [{ key: HEAD_KEY, value: { ...head, snapshotVersion: version } }],
+        [{ key: HEAD_KEY, value: withSnapshot(head, { version, parts }) }],
       );
-      if (written.isOk || written.error.code !== PlatformErrorCode.ConditionFailed) return written;
+      if (written.isOk) return Result.ok(head.formerSnapshot);
+      if (written.error.code !== PlatformErrorCode.ConditionFailed) {
+        return Result.err(written.error);
+      }
     }
     const message = `head changed during ${options.maxAttempts} attempts to announce a snapshot`;
     return Result.err(new PlatformError(PlatformErrorCode.ConditionFailed, message));
   }
 
+  /** A row that stays because this fails costs storage only; nothing refers to it. */
+  async function deleteSnapshot({ version, parts }: SnapshotRef): PlatformResult<void> {
+    for (let part = 0; part < parts; part++) {
+      const deleted = await table.transact([], [{ key: snapshotPartKey(version, part) }]);
+      if (deleted.isErr) return deleted;
+    }
+    return Result.ok(undefined);
+  }
+
   async function readSnapshot(
     version: number,
   ): PlatformResult<{ snapshot: ConfigSnapshot; hash: string }> {
@@ -310,6 +329,14 @@
   };
 }
 
+function withSnapshot(head: ConfigHead, { version, parts }: SnapshotRef): ConfigHead {
+  const { snapshotVersion, snapshotParts } = head;
+  // A snapshot whose number of rows was not recorded is never deleted.
+  const formerSnapshot =
+    snapshotParts === undefined ? undefined : { version: snapshotVersion, parts: snapshotParts };
+  return { ...head, snapshotVersion: version, snapshotParts: parts, formerSnapshot };
+}
+
 function appliedBefore(change: ChangeRow, changeSet: ChangeSet): Result<Commit, ConfigError> {
   if (change.digest === changeSetDigest(changeSet)) {
     return Result.ok({ version: change.version, alreadyApplied: true });
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -226,11 +226,22 @@
   vmsOfPool(pool: string): readonly Vm[];
 }
 
+/** Where the rows of a snapshot are. */
+export interface SnapshotRef {
+  version: number;
+  /** Number of rows. */
+  parts: number;
+}
+
 /** Value of the row `config/head`. */
 export interface ConfigHead {
   version: number;
   /** Newest version with a snapshot row. */
   snapshotVersion: number;
+  /** Number of its rows. */
+  snapshotParts?: number;
+  /** The snapshot before it, kept for processes that are still reading it. */
+  formerSnapshot?: SnapshotRef;
   /** Hash chain over all deltas, hex. */
   hash: string;
 }
