Measure an entry process that has loaded the design size

Cause: the memory of a whole entry process with 21,000 VMs was only summed up from slopes, which leaves out what loading needs.

--- a/bench/capacityBase.ts
+++ b/bench/capacityBase.ts
@@ -2,8 +2,19 @@
 import { once } from 'node:events';
 import { readFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { systemClock } from '../src/clock/index.js';
+import {
+  configurationDefaults,
+  createConfigHistory,
+  entityKinds,
+  type ConfigSnapshot,
+  type EntityChange,
+} from '../src/configuration/index.js';
+import { Lifecycle } from '../src/lifecycle/index.js';
+import { createPlatformClient, platformSchema } from '../src/platform/index.js';
 import { Deployment } from '../testbed/index.js';
 import { compiledPath } from '../testbed/processes.js';
+import { commonDeps, designSnapshot } from './designFleet.js';
 
 /** What an idle process takes. */
 export interface BaseCost {
@@ -20,6 +31,9 @@
 const SETTLE_MS = 12_000;
 const WATCH_MS = 10_000;
 
+/** Changes in one change set while the fleet is loaded. */
+const CHANGES_PER_SET = 2_000;
+
 /** Clock ticks per second in /proc. */
 const TICKS_PER_S = 100;
 
@@ -40,6 +54,7 @@
     ),
     entryCost('idle entry process, alone, holds the lease', 1),
     entryCost('idle entry process, one of seven, without the lease', 7),
+    loadedEntryCost('idle entry process with the lease and 21,000 VMs in 13 zones'),
   ]);
 }
 
@@ -69,6 +84,48 @@
   }
 }
 
+/** An entry process that starts with the whole configuration; no VM has an executor to probe. */
+async function loadedEntryCost(name: string): Promise<BaseCost> {
+  const shape = { zones: [], entriesPerZone: 0, vmsPerZone: {} };
+  const deployment = new Deployment(shape);
+  await deployment.start();
+  const lifecycle = new Lifecycle('loader');
+  try {
+    const { entities } = designSnapshot({});
+    const listed = entities.vm.map(({ id, zone }) => ({ id, zone }));
+    await deployment.control(deployment.platform.url, 'vms', listed);
+    await commitFleet(deployment.platform.url, entities, lifecycle);
+    const entry = await deployment.startEntry('zone-0');
+    return await watch(name, entry.process.pid);
+  } finally {
+    await lifecycle.close();
+    await deployment.stop();
+  }
+}
+
+async function commitFleet(
+  url: string,
+  entities: ConfigSnapshot['entities'],
+  lifecycle: Lifecycle,
+): Promise<void> {
+  const common = { ...commonDeps(), clock: systemClock };
+  const settings = platformSchema.parse({ url });
+  const { table } = createPlatformClient({ ...common, settings, lifecycle });
+  const history = createConfigHistory(table, { ...configurationDefaults, ...common });
+  const changes = entityKinds.flatMap((kind) =>
+    entities[kind].map((entity) => {
+      const value = { ...entity, executor: undefined };
+      return { kind, id: entity.id, value } as EntityChange;
+    }),
+  );
+  for (let base = 0; base * CHANGES_PER_SET < changes.length; base++) {
+    const some = changes.slice(base * CHANGES_PER_SET, (base + 1) * CHANGES_PER_SET);
+    const changeSet = { changeId: `load-${base}`, author: 'operator', changes: some };
+    const committed = await history.commit(base, changeSet);
+    if (committed.isErr) throw committed.error;
+  }
+}
+
 async function watch(name: string, pid: number): Promise<BaseCost> {
   await sleep(SETTLE_MS);
   const before = await ticks(pid);
