--- /dev/null
+++ b/bench/capacityBase.ts
@@ -0,0 +1,150 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { readFile } from 'node:fs/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { systemClock } from '../src/clock/index.js';
+import {
+  configurationDefaults,
+  createConfigHistory,
+  entityKinds,
+  type ConfigSnapshot,
+  type EntityChange,
+} from '../src/configuration/index.js';
+import { Lifecycle } from '../src/lifecycle/index.js';
+import { createPlatformClient, platformSchema } from '../src/platform/index.js';
+import { Deployment } from '../testbed/index.js';
+import { compiledPath } from '../testbed/processes.js';
+import { commonDeps, designSnapshot } from './designFleet.js';
+
+/** What an idle process takes. */
+export interface BaseCost {
+  process: string;
+  /** Resident memory in MiB. */
+  residentMib: number;
+  /** Resident memory that is not a mapped file, in MiB. */
+  anonymousMib: number;
+  /** Processor time as a percentage of a core. */
+  cpuPercent: number;
+}
+
+/** Time in milliseconds to settle and to be watched. */
+const SETTLE_MS = 12_000;
+const WATCH_MS = 10_000;
+
+/** Changes in one change set while the fleet is loaded. */
+const CHANGES_PER_SET = 2_000;
+
+/** Clock ticks per second in /proc. */
+const TICKS_PER_S = 100;
+
+const KIB_PER_MIB = 1_024;
+
+/** Keeps a process alive without work. */
+const IDLE_SCRIPT = 'setInterval(() => {}, 1000);';
+
+/** Memory and processor time of idle Node processes and idle entry processes. */
+export function baseCosts(): Promise<BaseCost[]> {
+  const library = compiledPath('src/entry/index.js');
+  return Promise.all([
+    nodeCost('idle Node process', IDLE_SCRIPT),
+    nodeCost('Node process with the code loaded', `${IDLE_SCRIPT} import('${library}');`),
+    nodeCost(
+      'the same after a garbage collection',
+      `${IDLE_SCRIPT} import('${library}').then(() => gc());`,
+    ),
+    entryCost('idle entry process, alone, holds the lease', 1),
+    entryCost('idle entry process, one of seven, without the lease', 7),
+    loadedEntryCost('idle entry process with the lease and 21,000 VMs in 13 zones'),
+  ]);
+}
+
+async function nodeCost(name: string, script: string): Promise<BaseCost> {
+  const child = spawn(process.execPath, ['--expose-gc', '-e', script]);
+  const exited = once(child, 'exit');
+  try {
+    return await watch(name, child.pid ?? 0);
+  } finally {
+    child.kill();
+    await exited;
+  }
+}
+
+async function entryCost(name: string, entries: number): Promise<BaseCost> {
+  const deployment = new Deployment({
+    zones: ['zone-a'],
+    entriesPerZone: entries,
+    vmsPerZone: { spare: 1 },
+  });
+  await deployment.start();
+  try {
+    // The last one to start is not the holder of the lease.
+    return await watch(name, deployment.entries.at(-1)?.process.pid ?? 0);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** An entry process that starts with the whole configuration; no VM has an executor to probe. */
+async function loadedEntryCost(name: string): Promise<BaseCost> {
+  const shape = { zones: [], entriesPerZone: 0, vmsPerZone: {} };
+  const deployment = new Deployment(shape);
+  await deployment.start();
+  const lifecycle = new Lifecycle('loader');
+  try {
+    const { entities } = designSnapshot({});
+    const listed = entities.vm.map(({ id, zone }) => ({ id, zone }));
+    await deployment.control(deployment.platform.url, 'vms', listed);
+    await commitFleet(deployment.platform.url, entities, lifecycle);
+    const entry = await deployment.startEntry('zone-0');
+    return await watch(name, entry.process.pid);
+  } finally {
+    await lifecycle.close();
+    await deployment.stop();
+  }
+}
+
+async function commitFleet(
+  url: string,
+  entities: ConfigSnapshot['entities'],
+  lifecycle: Lifecycle,
+): Promise<void> {
+  const common = { ...commonDeps(), clock: systemClock };
+  const settings = platformSchema.parse({ url });
+  const { table } = createPlatformClient({ ...common, settings, lifecycle });
+  const history = createConfigHistory(table, { ...configurationDefaults, ...common });
+  const changes = entityKinds.flatMap((kind) =>
+    entities[kind].map((entity) => {
+      const value = { ...entity, executor: undefined };
+      return { kind, id: entity.id, value } as EntityChange;
+    }),
+  );
+  for (let base = 0; base * CHANGES_PER_SET < changes.length; base++) {
+    const some = changes.slice(base * CHANGES_PER_SET, (base + 1) * CHANGES_PER_SET);
+    const changeSet = { changeId: `load-${base}`, author: 'operator', changes: some };
+    const committed = await history.commit(base, changeSet);
+    if (committed.isErr) throw committed.error;
+  }
+}
+
+async function watch(name: string, pid: number): Promise<BaseCost> {
+  await sleep(SETTLE_MS);
+  const before = await ticks(pid);
+  await sleep(WATCH_MS);
+  const used = (await ticks(pid)) - before;
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  const mib = (field: string) =>
+    Number(new RegExp(`${field}:\\s+(\\d+) kB`).exec(status)?.[1]) / KIB_PER_MIB;
+  return {
+    process: name,
+    residentMib: mib('VmRSS'),
+    anonymousMib: mib('RssAnon'),
+    cpuPercent: (used / TICKS_PER_S / (WATCH_MS / 1_000)) * 100,
+  };
+}
+
+/** User and system time of a process in clock ticks. */
+async function ticks(pid: number): Promise<number> {
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return Number(fields[11]) + Number(fields[12]);
+}
