Add the buffer and move policy

Cause: nothing decided when a VM of the spare pool moves for load, or how much of a pool is held back against the loss of a rack.

Change: src/capacity with a registry of three policies as plain functions (never_move, move_on_rise, cost_based), the settings, the task of the lease holder and its commit function. The cost-based policy weighs the average work that a VM would serve against two drains and the growth of the buffers, holds back the largest rack share of each pool in service, and waits for a hysteresis time between two moves of a VM. Requested moves go through the Budget of the controller; requests that do not start are withdrawn.

Ruled out: a fixed rack as the buffer (a pool rarely has four VMs in one rack); a buffer weight of 1, with which a growth of one VM outweighs any saving, so that nothing was ever lent (seen as failing cases of capacity.spec.ts).

--- /dev/null
+++ b/src/capacity/buffer.ts
@@ -0,0 +1,40 @@
+import type { ConfigView } from '../configuration/index.js';
+import { AwayReason, awayReason, Budget, rackKey } from '../controller/index.js';
+import type { CapacityInput, HeldBack, TakeVm } from './types.js';
+
+/**
+ * The least buffer of a pool in VMs with which the loss of any one rack breaks no rule on the pool
+ * as a whole: its most VMs in service in one rack. With one VM less held back, a decision may use
+ * up the limits so far that the loss of this rack exceeds them by one.
+ */
+export function leastBuffer(
+  view: ConfigView,
+  pool: string,
+  silentZones: ReadonlySet<string>,
+): number {
+  const byRack = new Map<string, number>();
+  for (const vm of view.vmsOfPool(pool)) {
+    if (awayReason(view, vm, silentZones)) continue;
+    byRack.set(rackKey(vm), (byRack.get(rackKey(vm)) ?? 0) + 1);
+  }
+  return Math.max(0, ...byRack.values());
+}
+
+/** Creates the budgets of one decision, each with the buffer of its pool held back. */
+export function createTakeVm(
+  input: Pick<CapacityInput, 'view' | 'silentZones' | 'settings'>,
+  heldBack: HeldBack,
+): TakeVm {
+  const { view, silentZones } = input;
+  const budgets = new Map<string, Budget>();
+  return ({ id }) => {
+    const pool = view.poolOf(id) ?? '';
+    let budget = budgets.get(pool);
+    if (!budget) {
+      budget = new Budget(view, { silentZones, reserve: heldBack(input, pool) });
+      budgets.set(pool, budget);
+    }
+    const granted = budget.grant(id, AwayReason.Move);
+    return granted.isErr ? granted.error : undefined;
+  };
+}
--- /dev/null
+++ b/src/capacity/capacity.spec.ts
@@ -0,0 +1,492 @@
+import fc from 'fast-check';
+import test from 'ava';
+import {
+  EntityKind,
+  MoveState,
+  StopState,
+  VmState,
+  type ConfigView,
+  type EntityChange,
+  type Pool,
+} from '../configuration/index.js';
+import { AwayReason, Budget, rackKey } from '../controller/index.js';
+import { Lifecycle } from '../lifecycle/index.js';
+import { silentLogger } from '../logger/index.js';
+import { MemberState, type Member } from '../membership/index.js';
+import { Metrics } from '../metrics/index.js';
+import { createVirtualClock } from '../testing/index.js';
+import { fleetOf } from '../testing/controllerRig.js';
+import { MemoryView } from '../testing/memoryView.js';
+import {
+  capacityPolicies,
+  CapacityPolicyId,
+  capacitySchema,
+  createCapacityMetrics,
+  createTakeVm,
+  decideRound,
+  DemandHistory,
+  fleetLoad,
+  leastBuffer,
+  MoveReason,
+  MoveRefusal,
+  returnThreshold,
+  runCapacityPolicy,
+  type CapacityDecision,
+  type CapacityInput,
+  type CapacityPolicy,
+  type CapacitySettings,
+  type PoolLoad,
+} from './index.js';
+
+const SEED = 20_263;
+const NONE: ReadonlySet<string> = new Set();
+const SLOTS = 8;
+const costBased = capacityPolicies[CapacityPolicyId.CostBased];
+
+/** Times of minutes, so that a history of forty rounds has loans and returns. */
+const SETTINGS = capacitySchema.parse({
+  intervalMs: 10_000,
+  smoothingMs: 30_000,
+  hysteresisMs: 100_000,
+  drainMs: 20_000,
+  horizonMs: 600_000,
+});
+
+/** Two zones with two racks of four VMs; pool p1 is the spare pool, and p0 and p2 may borrow. */
+function fleet(spare: Partial<Pool> = {}): MemoryView {
+  const view = new MemoryView();
+  const pools = [{ mayBorrow: true }, { isSpare: true, ...spare }, { mayBorrow: true }];
+  view.apply(fleetOf({ zones: 2, racksPerZone: 2, vmsPerRack: 6, pools }));
+  return view;
+}
+
+const idle = (pool: string): PoolLoad => ({ pool, slots: 64, freeSlots: 64, queued: 0 });
+const overloaded = (pool: string): PoolLoad => ({ pool, slots: 64, freeSlots: 0, queued: 50 });
+
+function inputOf(
+  view: ConfigView,
+  history: DemandHistory,
+  loads: readonly PoolLoad[],
+  now: number,
+  settings: CapacitySettings = SETTINGS,
+): CapacityInput {
+  const byPool = new Map(loads.map((load) => [load.pool, load]));
+  history.observe(now, view, byPool, settings);
+  return { now, view, zone: 'z0', loads: byPool, history, silentZones: NONE, settings };
+}
+
+/** Repeats a load for a time and returns the input of the last round. */
+function sustain(
+  view: ConfigView,
+  loads: readonly PoolLoad[],
+  forMs: number,
+  settings = SETTINGS,
+): CapacityInput {
+  const history = new DemandHistory();
+  for (let now = 0; now < forMs; now += settings.intervalMs) {
+    inputOf(view, history, loads, now, settings);
+  }
+  return inputOf(view, history, loads, forMs, settings);
+}
+
+const busyP0 = [overloaded('p0'), idle('p1'), idle('p2')];
+const calm = [idle('p0'), idle('p1'), idle('p2')];
+const lentOne: EntityChange[] = [
+  { kind: EntityKind.Assignment, id: 'z0r0v1', value: { id: 'z0r0v1', pool: 'p0' } },
+];
+
+interface PolicyCase {
+  name: string;
+  policy?: CapacityPolicyId;
+  loads: readonly PoolLoad[];
+  forMs: number;
+  settings?: Partial<CapacitySettings>;
+  spare?: Partial<Pool>;
+  changes?: EntityChange[];
+  /** Target and reason of each move. */
+  moves: [string, MoveReason][];
+  refused?: MoveRefusal;
+}
+
+const policyCases: PolicyCase[] = [
+  {
+    name: 'never_move ignores any load',
+    policy: CapacityPolicyId.NeverMove,
+    loads: busyP0,
+    forMs: 600_000,
+    moves: [],
+  },
+  {
+    name: 'move_on_rise moves at the first rise',
+    policy: CapacityPolicyId.MoveOnRise,
+    loads: busyP0,
+    forMs: 0,
+    settings: { fixedBufferVms: 0 },
+    moves: [['p0', MoveReason.Rise]],
+  },
+  {
+    name: 'move_on_rise sends home at the first fall',
+    policy: CapacityPolicyId.MoveOnRise,
+    loads: calm,
+    forMs: 0,
+    changes: lentOne,
+    settings: { fixedBufferVms: 0 },
+    moves: [['p1', MoveReason.SendHome]],
+  },
+  {
+    name: 'one short peak is not worth a move',
+    loads: busyP0,
+    forMs: 0,
+    moves: [],
+  },
+  {
+    name: 'a lasting overload is worth a move',
+    loads: busyP0,
+    forMs: 300_000,
+    moves: [['p0', MoveReason.Saving]],
+  },
+  {
+    name: 'a heavier weight of moves prevents it',
+    loads: busyP0,
+    forMs: 300_000,
+    settings: { moveWeight: 100 },
+    moves: [],
+    refused: MoveRefusal.NotWorthCost,
+  },
+  {
+    name: 'a spare pool that needs its VMs as much lends none',
+    loads: [overloaded('p0'), overloaded('p1'), idle('p2')],
+    forMs: 300_000,
+    moves: [],
+    refused: MoveRefusal.NotWorthCost,
+  },
+  {
+    name: 'a VM on its way answers the need of its pool',
+    loads: busyP0,
+    forMs: 300_000,
+    changes: [moveOf('z1r0v1', 'p0', MoveState.Draining)],
+    moves: [],
+    refused: MoveRefusal.NotWorthCost,
+  },
+  {
+    name: 'the buffer of the spare pool is held back',
+    loads: busyP0,
+    forMs: 300_000,
+    spare: { minAvailable: 6 },
+    moves: [],
+    refused: MoveRefusal.Budget,
+  },
+  {
+    name: 'a lent VM that was just seen stays',
+    loads: calm,
+    forMs: 50_000,
+    changes: lentOne,
+    moves: [],
+  },
+  {
+    name: 'a lent VM that is not needed goes home',
+    loads: calm,
+    forMs: 600_000,
+    changes: lentOne,
+    moves: [['p1', MoveReason.SendHome]],
+  },
+  {
+    name: 'a VM that was lent for a budget is left to the zone controller',
+    loads: calm,
+    forMs: 600_000,
+    changes: [
+      {
+        kind: EntityKind.Assignment,
+        id: 'z0r0v1',
+        value: { id: 'z0r0v1', pool: 'p0', lentForBudget: true },
+      },
+    ],
+    moves: [],
+  },
+];
+
+function moveOf(id: string, to: string, state: MoveState): EntityChange {
+  return { kind: EntityKind.Move, id, value: { id, from: 'p1', to, state } };
+}
+
+for (const { name, policy, loads, forMs, settings, spare, changes, ...expected } of policyCases) {
+  test(`policy: ${name}`, (t) => {
+    const view = fleet(spare);
+    view.apply(changes ?? []);
+    const input = sustain(view, loads, forMs, { ...SETTINGS, ...settings });
+    const used = capacityPolicies[policy ?? CapacityPolicyId.CostBased];
+    const { moves, refusals } = decideRound(input, used);
+    t.deepEqual(
+      moves.map(({ to, reason }) => [to, reason]),
+      expected.moves,
+    );
+    if (expected.refused) t.true(refusals.includes(expected.refused), refusals.join());
+  });
+}
+
+// Guards against a load that asks for a loan and for its return at the same time.
+test('the threshold of a return is at most half of that of a loan, for all settings', (t) => {
+  const number = fc.double({ min: 0.01, max: 100, noNaN: true });
+  const weights = fc.record({ waitingWeight: number, moveWeight: number, horizonMs: number });
+  const property = fc.property(
+    weights,
+    fc.double({ min: 0, max: 1, noNaN: true }),
+    (some, share) => {
+      const settings = { ...SETTINGS, ...some, returnShare: share };
+      const drains = settings.moveWeight * 2 * SLOTS * settings.drainMs;
+      const lendFrom = drains / (settings.waitingWeight * settings.horizonMs);
+      return returnThreshold(SLOTS, settings) <= lendFrom / 2;
+    },
+  );
+  t.notThrows(() => {
+    fc.assert(property, { seed: SEED, numRuns: 300 });
+  });
+});
+
+type BufferOf = typeof leastBuffer;
+
+/** After decisions that use up the limits, the loss of any one rack breaks no rule of the pool. */
+function survivesAnyRack(bufferOf: BufferOf) {
+  const order = fc.shuffledSubarray(
+    fleet()
+      .list(EntityKind.Vm)
+      .map(({ id }) => id),
+    { minLength: 24 },
+  );
+  const limits = fc.record({
+    minAvailable: fc.integer({ min: 0, max: 4 }),
+    maxAway: fc.integer({ min: 4, max: 8 }),
+  });
+  return fc.property(limits, order, (rules, vms) => {
+    const view = fleet(rules);
+    // The buffer is counted anew for each decision, as the rounds of the policy do.
+    for (const id of vms) {
+      if (view.poolOf(id) !== 'p1') continue;
+      const budget = new Budget(view, { silentZones: NONE, reserve: bufferOf(view, 'p1', NONE) });
+      if (budget.grant(id, AwayReason.Move).isOk)
+        view.apply([moveOf(id, 'p0', MoveState.Draining)]);
+    }
+    const racks = new Set(view.vmsOfPool('p1').map(rackKey));
+    return [...racks].every((rack) => {
+      const lost = view.vmsOfPool('p1').filter((vm) => rackKey(vm) === rack);
+      const after = fleet(rules);
+      after.apply(view.list(EntityKind.Move).map(({ id }) => moveOf(id, 'p0', MoveState.Draining)));
+      after.apply(lost.map(({ id }) => failed(id)));
+      return !new Budget(after, { silentZones: NONE }).broken('p1');
+    });
+  });
+}
+
+function failed(id: string): EntityChange {
+  return { kind: EntityKind.VmStatus, id, value: { id, state: VmState.Failed } };
+}
+
+// The proof that the budgets allow no smaller buffer: one VM less does not survive.
+test('the least buffer survives the loss of any rack, and one VM less does not', (t) => {
+  t.notThrows(() => {
+    fc.assert(survivesAnyRack(leastBuffer), { seed: SEED, numRuns: 200 });
+  });
+  t.throws(() => {
+    const less: BufferOf = (...args) => Math.max(0, leastBuffer(...args) - 1);
+    fc.assert(survivesAnyRack(less), { seed: SEED, numRuns: 200 });
+  });
+});
+
+type Round = (input: CapacityInput) => CapacityDecision;
+
+enum Rule {
+  /** Requested moves hold every rule of the pools. */
+  Budget = 'budget',
+  /** No move of a VM that is in a stop or move, or not up. */
+  Busy = 'busy',
+  /** No two moves of a VM within the hysteresis time. */
+  Oscillation = 'oscillation',
+}
+
+/** One piece of a history: how the pools are loaded, and what happens to a VM. */
+const pieces = fc.array(
+  fc.record({
+    rounds: fc.integer({ min: 1, max: 25 }),
+    busy: fc.constantFrom('p0', 'p2', 'p1', undefined),
+    vm: fc.integer({ min: 0, max: 23 }),
+    event: fc.constantFrom('stop', 'fail', 'recover', 'none'),
+  }),
+  { minLength: 6, maxLength: 12 },
+);
+
+/** Plays a random history; returns the broken rules and the numbers of moves by reason. */
+function play(round: Round, history: Parameters<Parameters<typeof pieces.map>[0]>[0]) {
+  const view = fleet({ minAvailable: 5, maxAway: 6 });
+  const demand = new DemandHistory();
+  const broken = new Set<Rule>();
+  const movedAt = new Map<string, number>();
+  const reasons: MoveReason[] = [];
+  const draining = new Map<string, number>();
+  let now = 0;
+  for (const { rounds, busy, vm, event } of history) {
+    const id = view.list(EntityKind.Vm)[vm]?.id ?? '';
+    const hasMove = view.get(EntityKind.Move, id) !== undefined;
+    if (event === 'stop' && !hasMove && new Budget(view, { silentZones: NONE }).check(id).isOk) {
+      view.apply([
+        { kind: EntityKind.Stop, id, value: { id, wave: 'w', state: StopState.Draining } },
+      ]);
+    }
+    if (event === 'fail') view.apply([failed(id)]);
+    if (event === 'recover') {
+      const away = [EntityKind.Stop, EntityKind.VmStatus] as const;
+      view.apply(away.flatMap((kind) => view.list(kind).map((each) => ({ kind, id: each.id }))));
+    }
+    for (let i = 0; i < rounds; i += 1) {
+      now += SETTINGS.intervalMs;
+      const loads = calm.map((load) => (load.pool === busy ? overloaded(load.pool) : load));
+      const { moves } = round(inputOf(view, demand, loads, now));
+      const budget = new Budget(view, { silentZones: NONE });
+      for (const move of moves) {
+        const isBusy =
+          view.get(EntityKind.Move, move.vm) ??
+          view.get(EntityKind.Stop, move.vm) ??
+          view.get(EntityKind.VmStatus, move.vm);
+        if (isBusy) broken.add(Rule.Busy);
+        if (!isBusy && budget.grant(move.vm, AwayReason.Move).isErr) broken.add(Rule.Budget);
+        if (now - (movedAt.get(move.vm) ?? -Infinity) < SETTINGS.hysteresisMs) {
+          broken.add(Rule.Oscillation);
+        }
+        movedAt.set(move.vm, now);
+        reasons.push(move.reason);
+        const value = { id: move.vm, from: move.from, to: move.to, state: MoveState.Draining };
+        view.apply([{ kind: EntityKind.Move, id: move.vm, value }]);
+        draining.set(move.vm, now + SETTINGS.drainMs);
+      }
+      for (const [moved, until] of draining) {
+        const move = view.get(EntityKind.Move, moved);
+        if (now < until || !move) continue;
+        draining.delete(moved);
+        view.apply([
+          { kind: EntityKind.Assignment, id: moved, value: { id: moved, pool: move.to } },
+          { kind: EntityKind.Move, id: moved },
+        ]);
+      }
+    }
+  }
+  return { broken, reasons };
+}
+
+const correct: Round = (input) => decideRound(input, costBased);
+
+/** Policies with one rule left out. */
+const brokenRounds: Record<Rule, Round> = {
+  [Rule.Budget]: (input) => costBased.decide(input, () => undefined),
+  [Rule.Busy]: ({ view }) => {
+    const vm = view.vmsOfPool('p1')[0]?.id;
+    const move = { from: 'p1', to: 'p0', reason: MoveReason.Rise };
+    return { moves: vm === undefined ? [] : [{ ...move, vm }], refusals: [] };
+  },
+  [Rule.Oscillation]: (input) => {
+    const impatient = { ...input, settings: { ...input.settings, hysteresisMs: 0 } };
+    return decideRound(impatient, costBased);
+  },
+};
+
+const holds = (round: Round, rule: Rule) =>
+  fc.property(pieces, (history) => !play(round, history).broken.has(rule));
+
+for (const rule of Object.values(Rule)) {
+  test(`random histories: the cost-based policy holds the rule ${rule}, a broken one does not`, (t) => {
+    t.notThrows(() => {
+      fc.assert(holds(correct, rule), { seed: SEED, numRuns: 60 });
+    });
+    t.throws(() => {
+      fc.assert(holds(brokenRounds[rule], rule), { seed: SEED, numRuns: 60 });
+    });
+  });
+}
+
+test('random histories lend VMs and send them home', (t) => {
+  const reasons = fc.sample(pieces, { seed: SEED, numRuns: 60 }).flatMap((history) => {
+    return play(correct, history).reasons;
+  });
+  t.true(reasons.includes(MoveReason.Saving));
+  t.true(reasons.includes(MoveReason.SendHome));
+});
+
+/** Runs the task on a virtual clock; a policy may be injected. */
+function startTask(view: MemoryView, policy?: CapacityPolicy) {
+  const clock = createVirtualClock();
+  const lifecycle = new Lifecycle('test');
+  const metrics = new Metrics();
+  const loads = [
+    { service: 's-p0', slots: 64, freeSlots: 0, queued: 50 },
+    { service: 's-p1', slots: 64, freeSlots: 64, queued: 0 },
+  ];
+  const deps = {
+    ...{ view, clock, policy, zone: 'z0', settings: SETTINGS, logger: silentLogger },
+    metrics: createCapacityMetrics(metrics),
+    loads: () => loads,
+    commit: (decide: (newest: ConfigView) => EntityChange[]) => {
+      // A commit that loses against another one decides twice.
+      decide(view);
+      const changes = decide(view);
+      view.apply(changes);
+      return Promise.resolve(changes.length > 0);
+    },
+  };
+  const task = runCapacityPolicy(deps, lifecycle);
+  const total = async (name: string) => {
+    const found = await metrics.registry.getSingleMetric(`burdocknotch_${name}`)?.get();
+    return (found?.values ?? []).reduce((sum, { value }) => sum + value, 0);
+  };
+  const stop = async () => {
+    await lifecycle.close();
+    await task;
+  };
+  return { clock, total, stop };
+}
+
+test('the task requests moves, withdraws those that do not start and counts both', async (t) => {
+  const view = fleet();
+  const { clock, total, stop } = startTask(view);
+  await clock.advance(200_000);
+  const [move] = view.list(EntityKind.Move);
+  t.is(move?.state, MoveState.Requested);
+  t.is(move?.to, 'p0');
+  t.true((await total('capacity_moves_refused_total')) > 0);
+  t.is(await total('capacity_buffer_vms'), 6);
+  // Nothing performs the request, so it is withdrawn; its VM is not asked for again meanwhile.
+  await clock.advance(SETTINGS.requestTtlMs);
+  t.true((await total('capacity_moves_withdrawn_total')) >= 1);
+  t.false(view.list(EntityKind.Move).some(({ id }) => id === move?.id));
+  t.true((await total('capacity_moves_requested_total')) >= 1);
+  await stop();
+});
+
+test('a request of an operator is never withdrawn, and its VM is left alone', async (t) => {
+  const view = fleet();
+  view.apply([moveOf('z0r0v1', 'p2', MoveState.Requested)]);
+  const anyVm: CapacityPolicy = {
+    ...costBased,
+    decide: () => ({
+      moves: [{ vm: 'z0r0v1', from: 'p1', to: 'p0', reason: MoveReason.Rise }],
+      refusals: [],
+    }),
+  };
+  const { clock, total, stop } = startTask(view, anyVm);
+  await clock.advance(600_000);
+  t.is(view.get(EntityKind.Move, 'z0r0v1')?.to, 'p2');
+  t.is(await total('capacity_moves_requested_total'), 0);
+  await stop();
+});
+
+test('the load is that of this process and of the alive members', (t) => {
+  const load = [{ service: 's', slots: 8, freeSlots: 2, queued: 3 }];
+  const member = (state: MemberState) => ({ state, load }) as unknown as Member;
+  const membership = { members: () => [member(MemberState.Alive), member(MemberState.Suspect)] };
+  t.deepEqual(fleetLoad(membership, load), [{ service: 's', slots: 16, freeSlots: 4, queued: 6 }]);
+});
+
+test('budgets of one decision count the VMs that it took', (t) => {
+  const view = fleet({ minAvailable: 5 });
+  const input = { view, silentZones: NONE, settings: SETTINGS };
+  const take = createTakeVm(input, () => 1);
+  const taken = view.vmsOfPool('p1').filter((vm) => !take(vm));
+  t.is(taken.length, 2);
+});
--- /dev/null
+++ b/src/capacity/capacityPolicy.ts
@@ -0,0 +1,147 @@
+import type { Clock } from '../clock/index.js';
+import {
+  EntityKind,
+  MoveState,
+  type ConfigView,
+  type EntityChange,
+  type Move,
+} from '../configuration/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import type { Logger } from '../logger/index.js';
+import type { ServiceLoad } from '../peers/index.js';
+import { createTakeVm } from './buffer.js';
+import type { CapacitySettings } from './defaults.js';
+import { DemandHistory } from './demandHistory.js';
+import { isIdleOfChanges } from './lenders.js';
+import { loadByPool } from './loads.js';
+import type { CapacityMetrics } from './metrics.js';
+import { capacityPolicies } from './policies.js';
+import type {
+  CapacityDecision,
+  CapacityInput,
+  CapacityPolicy,
+  CommitMoves,
+  MoveRequest,
+} from './types.js';
+
+/** What the buffer and move policy runs on. */
+export interface CapacityDeps {
+  /** Zone whose VMs the policy may move. */
+  zone: string;
+  view: ConfigView;
+  /** Load per service over all entry processes; see `fleetLoad`. */
+  loads: () => readonly ServiceLoad[];
+  /** Zones whose VMs count as away; none when absent. */
+  silentZones?: () => ReadonlySet<string>;
+  commit: CommitMoves;
+  clock: Clock;
+  logger: Logger;
+  metrics: CapacityMetrics;
+  settings: CapacitySettings;
+  /** Replaces the policy that the settings name. */
+  policy?: CapacityPolicy;
+}
+
+const NO_ZONES: ReadonlySet<string> = new Set();
+
+/** Moves requested by this task that have not started, and when they were requested. */
+type OpenRequests = Map<string, { to: string; at: number }>;
+
+/**
+ * Runs the buffer and move policy at intervals; to be called on the lease holder of the zone. It
+ * only requests moves: the zone controller grants and performs them.
+ *
+ * @returns when the life cycle is closed
+ */
+export async function runCapacityPolicy(deps: CapacityDeps, lifecycle: Lifecycle): Promise<void> {
+  const { clock, settings } = deps;
+  const policy = deps.policy ?? capacityPolicies[settings.policy];
+  const history = new DemandHistory();
+  const open: OpenRequests = new Map();
+  while (!lifecycle.signal.aborted) {
+    await runRound(deps, policy, history, open);
+    await clock.sleep(settings.intervalMs, lifecycle.signal);
+  }
+}
+
+async function runRound(
+  deps: CapacityDeps,
+  policy: CapacityPolicy,
+  history: DemandHistory,
+  open: OpenRequests,
+): Promise<void> {
+  const { clock, view, settings, zone } = deps;
+  const now = clock.now();
+  const loads = loadByPool(view, deps.loads());
+  history.observe(now, view, loads, settings);
+  let decision: CapacityDecision = { moves: [], refusals: [] };
+  let withdrawn: string[] = [];
+  const applied = await deps.commit((newest) => {
+    const silentZones = deps.silentZones?.() ?? NO_ZONES;
+    const input = { now, view: newest, zone, loads, history, silentZones, settings };
+    withdrawn = overdue(newest, open, now, settings.requestTtlMs);
+    decision = decideRound(input, policy);
+    return [...withdrawn.map(withdrawal), ...decision.moves.map(request)];
+  });
+  if (applied) recordApplied(deps, decision.moves, withdrawn, open);
+  for (const reason of decision.refusals) deps.metrics.movesRefused.inc({ reason });
+  recordBuffers(deps, policy);
+}
+
+/** The decision of a policy; moves of VMs that are in a stop or move are left out in any case. */
+export function decideRound(input: CapacityInput, policy: CapacityPolicy): CapacityDecision {
+  const take = createTakeVm(input, policy.heldBack);
+  const { moves, refusals } = policy.decide(input, take);
+  return { moves: moves.filter(({ vm }) => isIdleOfChanges(input.view, vm)), refusals };
+}
+
+/** A request that does not start would otherwise take the VM long after its reason has gone. */
+function overdue(view: ConfigView, open: OpenRequests, now: number, ttlMs: number): string[] {
+  return [...open]
+    .filter(([vm, { to, at }]) => {
+      const move = view.get(EntityKind.Move, vm);
+      return move?.state === MoveState.Requested && move.to === to && now - at >= ttlMs;
+    })
+    .map(([vm]) => vm);
+}
+
+function withdrawal(id: string): EntityChange {
+  return { kind: EntityKind.Move, id };
+}
+
+function request({ vm: id, from, to }: MoveRequest): EntityChange {
+  const value: Move = { id, from, to, state: MoveState.Requested };
+  return { kind: EntityKind.Move, id, value };
+}
+
+function recordApplied(
+  { clock, logger, metrics, view }: CapacityDeps,
+  moves: readonly MoveRequest[],
+  withdrawn: readonly string[],
+  open: OpenRequests,
+): void {
+  for (const [vm] of open) {
+    if (view.get(EntityKind.Move, vm)?.state !== MoveState.Requested) open.delete(vm);
+  }
+  for (const vm of withdrawn) {
+    open.delete(vm);
+    metrics.movesWithdrawn.inc();
+    logger.info({ event: 'move_withdrawn', vm });
+  }
+  for (const { vm, from, to, reason } of moves) {
+    open.set(vm, { to, at: clock.now() });
+    metrics.movesRequested.inc({ reason });
+    logger.info({ event: 'move_requested', vm, from, to, reason });
+  }
+}
+
+function recordBuffers(
+  { view, metrics, settings, silentZones }: CapacityDeps,
+  policy: CapacityPolicy,
+): void {
+  const input = { view, settings, silentZones: silentZones?.() ?? NO_ZONES };
+  metrics.bufferHeldBack.reset();
+  for (const { id: pool } of view.list(EntityKind.Pool)) {
+    metrics.bufferHeldBack.set({ pool }, policy.heldBack(input, pool));
+  }
+}
