Measure the buffer and move policies in both deployments

Cause: the choice of a policy needs figures for buffer, roll-out time, moves and waiting under turns that are shorter than a drain, with failures and a wave.

Change: bench/buffer.ts with run(seed), main(seeds) and bufferBenchmark; real policy, Budget, loans, planWave and scheduler on a stepped virtual clock. A variant with a lasting load shows what moves are for.

--- /dev/null
+++ b/bench/buffer.ts
@@ -0,0 +1,302 @@
+import { setMaxListeners } from 'node:events';
+import { build } from 'hdr-histogram-js';
+import {
+  capacityPolicies,
+  CapacityPolicyId,
+  capacitySchema,
+  createCapacityMetrics,
+  runCapacityPolicy,
+  type CapacityPolicy,
+  type CapacitySettings,
+  type CommitMoves,
+} from '../src/capacity/index.js';
+import {
+  EntityKind,
+  EntityState,
+  VmState,
+  type Team,
+  type Vm,
+} from '../src/configuration/index.js';
+import { rackKey, slotsOf } from '../src/controller/index.js';
+import { Lifecycle } from '../src/lifecycle/index.js';
+import { silentLogger } from '../src/logger/index.js';
+import { Metrics } from '../src/metrics/index.js';
+import { createRandom, type Random } from '../src/random/index.js';
+import { createScheduler, schedulingSchema, type Scheduler } from '../src/scheduling/index.js';
+import { SimulatedControl } from './bufferControl.js';
+import { startDemand, Work, type Demand, type StartDemand } from './bufferDemand.js';
+import { deployments, DeploymentId, inventoryOf, type BufferDeployment } from './bufferFleet.js';
+import { summarizeBuffer } from './bufferSummary.js';
+import { createSteppedClock } from './steppedClock.js';
+
+/** One run of one policy in one deployment. Times are virtual milliseconds. */
+export interface BufferRow {
+  seed: number;
+  deployment: DeploymentId;
+  policy: CapacityPolicyId;
+  /** VMs held back over all pools, time average. */
+  bufferVms: number;
+  /** Time of the wave; undefined when it did not finish. */
+  rollOutMs: number | undefined;
+  /** Moves between pools that were carried out, budget loans included. */
+  moves: number;
+  movesUndone: number;
+  /** Loans that a broken budget asked for. */
+  budgetLoans: number;
+  /** Waiting of short work. */
+  waitMeanMs: number;
+  waitP50Ms: number;
+  waitP99Ms: number;
+  waitMaxMs: number;
+  served: number;
+  /** Requests that were refused or whose VM failed. */
+  lost: number;
+  /** Times at which a pool's budget broke. */
+  violations: number;
+  /** Those that followed from a decision. */
+  ownViolations: number;
+}
+
+/** Time of a run in virtual milliseconds. */
+export const RUN_MS = 240_000;
+
+/** Start of the maintenance wave. */
+const WAVE_AT_MS = 30_000;
+
+/** Longest time in which a VM fails after the start of the wave. */
+const FAILURES_MS = 150_000;
+
+const REPAIR_MS = { vm: 30_000, rack: 40_000, vendor: 40_000 };
+
+/** Single VMs that fail in one run. */
+const VM_FAILURES = 4;
+
+/** Size classes that fit the run times of the simulated work. */
+const SCHEDULING = schedulingSchema.parse({ shortMaxMs: 1_000, mediumMaxMs: 4_000 });
+
+const TEAMS: readonly Team[] = ['team-a', 'team-b', 'team-c', 'team-d'].map((id) => ({
+  ...{ id, weight: 1, maxQueued: 20_000, maxRunning: 1_000, maxUrgent: 100, maxJobs: 1 },
+}));
+
+/** What one run consists of. */
+export interface BufferRunOptions {
+  /** Decides demand, run times and failures. */
+  seed: number;
+  deployment: BufferDeployment;
+  policy: CapacityPolicy;
+  /** Virtual time of the run in milliseconds; {@link RUN_MS} by default. */
+  runMs?: number;
+  /** Replaces the demand in turns. */
+  demand?: StartDemand;
+}
+
+/** Deployments with targets. */
+const targetDeployments: readonly DeploymentId[] = [DeploymentId.First, DeploymentId.Second];
+
+/**
+ * Runs each policy in each deployment with the same demand and failures.
+ *
+ * @param seed - decides demand, run times and failures
+ */
+export async function run(
+  seed: number,
+  ids: readonly DeploymentId[] = targetDeployments,
+  policies: readonly CapacityPolicyId[] = Object.values(CapacityPolicyId),
+): Promise<BufferRow[]> {
+  const rows: BufferRow[] = [];
+  for (const id of ids) {
+    for (const policy of policies) {
+      const options = { deployment: deployments[id], policy: capacityPolicies[policy] };
+      rows.push(await runOnce({ seed, ...options }));
+    }
+  }
+  return rows;
+}
+
+/** Seeds of {@link main}. */
+const SEEDS: readonly number[] = [1, 2, 3];
+
+/**
+ * Runs several seeds, and the lasting load with the first of them, and summarizes them with the
+ * targets beside the figures.
+ */
+export async function main(seeds: readonly number[] = SEEDS): Promise<string[]> {
+  const rows: BufferRow[] = [];
+  for (const seed of seeds) rows.push(...(await run(seed)));
+  const compared = [CapacityPolicyId.NeverMove, CapacityPolicyId.CostBased];
+  rows.push(...(await run(seeds[0] ?? 1, [DeploymentId.Lasting], compared)));
+  return summarizeBuffer(rows);
+}
+
+/** Entry of the benchmark registry. */
+export const bufferBenchmark = {
+  id: 'buffer',
+  text: 'buffer held back, roll-out time, moves and waiting of the buffer and move policies',
+  run,
+  main,
+};
+
+/** Runs one policy in one deployment. */
+export async function runOnce(options: BufferRunOptions): Promise<BufferRow> {
+  const { seed, deployment, policy, runMs = RUN_MS, demand = startDemand } = options;
+  const { id } = policy;
+  const clock = createSteppedClock();
+  const random = createRandom(seed);
+  const view = new EntityState();
+  const settings = capacitySchema.parse({ ...deployment.settings, policy: id });
+  const waits = build({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000 });
+  const running = new Map<string, Set<() => void>>();
+  let served = 0;
+  let lost = 0;
+
+  const scheduler = createScheduler({
+    clock,
+    metrics: new Metrics(),
+    settings: SCHEDULING,
+    service: (service) => view.get(EntityKind.Service, service),
+    team: (team) => TEAMS.find((each) => each.id === team),
+    choose: (candidates, busy) =>
+      candidates.reduce((best, each) => (busy(each.vm) < busy(best.vm) ? each : best)),
+  });
+
+  const teamOrder = createRandom(seed + 1);
+  const submit = async (request: Demand) => {
+    const granted = await scheduler.submit(toItem(request, teamOrder, clock.now()));
+    if (granted.isErr) {
+      lost += 1;
+      return;
+    }
+    const grant = granted.value;
+    const { vm, waitedMs } = grant;
+    if (request.work === Work.Short) waits.recordValue(Math.round(waitedMs));
+    const onVm = running.get(vm) ?? new Set();
+    running.set(vm, onVm);
+    const end = () => {
+      onVm.delete(abort);
+      served += 1;
+      grant.release(request.runMs);
+    };
+    const timer = clock.setTimer(request.runMs, end);
+    const abort = () => {
+      timer.cancel();
+      lost += 1;
+      grant.release();
+    };
+    onVm.add(abort);
+  };
+
+  const control = new SimulatedControl({
+    ...{ clock, view, settings, policy, waveAtMs: WAVE_AT_MS },
+    waveReserve: deployment.waveReserve,
+    inFlight: (vm) => running.get(vm)?.size ?? 0,
+    onServing: (vms) => {
+      scheduler.setExecutors(vms.map((vm) => executorOf(view, vm)));
+    },
+  });
+  control.commit(inventoryOf(deployment));
+  scheduleFailures(createRandom(seed + 2), view, clock, (vms, state, repairMs) => {
+    control.lose(vms, state, repairMs);
+    if (state !== VmState.Failed) return;
+    for (const vm of vms) {
+      for (const abort of running.get(vm) ?? []) abort();
+      running.delete(vm);
+    }
+  });
+  demand(deployment, clock, random, runMs, (request) => void submit(request));
+
+  const lifecycle = new Lifecycle('bench');
+  setMaxListeners(0, lifecycle.signal);
+  const tasks = [control.run(lifecycle.signal)];
+  for (const zone of view.zones()) {
+    tasks.push(
+      runZonePolicy(zone, { clock, view, settings, policy, scheduler, control }, lifecycle),
+    );
+  }
+  await clock.runUntil(runMs);
+  scheduler.close();
+  await Promise.all([lifecycle.close(), ...tasks]);
+  const { heldBack, rounds, ...counts } = control.counts;
+  return {
+    ...{ seed, deployment: deployment.id, policy: id, served, lost, ...counts },
+    bufferVms: heldBack / rounds,
+    waitMeanMs: waits.mean,
+    waitP50Ms: waits.getValueAtPercentile(50),
+    waitP99Ms: waits.getValueAtPercentile(99),
+    waitMaxMs: waits.maxValue,
+  };
+}
+
+interface ZoneParts {
+  clock: Parameters<typeof runCapacityPolicy>[0]['clock'];
+  view: EntityState;
+  settings: CapacitySettings;
+  policy: CapacityPolicy;
+  scheduler: Scheduler;
+  control: SimulatedControl;
+}
+
+function runZonePolicy(zone: string, parts: ZoneParts, lifecycle: Lifecycle): Promise<void> {
+  const { scheduler, control, view } = parts;
+  const commit: CommitMoves = (decide) => {
+    const changes = decide(view);
+    control.commit(changes);
+    return Promise.resolve(changes.length > 0);
+  };
+  const deps = {
+    ...{ ...parts, zone, commit, logger: silentLogger },
+    metrics: createCapacityMetrics(new Metrics()),
+    loads: () => scheduler.load(),
+  };
+  return runCapacityPolicy(deps, lifecycle);
+}
+
+function executorOf(view: EntityState, vm: Vm) {
+  return { vm: vm.id, service: view.poolOf(vm.id) ?? vm.pool, slots: slotsOf(vm) };
+}
+
+let requests = 0;
+
+/** No caller goes away; several signals share the listeners of the requests that wait. */
+const signals = Array.from({ length: 256 }, () => {
+  const { signal } = new AbortController();
+  setMaxListeners(0, signal);
+  return signal;
+});
+
+function toItem({ service, work, timeoutMs }: Demand, random: Random, now: number) {
+  requests += 1;
+  return {
+    ...{ requestId: String(requests), service, operation: work, urgent: false },
+    team: random.pick(TEAMS).id,
+    deadline: now + timeoutMs,
+    signal: signals[requests % signals.length] as AbortSignal,
+  };
+}
+
+type Lose = (vms: readonly string[], state: VmState, repairMs: number) => void;
+
+/** Single VMs, one whole rack and one vendor drain, at random times while the wave goes on. */
+function scheduleFailures(
+  random: Random,
+  view: EntityState,
+  clock: ZoneParts['clock'],
+  lose: Lose,
+): void {
+  const vms = view.list(EntityKind.Vm);
+  const at = () => WAVE_AT_MS + random.next() * FAILURES_MS;
+  for (let i = 0; i < VM_FAILURES; i++) {
+    const { id } = random.pick(vms);
+    clock.setTimer(at(), () => {
+      lose([id], VmState.Failed, REPAIR_MS.vm);
+    });
+  }
+  const rack = rackKey(random.pick(vms));
+  const inRack = vms.filter((vm) => rackKey(vm) === rack).map(({ id }) => id);
+  clock.setTimer(at(), () => {
+    lose(inRack, VmState.Failed, REPAIR_MS.rack);
+  });
+  const drained = random.pick(vms).id;
+  clock.setTimer(at(), () => {
+    lose([drained], VmState.Leaving, REPAIR_MS.vendor);
+  });
+}
--- /dev/null
+++ b/bench/bufferFleet.ts
@@ -0,0 +1,127 @@
+import type { CapacitySettings } from '../src/capacity/index.js';
+import { EntityKind, type EntityChange, type Vm } from '../src/configuration/index.js';
+
+/** Names of the deployments. */
+export enum DeploymentId {
+  First = 'first',
+  Second = 'second',
+  /** The first deployment, with a load on one service that lasts for the whole run. */
+  Lasting = 'lasting',
+}
+
+/** A deployment of the buffer benchmark. */
+export interface BufferDeployment {
+  id: DeploymentId;
+  zones: number;
+  /** VMs of the pool of each service; the last service is the spare pool. */
+  services: Readonly<Record<string, number>>;
+  /** Cores and memory in MiB of a VM. */
+  cores: number;
+  memoryMib: number;
+  /** Weights and other settings that differ from the defaults. */
+  settings: Partial<CapacitySettings>;
+  /** VMs that the wave leaves unused of the limits of a pool, if the buffer is not larger. */
+  waveReserve: number;
+  /** A service with constant demand, as a multiple of the slots of its pool. */
+  lasting?: { service: string; load: number };
+}
+
+/** Slots of each executor. */
+export const SLOTS = 8;
+
+/** VMs in a rack. */
+export const RACK_SIZE = 4;
+
+/** VMs of a pool that may be away at once: a rack, and two for maintenance and moves. */
+const MAX_AWAY = RACK_SIZE + 2;
+
+/**
+ * Times scaled to a run of minutes: a run has six rounds of turns, and averages cover two of them.
+ */
+const SCALED: Partial<CapacitySettings> = {
+  intervalMs: 1_000,
+  smoothingMs: 80_000,
+  hysteresisMs: 80_000,
+  drainMs: 14_000,
+  horizonMs: 160_000,
+  requestTtlMs: 10_000,
+  maxMovesPerRound: 4,
+};
+
+const first: BufferDeployment = {
+  id: DeploymentId.First,
+  zones: 3,
+  services: { motions: 9, tabroom: 8, breakdesk: 7, standings: 6, portal: 9 },
+  cores: 64,
+  memoryMib: 262_144,
+  settings: { ...SCALED, waitingWeight: 2, moveWeight: 1, bufferWeight: 0.25 },
+  waveReserve: 4,
+};
+
+/** The two deployments of the design, and a variant with a lasting load. */
+export const deployments: Record<DeploymentId, BufferDeployment> = {
+  [DeploymentId.First]: first,
+  [DeploymentId.Lasting]: {
+    ...first,
+    id: DeploymentId.Lasting,
+    lasting: { service: 'tabroom', load: 1.05 },
+  },
+  [DeploymentId.Second]: {
+    id: DeploymentId.Second,
+    zones: 4,
+    services: { rostering: 8, matching: 8, boarding: 8, coverage: 8, 'admin-tools': 8 },
+    cores: 16,
+    memoryMib: 65_536,
+    settings: { ...SCALED, waitingWeight: 1, moveWeight: 2, bufferWeight: 0.5 },
+    waveReserve: 3,
+  },
+};
+
+/** The inventory of a deployment. Racks of a zone are filled with one pool after the other. */
+export function inventoryOf(deployment: BufferDeployment): EntityChange[] {
+  const { services, zones } = deployment;
+  const names = Object.keys(services);
+  const changes: EntityChange[] = [];
+  const nextInZone = new Array<number>(zones).fill(0);
+  let dealt = 0;
+  for (const [service, size] of Object.entries(services)) {
+    const minAvailable = Math.max(1, size - MAX_AWAY);
+    const isSpare = service === names.at(-1);
+    const rules = { maxAway: MAX_AWAY, maxAwayPerRack: RACK_SIZE, maxAwayPerZone: MAX_AWAY };
+    const pool = { id: service, minAvailable, ...rules, isSpare, mayBorrow: !isSpare };
+    const minAvailableSlots = minAvailable * SLOTS;
+    const limits = { maxQueued: 20_000, spill: true, minAvailableSlots };
+    changes.push({ kind: EntityKind.Pool, id: service, value: pool });
+    changes.push({
+      kind: EntityKind.Service,
+      id: service,
+      value: { id: service, pool: service, ...limits },
+    });
+    for (let i = 0; i < size; i++) {
+      const zone = dealt % zones;
+      const place = nextInZone[zone] ?? 0;
+      nextInZone[zone] = place + 1;
+      dealt += 1;
+      const value = vmOf(deployment, `${service}-${i}`, service, zone, place);
+      changes.push({ kind: EntityKind.Vm, id: value.id, value });
+    }
+  }
+  return changes;
+}
+
+function vmOf(
+  { cores, memoryMib }: BufferDeployment,
+  id: string,
+  pool: string,
+  zone: number,
+  place: number,
+): Vm {
+  const executor = {
+    host: `10.${zone}.0.${place + 1}`,
+    port: 8_000,
+    slots: SLOTS,
+    connections: 64,
+  };
+  const rack = `r${Math.floor(place / RACK_SIZE)}`;
+  return { id, zone: `z${zone}`, rack, pool, cores, memoryMib, accelerators: 0, executor };
+}
--- /dev/null
+++ b/bench/steppedClock.ts
@@ -0,0 +1,38 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import { createClock, type Clock } from '../src/clock/index.js';
+
+/** Virtual time for simulations with many timers. */
+export interface SteppedClock extends Clock {
+  /** Runs all timers that are due until `untilMs`, with the promises that they settle. */
+  runUntil(untilMs: number): Promise<void>;
+}
+
+/** Chained promises that one timer may settle before the next timer fires. */
+const PROMISE_STEPS = 12;
+
+/**
+ * Creates a virtual clock that starts at 0 ms. Between two timers it lets settled promises run
+ * without a turn of Node's event loop, which costs more than most of the simulated steps.
+ */
+export function createSteppedClock(): SteppedClock {
+  const timers = FakeTimers.createClock(0);
+  const clock = createClock({
+    setTimeout: (callback, delayMs) => timers.setTimeout(callback, delayMs),
+    clearTimeout: (handle) => {
+      timers.clearTimeout(handle);
+    },
+    monotonicMs: () => timers.now,
+    wallMs: () => timers.now,
+  });
+  const runUntil = async (untilMs: number) => {
+    const end = { isReached: false };
+    clock.setTimer(untilMs - timers.now, () => {
+      end.isReached = true;
+    });
+    while (!end.isReached) {
+      timers.next();
+      for (let step = 0; step < PROMISE_STEPS; step++) await Promise.resolve();
+    }
+  };
+  return { ...clock, runUntil };
+}
