--- a/bench/buffer.spec.ts
+++ b/bench/buffer.spec.ts
@@ -36,6 +36,7 @@
   deployment: DeploymentId.First,
   policy,
   bufferVms: 10,
+  waveReserveVms: 10,
   rollOutMs: 1,
   moves: 1,
   movesUndone: 0,
@@ -56,12 +57,13 @@
   ['mean wait / on every rise', { waitMeanMs: 111 }],
   ['p99 wait / on every rise', { waitP99Ms: 111 }],
   ['buffer / fixed rack per pool', { bufferVms: 17 }],
+  ['wave reserve / fixed rack per pool', { waveReserveVms: 17 }],
   ['budget violations, all runs', { violations: 1 }],
 ];
 
 test('each target is met at its limit and reported as missed beyond it', (t) => {
   const eager = row(CapacityPolicyId.MoveOnRise, { moves: 10 });
-  const atLimit = { waitMeanMs: 110, waitP99Ms: 110, bufferVms: 16 };
+  const atLimit = { waitMeanMs: 110, waitP99Ms: 110, bufferVms: 16, waveReserveVms: 16 };
   const met = compareWithTargets([eager, row(CapacityPolicyId.CostBased, atLimit)]);
   t.deepEqual(
     met.filter(({ isMet }) => !isMet),
--- a/bench/buffer.ts
+++ b/bench/buffer.ts
@@ -34,8 +34,10 @@
   seed: number;
   deployment: DeploymentId;
   policy: CapacityPolicyId;
-  /** VMs held back over all pools, time average. */
+  /** VMs held back from moves over all pools, time average. */
   bufferVms: number;
+  /** VMs held back from planned stops over all pools, time average. */
+  waveReserveVms: number;
   /** Time of the wave; undefined when it did not finish. */
   rollOutMs: number | undefined;
   /** Moves between pools that were carried out, budget loans included. */
@@ -215,10 +217,11 @@
   await clock.runUntil(runMs);
   scheduler.close();
   await Promise.all([lifecycle.close(), ...tasks]);
-  const { heldBack, rounds, ...counts } = control.counts;
+  const { heldBack, waveReserve, rounds, ...counts } = control.counts;
   return {
     ...{ seed, deployment: deployment.id, policy: id, served, lost, ...counts },
     bufferVms: heldBack / rounds,
+    waveReserveVms: waveReserve / rounds,
     waitMeanMs: waits.mean,
     waitP50Ms: waits.getValueAtPercentile(50),
     waitP99Ms: waits.getValueAtPercentile(99),
--- a/bench/bufferControl.ts
+++ b/bench/bufferControl.ts
@@ -42,6 +42,8 @@
   rollOutMs: number | undefined;
   /** Sum over the rounds of the VMs held back in all pools. */
   heldBack: number;
+  /** The same of the VMs that the wave leaves unused. */
+  waveReserve: number;
   rounds: number;
 }
 
@@ -74,6 +76,7 @@
     ownViolations: 0,
     rollOutMs: undefined,
     heldBack: 0,
+    waveReserve: 0,
     rounds: 0,
   };
   readonly #deps: ControlDeps;
@@ -265,10 +268,12 @@
   }
 
   #countBuffer(): void {
-    const { view, settings, policy } = this.#deps;
+    const { view, settings, policy, waveReserve } = this.#deps;
     const input = { view, settings, silentZones: NO_ZONES };
     for (const { id } of view.list(EntityKind.Pool)) {
-      this.counts.heldBack += policy.heldBack(input, id);
+      const heldBack = policy.heldBack(input, id);
+      this.counts.heldBack += heldBack;
+      this.counts.waveReserve += Math.max(waveReserve, heldBack);
     }
     this.counts.rounds += 1;
   }
--- a/bench/bufferSummary.ts
+++ b/bench/bufferSummary.ts
@@ -51,6 +51,7 @@
     const pools = Object.keys(deployments[deployment].services).length;
     const { movesShare, waitFactor, bufferShare, violations } = bufferTargets;
     const buffer = cost.map(({ bufferVms }) => bufferVms / (pools * RACK_SIZE));
+    const waveReserve = cost.map(({ waveReserveVms }) => waveReserveVms / (pools * RACK_SIZE));
     const broken = rows
       .filter((row) => row.deployment === deployment)
       .reduce((sum, row) => sum + row.violations, 0);
@@ -59,6 +60,7 @@
       ['mean wait / on every rise', waitFactor, overEager(({ waitMeanMs }) => waitMeanMs)],
       ['p99 wait / on every rise', waitFactor, overEager(({ waitP99Ms }) => waitP99Ms)],
       ['buffer / fixed rack per pool', bufferShare, buffer],
+      ['wave reserve / fixed rack per pool', bufferShare, waveReserve],
       ['budget violations, all runs', violations, [broken]],
     ];
     return figures.map(([target, limit, values]) => {
@@ -77,6 +79,7 @@
 
 const columns: readonly [string, (row: BufferRow) => number][] = [
   ['buffer VMs', ({ bufferVms }) => bufferVms],
+  ['wave reserve VMs', ({ waveReserveVms }) => waveReserveVms],
   ['roll-out s', ({ rollOutMs }) => (rollOutMs === undefined ? Infinity : rollOutMs / 1_000)],
   ['moves', ({ moves }) => moves],
   ['wait p50 ms', ({ waitP50Ms }) => waitP50Ms],
