Count the racks of a move only when it has a benefit

Cause: at the design size each round counted the racks of every pool that had ever queued, for each VM that could be lent.

Change: the growth of the buffers is estimated only for moves with a benefit; the others are refused whatever it is.

--- a/src/capacity/policies.ts
+++ b/src/capacity/policies.ts
@@ -119,7 +119,8 @@
   const isAnswered = slotsArriving(view, to) > 0;
   const gain = isAnswered ? 0 : history.gainOf(to);
   const benefit = gain - history.useOf(vm.pool);
-  return { slots, benefit, bufferGrowth: bufferGrowth(view, vm, to) };
+  // Counting racks is the costly part, and without a benefit its result changes nothing.
+  return { slots, benefit, bufferGrowth: benefit > 0 ? bufferGrowth(view, vm, to) : 0 };
 }
 
 function netOf({ settings }: CapacityInput, estimate: MoveEstimate): number {
