--- a/src/entry/children.ts
+++ b/src/entry/children.ts
@@ -1,3 +1,9 @@
+import {
+  createCapacityCommit,
+  createCapacityMetrics,
+  fleetLoad,
+  runCapacityPolicy,
+} from '../capacity/index.js';
 import { AdoptionSource, runConfigSync } from '../configuration/index.js';
 import { createControllerMetrics, runZoneController, type HeldLease } from '../controller/index.js';
 import { RestartPolicy, type ChildSpec, type Lifecycle } from '../lifecycle/index.js';
@@ -71,12 +77,28 @@
     settings: ctx.settings.controller,
     metrics: createControllerMetrics(ctx.metrics),
     vacate: (vm: string) => jobs.vacate(vm),
-    alsoWhileHeld: async (lease: HeldLease, term: Lifecycle) => {
-      await Promise.all([jobs.runWhileHeld(lease, term), runHousekeeping(ctx, parts, term)]);
-    },
     inFlight: (vm: string) => request.backends.inFlight(vm),
     probe: (vm: string) => probes.probe(vm),
     lastProbe: (vm: string) => probes.lastProbe(vm),
   };
-  return (lifecycle) => runZoneController(deps, lifecycle);
+  const capacityMetrics = createCapacityMetrics(ctx.metrics);
+  const policy = (lease: HeldLease, term: Lifecycle) =>
+    runCapacityPolicy(
+      {
+        ...ctx,
+        ...{ zone, view: store.view, metrics: capacityMetrics },
+        settings: ctx.settings.capacity,
+        loads: () => fleetLoad(membership, request.scheduler.load()),
+        commit: createCapacityCommit(deps, lease, term.signal),
+      },
+      term,
+    );
+  const alsoWhileHeld = async (lease: HeldLease, term: Lifecycle) => {
+    await Promise.all([
+      jobs.runWhileHeld(lease, term),
+      policy(lease, term),
+      runHousekeeping(ctx, parts, term),
+    ]);
+  };
+  return (lifecycle) => runZoneController({ ...deps, alsoWhileHeld }, lifecycle);
 }
--- a/src/entry/defaults.ts
+++ b/src/entry/defaults.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { backendsSchema } from '../backends/index.js';
+import { capacitySchema } from '../capacity/index.js';
 import { configurationSchema } from '../configuration/index.js';
 import { controllerSchema } from '../controller/index.js';
 import { jobsSchema } from '../jobs/index.js';
@@ -61,6 +62,7 @@
   platform: section(platformSchema, 'Platform client'),
   jobs: section(jobsSchema, 'Jobs'),
   controller: section(controllerSchema, 'Zone controller'),
+  capacity: section(capacitySchema, 'Buffer and moves'),
   operators: section(operatorsSchema, 'Listener for operators'),
 });
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,4 +1,5 @@
 export * from './backends/index.js';
+export * from './capacity/index.js';
 export * from './clock/index.js';
 export * from './configuration/index.js';
 export * from './controller/index.js';
