--- a/bench/buffer.ts
+++ b/bench/buffer.ts
@@ -130,14 +130,6 @@
   return summarizeBuffer(rows);
 }
 
-/** Entry of the benchmark registry. */
-export const bufferBenchmark = {
-  id: 'buffer',
-  text: 'buffer held back, roll-out time, moves and waiting of the buffer and move policies',
-  run,
-  main,
-};
-
 /** Runs one policy in one deployment. */
 export async function runOnce(options: BufferRunOptions): Promise<BufferRow> {
   const { seed, deployment, policy, runMs = RUN_MS, demand = startDemand } = options;
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -1,3 +1,4 @@
+import { createBufferBenchmark } from './bufferBenchmark.js';
 import { createDisseminationBenchmark } from './disseminationBenchmark.js';
 import { createHeadOfLine } from './headOfLine.js';
 import { createOverload } from './overload.js';
@@ -10,4 +11,5 @@
   [BenchmarkId.Overload]: createOverload(),
   [BenchmarkId.Turns]: createTurns(),
   [BenchmarkId.Dissemination]: createDisseminationBenchmark(),
+  [BenchmarkId.Buffer]: createBufferBenchmark(),
 };
--- a/bench/types.ts
+++ b/bench/types.ts
@@ -4,6 +4,7 @@
   Overload = 'overload',
   Turns = 'turns',
   Dissemination = 'dissemination',
+  Buffer = 'buffer',
 }
 
 /** Side on which a figure must stay of its bound. */
