Measure the overhead of one warmed-up entry process without the hop between members

Cause: with three entry processes two thirds of the requests paid a hop, and the first rounds ran code that was not yet optimized. Change: the comparison starts one entry process, warms it up, and adds the others for the throughput.

--- a/bench/wall.ts
+++ b/bench/wall.ts
@@ -11,6 +11,8 @@
 const REQUESTS_PER_ROUND = 300;
 const PACED_PER_SECOND = 200;
 const RUN_MS = 2;
+const WARM_UP_REQUESTS = 3_000;
+const ENTRIES = 3;
 const VMS = 6;
 const MICROSECONDS_PER_MS = 1_000;
 
@@ -156,9 +158,22 @@
   }
 }
 
+/** Waits until all entry processes serve, and lets their code be optimized. */
+async function warmUp(deployment: Deployment): Promise<void> {
+  const { entries } = deployment;
+  const route = entryRoute(entries);
+  await waitFor('all entry processes serve', async () => {
+    const times = histogram();
+    await sendMany(route, entries.length * 4, 4, times);
+    return times.totalCount === entries.length * 4;
+  });
+  await sendMany(route, WARM_UP_REQUESTS * entries.length, 4, histogram());
+  await closeRoute(route);
+}
+
 const deployment = new Deployment({
   zones: ['zone-a'],
-  entriesPerZone: 3,
+  entriesPerZone: 1,
   vmsPerZone: { motions: VMS },
 });
 try {
@@ -174,14 +189,10 @@
     for (const team of draft.teams) Object.assign(team, { maxRunning: 1_000, maxQueued: 1_000 });
   });
   await deployment.cli(first, 'apply', await deployment.writeInventory(inventory), '--wait');
-  const warmUp = entryRoute(deployment.entries);
-  await waitFor('all entry processes serve', async () => {
-    const times = histogram();
-    await sendMany(warmUp, deployment.entries.length * 4, 4, times);
-    return times.totalCount === deployment.entries.length * 4;
-  });
-  await closeRoute(warmUp);
+  await warmUp(deployment);
   await compareOverhead(deployment);
+  for (let count = 1; count < ENTRIES; count++) await deployment.startEntry('zone-a');
+  await warmUp(deployment);
   await compareThroughput(deployment);
 } finally {
   await deployment.stop();
