Read the VM list on two standby members of each zone

Change: the first two live members of the zone in rendezvous order read the list as well and announce leaving VMs; their signs are limited in time and go to the zone by heartbeat. Ruled out: all members reading it, which multiplies the reads by the number of members. The whole path without a holder was not measured again. Conclusion: the gap is left only where all readers lose the platform together.

--- a/src/backends/createLeavingSet.ts
+++ b/src/backends/createLeavingSet.ts
@@ -50,6 +50,7 @@
 const LIMITED_SIGNS: ReadonlySet<LeavingSign> = new Set([
   LeavingSign.OwnRefusal,
   LeavingSign.PeerReport,
+  LeavingSign.VmListStandby,
 ]);
 
 /** Creates the set of leaving VMs, fed by events, the configuration and {@link LeavingSet.add}. */
@@ -111,7 +112,7 @@
       add(vm, sign);
     }),
   );
-  /** The VM list is read by the lease holder only, so another one has to confirm its signs. */
+  /** The next lease holder has to confirm the signs that this process saw as the holder. */
   const limitSigns = () => {
     const until = clock.now() + settings.refusalHoldMs;
     for (const vm of signs.keys()) signs.set(vm, Math.min(until, signs.get(vm) ?? until));
--- a/src/entry/children.ts
+++ b/src/entry/children.ts
@@ -12,6 +12,7 @@
 import type { JobParts } from './jobParts.js';
 import { runOwnership } from './ownership.js';
 import type { EntryParts } from './parts.js';
+import { runStandbyVmList } from './standbyVmList.js';
 import type { EntryContext } from './types.js';
 
 /** The supervised tasks of an entry process. */
@@ -21,6 +22,7 @@
     permanent('config-sync', (lifecycle) => syncConfig(ctx, parts, lifecycle)),
     permanent('ownership', (lifecycle) => followOwnership(ctx, parts, lifecycle)),
     permanent('vm-probes', (lifecycle) => parts.probes.run(lifecycle)),
+    permanent('vm-list', (lifecycle) => watchVmList(ctx, parts, lifecycle)),
     permanent('controller', createControllerTask(ctx, parts, jobs)),
   ];
 }
@@ -55,6 +57,20 @@
   return runOwnership({ events, membership, view: store.view, ...request }, lifecycle);
 }
 
+function watchVmList(ctx: EntryContext, parts: EntryParts, lifecycle: Lifecycle): Promise<void> {
+  const { membership, platform, state } = parts;
+  return runStandbyVmList(
+    {
+      ...ctx,
+      membership,
+      vmList: platform.vmList,
+      intervalMs: ctx.settings.controller.statusIntervalMs,
+      holdsZoneLease: () => state.holdsZoneLease,
+    },
+    lifecycle,
+  );
+}
+
 function createControllerTask(
   ctx: EntryContext,
   parts: EntryParts,
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -25,6 +25,8 @@
   OwnRefusal = 'own_refusal',
   /** Another member of the zone saw one of the other signs. */
   PeerReport = 'peer_report',
+  /** Seen in the VM list by a member that does not hold the lease. */
+  VmListStandby = 'vm_list_standby',
 }
 
 /** Data of each event. */
