Give the change ids of the buffer policy a start of their own

Change: a commit queue has an author that starts its change ids; the policy passes its own. A few names that were not terms of the field are replaced. Ruled out: one shared queue, which would put the policy's requests before the controller's decisions.

--- a/src/backends/createLeavingSet.ts
+++ b/src/backends/createLeavingSet.ts
@@ -60,7 +60,7 @@
   /** Time until which the signs of a VM count. */
   const signs = new Map<string, number>();
   /** VMs that only other members reported. They are not reported again, so that reports end. */
-  const hearsay = new Set<string>();
+  const reportedOnly = new Set<string>();
   const dropped = options.metrics.counter(
     'backend_leaving_dropped_total',
     'Signs of leaving VMs that were not kept because the table was full',
@@ -79,7 +79,7 @@
 
   const drop = (vm: string) => {
     signs.delete(vm);
-    hearsay.delete(vm);
+    reportedOnly.delete(vm);
   };
 
   const removeExpired = () => {
@@ -93,8 +93,8 @@
       dropped.inc();
       return;
     }
-    if (sign !== LeavingSign.PeerReport) hearsay.delete(vm);
-    else if (!signs.has(vm)) hearsay.add(vm);
+    if (sign !== LeavingSign.PeerReport) reportedOnly.delete(vm);
+    else if (!signs.has(vm)) reportedOnly.add(vm);
     const until = LIMITED_SIGNS.has(sign) ? clock.now() + settings.refusalHoldMs : Infinity;
     signs.set(vm, Math.max(until, signs.get(vm) ?? 0));
   };
@@ -133,7 +133,7 @@
   lifecycle.own('config events', bus.on(EventName.ConfigInForce, adoptConfig));
   const firstHand = () =>
     [...signs.keys()]
-      .filter((vm) => !hearsay.has(vm) && !configured.has(vm) && has(vm))
+      .filter((vm) => !reportedOnly.has(vm) && !configured.has(vm) && has(vm))
       .slice(0, settings.maxReportedLeaving);
   return { has, add, clear: drop, firstHand };
 }
--- a/src/capacity/commit.ts
+++ b/src/capacity/commit.ts
@@ -6,6 +6,9 @@
 } from '../controller/index.js';
 import type { CommitMoves } from './types.js';
 
+/** Author of the moves that the policy requests. */
+const CAPACITY = 'capacity';
+
 const NO_ZONES: ReadonlySet<string> = new Set();
 
 /**
@@ -22,14 +25,7 @@
 ): CommitMoves {
   // The zone controller counts silent zones itself when it grants a requested move.
   const reports = { silentZones: () => NO_ZONES, isComplete: () => true };
-  let changeSets = 0;
-  const ctx = {
-    ...createContext(deps, lease, reports, signal),
-    nextChangeId: () => {
-      changeSets += 1;
-      return `capacity/${deps.zone}/${lease.epoch}/${changeSets}`;
-    },
-  };
+  const ctx = createContext(deps, lease, reports, signal, CAPACITY);
   return async (decide) => {
     const decided = await commitDecision(ctx, 'capacity', decide);
     return decided.isOk && decided.value.applied;
--- a/src/controller/commit.ts
+++ b/src/controller/commit.ts
@@ -40,6 +40,8 @@
 
 /** Decisions of one term of the lease that wait for a commit. */
 export class CommitQueue {
+  /** Start of the change ids; each queue of a term needs another one. */
+  readonly author: string;
   readonly waiting: Record<Priority, Waiting[]> = {
     [Priority.Urgent]: [],
     [Priority.Normal]: [],
@@ -48,6 +50,10 @@
   /** Change sets of this term, which numbers them. */
   changeSets = 0;
 
+  constructor(author: string) {
+    this.author = author;
+  }
+
   /** Takes up to `limit` decisions, urgent ones first, else in the order of the calls. */
   take(limit: number): Waiting[] {
     const urgent = this.waiting[Priority.Urgent].splice(0, limit);
@@ -149,7 +155,7 @@
 
 function numberChanges(ctx: ControllerContext, changes: EntityChange[]): ChangeSet {
   ctx.commits.changeSets += 1;
-  const author = `controller/${ctx.zone}`;
+  const author = `${ctx.commits.author}/${ctx.zone}`;
   return { changeId: `${author}/${ctx.lease.epoch}/${ctx.commits.changeSets}`, author, changes };
 }
 
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -4,12 +4,20 @@
 import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
 import type { ZoneReports } from './zoneReports.js';
 
-/** Creates what the tasks of one term share. */
+/** Author of the changes of the zone controller. */
+const CONTROLLER = 'controller';
+
+/**
+ * Creates what the tasks of one term share.
+ *
+ * @param author - start of the change ids; two contexts of one term must not share it
+ */
 export function createContext(
   deps: ControllerDeps,
   lease: HeldLease,
   reports: Pick<ZoneReports, 'silentZones' | 'isComplete'>,
   signal: AbortSignal,
+  author = CONTROLLER,
 ): ControllerContext {
   return {
     ...deps,
@@ -18,7 +26,7 @@
     silentZones: reports.silentZones,
     budgetAt: createBudgetReader(deps.config.view, reports.silentZones),
     mayGrant: reports.isComplete,
-    commits: new CommitQueue(),
+    commits: new CommitQueue(author),
   };
 }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -11,7 +11,7 @@
 import { runStop } from './stops.js';
 import { TaskGroup } from './taskGroup.js';
 import type { ControllerContext, ControllerDeps, HeldLease } from './types.js';
-import { createTendWaves } from './waves.js';
+import { createWaveReconciler } from './waves.js';
 import { runVmStatus } from './vmStatus.js';
 import { createZoneReports, watchZones } from './zoneReports.js';
 
@@ -57,7 +57,7 @@
   const stops = new TaskGroup();
   const moves = new TaskGroup();
   const returnLent = createReturnLent(ctx);
-  const tendWaves = createTendWaves(ctx);
+  const reconcileWaves = createWaveReconciler(ctx);
   const rounds = async () => {
     while (!ctx.signal.aborted) {
       await catchUp(ctx);
@@ -65,7 +65,7 @@
       await startMoves(ctx, ctx.settings.maxOpenMoves - moves.size);
       await lendForBudgets(ctx);
       await returnLent();
-      await tendWaves();
+      await reconcileWaves();
       startTasks(ctx, stops, moves);
       recordGauges(ctx);
       await ctx.clock.sleep(ctx.settings.reconcileIntervalMs, ctx.signal);
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -49,5 +49,11 @@
 export { MoveEnd, runMove, startMoves, UndoReason, whyUndo } from './moves.js';
 export { createReturnLent, lendForBudgets, loans, type ReturnLent } from './lending.js';
 export { planWave, type PoolPlan, type WavePlan, type WavePlanOptions } from './wavePlan.js';
-export { createTendWaves, pauseWave, pendingVms, startWave, type TendWaves } from './waves.js';
+export {
+  createWaveReconciler,
+  pauseWave,
+  pendingVms,
+  startWave,
+  type ReconcileWaves,
+} from './waves.js';
 export { runDrainSweep } from './drainSweep.js';
--- a/src/controller/lease.ts
+++ b/src/controller/lease.ts
@@ -233,9 +233,9 @@
    */
   #writesFinished(): Promise<void> {
     if (this.#writes === 0) return Promise.resolve();
-    const patience = this.#deps.settings.leaseTtlMs / RENEWALS_PER_TTL / 2;
+    const writeTimeoutMs = this.#deps.settings.leaseTtlMs / RENEWALS_PER_TTL / 2;
     return new Promise((resolve) => {
-      const timer = this.#deps.clock.setTimer(patience, resolve);
+      const timer = this.#deps.clock.setTimer(writeTimeoutMs, resolve);
       this.#onIdle = () => {
         timer.cancel();
         resolve();
--- a/src/controller/waves.spec.ts
+++ b/src/controller/waves.spec.ts
@@ -174,8 +174,8 @@
     const arePaused = (view: ConfigView) =>
       view.list(EntityKind.Wave).every(({ state }) => state !== WaveState.Running);
     t.true(await rig.until(arePaused, MINUTE), title);
-    const isQuiet = (view: ConfigView) => view.list(EntityKind.Stop).length === 0;
-    t.true(await rig.until(isQuiet, MINUTE), title);
+    const isIdle = (view: ConfigView) => view.list(EntityKind.Stop).length === 0;
+    t.true(await rig.until(isIdle, MINUTE), title);
     const { length } = rig.platform.reboots;
     await rig.clock.advance(20 * MINUTE);
     t.is(rig.platform.reboots.length, length, title);
--- a/src/controller/waves.ts
+++ b/src/controller/waves.ts
@@ -32,19 +32,19 @@
 }
 
 /** Looks after the waves; call it at intervals. */
-export type TendWaves = () => Promise<void>;
+export type ReconcileWaves = () => Promise<void>;
 
 /**
  * Creates the task that pauses waves when a budget of their pools is broken, resumes them after it
  * has held for long enough, finishes waves, and grants stops of VMs of the zone in the order of the
  * waves and their batches.
  */
-export function createTendWaves(ctx: ControllerContext): TendWaves {
-  const calmSince = new Map<string, number>();
+export function createWaveReconciler(ctx: ControllerContext): ReconcileWaves {
+  const unbrokenSince = new Map<string, number>();
   return async () => {
     if (ctx.config.view.list(EntityKind.Wave).length === 0) return;
     await pauseAtRisk(ctx);
-    await resumeAfterCalm(ctx, calmSince);
+    await resumeUnbroken(ctx, unbrokenSince);
     await finishWaves(ctx);
     const limit = ctx.settings.maxOpenStops - openStops(ctx);
     const requests = limit > 0 ? openRequests(ctx) : [];
@@ -83,17 +83,17 @@
   }
 }
 
-async function resumeAfterCalm(
+async function resumeUnbroken(
   ctx: ControllerContext,
-  calmSince: Map<string, number>,
+  unbrokenSince: Map<string, number>,
 ): Promise<void> {
   const { view } = ctx.config;
   const now = ctx.clock.now();
   const calm = new Set(calmWaves(ctx, view).map(({ id }) => id));
-  for (const id of calmSince.keys()) if (!calm.has(id)) calmSince.delete(id);
-  for (const id of calm) if (!calmSince.has(id)) calmSince.set(id, now);
+  for (const id of unbrokenSince.keys()) if (!calm.has(id)) unbrokenSince.delete(id);
+  for (const id of calm) if (!unbrokenSince.has(id)) unbrokenSince.set(id, now);
   const due = new Set(
-    [...calmSince].filter(([, at]) => now - at >= ctx.settings.resumeAfterMs).map(([id]) => id),
+    [...unbrokenSince].filter(([, at]) => now - at >= ctx.settings.resumeAfterMs).map(([id]) => id),
   );
   if (due.size === 0) return;
   await commitDecision(ctx, 'wave_resume', (newest) =>
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -22,7 +22,7 @@
 } from '../platform/index.js';
 import { createRequestRouter, type RequestRouter } from '../requests/index.js';
 import { newIdentity, peerSecret } from './identity.js';
-import { hearLeaving } from './leavingReports.js';
+import { followLeavingReports } from './leavingReports.js';
 import { addMemberGauge, createProcessState, type ProcessState } from './processState.js';
 import { createRequestParts, type RequestParts } from './requestParts.js';
 import { EntryError, EntryErrorCode, type EntryContext } from './types.js';
@@ -79,7 +79,7 @@
       leaving: () => request.leaving.firstHand(),
     },
   });
-  hearLeaving(membership, request.leaving);
+  followLeavingReports(membership, request.leaving);
   addMemberGauge(ctx, membership);
   const router = createRequestRouter({
     ...{ ...shared, view, membership },
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -101,7 +101,7 @@
   readonly #remoteGroup: HeartbeatGroup;
   #hasLeft = false;
   /** Members that told that they leave and whose link is still up. */
-  readonly #leavers = new Set<string>();
+  readonly #leavingMembers = new Set<string>();
 
   constructor(options: MembershipOptions) {
     this.#options = options;
@@ -131,7 +131,7 @@
     });
     network.onLink((member, up) => {
       if (up) this.#onLinkUp(member);
-      else if (this.#leavers.delete(member.name)) network.removeMember(member.name);
+      else if (this.#leavingMembers.delete(member.name)) network.removeMember(member.name);
     });
   }
 
@@ -339,7 +339,7 @@
   #onLeave({ name }: MemberInfo): void {
     const { network, logger } = this.#options;
     this.#table.drop(name);
-    this.#leavers.add(name);
+    this.#leavingMembers.add(name);
     network.allowSilence?.(name, LEAVE_SILENCE_MS);
     logger.info({ event: 'member_left', member: name });
     this.#publish();
--- a/src/testing/leavingZone.ts
+++ b/src/testing/leavingZone.ts
@@ -22,7 +22,7 @@
   createControllerMetrics,
   runZoneController,
 } from '../controller/index.js';
-import { hearLeaving } from '../entry/leavingReports.js';
+import { followLeavingReports } from '../entry/leavingReports.js';
 import { createVmProbes, mayBeTried } from '../entry/vmProbes.js';
 import { InvariantError } from '../errors/index.js';
 import { createEventBus, EventName, LeavingSign, type EventBus } from '../events/index.js';
@@ -202,7 +202,7 @@
         leaving: () => (reportsLeaving ? leaving.firstHand() : []),
       },
     });
-    hearLeaving(membership, leaving);
+    followLeavingReports(membership, leaving);
     let holdsLease = false;
     events.on(EventName.LeaseChanged, ({ held }) => void (holdsLease = held));
     const sync = runConfigSync(
--- a/src/testing/requestCluster.ts
+++ b/src/testing/requestCluster.ts
@@ -201,10 +201,10 @@
     };
     process.closeConnections.push(hangUp);
     if (process.gate.isKilled && !process.vanished) hangUp();
-    const patience = this.clock.setTimer(patienceMs, hangUp);
+    const hangUpTimer = this.clock.setTimer(patienceMs, hangUp);
     void this.#serve(process, caller, tag, values);
     const result = await caller.result;
-    patience.cancel();
+    hangUpTimer.cancel();
     return result;
   }
 
