--- a/bench/steppedClock.ts
+++ b/bench/steppedClock.ts
@@ -1,5 +1,5 @@
-import FakeTimers from '@sinonjs/fake-timers';
-import { createClock, type Clock } from '../src/clock/index.js';
+import type { Clock } from '../src/clock/index.js';
+import { createFakeTimers } from '../src/testing/index.js';
 
 /** Virtual time for simulations with many timers. */
 export interface SteppedClock extends Clock {
@@ -15,15 +15,7 @@
  * without a turn of Node's event loop, which costs more than most of the simulated steps.
  */
 export function createSteppedClock(): SteppedClock {
-  const timers = FakeTimers.createClock(0);
-  const clock = createClock({
-    setTimeout: (callback, delayMs) => timers.setTimeout(callback, delayMs),
-    clearTimeout: (handle) => {
-      timers.clearTimeout(handle);
-    },
-    monotonicMs: () => timers.now,
-    wallMs: () => timers.now,
-  });
+  const { timers, clock } = createFakeTimers();
   const runUntil = async (untilMs: number) => {
     const end = { isReached: false };
     clock.setTimer(untilMs - timers.now, () => {
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,4 +1,4 @@
-export { createVirtualClock, type VirtualClock } from './virtualClock.js';
+export { createFakeTimers, createVirtualClock, type VirtualClock } from './virtualClock.js';
 export { FakePlatform, type PlatformFaults } from './fakePlatform.js';
 export { FakePeerHub } from './fakePeers.js';
 export { ProcessGate, gateClock, gatePeers, gateTable } from './processGate.js';
--- a/src/testing/interceptedPlatform.ts
+++ b/src/testing/interceptedPlatform.ts
@@ -1,11 +1,7 @@
 import { Result } from 'true-myth';
 import type { Clock } from '../clock/index.js';
-import {
-  PlatformError,
-  PlatformErrorCode,
-  type PlatformClient,
-  type PlatformResult,
-} from '../platform/index.js';
+import { PlatformError, PlatformErrorCode, type PlatformClient } from '../platform/index.js';
+import { wrapCalls } from './wrapCalls.js';
 
 /** What happens to one call to the platform. */
 export enum CallFault {
@@ -37,8 +33,6 @@
   faultOf: (call: PlatformCall) => CallFault;
 }
 
-type AnyCall = (...args: unknown[]) => PlatformResult<unknown>;
-
 /** Wraps a platform client so that faults can be injected into each single call. */
 export function interceptPlatform(
   client: PlatformClient,
@@ -47,9 +41,9 @@
   let index = 0;
   let hasCrashed = false;
 
-  const wrap =
-    (name: string, call: AnyCall): AnyCall =>
-    async (...args) => {
+  return wrapCalls(client, (part, method, call) => {
+    const name = `${part}.${method}`;
+    return async (...args) => {
       const fault = hasCrashed ? CallFault.CrashBefore : options.faultOf({ name, index, args });
       index += 1;
       hasCrashed ||= fault === CallFault.CrashBefore || fault === CallFault.CrashAfter;
@@ -71,11 +65,5 @@
           return call(...args);
       }
     };
-
-  const services = Object.entries(client).map(([service, calls]) => {
-    const methods = Object.entries(calls as Record<string, AnyCall>);
-    const wrapped = methods.map(([name, call]) => [name, wrap(`${service}.${name}`, call)]);
-    return [service, Object.fromEntries(wrapped)] as const;
   });
-  return Object.fromEntries(services) as unknown as PlatformClient;
 }
--- a/src/testing/platformFaults.ts
+++ b/src/testing/platformFaults.ts
@@ -1,10 +1,6 @@
 import { Result } from 'true-myth';
-import {
-  PlatformError,
-  PlatformErrorCode,
-  type PlatformClient,
-  type PlatformResult,
-} from '../platform/index.js';
+import { PlatformError, PlatformErrorCode, type PlatformClient } from '../platform/index.js';
+import { wrapCalls } from './wrapCalls.js';
 
 /** What happens to one call. */
 export enum CallFault {
@@ -19,8 +15,6 @@
   LoseCall = 'lose_call',
 }
 
-type Call = (...args: never[]) => PlatformResult<unknown>;
-
 /**
  * Wraps a client so that a function decides about each call.
  *
@@ -30,24 +24,14 @@
   client: PlatformClient,
   decide: (part: string, name: string, args: readonly unknown[]) => CallFault | Promise<CallFault>,
 ): PlatformClient {
-  const wrapCall = (part: string, name: string, call: Call): Call => {
-    return async (...args) => {
-      const fault = await decide(part, name, args);
-      if (fault === CallFault.NotSent) return failure(PlatformErrorCode.Unreachable);
-      if (fault === CallFault.LoseCall) return failure(PlatformErrorCode.OutcomeUnknown);
-      const result = await call(...args);
-      if (fault === CallFault.Misreport) return failure(PlatformErrorCode.Unreachable);
-      return fault === CallFault.LoseAnswer ? failure(PlatformErrorCode.OutcomeUnknown) : result;
-    };
-  };
-  const wrapPart = (part: string, calls: object) =>
-    Object.fromEntries(
-      Object.entries(calls).map(([name, call]) => [name, wrapCall(part, name, call as Call)]),
-    );
-  const parts = Object.entries(client).filter(([part]) => part !== 'faults');
-  return Object.fromEntries(
-    parts.map(([part, calls]) => [part, wrapPart(part, calls as object)]),
-  ) as unknown as PlatformClient;
+  return wrapCalls(client, (part, name, call) => async (...args) => {
+    const fault = await decide(part, name, args);
+    if (fault === CallFault.NotSent) return failure(PlatformErrorCode.Unreachable);
+    if (fault === CallFault.LoseCall) return failure(PlatformErrorCode.OutcomeUnknown);
+    const result = await call(...args);
+    if (fault === CallFault.Misreport) return failure(PlatformErrorCode.Unreachable);
+    return fault === CallFault.LoseAnswer ? failure(PlatformErrorCode.OutcomeUnknown) : result;
+  });
 }
 
 function failure(code: PlatformErrorCode): Result<never, PlatformError> {
--- a/src/testing/virtualClock.ts
+++ b/src/testing/virtualClock.ts
@@ -7,8 +7,8 @@
   advance(ms: number): Promise<void>;
 }
 
-/** Creates a virtual clock that starts at 0 ms. It does not touch the global timers. */
-export function createVirtualClock(): VirtualClock {
+/** Creates virtual timers that start at 0 ms, and a clock that runs on them. */
+export function createFakeTimers() {
   const timers = FakeTimers.createClock(0);
   const clock = createClock({
     setTimeout: (callback, delayMs) => timers.setTimeout(callback, delayMs),
@@ -18,6 +18,12 @@
     monotonicMs: () => timers.now,
     wallMs: () => timers.now,
   });
+  return { timers, clock };
+}
+
+/** Creates a virtual clock that starts at 0 ms. It does not touch the global timers. */
+export function createVirtualClock(): VirtualClock {
+  const { timers, clock } = createFakeTimers();
   const advance = async (ms: number) => {
     await timers.tickAsync(ms);
   };
