Export the inventory in force with its base version

Cause: the guard against another operator's change needs the version that a file was edited from, and nothing wrote it. Change: config export; the operator race with real processes compares it with what was applied. Conclusion: export, edit, apply is the safe way to change the inventory.

--- a/src/cli/commands/listings.ts
+++ b/src/cli/commands/listings.ts
@@ -1,7 +1,14 @@
 import { ExitCode } from '../../errors/index.js';
-import type { ConfigDelta, Wave } from '../../configuration/index.js';
+import { stringify } from 'yaml';
+import {
+  EntityKind,
+  type ConfigDelta,
+  type ConfigSnapshot,
+  type Wave,
+} from '../../configuration/index.js';
+import type { Inventory } from '../../inventory/index.js';
 import type { JobLine, PoolStatus, StatusAnswer, VmLine } from '../../operators/index.js';
-import { createOperatorClient } from '../operatorClient.js';
+import { createOperatorClient, type OperatorClient } from '../operatorClient.js';
 import { renderTable } from '../table.js';
 import {
   CliError,
@@ -99,26 +106,55 @@
 /** Configuration history and export. */
 export const configCommand: CommandDefinition = {
   id: 'config',
-  summary: 'show the history of the configuration',
-  usage: 'burdocknotch config history [--limit N] [--json]',
-  examples: ['burdocknotch config history --limit 10'],
-  async run({ args, flags }, output) {
-    if (args[0] !== 'history') {
-      throw new CliError('usage', 'expected: config history', ExitCode.Usage);
+  summary: 'show the history of the configuration, or export the inventory in force',
+  usage: 'burdocknotch config history [--limit N] [--json] | burdocknotch config export [--json]',
+  examples: [
+    'burdocknotch config history --limit 10',
+    'burdocknotch config export > inventory.yaml   # edit it, then apply it',
+  ],
+  async run({ args: [action], flags }, output) {
+    if (action !== 'history' && action !== 'export') {
+      throw new CliError('usage', 'expected: config history or config export', ExitCode.Usage);
     }
     const client = await createOperatorClient(flags);
-    const deltas = await client.get<ConfigDelta[]>(`/v1/config/history?limit=${flags.limit}`);
-    const rows = deltas.map(({ version, author, changeId, changes }) => ({
-      version,
-      author,
-      changeId,
-      changes: flags.json ? changes : changes.map(({ kind, id }) => `${kind}/${id}`).join(' '),
-    }));
-    printRows(output, flags, rows);
+    if (action === 'export') await exportInventory(client, flags, output);
+    else await printHistory(client, flags, output);
     return ExitCode.Success;
   },
 };
 
+/** Prints the inventory in force; its base version guards a later change of it. */
+async function exportInventory(
+  client: OperatorClient,
+  flags: CommandFlags,
+  output: CommandOutput,
+): Promise<void> {
+  const { version, entities } = await client.get<ConfigSnapshot>('/v1/config');
+  const inventory: Inventory = {
+    baseVersion: version,
+    services: entities[EntityKind.Service],
+    pools: entities[EntityKind.Pool],
+    teams: entities[EntityKind.Team],
+    vms: entities[EntityKind.Vm],
+  };
+  output.print(flags.json ? JSON.stringify(inventory) : stringify(inventory).trimEnd());
+}
+
+async function printHistory(
+  client: OperatorClient,
+  flags: CommandFlags,
+  output: CommandOutput,
+): Promise<void> {
+  const deltas = await client.get<ConfigDelta[]>(`/v1/config/history?limit=${flags.limit}`);
+  const rows = deltas.map(({ version, author, changeId, changes }) => ({
+    version,
+    author,
+    changeId,
+    changes: flags.json ? changes : changes.map(({ kind, id }) => `${kind}/${id}`).join(' '),
+  }));
+  printRows(output, flags, rows);
+}
+
 /** Prints the waves. */
 export function printWaves(
   output: CommandOutput,
--- a/testbed/faults.spec.ts
+++ b/testbed/faults.spec.ts
@@ -389,6 +389,8 @@
     run: async (t, bed) => {
       const { deployment } = bed;
       const base = (await status(bed, entryOf(bed, 0))).configVersion;
+      const exported = await deployment.cliJson<Inventory>(entryOf(bed, 0), 'config', 'export');
+      t.deepEqual(exported, { ...deployment.inventory(), baseVersion: base });
       const files = await Promise.all(
         [6, 7].map((maxAway) => {
           const inventory = deployment.inventory((draft) => {
