End all processes of a test bed when it ends, however it ends

Cause: when the comparison ended with an error (its output was closed), 14 stand-ins went on. Change: processes that run are killed at the exit of the process that started them.

--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -25,6 +25,13 @@
   kill(): Promise<void>;
 }
 
+/** Processes that run. None may outlive this process, however it ends. */
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** Path of a compiled module, relative to the compiled root folder. */
 export function compiledPath(path: string): string {
   return fileURLToPath(new URL(`../${path}`, import.meta.url));
@@ -41,6 +48,8 @@
     env: { ...process.env, ...env },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
+  running.add(child);
+  child.once('exit', () => running.delete(child));
   return new SpawnedProcess(name, child);
 }
 
