--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -122,6 +122,7 @@
       everyMs: remoteHeartbeatMs,
     };
     this.#liveByZone.set(this.self.zone, [this.self]);
+    this.#counters.live.set(1);
     const { network } = options;
     network.handle(PeerMessageType.Heartbeat, (from, message) => {
       this.#onHeartbeat(from, message);
