Let the operator API and the drain wait use what the controller and the membership have already

Cause: a second read of the change found logic that stood twice: the operator API decided by itself whether a VM is away and how a wave starts or pauses, next to countPool, startWave and pauseWave of the controller; the drain wait scanned member rows next to the registration; runJobController had no caller. Change: the twins call the one piece; registeredNames and zonePrefix are in the membership's registration; the unused wrapper is gone. Ruled out: joining registeredMembers and registeredNames: the drain wait must also wait for a member whose row cannot be read, which the other leaves out.

--- a/src/controller/confirmation.ts
+++ b/src/controller/confirmation.ts
@@ -1,10 +1,7 @@
-import { Result } from 'true-myth';
-import { DrainState, type PlatformError, type Table } from '../platform/index.js';
+import { registeredNames } from '../membership/index.js';
+import { DrainState } from '../platform/index.js';
 import type { ControllerContext } from './types.js';
 
-/** Members read from the table in one call. */
-const MEMBER_PAGE = 1_000;
-
 /** How the wait for a drain ended. */
 export enum DrainEnd {
   /** No entry process sends to the VM, and the VM has nothing active. */
@@ -69,7 +66,7 @@
   contacts: Contacts,
   startedAt: number,
 ): Promise<boolean> {
-  const names = await registeredMembers(ctx.platform.table, ctx.zone);
+  const names = await registeredNames(ctx.platform.table, ctx.zone);
   if (names.isErr) return false;
   for (const name of names.value) {
     if (name !== ctx.membership.self.name && !contacts.has(name)) contacts.set(name, startedAt);
@@ -77,22 +74,6 @@
   return true;
 }
 
-async function registeredMembers(
-  table: Table,
-  zone: string,
-): Promise<Result<string[], PlatformError>> {
-  const prefix = `member/${zone}/`;
-  const names: string[] = [];
-  let after: string | undefined;
-  do {
-    const page = await table.scan(prefix, MEMBER_PAGE, after);
-    if (page.isErr) return Result.err(page.error);
-    names.push(...page.value.rows.map(({ key }) => key.slice(prefix.length)));
-    after = page.value.next;
-  } while (after !== undefined);
-  return Result.ok(names);
-}
-
 /** What the VM reports; orders the drain when it is in service. */
 async function orderDrain(
   ctx: ControllerContext,
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -11,7 +11,6 @@
 export {
   createJobController,
   fitsSomeWorker,
-  runJobController,
   type JobController,
   type VacateStatus,
 } from './jobController.js';
--- a/src/jobs/jobController.ts
+++ b/src/jobs/jobController.ts
@@ -210,11 +210,6 @@
   };
 }
 
-/** Runs a job controller until the life cycle is closed; the task of a supervised child. */
-export function runJobController(deps: JobControllerDeps, lifecycle: Lifecycle): Promise<void> {
-  return createJobController(deps).run(lifecycle);
-}
-
 /** Whether a job, by learned use or else by declared size, fits on some worker. */
 export function fitsSomeWorker(
   workers: readonly Resources[],
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -8,6 +8,7 @@
   memberKey,
   registerMember,
   registeredMembers,
+  registeredNames,
 } from './registration.js';
 export {
   DIGEST_ENTRY_BYTES,
--- a/src/membership/registration.ts
+++ b/src/membership/registration.ts
@@ -8,9 +8,17 @@
 /** Member rows read at once. */
 const PAGE_SIZE = 200;
 
+/** Member rows of one zone read at once. */
+export const ZONE_PAGE_SIZE = 1_000;
+
+/** Prefix of the member rows of a zone. */
+export function zonePrefix(zone: string): string {
+  return `${MEMBER_PREFIX}${zone}/`;
+}
+
 /** Key of a member's row. */
 export function memberKey({ zone, name }: MemberInfo): string {
-  return `${MEMBER_PREFIX}${zone}/${name}`;
+  return zonePrefix(zone) + name;
 }
 
 /** Writes the own member row unless it is there already or a newer incarnation wrote it. */
@@ -48,6 +56,20 @@
   return Result.ok(members.slice(0, limit));
 }
 
+/** Names of the members that are registered in a zone, rows that can't be read included. */
+export async function registeredNames(table: Table, zone: string): PlatformResult<string[]> {
+  const prefix = zonePrefix(zone);
+  const names: string[] = [];
+  let after: string | undefined;
+  do {
+    const page = await table.scan(prefix, ZONE_PAGE_SIZE, after);
+    if (page.isErr) return Result.err(page.error);
+    names.push(...page.value.rows.map(({ key }) => key.slice(prefix.length)));
+    after = page.value.next;
+  } while (after !== undefined);
+  return Result.ok(names);
+}
+
 function parseMember(value: unknown): MemberInfo | undefined {
   const parsed = memberInfoSchema.safeParse(value);
   return parsed.success ? parsed.data : undefined;
--- a/src/membership/rowSweep.ts
+++ b/src/membership/rowSweep.ts
@@ -1,10 +1,7 @@
 import { Result } from 'true-myth';
 import type { Clock } from '../clock/index.js';
 import type { PlatformResult, Row, Table } from '../platform/index.js';
-import { MEMBER_PREFIX } from './registration.js';
-
-/** Most member rows of one zone that are looked at. */
-const MAX_ROWS = 1_000;
+import { ZONE_PAGE_SIZE, zonePrefix } from './registration.js';
 
 /** What {@link createMemberRowSweep} works with. */
 export interface MemberRowSweepDeps {
@@ -29,7 +26,7 @@
  */
 export function createMemberRowSweep(deps: MemberRowSweepDeps): () => PlatformResult<number> {
   const { table, clock, zone, staleAfterMs, isKnown } = deps;
-  const prefix = `${MEMBER_PREFIX}${zone}/`;
+  const prefix = zonePrefix(zone);
   let unknown = new Map<string, Sighting>();
 
   function isStale({ key, version }: Row): boolean {
@@ -47,7 +44,7 @@
   }
 
   return async () => {
-    const page = await table.scan(prefix, MAX_ROWS);
+    const page = await table.scan(prefix, ZONE_PAGE_SIZE);
     if (page.isErr) return Result.err(page.error);
     const rows = page.value.rows.filter(({ key }) => !isKnown(key.slice(prefix.length)));
     remember(rows);
--- a/src/operators/changes.ts
+++ b/src/operators/changes.ts
@@ -8,8 +8,8 @@
   type Commit,
   type EntityChange,
   type OperatorChange,
-  type Wave,
 } from '../configuration/index.js';
+import { pauseWave, startWave } from '../controller/index.js';
 import { commitOrThrow } from './answers.js';
 import type { OperatorDeps } from './deps.js';
 import { OperatorError, OperatorErrorCode, type ChangeRequest, type WaveRequest } from './types.js';
@@ -148,14 +148,10 @@
     if (taken) {
       throw new OperatorError(OperatorErrorCode.Conflict, `wave ${taken.id} exists already`);
     }
-    return waves.map((wave) => waveChange({ ...wave, state: WaveState.Running }));
+    return waves.map(startWave);
   });
 }
 
-function waveChange(wave: Wave): EntityChange {
-  return { kind: EntityKind.Wave, id: wave.id, value: wave };
-}
-
 /** Pauses or resumes a wave. */
 export function setWaveState(
   deps: OperatorDeps,
@@ -169,9 +165,7 @@
     if (wave.state === WaveState.Finished) {
       throw new OperatorError(OperatorErrorCode.Invalid, `wave ${id} is finished`);
     }
-    const { batches, done } = wave;
-    const reason = state === WaveState.Paused ? `paused by ${author}` : undefined;
-    return [waveChange({ id, batches, done, state, reason })];
+    return [state === WaveState.Paused ? pauseWave(wave, `paused by ${author}`) : startWave(wave)];
   });
 }
 
--- a/src/operators/status.ts
+++ b/src/operators/status.ts
@@ -1,4 +1,5 @@
 import { EntityKind, VmState, type ConfigView, type Pool } from '../configuration/index.js';
+import { countPool } from '../controller/index.js';
 import type { OperatorDeps } from './deps.js';
 import type { PoolStatus, StatusAnswer, VmLine } from './types.js';
 
@@ -26,15 +27,8 @@
   };
 }
 
-/** Whether a VM counts as away in the configuration in force. */
-export function isAway(view: ConfigView, vm: string): boolean {
-  const state = view.get(EntityKind.VmStatus, vm)?.state ?? VmState.Up;
-  return (
-    state !== VmState.Up ||
-    view.get(EntityKind.Stop, vm) !== undefined ||
-    view.get(EntityKind.Move, vm)?.drainVersion !== undefined
-  );
-}
+/** Zones of silent controllers are known to lease holders only, so none counts here. */
+const NO_ZONES: ReadonlySet<string> = new Set();
 
 /** Pools with their rules and how many VMs are away. */
 export function poolStatuses(view: ConfigView): PoolStatus[] {
@@ -42,12 +36,12 @@
 }
 
 function poolStatus(view: ConfigView, pool: Pool): PoolStatus {
-  const vms = view.vmsOfPool(pool.id);
+  const { total, away } = countPool(view, pool.id, NO_ZONES);
   const services = view.list(EntityKind.Service).filter((service) => service.pool === pool.id);
   return {
     pool: pool.id,
-    vms: vms.length,
-    away: vms.filter((vm) => isAway(view, vm.id)).length,
+    vms: total,
+    away,
     minAvailable: pool.minAvailable,
     maxAway: pool.maxAway,
     isSpare: pool.isSpare,
