--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  { ignores: ['target/', 'dist/', 'node_modules/', 'coverage/'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/src/batch/adviceBook.ts
@@ -0,0 +1,83 @@
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { Step } from './job.js';
+import type { AdviceClient } from './ports.js';
+import type { Queue } from './types.js';
+import type { Worker } from './worker.js';
+
+/** Workers named in one call, at most; each costs time at the service. */
+const WORKERS_PER_CALL = 30;
+/** Share of a ticket's validity for which it is used, so that a start arrives in time. */
+const USED_VALIDITY = 0.8;
+const RETRY_MS = 200;
+
+interface Advice {
+  tickets: Map<string, string>;
+  /** Monotonic time until which the tickets are used. */
+  usedUntil: number;
+}
+
+/** Needs of an {@link AdviceBook}. */
+export interface AdviceBookDeps {
+  advice: AdviceClient;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  place: () => void;
+}
+
+/** Tickets for the steps of queues whose policy allows only some workers. */
+export class AdviceBook {
+  readonly #deps: AdviceBookDeps;
+  readonly #known = new WeakMap<Step, Advice>();
+  readonly #asking = new WeakSet<Step>();
+
+  constructor(deps: AdviceBookDeps) {
+    this.#deps = deps;
+  }
+
+  /** Whether a step may be placed now; asks the service when its tickets are missing. */
+  isKnown(
+    step: Step,
+    queues: ReadonlyMap<string, Queue>,
+    workers: { all(): Iterable<Worker> },
+  ): boolean {
+    const policy = queues.get(step.job.spec.queue)?.advice;
+    if (!policy) return true;
+    const now = this.#deps.clock.now();
+    const advice = this.#known.get(step);
+    if (advice && advice.usedUntil > now) return true;
+    if (!this.#asking.has(step)) {
+      this.#asking.add(step);
+      const usable = [...workers.all()].filter((worker) => worker.canTake(now));
+      void this.#ask(step, usable, policy.validMs * USED_VALIDITY);
+    }
+    return false;
+  }
+
+  /** The ticket for a worker; undefined where none is needed. */
+  ticketOf(step: Step, worker: Worker): string | undefined {
+    return this.#known.get(step)?.tickets.get(worker.record.id);
+  }
+
+  async #ask(step: Step, workers: readonly Worker[], usedMs: number): Promise<void> {
+    const { advice, clock, log, counters, place } = this.#deps;
+    const name = `${step.job.spec.id}.${step.occurrence.number}.${step.number}`;
+    const sentAt = clock.now();
+    const ids = workers.slice(0, WORKERS_PER_CALL).map(({ record }) => record.id);
+    const res = await advice.advise(name, ids);
+    if (res.isOk) {
+      const { tickets } = res.value;
+      step.allowedWorkers = new Set(tickets.keys());
+      this.#known.set(step, { tickets, usedUntil: sentAt + usedMs });
+      log.info('advice_taken', { step: name, asked: ids.length, allowed: tickets.size });
+    } else {
+      counters.count('advice_failures', res.error.code);
+      log.warn('advice_failed', { step: name, reason: res.error.code });
+      await clock.sleep(RETRY_MS);
+    }
+    this.#asking.delete(step);
+    place();
+  }
+}
--- /dev/null
+++ b/src/batch/holderDirectory.ts
@@ -0,0 +1,80 @@
+import { Result } from 'true-myth';
+import { BaseError } from '../errors/index.js';
+import type { Holder } from './holder.js';
+import { LinkErrorCode, type Links } from './links.js';
+import { NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
+import type { Ownership } from './ownership.js';
+
+/** Codes of {@link HolderCallError}. */
+export enum HolderCallErrorCode {
+  NoHolder = 'no_holder',
+  NotHolder = 'not_holder',
+  Unreachable = 'unreachable',
+  NoAnswer = 'no_answer',
+}
+
+/** A call to the holder of a service failed. */
+export class HolderCallError extends BaseError<HolderCallErrorCode> {
+  /** Whether the call may have taken effect. */
+  get mayHaveRun(): boolean {
+    return this.code === HolderCallErrorCode.NoAnswer;
+  }
+}
+
+/** Finds the holder of a service, here or on another node, and calls it. */
+export class HolderDirectory {
+  readonly #ownership: Ownership;
+  readonly #links: Links;
+  readonly #holders: ReadonlyMap<string, Holder>;
+
+  constructor(ownership: Ownership, links: Links, holders: ReadonlyMap<string, Holder>) {
+    this.#ownership = ownership;
+    this.#links = links;
+    this.#holders = holders;
+  }
+
+  /** Calls the holder of a service. */
+  async call(call: NodeCall, timeoutMs: number): Promise<Result<NodeAnswer, HolderCallError>> {
+    const { service } = call;
+    if (this.#holders.has(service)) return this.#checked(service, await this.answer(call));
+    const owner = this.#ownership.ownerOf(service);
+    if (!owner) return this.#failed(service, HolderCallErrorCode.NoHolder);
+    const res = await this.#links.call(owner.address, call, Math.max(1, timeoutMs));
+    if (res.isOk) return this.#checked(service, res.value as NodeAnswer);
+    const wasSent = res.error.code === LinkErrorCode.NoAnswer;
+    const { NoAnswer, Unreachable } = HolderCallErrorCode;
+    return this.#failed(service, wasSent ? NoAnswer : Unreachable);
+  }
+
+  #checked(service: string, answer: NodeAnswer): Result<NodeAnswer, HolderCallError> {
+    if (answer.isHolder) return Result.ok(answer);
+    return this.#failed(service, HolderCallErrorCode.NotHolder);
+  }
+
+  #failed(service: string, code: HolderCallErrorCode): Result<never, HolderCallError> {
+    return Result.err(new HolderCallError(code, `holder of ${service}: ${code}`));
+  }
+
+  /** Answers a call as the holder, for this node's own callers and for other nodes. */
+  async answer(call: NodeCall): Promise<NodeAnswer> {
+    const holder = this.#holders.get(call.service);
+    if (!holder?.isLoaded) return { isHolder: false };
+    switch (call.kind) {
+      case NodeCallKind.Submit:
+        return { isHolder: true, submitted: await holder.submit(call.spec) };
+      case NodeCallKind.Status:
+        return { isHolder: true, state: holder.state(call.job) };
+      case NodeCallKind.Cancel:
+        return { isHolder: true, isCancelled: await holder.cancel(call.job) };
+      case NodeCallKind.Pending:
+        return { isHolder: true, pending: holder.pending(call.queue) };
+      case NodeCallKind.Vacate:
+        return { isHolder: true, vacating: holder.vacate(call.worker, call.isUrgent) };
+      case NodeCallKind.Readmit:
+        holder.readmit(call.worker);
+        return { isHolder: true };
+      case NodeCallKind.Load:
+        return { isHolder: true, load: holder.load() };
+    }
+  }
+}
--- /dev/null
+++ b/src/batch/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js';
+export * from './ports.js';
--- /dev/null
+++ b/src/batch/jobCodec.ts
@@ -0,0 +1,95 @@
+import { Result } from 'true-myth';
+import { BatchError, BatchErrorCode, type JobSpec, type StepSpec } from './types.js';
+
+/** Tasks of one job over all its steps, at most; bounds the memory that a job can take. */
+export const MAX_TASKS_PER_JOB = 5_000;
+
+const emptyStep: StepSpec = {
+  count: 1,
+  cpuMillis: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  estimateMs: 0,
+  after: [],
+  isGang: false,
+  isColocated: false,
+  maxPerWorker: 0,
+  savesProgress: false,
+  allowsCopies: false,
+  isLasting: false,
+  image: '',
+  targetMs: 0,
+  fillsSpare: false,
+  mayMiss: 0,
+};
+
+/** A step with the given fields, all others at their defaults. */
+export function completeStep(fields: Partial<StepSpec>): StepSpec {
+  return { ...emptyStep, ...fields };
+}
+
+/** Checks what the types cannot say. The message names the step and what was expected. */
+export function checkJob(spec: JobSpec): Result<JobSpec, BatchError> {
+  const problem = findProblem(spec);
+  if (problem === undefined) return Result.ok(spec);
+  return Result.err(new BatchError(BatchErrorCode.InvalidJob, problem));
+}
+
+function findProblem({ steps, occurrences, periodMs }: JobSpec): string | undefined {
+  if (steps.length === 0) return 'a job needs at least one step';
+  let tasks = 0;
+  for (const [number, step] of steps.entries()) {
+    if (step.count < 1) return `step ${number}: count is ${step.count}, expected 1 or more`;
+    const wrong = step.after.find((earlier) => earlier < 0 || earlier >= number);
+    if (wrong !== undefined) return `step ${number}: after names ${wrong}, expected earlier steps`;
+    tasks += step.count;
+  }
+  if (tasks > MAX_TASKS_PER_JOB) return `${tasks} tasks, expected at most ${MAX_TASKS_PER_JOB}`;
+  if (occurrences > 1 && periodMs <= 0) return `period is ${periodMs} ms, expected more than 0`;
+  return undefined;
+}
+
+/** Text of the row that keeps a job; fields at their defaults are left out. */
+export function encodeJob(spec: JobSpec): string {
+  const steps = spec.steps.map((step) => {
+    const fields = Object.entries(step).filter(([name, value]) => {
+      const initial: unknown = emptyStep[name as keyof StepSpec];
+      return Array.isArray(value) ? value.length > 0 : value !== initial;
+    });
+    return Object.fromEntries(fields);
+  });
+  return JSON.stringify({ ...spec, steps });
+}
+
+/** Reads a row written by {@link encodeJob}. */
+export function decodeJob(text: string): Result<JobSpec, BatchError> {
+  try {
+    const row = JSON.parse(text) as Omit<JobSpec, 'steps'> & { steps: Partial<StepSpec>[] };
+    return Result.ok({ ...row, steps: row.steps.map(completeStep) });
+  } catch (err) {
+    return Result.err(new BatchError(BatchErrorCode.BadRow, 'job row is not readable', err));
+  }
+}
+
+/** Name of a task: job, occurrence, step, index. */
+export function taskName(job: string, occurrence: number, step: number, index: number): string {
+  return `${job}.${occurrence}.${step}.${index}`;
+}
+
+/** Parts of a task's name. */
+export interface TaskAddress {
+  job: string;
+  occurrence: number;
+  step: number;
+  index: number;
+}
+
+/** Reads a name made by {@link taskName}; undefined for any other text. */
+export function parseTaskName(name: string): TaskAddress | undefined {
+  const [job, occurrence, step, index, ...rest] = name.split('.');
+  if (job === undefined || index === undefined || rest.length > 0) return undefined;
+  const numbers = [occurrence, step, index].map(Number);
+  if (!numbers.every((value) => Number.isSafeInteger(value) && value >= 0)) return undefined;
+  const [k = 0, s = 0, i = 0] = numbers;
+  return { job, occurrence: k, step: s, index: i };
+}
--- /dev/null
+++ b/src/batch/node.ts
@@ -0,0 +1,237 @@
+import type { Clock } from '../clock/index.js';
+import { toError } from '../errors/index.js';
+import {
+  Supervisor,
+  RestartPolicy,
+  supervisorDefaults,
+  type Lifecycle,
+} from '../lifecycle/index.js';
+import type { Random } from '../random/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog, LogFields } from './decisionLog.js';
+import { follow, type ChangeSource } from './follow.js';
+import { Gateway } from './gateway.js';
+import { Holder } from './holder.js';
+import { HolderDirectory } from './holderDirectory.js';
+import { Links, listenForLinks } from './links.js';
+import type { NodeCall } from './nodeCalls.js';
+import { FLEET_DUTY, Ownership, type Claim } from './ownership.js';
+import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
+import type { BatchConfig, WaveOrder, WorkerRecord } from './types.js';
+import { Upkeep, type WaveBoard } from './upkeep.js';
+
+/** Wait of the call that follows what operators write; below the bound of 2 s for a change. */
+const OPERATOR_FEED_WAIT_MS = 1_000;
+/** Pause between reads of the worker registrations, which change all the time. */
+const REGISTRY_PAUSE_MS = 400;
+/** Wait of the call that follows the registrations. */
+const REGISTRY_FEED_WAIT_MS = 2_000;
+
+/** What operators wrote: a configuration or a wave. */
+export interface OperatorItem {
+  config?: BatchConfig;
+  wave?: WaveOrder;
+}
+
+/** Needs of a {@link BatchNode}. */
+export interface BatchNodeDeps {
+  store: RowStore;
+  workers: WorkerClient;
+  vms: VmClient;
+  advice: AdviceClient;
+  board: WaveBoard;
+  operator: ChangeSource<OperatorItem>;
+  registry: ChangeSource<WorkerRecord>;
+  clock: Clock;
+  random: Random;
+  log: DecisionLog;
+  counters: Counters;
+  node: string;
+  /** Differs for each life of the process. */
+  incarnation: string;
+  /** Address for calls of other nodes. */
+  peerHost: string;
+  peerPort: number;
+}
+
+/** One node: answers callers and holds a share of the services. */
+export class BatchNode {
+  readonly gateway: Gateway;
+  readonly #deps: BatchNodeDeps;
+  readonly #ownership: Ownership;
+  readonly #links: Links;
+  readonly #directory: HolderDirectory;
+  readonly #holders = new Map<string, Holder>();
+  readonly #waves = new Map<string, WaveOrder>();
+  readonly #workers = new Map<string, WorkerRecord>();
+  readonly #lifecycles = new Map<string, Lifecycle>();
+  #config: BatchConfig | undefined;
+  #isLeaving = false;
+
+  constructor(deps: BatchNodeDeps) {
+    this.#deps = deps;
+    const { clock, log, counters } = deps;
+    this.#ownership = new Ownership({
+      ...deps,
+      address: `${deps.peerHost}:${deps.peerPort}`,
+      services: () => this.#services(),
+    });
+    this.#links = new Links({ clock, log, counters });
+    this.#directory = new HolderDirectory(this.#ownership, this.#links, this.#holders);
+    this.gateway = new Gateway({ ...deps, config: () => this.#config, holders: this.#directory });
+  }
+
+  /** The configuration in force here. */
+  get config(): BatchConfig | undefined {
+    return this.#config;
+  }
+
+  /** Whether callers are served well here. */
+  get isReady(): boolean {
+    return !this.#isLeaving && this.#config !== undefined && this.#ownership.isStoreReachable();
+  }
+
+  #services(): string[] {
+    const names = this.#config?.services.map(({ name }) => name) ?? [];
+    return this.#config ? [...names, FLEET_DUTY] : [];
+  }
+
+  /** Serves until the life cycle is closed. Rejects when a part keeps failing. */
+  async run(lifecycle: Lifecycle): Promise<void> {
+    const { clock, random, log, counters, peerHost, peerPort } = this.#deps;
+    const supervisor = new Supervisor(lifecycle, {
+      ...supervisorDefaults,
+      clock,
+      random,
+      logger: {
+        warn: (fields: object) => {
+          log.warn('child_failed', fields as LogFields);
+        },
+      },
+      onFailure: (child) => {
+        counters.count('child_failures', child);
+      },
+    });
+    lifecycle.own('links', () => {
+      this.#links.close();
+    });
+    this.#ownership.events.on('claimed', (claim) => {
+      this.#startHolding(claim, supervisor);
+    });
+    this.#ownership.events.on('lost', ({ service }) => this.#stopHolding(service));
+    const answer = (body: unknown) => this.#directory.answer(body as NodeCall);
+    await listenForLinks({ host: peerHost, port: peerPort, log, answer }, lifecycle);
+    const policy = RestartPolicy.Permanent;
+    const tasks = {
+      operator: (signal: AbortSignal) => this.#followOperator(signal),
+      registry: (signal: AbortSignal) => this.#followRegistry(signal),
+      ownership: (signal: AbortSignal) => this.#ownership.run(signal),
+    };
+    for (const [name, task] of Object.entries(tasks)) {
+      supervisor.start({ name, policy, run: (own) => task(own.signal) });
+    }
+    const closed = new Promise<void>((resolve) => {
+      lifecycle.signal.addEventListener('abort', () => {
+        resolve();
+      });
+    });
+    await Promise.race([closed, supervisor.failed]);
+  }
+
+  #followOperator(signal: AbortSignal): Promise<void> {
+    const { operator: source, clock, log, counters } = this.#deps;
+    const apply = ({ items }: { items: OperatorItem[] }) => {
+      for (const { config, wave } of items) {
+        if (config) this.#applyConfig(config);
+        if (wave) this.#waves.set(wave.id, wave);
+      }
+    };
+    const waits = { waitMs: OPERATOR_FEED_WAIT_MS, pauseMs: 0 };
+    return follow({ name: 'operator', source, clock, log, counters, ...waits, apply }, signal);
+  }
+
+  /** A version below the one in force is an older read that arrived late. */
+  #applyConfig(config: BatchConfig): void {
+    if (this.#config && config.version <= this.#config.version) return;
+    const { version, queues, services } = config;
+    this.#deps.log.info('config_in_force', {
+      version,
+      before: this.#config?.version,
+      queues: queues.length,
+      services: services.length,
+    });
+    this.#config = config;
+  }
+
+  #followRegistry(signal: AbortSignal): Promise<void> {
+    const { registry: source, clock, log, counters } = this.#deps;
+    const waits = { waitMs: REGISTRY_FEED_WAIT_MS, pauseMs: REGISTRY_PAUSE_MS };
+    const apply = (
+      { items, removed }: { items: WorkerRecord[]; removed: string[] },
+      isComplete: boolean,
+    ) => {
+      if (isComplete) this.#workers.clear();
+      for (const id of removed) this.#workers.delete(id);
+      for (const record of items) this.#workers.set(record.id, record);
+    };
+    return follow({ name: 'registry', source, clock, log, counters, ...waits, apply }, signal);
+  }
+
+  #startHolding(claim: Claim, supervisor: Supervisor): void {
+    const { service } = claim;
+    void this.#stopHolding(service);
+    const policy = RestartPolicy.OnFailure;
+    const run = service === FLEET_DUTY ? this.#fleetTask(claim) : this.#holderTask(claim);
+    const own = supervisor.start({ name: `hold ${service}`, policy, run });
+    this.#lifecycles.set(service, own);
+  }
+
+  #holderTask(claim: Claim): (lifecycle: Lifecycle) => Promise<void> {
+    const ownership = this.#ownership;
+    return async (lifecycle) => {
+      const holder = new Holder(claim, {
+        ...this.#deps,
+        config: () => this.#config,
+        registered: () => this.#workers.values(),
+        canStart: () => ownership.canStart(),
+        canExtend: () => ownership.canExtend(),
+        onLost: (service, reason) => {
+          ownership.lose(service, reason);
+        },
+      });
+      this.#holders.set(claim.service, holder);
+      lifecycle.own('holder entry', () => {
+        if (this.#holders.get(claim.service) === holder) this.#holders.delete(claim.service);
+      });
+      await holder.run(lifecycle);
+    };
+  }
+
+  #fleetTask(claim: Claim): (lifecycle: Lifecycle) => Promise<void> {
+    const upkeep = new Upkeep({
+      ...this.#deps,
+      claim,
+      holders: this.#directory,
+      waves: () => this.#waves.values(),
+      canStart: () => this.#ownership.canStart() && this.#ownership.holds(FLEET_DUTY),
+    });
+    return (lifecycle) => upkeep.run(lifecycle.signal);
+  }
+
+  async #stopHolding(service: string): Promise<void> {
+    const lifecycle = this.#lifecycles.get(service);
+    this.#lifecycles.delete(service);
+    this.#holders.delete(service);
+    try {
+      await lifecycle?.close();
+    } catch (err) {
+      this.#deps.log.warn('holder_close_failed', { service, error: toError(err).message });
+    }
+  }
+
+  /** Stops taking callers and gives the services back, before a planned stop. */
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    await this.#ownership.leave();
+  }
+}
--- /dev/null
+++ b/src/batch/nodeCalls.ts
@@ -0,0 +1,39 @@
+import type { SubmitOutcome } from './holder.js';
+import type { ServiceLoad } from './serviceLoad.js';
+import type { JobSpec, JobState } from './types.js';
+import type { VacateStatus } from './vacating.js';
+
+/** Kinds of calls between nodes; each goes to the holder of a service. */
+export enum NodeCallKind {
+  Submit = 'submit',
+  Status = 'status',
+  Cancel = 'cancel',
+  Pending = 'pending',
+  Vacate = 'vacate',
+  Readmit = 'readmit',
+  Load = 'load',
+}
+
+/** A call to the holder of a service. */
+export type NodeCall = { service: string } & (
+  | { kind: NodeCallKind.Submit; spec: JobSpec }
+  | { kind: NodeCallKind.Status; job: string }
+  | { kind: NodeCallKind.Cancel; job: string }
+  | { kind: NodeCallKind.Pending; queue: string }
+  | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean }
+  | { kind: NodeCallKind.Readmit; worker: string }
+  | { kind: NodeCallKind.Load }
+);
+
+/** Answer of a holder; `isHolder` is false when the node does not hold the service. */
+export interface NodeAnswer {
+  isHolder: boolean;
+  submitted?: SubmitOutcome;
+  /** State of the job; missing when the holder has no such job. */
+  state?: JobState;
+  /** Whether the cancellation is durable; missing when the holder has no such open job. */
+  isCancelled?: boolean;
+  pending?: number;
+  vacating?: VacateStatus;
+  load?: ServiceLoad;
+}
--- /dev/null
+++ b/src/batch/ownership.ts
@@ -0,0 +1,410 @@
+import Emittery from 'emittery';
+import type { Clock } from '../clock/index.js';
+import { rendezvousScore } from '../membership/rendezvous.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import { claimedHead, headKey } from './journal.js';
+import type { Row, RowKey, RowStore } from './ports.js';
+
+/** Interval of renewing and reading the node rows. */
+const RENEW_INTERVAL_MS = 800;
+/** Unchanged for this long, with the store answering, a node counts as gone. */
+const NODE_EXPIRY_MS = 3_000;
+/** Since its last renewal, a holder starts new runs for this long; below NODE_EXPIRY_MS. */
+const START_AUTHORITY_MS = 2_600;
+/** Since its last renewal, a holder extends leases of running tasks for this long. */
+export const EXTEND_AUTHORITY_MS = 6_000;
+/** A gap between answered reads after which all expiries are counted anew. */
+const READ_GAP_MS = 1_800;
+/** Wait of a new process before its first claim, so that all nodes of a start are seen. */
+const FIRST_CLAIM_DELAY_MS = 900;
+/** Wait of a node for each other live node that is better placed to claim a service. */
+const CLAIM_STAGGER_MS = 500;
+/** Wait of one feed call; short, so that a channel that went silent is noticed. */
+const FEED_WAIT_MS = 1_500;
+const RETRY_MS = 300;
+
+/** Name of the service whose holder gives the orders to the vendor. */
+export const FLEET_DUTY = '@fleet';
+
+/** Who holds a service. */
+export interface Owner {
+  service: string;
+  node: string;
+  incarnation: string;
+  epoch: number;
+  /** `IP:port` of the holder's peer listener. */
+  address: string;
+  /** Set when the holder gave the service back. */
+  isReleased: boolean;
+  /** Version of the row. */
+  version: number;
+}
+
+/** A claim that succeeded. */
+export interface Claim {
+  service: string;
+  epoch: number;
+  /** Version of the head row after the claim. */
+  headVersion: number;
+  /** Whether there was a holder before. */
+  hadOwner: boolean;
+}
+
+/** Events of {@link Ownership}. */
+export interface OwnershipEvents {
+  claimed: Claim;
+  /** This process no longer holds a service. */
+  lost: { service: string; reason: string };
+}
+
+/** Needs of {@link Ownership}. */
+export interface OwnershipDeps {
+  store: RowStore;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  node: string;
+  /** Differs for each life of the process. */
+  incarnation: string;
+  /** `IP:port` of this process's peer listener. */
+  address: string;
+  /** Services that need a holder. */
+  services: () => string[];
+}
+
+interface NodeRow {
+  incarnation: string;
+  address: string;
+}
+
+interface SeenNode extends NodeRow {
+  version: number;
+  /** Monotonic time at which this version was seen first. */
+  seenAt: number;
+}
+
+const nodeKey = (node: string): RowKey => ({ table: 'node', part: '', key: node });
+const ownerKey = (service: string): RowKey => ({ table: 'owner', part: service, key: 'owner' });
+
+/**
+ * Which process holds which service. Each process renews one row; a service whose holder stopped
+ * renewing is claimed with a higher epoch, which is also the fencing token towards its workers.
+ */
+export class Ownership {
+  readonly events = new Emittery<OwnershipEvents>();
+  readonly #deps: OwnershipDeps;
+  readonly #owners = new Map<string, Owner>();
+  readonly #nodes = new Map<string, SeenNode>();
+  readonly #unownedSince = new Map<string, number>();
+  readonly #held = new Map<string, number>();
+  /** Highest epoch of each service that this process held and lost. */
+  readonly #lostEpochs = new Map<string, number>();
+  #renewedAt = -Infinity;
+  #renewedWall = -Infinity;
+  #lastReadAt = -Infinity;
+  #startedAt: number;
+  #isLeaving = false;
+
+  constructor(deps: OwnershipDeps) {
+    this.#deps = deps;
+    this.#startedAt = deps.clock.now();
+  }
+
+  /** The holder of a service as last seen; undefined when none is known. */
+  ownerOf(service: string): Owner | undefined {
+    const owner = this.#owners.get(service);
+    return owner?.isReleased ? undefined : owner;
+  }
+
+  /** Whether this process holds a service, as far as it knows. */
+  holds(service: string): boolean {
+    return this.#held.has(service);
+  }
+
+  /** Names of the live nodes, this one included. */
+  liveNodes(): string[] {
+    const now = this.#deps.clock.now();
+    return [...this.#nodes]
+      .filter(([, { seenAt }]) => now - seenAt < NODE_EXPIRY_MS)
+      .map(([name]) => name);
+  }
+
+  /** Peer addresses of the live nodes but this one. */
+  peerAddresses(): string[] {
+    const live = new Set(this.liveNodes());
+    return [...this.#nodes]
+      .filter(([name]) => live.has(name) && name !== this.#deps.node)
+      .map(([, { address }]) => address);
+  }
+
+  /** Whether the last renewal is recent enough to start new runs. */
+  canStart(): boolean {
+    return this.#renewalAge() < START_AUTHORITY_MS;
+  }
+
+  /** Whether the last renewal is recent enough to extend leases. */
+  canExtend(): boolean {
+    return this.#renewalAge() < EXTEND_AUTHORITY_MS;
+  }
+
+  /** Whether the store answered recently. */
+  isStoreReachable(): boolean {
+    return this.#deps.clock.now() - this.#lastReadAt < NODE_EXPIRY_MS;
+  }
+
+  /**
+   * Milliseconds since the last renewal was sent. The time of day counts as well: a suspended
+   * VM's steady clock stands still.
+   */
+  #renewalAge(): number {
+    const { clock } = this.#deps;
+    return Math.max(clock.now() - this.#renewedAt, clock.wallTime() - this.#renewedWall);
+  }
+
+  /** Renews, watches and claims until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.#renewLoop(signal), this.#watchOwners(signal)]);
+  }
+
+  async #renewLoop(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#deps;
+    do {
+      await Promise.all([this.#renew(), this.#readNodes()]);
+      if (this.isStoreReachable() && !this.#isLeaving) await this.#claimFree();
+    } while (await clock.sleep(RENEW_INTERVAL_MS, signal));
+  }
+
+  async #renew(): Promise<void> {
+    if (this.#isLeaving) return;
+    const { clock, store, node, incarnation, address, log, counters } = this.#deps;
+    const sentAt = clock.now();
+    const sentWall = clock.wallTime();
+    const row: NodeRow = { incarnation, address };
+    const res = await store.transact({
+      conditions: [],
+      writes: [{ ...nodeKey(node), value: JSON.stringify(row) }],
+      removes: [],
+    });
+    if (res.isErr) {
+      counters.count('renewal_failures', res.error.code);
+      log.warn('renewal_failed', { node, reason: res.error.code, age_ms: this.#renewalAge() | 0 });
+      return;
+    }
+    this.#renewedAt = sentAt;
+    this.#renewedWall = sentWall;
+  }
+
+  async #readNodes(): Promise<void> {
+    const { clock, store } = this.#deps;
+    const res = await store.readPart('node', '');
+    if (res.isErr) return;
+    const now = clock.now();
+    const hadGap = now - this.#lastReadAt > READ_GAP_MS;
+    this.#lastReadAt = now;
+    const names = new Set<string>();
+    for (const row of res.value.rows) {
+      const value = parseRow(row) as NodeRow | undefined;
+      if (!value) continue;
+      names.add(row.key);
+      const seen = this.#nodes.get(row.key);
+      const isChanged = seen?.version !== row.version;
+      const seenAt = isChanged || hadGap ? now : seen.seenAt;
+      this.#nodes.set(row.key, { ...value, version: row.version, seenAt });
+    }
+    for (const name of this.#nodes.keys()) if (!names.has(name)) this.#nodes.delete(name);
+  }
+
+  async #watchOwners(signal: AbortSignal): Promise<void> {
+    const { store, clock } = this.#deps;
+    let after: number | undefined;
+    while (!signal.aborted) {
+      if (after === undefined) {
+        after = await this.#readOwners();
+        if (after === undefined) await clock.sleep(RETRY_MS, signal);
+        continue;
+      }
+      const res = await store.feed('owner', after, FEED_WAIT_MS, signal);
+      if (res.isOk) {
+        for (const row of res.value.rows) this.#seeOwner(row);
+        after = res.value.version;
+        continue;
+      }
+      after = undefined;
+      await clock.sleep(RETRY_MS, signal);
+    }
+  }
+
+  async #readOwners(): Promise<number | undefined> {
+    let oldest: number | undefined;
+    for (const service of this.#deps.services()) {
+      const res = await this.#deps.store.readPart('owner', service);
+      if (res.isErr) return undefined;
+      for (const row of res.value.rows) this.#seeOwner(row);
+      oldest ??= res.value.version;
+    }
+    return oldest;
+  }
+
+  /** Whether the process that holds a service, by its row, is alive. */
+  #isAlive(owner: Owner): boolean {
+    const { clock, node, incarnation } = this.#deps;
+    if (owner.node === node) {
+      return owner.incarnation === incarnation && this.#held.has(owner.service);
+    }
+    const seen = this.#nodes.get(owner.node);
+    if (seen?.incarnation !== owner.incarnation) return false;
+    return clock.now() - seen.seenAt < NODE_EXPIRY_MS;
+  }
+
+  #seeOwner(row: Row): void {
+    const value = parseRow(row) as Omit<Owner, 'service' | 'version'> | undefined;
+    if (!value) return;
+    const known = this.#owners.get(row.part);
+    if (known && known.version >= row.version) return;
+    const owner = { ...value, service: row.part, version: row.version };
+    this.#owners.set(row.part, owner);
+    const heldEpoch = this.#held.get(row.part);
+    if (heldEpoch !== undefined && owner.epoch > heldEpoch) {
+      this.lose(row.part, `epoch ${owner.epoch} belongs to ${owner.node}`);
+    }
+    if (this.#isOwnNewClaim(owner)) this.#claimed(owner, known);
+  }
+
+  /** Whether the row shows a claim of this process that had no answer. */
+  #isOwnNewClaim(owner: Owner): boolean {
+    const { node, incarnation } = this.#deps;
+    if (owner.node !== node || owner.incarnation !== incarnation || owner.isReleased) return false;
+    if (this.#isLeaving || this.#held.has(owner.service)) return false;
+    return owner.epoch > (this.#lostEpochs.get(owner.service) ?? 0);
+  }
+
+  async #claimFree(): Promise<void> {
+    const { clock, services } = this.#deps;
+    const now = clock.now();
+    if (now - this.#startedAt < FIRST_CLAIM_DELAY_MS) return;
+    for (const service of services()) {
+      const owner = this.#owners.get(service);
+      if (this.#held.has(service) || (owner && !owner.isReleased && this.#isAlive(owner))) {
+        this.#unownedSince.delete(service);
+        continue;
+      }
+      const since = this.#unownedSince.get(service) ?? now;
+      this.#unownedSince.set(service, since);
+      const isOwn = owner?.node === this.#deps.node && !owner.isReleased;
+      const wait = isOwn ? 0 : this.#rank(service) * CLAIM_STAGGER_MS;
+      if (now - since >= wait) await this.#claim(service);
+    }
+  }
+
+  /** How many live nodes are better placed to hold a service: fewer services, then by hash. */
+  #rank(service: string): number {
+    const counts = new Map(this.liveNodes().map((node) => [node, 0]));
+    counts.set(this.#deps.node, 0);
+    for (const owner of this.#owners.values()) {
+      const count = counts.get(owner.node);
+      if (count !== undefined && !owner.isReleased && this.#isAlive(owner)) {
+        counts.set(owner.node, count + 1);
+      }
+    }
+    const own = counts.get(this.#deps.node) ?? 0;
+    const ownHash = rendezvousScore(this.#deps.node, service);
+    let better = 0;
+    for (const [node, count] of counts) {
+      if (node === this.#deps.node) continue;
+      if (count < own || (count === own && rendezvousScore(node, service) > ownHash)) better++;
+    }
+    return better;
+  }
+
+  async #claim(service: string): Promise<void> {
+    const { store, node, incarnation, address, log, counters } = this.#deps;
+    const before = this.#owners.get(service);
+    const epoch = (before?.epoch ?? 0) + 1;
+    const row = { node, incarnation, epoch, address, isReleased: false };
+    const res = await store.transact({
+      conditions: [{ ...ownerKey(service), version: before?.version ?? 0 }],
+      writes: [
+        { ...ownerKey(service), value: JSON.stringify(row) },
+        { ...headKey(service), value: claimedHead(epoch) },
+      ],
+      removes: [],
+    });
+    if (res.isErr) {
+      counters.count('claims', res.error.code);
+      log.warn('claim_failed', { service, epoch, reason: res.error.code });
+      await this.#resolveClaim(service);
+      return;
+    }
+    if (!res.value.isApplied) {
+      counters.count('claims', 'conflict');
+      for (const current of res.value.rows) this.#seeOwner(current);
+      return;
+    }
+    this.#claimed({ ...row, service, version: res.value.version }, before);
+  }
+
+  /** Reads back a claim whose answer was lost. */
+  async #resolveClaim(service: string): Promise<void> {
+    const res = await this.#deps.store.readRow(ownerKey(service));
+    if (res.isOk && res.value) this.#seeOwner(res.value);
+  }
+
+  #claimed(owner: Owner, before: Owner | undefined): void {
+    const { log, counters } = this.#deps;
+    const { service, epoch, version } = owner;
+    const reason = takeoverReason(before);
+    this.#owners.set(service, owner);
+    this.#held.set(service, epoch);
+    this.#unownedSince.delete(service);
+    counters.count('takeovers', reason);
+    log.info('service_claimed', { service, epoch, reason, before: before?.node });
+    const claim = { service, epoch, headVersion: version, hadOwner: before !== undefined };
+    void this.events.emit('claimed', claim);
+  }
+
+  /** Forgets that this process holds a service. */
+  lose(service: string, reason: string): void {
+    const epoch = this.#held.get(service);
+    if (epoch === undefined) return;
+    this.#held.delete(service);
+    this.#lostEpochs.set(service, epoch);
+    this.#deps.log.warn('service_lost', { service, reason });
+    this.#deps.counters.count('services_lost', 'superseded');
+    void this.events.emit('lost', { service, reason });
+  }
+
+  /** Gives all services back and removes the row of this node, before a planned stop. */
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    const { store, node, log } = this.#deps;
+    for (const service of [...this.#held.keys()]) {
+      const owner = this.#owners.get(service);
+      this.lose(service, 'planned stop');
+      if (!owner) continue;
+      const { version, ...row } = owner;
+      const res = await store.transact({
+        conditions: [{ ...ownerKey(service), version }],
+        writes: [{ ...ownerKey(service), value: JSON.stringify({ ...row, isReleased: true }) }],
+        removes: [],
+      });
+      const outcome = res.isOk ? (res.value.isApplied ? 'applied' : 'conflict') : res.error.code;
+      log.info('service_released', { service, epoch: row.epoch, outcome });
+    }
+    const res = await store.transact({ conditions: [], writes: [], removes: [nodeKey(node)] });
+    if (res.isErr) log.warn('node_row_left_behind', { node, reason: res.error.code });
+  }
+}
+
+function takeoverReason(before: Owner | undefined): string {
+  if (!before) return 'first';
+  return before.isReleased ? 'released' : 'expired';
+}
+
+function parseRow(row: Row): unknown {
+  try {
+    return JSON.parse(row.value);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/batch/pacing.ts
@@ -0,0 +1,48 @@
+import type { Run, Worker } from './worker.js';
+
+/** Share of the response time target above which what fills beside a task is slowed. */
+const SLOW_ABOVE = 0.85;
+/** Share of the target below which what fills may speed up again. */
+const SPEED_BELOW = 0.55;
+/** Share at which a slowed task works next, as part of its present share. */
+const SLOW_FACTOR = 0.5;
+/** Below this percentage a slowed task pauses. */
+const PAUSE_BELOW = 15;
+/** Percentage points added while all serving tasks are well below their targets. */
+const SPEED_STEP = 20;
+
+/** A new pace for a run, in percent. */
+export interface PaceChange {
+  run: Run;
+  percent: number;
+}
+
+/**
+ * Paces the tasks that fill a worker so that the serving ones beside them stay below their
+ * response time targets. Slows at once by half and speeds up in steps, because a missed target
+ * costs more than slow filling and the disturbance changes within seconds.
+ */
+export function choosePaces(worker: Worker): PaceChange[] {
+  const runs = [...worker.runs.values()];
+  const fillers = runs.filter(({ task }) => task.step.spec.fillsSpare);
+  if (fillers.length === 0) return [];
+  const strain = Math.max(0, ...runs.map(strainOf));
+  if (strain > SLOW_ABOVE) {
+    return fillers.filter(({ pace }) => pace > 0).map((run) => ({ run, percent: slowed(run) }));
+  }
+  if (strain >= SPEED_BELOW) return [];
+  return fillers
+    .filter(({ pace }) => pace < 100)
+    .map((run) => ({ run, percent: Math.min(100, run.pace + SPEED_STEP) }));
+}
+
+function slowed({ pace }: Run): number {
+  const next = Math.floor(pace * SLOW_FACTOR);
+  return next < PAUSE_BELOW ? 0 : next;
+}
+
+/** Response time tail as a share of the target; 0 for a task that serves nobody. */
+function strainOf({ task, figure, percent }: Run): number {
+  const { targetMs } = task.step.spec;
+  return targetMs > 0 && percent > 0 ? figure / targetMs : 0;
+}
--- /dev/null
+++ b/src/batch/placement.ts
@@ -0,0 +1,181 @@
+import type { Step, Task } from './job.js';
+import type { StepSpec } from './types.js';
+import type { Worker } from './worker.js';
+
+/** A task and the worker chosen for it. */
+export interface Assignment {
+  task: Task;
+  worker: Worker;
+}
+
+/** Score of a worker on the rack that holds the input, above any difference in free room. */
+const NEAR_SCORE = 4;
+/** Score against a worker that failed the task last or fails what it starts. */
+const FAILURE_SCORE = -8;
+
+/** Weight of one lasting task of the same step or job beside it, so that these spread. */
+const SPREAD_SCORE = -1;
+
+/**
+ * Places the idle tasks of steps in the given order. `assign` must reserve the room at once.
+ *
+ * @param steps - steps that may start, most urgent first
+ * @param workers - workers of the service
+ * @param now - monotonic milliseconds
+ * @param assign - called for each task that gets a worker
+ * @returns number of tasks that found no room
+ */
+export function placeSteps(
+  steps: Iterable<Step>,
+  workers: readonly Worker[],
+  now: number,
+  assign: (assignment: Assignment) => void,
+): number {
+  const usable = workers.filter((worker) => worker.canTake(now));
+  const failedNeeds: StepSpec[] = [];
+  let left = 0;
+  for (const step of steps) {
+    const { spec } = step;
+    if (failedNeeds.some((failed) => needsAtLeast(spec, failed))) {
+      left += step.idleCount;
+      continue;
+    }
+    const tasks = step.tasks.filter((task) => !task.isDone && !task.run && task.notBefore <= now);
+    const placed = spec.isGang
+      ? placeGang(step, tasks, usable, assign)
+      : placeEach(step, tasks, usable, assign);
+    if (placed < tasks.length) {
+      left += tasks.length - placed;
+      if (isPlain(step) && !spec.isGang) failedNeeds.push(spec);
+    }
+  }
+  return left;
+}
+
+/** Whether any worker with room will do. */
+function isPlain({ spec, allowedWorkers }: Step): boolean {
+  return spec.requiredLabel === undefined && spec.maxPerWorker === 0 && !allowedWorkers;
+}
+
+/** Whether a step that needs as much as a step without room finds none either. */
+function needsAtLeast(spec: StepSpec, failed: StepSpec): boolean {
+  return (
+    spec.cpuMillis >= failed.cpuMillis &&
+    spec.memoryMb >= failed.memoryMb &&
+    spec.accelerators >= failed.accelerators &&
+    spec.fillsSpare === failed.fillsSpare
+  );
+}
+
+function placeEach(
+  step: Step,
+  tasks: readonly Task[],
+  workers: readonly Worker[],
+  assign: (assignment: Assignment) => void,
+): number {
+  let placed = 0;
+  for (const task of tasks) {
+    const worker = chooseWorker(step, task, workers);
+    if (!worker) {
+      if (task.avoid === undefined) break;
+      continue;
+    }
+    assign({ task, worker });
+    placed++;
+  }
+  return placed;
+}
+
+/** Places all members or none. */
+function placeGang(
+  step: Step,
+  tasks: readonly Task[],
+  workers: readonly Worker[],
+  assign: (assignment: Assignment) => void,
+): number {
+  if (tasks.length < step.spec.count) return 0;
+  const chosen: Assignment[] = [];
+  for (const task of tasks) {
+    const fits = (worker: Worker) => {
+      const beside = chosen.filter((other) => other.worker === worker).length;
+      return hasRoomFor(step, worker, beside);
+    };
+    const worker = chooseWorker(step, task, workers.filter(fits), chosen);
+    if (!worker) return 0;
+    chosen.push({ task, worker });
+  }
+  chosen.forEach(assign);
+  return chosen.length;
+}
+
+/** Whether one more task of a step fits beside `beside` others that are not reserved yet. */
+function hasRoomFor({ spec }: Step, worker: Worker, beside: number): boolean {
+  const times = beside + 1;
+  const needs = {
+    cpuMillis: spec.cpuMillis * times,
+    memoryMb: spec.memoryMb * times,
+    accelerators: spec.accelerators * times,
+  };
+  return worker.hasRoom(needs, spec.fillsSpare);
+}
+
+function chooseWorker(
+  step: Step,
+  task: Task,
+  workers: readonly Worker[],
+  chosen: readonly Assignment[] = [],
+): Worker | undefined {
+  let best: Worker | undefined;
+  let bestScore = -Infinity;
+  for (const worker of workers) {
+    if (!isAllowed(step, worker, chosen)) continue;
+    const score = scoreOf(step, task, worker, chosen);
+    if (score <= bestScore) continue;
+    best = worker;
+    bestScore = score;
+  }
+  return best;
+}
+
+function isAllowed(step: Step, worker: Worker, chosen: readonly Assignment[]): boolean {
+  const { spec, allowedWorkers } = step;
+  const { id, labels } = worker.record;
+  if (allowedWorkers && !allowedWorkers.has(id)) return false;
+  if (spec.requiredLabel !== undefined && !labels.includes(spec.requiredLabel)) return false;
+  if (!worker.hasRoom(spec, spec.fillsSpare)) return false;
+  if (spec.maxPerWorker === 0) return true;
+  const here = countOnWorker(step.tasks, worker);
+  const planned = chosen.filter((other) => other.worker === worker).length;
+  return here + planned < spec.maxPerWorker;
+}
+
+/** Tasks of a step that run on a worker, or may run there. */
+export function countOnWorker(tasks: readonly Task[], worker: Worker): number {
+  let count = 0;
+  for (const { run } of tasks) if (run?.worker === worker) count++;
+  return count;
+}
+
+/** Fullest worker first, so that others stay empty for large tasks and for planned work. */
+function scoreOf(step: Step, task: Task, worker: Worker, chosen: readonly Assignment[]): number {
+  const { spec } = step;
+  const { capacity, labels } = worker.record;
+  const share = capacity.cpuMillis > 0 ? worker.cpuUsed / capacity.cpuMillis : 1;
+  let score = spec.isLasting ? -share : share;
+  if (spec.dataRack !== undefined && labels.includes(spec.dataRack)) score += NEAR_SCORE;
+  if (spec.isColocated && sharesRack(step, worker, chosen)) score += NEAR_SCORE;
+  if (task.avoid === worker.record.id) score += FAILURE_SCORE;
+  if (worker.failuresInRow > 1) score += FAILURE_SCORE;
+  if (spec.isLasting) {
+    for (const run of worker.runs.values()) if (run.task.step.spec.isLasting) score += SPREAD_SCORE;
+  }
+  return score;
+}
+
+/** Whether a worker shares a label with one that has or gets a task of the step. */
+function sharesRack(step: Step, worker: Worker, chosen: readonly Assignment[]): boolean {
+  const other = step.tasks.find((task) => task.run)?.run?.worker ?? chosen[0]?.worker;
+  if (!other) return false;
+  const labels = new Set(other.record.labels);
+  return worker.record.labels.every((label) => labels.has(label));
+}
--- /dev/null
+++ b/src/batch/recovery.ts
@@ -0,0 +1,146 @@
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import { Job } from './job.js';
+import { decodeJob } from './jobCodec.js';
+import type { JobTable } from './jobTable.js';
+import { EXTEND_AUTHORITY_MS, type Claim } from './ownership.js';
+import type { Row, RowStore } from './ports.js';
+import { LEASE_MS } from './runControl.js';
+import { JobState, type WorkerRecord } from './types.js';
+import type { Worker } from './worker.js';
+import type { WorkerSessions } from './workerSessions.js';
+
+/**
+ * After a takeover, tasks may still run on a worker that cannot be reached until the earlier
+ * holder's authority and then the last lease that it could give have ended, with the drift of the
+ * worker's clock.
+ */
+const UNREACHED_WAIT_MS = EXTEND_AUTHORITY_MS + LEASE_MS * 1.03 + 300;
+/** Runs of one task that one holder starts, at most; separates the numbers of successive holders. */
+const RUNS_PER_EPOCH = 1_000;
+const RETRY_MS = 200;
+
+/** Needs of {@link Recovery}. */
+export interface RecoveryDeps {
+  claim: Claim;
+  store: RowStore;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  jobs: JobTable;
+  sessions: WorkerSessions;
+  place: () => void;
+}
+
+/** Loads what an earlier holder left, and says which of its jobs may start tasks yet. */
+export class Recovery {
+  readonly #deps: RecoveryDeps;
+  /** Ids of jobs of which an earlier holder may have started tasks. */
+  readonly #inherited = new Set<string>();
+  /** Workers on which such tasks may run. */
+  #unreached: Worker[] = [];
+  #waitUntil = 0;
+  isLoaded = false;
+
+  constructor(deps: RecoveryDeps) {
+    this.#deps = deps;
+  }
+
+  /**
+   * Reads the rows of the service, retrying until the store answers.
+   *
+   * @returns version of the store from which the inbox is to be followed
+   */
+  async load(signal: AbortSignal): Promise<number | undefined> {
+    const { claim, clock, log, counters } = this.#deps;
+    const startedAt = clock.now();
+    this.#waitUntil = startedAt + UNREACHED_WAIT_MS;
+    const inbox = await this.#read('inbox', signal);
+    const roster = await this.#read('roster', signal);
+    const jobs = await this.#read('job', signal);
+    const progress = await this.#read('progress', signal);
+    if (!inbox || !roster || !jobs || !progress) return undefined;
+    this.#loadRoster(roster.rows);
+    const progressById = new Map(progress.rows.map((row) => [row.key, row.value]));
+    for (const row of [...jobs.rows, ...inbox.rows]) this.#loadJob(row, progressById);
+    this.isLoaded = true;
+    counters.observe('recovery_ms', clock.now() - startedAt);
+    log.info('service_loaded', {
+      service: claim.service,
+      epoch: claim.epoch,
+      jobs: this.#inherited.size,
+      workers: this.#unreached.length,
+      took_ms: Math.round(clock.now() - startedAt),
+    });
+    this.#deps.place();
+    return inbox.version;
+  }
+
+  async #read(
+    table: string,
+    signal: AbortSignal,
+  ): Promise<{ rows: Row[]; version: number } | undefined> {
+    const { store, clock, claim, counters } = this.#deps;
+    while (!signal.aborted) {
+      const res = await store.readPart(table, claim.service);
+      if (res.isOk) return res.value;
+      counters.count('store_retries', res.error.code);
+      await clock.sleep(RETRY_MS, signal);
+    }
+    return undefined;
+  }
+
+  #loadRoster(rows: readonly Row[]): void {
+    const { sessions, log } = this.#deps;
+    for (const { value } of rows) {
+      try {
+        sessions.addFromRoster(JSON.parse(value) as WorkerRecord[]);
+      } catch (err) {
+        log.warn('roster_unreadable', { error: String(err) });
+      }
+    }
+    this.#unreached = [...sessions.all()];
+  }
+
+  #loadJob(row: Row, progressById: ReadonlyMap<string, string>): void {
+    const { claim, clock, jobs, log } = this.#deps;
+    if (row.key.endsWith('!')) return;
+    const spec = decodeJob(row.value);
+    if (spec.isErr) {
+      log.warn('job_row_unreadable', { job: row.key, reason: spec.error.code });
+      return;
+    }
+    const wall = clock.wallTime();
+    const age = Math.max(0, wall - spec.value.acceptedMs);
+    const firstRun = (claim.epoch - 1) * RUNS_PER_EPOCH + 1;
+    const job = new Job(spec.value, clock.now() - age, firstRun);
+    if (row.table === 'inbox') job.inboxKeys.add(row.key);
+    const progress = progressById.get(row.key);
+    if (progress !== undefined) {
+      job.hasProgressRow = true;
+      job.state = JobState.Running;
+      const applied = job.applyProgress(progress);
+      if (applied.isErr) log.warn('progress_row_unreadable', { job: row.key });
+    }
+    job.openDue(wall);
+    jobs.add(job);
+    this.#inherited.add(row.key);
+    if (job.isComplete) void jobs.close(job, JobState.Succeeded);
+  }
+
+  /** Whether no task of a job can still run out of this holder's sight. */
+  mayStart(job: Job): boolean {
+    if (this.#inherited.size === 0 || !this.#inherited.has(job.spec.id)) return true;
+    const { clock, log, claim } = this.#deps;
+    this.#unreached = this.#unreached.filter((worker) => !worker.isHeld && !worker.isGone);
+    if (this.#unreached.length > 0 && clock.now() < this.#waitUntil) return false;
+    log.info('inherited_jobs_released', {
+      service: claim.service,
+      jobs: this.#inherited.size,
+      unreached: this.#unreached.length,
+    });
+    this.#inherited.clear();
+    return true;
+  }
+}
--- /dev/null
+++ b/src/batch/runControl.ts
@@ -0,0 +1,394 @@
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { Job, Task } from './job.js';
+import { parseTaskName } from './jobCodec.js';
+import type { JobTable } from './jobTable.js';
+import { choosePaces } from './pacing.js';
+import {
+  OrderAnswer,
+  type ListedEnd,
+  type ListedRun,
+  type OrderReply,
+  type WorkerClient,
+} from './ports.js';
+import { JobState, RunEnd } from './types.js';
+import { RunPhase, type Run, type Worker } from './worker.js';
+
+/** Lease given with each order. Below the platform's longest lease of 6 s. */
+export const LEASE_MS = 5_000;
+/** Wait before an unanswered stop is sent again. */
+const STOP_RETRY_MS = 200;
+/** A worker that refused for want of room gets nothing new for this long. */
+const NO_ROOM_PAUSE_MS = 150;
+/** An unhealthy worker gets nothing new for this long. */
+const UNHEALTHY_PAUSE_MS = 1_000;
+/** A worker that did not answer a start gets nothing new for this long. */
+const UNANSWERED_PAUSE_MS = 500;
+/** Base and bound of the pause of a worker on which several runs failed in a row. */
+const FAILURE_PAUSE_MS = 250;
+const FAILURE_PAUSE_MAX_MS = 4_000;
+/** Failures in a row from which a worker is paused; single ones are the tasks' own. */
+const FAILURES_BEFORE_PAUSE = 3;
+/** Wait before a lasting task that failed starts again. */
+const LASTING_RETRY_MS = 100;
+
+/** Needs of a {@link RunControl}. */
+export interface RunControlDeps {
+  workers: WorkerClient;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  /** Fencing token of all orders. */
+  epoch: number;
+  jobs: JobTable;
+  maxAttempts: (queue: string) => number;
+  /** Asks for a placement round. */
+  place: () => void;
+  /** Tells that a worker has seen a higher fencing token. */
+  lose: (reason: string) => void;
+}
+
+/** Starts, stops and follows the runs of a service's tasks. */
+export class RunControl {
+  readonly #deps: RunControlDeps;
+  #isLost = false;
+
+  constructor(deps: RunControlDeps) {
+    this.#deps = deps;
+  }
+
+  /** Starts a task on a worker. Its room is reserved at once. */
+  start(task: Task, worker: Worker, ticket?: string): void {
+    const { step } = task;
+    const { job } = step;
+    let number = task.nextRun;
+    if (step.spec.isGang) {
+      const isFirst = step.idleCount === step.spec.count;
+      if (isFirst) step.gangRun = Math.max(...step.tasks.map(({ nextRun }) => nextRun));
+      number = step.gangRun;
+    }
+    const run = this.#createRun(task, worker, number, RunPhase.Starting);
+    job.attach(task, run);
+    worker.add(run);
+    void this.#sendStart(run, ticket);
+  }
+
+  #createRun(task: Task, worker: Worker, number: number, phase: RunPhase): Run {
+    const startedAt = this.#deps.clock.now();
+    const idle = { isStopSent: false, percent: 0, figure: 0, pace: 100 };
+    return { task, worker, number, phase, startedAt, ...idle };
+  }
+
+  async #sendStart(run: Run, ticket: string | undefined): Promise<void> {
+    const { workers, clock, epoch, counters } = this.#deps;
+    const { task, worker, number } = run;
+    const untilMs = worker.lease(LEASE_MS, clock.now());
+    if (untilMs === undefined) {
+      this.#requeue(run);
+      return;
+    }
+    const reply = await workers.start(worker.record, {
+      task: task.name,
+      run: number,
+      payload: task.step.job.spec.payload,
+      untilMs,
+      fencingToken: epoch,
+      checkpoint: task.checkpoint,
+      ticket,
+    });
+    counters.count('starts', reply.answer);
+    this.#handleStartReply(run, reply);
+  }
+
+  #handleStartReply(run: Run, reply: OrderReply): void {
+    const { clock, log, counters } = this.#deps;
+    const { task, worker, number } = run;
+    if (task.run !== run) return;
+    const { job } = task.step;
+    const now = clock.now();
+    if (reply.clockMs !== undefined) worker.readClock(reply.clockMs, now);
+    log.info('task_start', {
+      job: job.spec.id,
+      task: task.name,
+      run: number,
+      worker: worker.record.id,
+      answer: reply.answer,
+      took_ms: Math.round(now - run.startedAt),
+      fence: this.#deps.epoch,
+    });
+    switch (reply.answer) {
+      case OrderAnswer.Done:
+        run.settledClockMs = reply.clockMs;
+        if (job.state === JobState.Queued) {
+          job.state = JobState.Running;
+          counters.observe('job_start_wait_ms', now - job.acceptedAt);
+        }
+        if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
+        else void this.#sendStop(run);
+        return;
+      case OrderAnswer.NoAnswer:
+        worker.avoidUntil = now + UNANSWERED_PAUSE_MS;
+        run.phase = RunPhase.Unconfirmed;
+        this.stop(run, 'start_unanswered');
+        break;
+      case OrderAnswer.Fenced:
+        this.#lost(worker);
+        return;
+      case OrderAnswer.RunTooOld:
+        task.nextRun = number + 1;
+        this.#requeue(run);
+        break;
+      case OrderAnswer.NoRoom:
+        worker.avoidUntil = now + NO_ROOM_PAUSE_MS;
+        this.#requeue(run);
+        break;
+      case OrderAnswer.Unhealthy:
+        worker.avoidUntil = now + UNHEALTHY_PAUSE_MS;
+        this.#requeue(run);
+        break;
+      case OrderAnswer.Malformed:
+        task.notBefore = now + UNHEALTHY_PAUSE_MS;
+        this.#requeue(run);
+        break;
+      case OrderAnswer.OtherInstance:
+        this.dropWorker(worker, 'address_reused');
+        break;
+      case OrderAnswer.LeaseInPast:
+      case OrderAnswer.TicketRefused:
+        this.#requeue(run);
+        break;
+    }
+    this.#breakGang(task);
+  }
+
+  /** Stops the members of a gang that cannot become complete. */
+  #breakGang({ step }: Task): void {
+    if (!step.spec.isGang) return;
+    for (const { run } of step.tasks) if (run) this.stop(run, 'gang_incomplete');
+  }
+
+  #requeue(run: Run): void {
+    this.#detach(run);
+    this.#deps.place();
+  }
+
+  #detach(run: Run): void {
+    const { task, worker } = run;
+    worker.remove(run);
+    if (task.run === run) task.step.job.detach(task);
+  }
+
+  #lost(worker: Worker): void {
+    if (this.#isLost) return;
+    this.#isLost = true;
+    this.#deps.lose(`worker ${worker.record.id} has seen a higher fencing token`);
+  }
+
+  /** Tells a run to stop. Its room is free once the worker lists the end. */
+  stop(run: Run, reason: string): void {
+    if (run.phase === RunPhase.Stopping) return;
+    const isStarting = run.phase === RunPhase.Starting;
+    run.phase = RunPhase.Stopping;
+    this.#deps.counters.count('stops', reason);
+    this.#deps.log.info('task_stop', {
+      job: run.task.step.job.spec.id,
+      task: run.task.name,
+      run: run.number,
+      worker: run.worker.record.id,
+      reason,
+    });
+    // The stop of a run whose start is under way follows the answer to the start.
+    if (!isStarting) void this.#sendStop(run);
+  }
+
+  /** Stops all runs of a job. */
+  stopAll(job: Job, reason: string): void {
+    for (const { run } of job.tasks()) if (run) this.stop(run, reason);
+  }
+
+  async #sendStop(run: Run): Promise<void> {
+    const { workers, clock, epoch } = this.#deps;
+    const { task, worker, number } = run;
+    if (run.isStopSent) return;
+    run.isStopSent = true;
+    while (worker.runs.get(task.name) === run && !worker.isGone && !this.#isLost) {
+      const order = { task: task.name, run: number, fencingToken: epoch };
+      const reply = await workers.stop(worker.record, order);
+      if (reply.answer === OrderAnswer.Fenced) {
+        this.#lost(worker);
+        return;
+      }
+      if (reply.answer === OrderAnswer.OtherInstance) {
+        this.dropWorker(worker, 'address_reused');
+        return;
+      }
+      if (reply.clockMs !== undefined && reply.answer !== OrderAnswer.Unhealthy) {
+        run.settledClockMs = reply.clockMs;
+        return;
+      }
+      this.#deps.counters.count('order_retries', `stop_${reply.answer}`);
+      await clock.sleep(STOP_RETRY_MS);
+    }
+  }
+
+  /** Applies an end that a worker lists. */
+  applyEnd(worker: Worker, ended: ListedEnd): void {
+    const { jobs, log, place } = this.#deps;
+    const run = worker.runs.get(ended.task);
+    const isCurrent = run?.number === ended.run;
+    if (run && isCurrent) this.#detach(run);
+    const address = parseTaskName(ended.task);
+    const job = address && jobs.get(address.job);
+    log.info('task_end', {
+      job: address?.job,
+      task: ended.task,
+      run: ended.run,
+      worker: worker.record.id,
+      end: ended.end,
+      ran_ms: run && isCurrent ? Math.round(this.#deps.clock.now() - run.startedAt) : undefined,
+    });
+    this.#deps.counters.count('task_ends', ended.end);
+    if (!job || job.closedAs) return;
+    const task = job.task(address.occurrence, address.step, address.index);
+    if (!task) return;
+    task.nextRun = Math.max(task.nextRun, ended.run + 1);
+    if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    if (ended.end === RunEnd.Done) this.#applyDone(worker, task);
+    if (ended.end === RunEnd.Failed) this.#applyFailure(worker, task, ended.run);
+    place();
+  }
+
+  #applyDone(worker: Worker, task: Task): void {
+    worker.failuresInRow = 0;
+    const { step } = task;
+    if (step.spec.isLasting) return;
+    const { job } = step;
+    for (const member of step.spec.isGang ? step.tasks : [task]) {
+      job.complete(member);
+      if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
+    }
+    if (job.isComplete) void this.#deps.jobs.close(job, JobState.Succeeded);
+    else this.#deps.jobs.changed(job);
+  }
+
+  #applyFailure(worker: Worker, task: Task, runNumber: number): void {
+    const { clock, jobs, maxAttempts } = this.#deps;
+    const now = clock.now();
+    worker.failuresInRow++;
+    if (worker.failuresInRow >= FAILURES_BEFORE_PAUSE) {
+      const doublings = worker.failuresInRow - FAILURES_BEFORE_PAUSE;
+      worker.avoidUntil = now + Math.min(FAILURE_PAUSE_MAX_MS, FAILURE_PAUSE_MS * 2 ** doublings);
+    }
+    task.avoid = worker.record.id;
+    const { step } = task;
+    if (step.spec.isLasting) {
+      task.notBefore = now + LASTING_RETRY_MS;
+      return;
+    }
+    if (runNumber <= task.lastFailedRun) return;
+    task.lastFailedRun = runNumber;
+    task.failures++;
+    const members = step.spec.isGang ? step.tasks : [task];
+    const failures = members.reduce((sum, member) => sum + member.failures, 0);
+    if (failures >= maxAttempts(step.job.spec.queue)) {
+      void jobs.close(step.job, JobState.Failed);
+      this.stopAll(step.job, 'job_failed');
+      return;
+    }
+    jobs.changed(step.job);
+  }
+
+  /** Compares what a worker lists as running with what is known, and settles the differences. */
+  reconcile(worker: Worker, running: readonly ListedRun[], clockMs: number): void {
+    const listed = new Map(running.map((entry) => [entry.task, entry]));
+    for (const run of [...worker.runs.values()]) {
+      const entry = listed.get(run.task.name);
+      if (entry?.run === run.number) this.#refresh(run, entry, clockMs);
+      else if (run.settledClockMs !== undefined && run.settledClockMs < clockMs) {
+        this.#drop(run, 'not_listed');
+      }
+    }
+    let hasOrphans = false;
+    for (const entry of running) {
+      if (worker.runs.get(entry.task)?.number === entry.run) continue;
+      if (this.#adopt(worker, entry, clockMs)) continue;
+      hasOrphans = true;
+      void this.#stopOrphan(worker, entry);
+    }
+    // Their size is unknown, so nothing new starts beside them.
+    if (hasOrphans) worker.avoidUntil = this.#deps.clock.now() + STOP_RETRY_MS * 2;
+    this.#pace(worker);
+  }
+
+  #refresh(run: Run, entry: ListedRun, clockMs: number): void {
+    run.percent = entry.percent;
+    run.figure = entry.figure;
+    if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
+    if (run.phase === RunPhase.Running) run.settledClockMs ??= clockMs;
+  }
+
+  /** Takes over a run that an earlier holder started; false when it must not go on. */
+  #adopt(worker: Worker, entry: ListedRun, clockMs: number): boolean {
+    const address = parseTaskName(entry.task);
+    const job = address && this.#deps.jobs.get(address.job);
+    if (!job || job.closedAs) return false;
+    const task = job.task(address.occurrence, address.step, address.index);
+    if (!task || task.isDone || task.run || worker.runs.has(entry.task)) return false;
+    const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
+    run.settledClockMs = clockMs;
+    job.attach(task, run);
+    worker.add(run);
+    job.state = JobState.Running;
+    this.#refresh(run, entry, clockMs);
+    this.#deps.counters.count('runs_adopted', 'takeover');
+    return true;
+  }
+
+  async #stopOrphan(worker: Worker, { task, run }: ListedRun): Promise<void> {
+    const { workers, epoch, log, counters } = this.#deps;
+    const reply = await workers.stop(worker.record, { task, run, fencingToken: epoch });
+    counters.count('stops', 'orphan');
+    log.warn('orphan_stopped', { task, run, worker: worker.record.id, answer: reply.answer });
+    if (reply.answer === OrderAnswer.Fenced) this.#lost(worker);
+  }
+
+  #pace(worker: Worker): void {
+    const { workers, epoch, log } = this.#deps;
+    for (const { run, percent } of choosePaces(worker)) {
+      if (run.phase !== RunPhase.Running) continue;
+      const { task, number } = run;
+      log.info('task_pace', { task: task.name, worker: worker.record.id, from: run.pace, percent });
+      run.pace = percent;
+      const order = { task: task.name, run: number, percent, fencingToken: epoch };
+      void workers.pace(worker.record, order).then((reply) => {
+        if (reply.answer === OrderAnswer.Fenced) this.#lost(worker);
+      });
+    }
+  }
+
+  /** Requeues a run that is over without an end in the worker's list. */
+  #drop(run: Run, reason: string): void {
+    const { log, counters } = this.#deps;
+    counters.count('runs_lost', reason);
+    log.warn('run_lost', {
+      job: run.task.step.job.spec.id,
+      task: run.task.name,
+      run: run.number,
+      worker: run.worker.record.id,
+      reason,
+    });
+    this.#requeue(run);
+  }
+
+  /** Requeues everything that ran on a worker whose tasks have ended for certain. */
+  dropRuns(worker: Worker, reason: string): void {
+    for (const run of [...worker.runs.values()]) this.#drop(run, reason);
+  }
+
+  /** Ends a worker that is gone for good. */
+  dropWorker(worker: Worker, reason: string): void {
+    worker.isGone = true;
+    this.dropRuns(worker, reason);
+  }
+}
--- /dev/null
+++ b/src/batch/serviceLoad.ts
@@ -0,0 +1,20 @@
+/** Load of one worker. */
+export interface WorkerLoad {
+  id: string;
+  runs: number;
+  /** Runs of tasks that last until they are cancelled. */
+  lasting: number;
+  isVacating: boolean;
+}
+
+/** Load of a service. */
+export interface ServiceLoad {
+  /** Thousandths of a core that tasks need which could start now. */
+  waitingCpu: number;
+  usedCpu: number;
+  /** Capacity of the workers that take tasks, in thousandths of a core. */
+  capacityCpu: number;
+  workers: WorkerLoad[];
+  /** Workers over which the widest lasting step with a bound per worker spreads. */
+  spreadNeed: number;
+}
--- /dev/null
+++ b/src/batch/upkeep.ts
@@ -0,0 +1,253 @@
+import type { Result } from 'true-myth/result';
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { HolderDirectory } from './holderDirectory.js';
+import { headKey } from './journal.js';
+import { NodeCallKind } from './nodeCalls.js';
+import { FLEET_DUTY, type Claim } from './ownership.js';
+import {
+  VmOrderAnswer,
+  VmState,
+  type ListedVm,
+  type RowKey,
+  type RowStore,
+  type StoreError,
+  type VmClient,
+} from './ports.js';
+import type { WaveOrder } from './types.js';
+
+/** Interval of a round while waves are under way. */
+const ROUND_MS = 250;
+/** Interval of reading the VM list while waves are under way. */
+const LIST_INTERVAL_MS = 500;
+/** Wait after a takeover before the first order, so that holders do not take turns. */
+const TAKEOVER_WAIT_MS = 3_300;
+/** Time that one VM is expected to be away for its upkeep, with the wait for its tasks. */
+const EXPECTED_AWAY_MS = 3_500;
+/** Share of the remaining time from which tasks no longer hold an upkeep up. */
+const URGENT_SHARE = 0.8;
+const CALL_TIMEOUT_MS = 500;
+
+/** Where the operator reads how far a wave is. */
+export interface WaveBoard {
+  /** Ids of the waves that were reported as finished. */
+  finished(): Promise<Result<Set<string>, StoreError>>;
+  report(wave: string, isFinished: boolean): Promise<Result<unknown, StoreError>>;
+}
+
+/** Needs of {@link Upkeep}. */
+export interface UpkeepDeps {
+  claim: Claim;
+  store: RowStore;
+  vms: VmClient;
+  board: WaveBoard;
+  holders: HolderDirectory;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  waves: () => Iterable<WaveOrder>;
+  /** Whether orders may be given. */
+  canStart: () => boolean;
+}
+
+/** A VM that is being emptied or is down for its upkeep. */
+interface Turn {
+  vm: string;
+  pool: string;
+  worker: string | undefined;
+  /** Whether the order was sent and may have been carried out. */
+  isOrdered: boolean;
+  isConfirmed: boolean;
+}
+
+interface WaveProgress {
+  order: WaveOrder;
+  seenAt: number;
+  done: Set<string>;
+  turns: Map<string, Turn>;
+  isReported: boolean;
+}
+
+const doneKey = (wave: string): RowKey => ({ table: 'wave', part: FLEET_DUTY, key: wave });
+
+/** Carries out maintenance waves: empties VMs, orders their upkeep, and reports the waves. */
+export class Upkeep {
+  readonly #deps: UpkeepDeps;
+  readonly #waves = new Map<string, WaveProgress>();
+  #finished = new Set<string>();
+  #list: ListedVm[] = [];
+  #listedAt = -Infinity;
+
+  constructor(deps: UpkeepDeps) {
+    this.#deps = deps;
+  }
+
+  /** Runs until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, claim } = this.#deps;
+    if (claim.hadOwner) await clock.sleep(TAKEOVER_WAIT_MS, signal);
+    while (!(await this.#loadFinished())) if (!(await clock.sleep(ROUND_MS, signal))) return;
+    do await this.#round();
+    while (await clock.sleep(ROUND_MS, signal));
+  }
+
+  async #loadFinished(): Promise<boolean> {
+    const res = await this.#deps.board.finished();
+    if (res.isErr) return false;
+    this.#finished = res.value;
+    return true;
+  }
+
+  async #round(): Promise<void> {
+    for (const order of this.#deps.waves()) {
+      if (!this.#finished.has(order.id) && !this.#waves.has(order.id)) await this.#open(order);
+    }
+    if (this.#waves.size === 0 || !this.#deps.canStart()) return;
+    if (!(await this.#refreshList())) return;
+    for (const wave of this.#waves.values()) await this.#proceed(wave);
+  }
+
+  async #open(order: WaveOrder): Promise<void> {
+    const { store, clock, log } = this.#deps;
+    const res = await store.readRow(doneKey(order.id));
+    if (res.isErr) return;
+    const done = new Set(res.value ? (JSON.parse(res.value.value) as string[]) : []);
+    const progress = { order, seenAt: clock.now(), done, turns: new Map<string, Turn>() };
+    this.#waves.set(order.id, { ...progress, isReported: false });
+    const { id, vms, maxDown, withinS } = order;
+    log.info('wave_open', { wave: id, vms: vms.length, done: done.size, max: maxDown, withinS });
+  }
+
+  async #refreshList(): Promise<boolean> {
+    const { vms, clock, log, counters } = this.#deps;
+    if (clock.now() - this.#listedAt < LIST_INTERVAL_MS) return true;
+    const res = await vms.list();
+    if (res.isErr) {
+      counters.count('vm_list_failures', res.error.code);
+      log.warn('vm_list_failed', { reason: res.error.code });
+      return false;
+    }
+    this.#list = res.value;
+    this.#listedAt = clock.now();
+    return true;
+  }
+
+  async #proceed(wave: WaveProgress): Promise<void> {
+    const { order, done, turns } = wave;
+    if (!wave.isReported) {
+      const res = await this.#deps.board.report(order.id, false);
+      wave.isReported = res.isOk;
+    }
+    const listed = new Map(this.#list.map((vm) => [vm.vm, vm]));
+    this.#settleTurns(wave, listed);
+    for (const vm of this.#nextVms(wave, listed)) {
+      const { vm: id, pool, worker } = vm;
+      turns.set(id, { vm: id, pool, worker, isOrdered: false, isConfirmed: false });
+    }
+    const isUrgent = this.#isUrgent(wave);
+    await Promise.all([...turns.values()].map((turn) => this.#advance(wave, turn, isUrgent)));
+    const isOver = order.vms.every((vm) => done.has(vm) || !listed.has(vm));
+    const isQuiet = [...turns.values()].every(({ isConfirmed }) => isConfirmed);
+    if (isOver && isQuiet) await this.#finish(wave);
+  }
+
+  /** Ends the turns of VMs that are back with a new worker, or that left. */
+  #settleTurns({ turns, order }: WaveProgress, listed: ReadonlyMap<string, ListedVm>): void {
+    for (const [id, turn] of turns) {
+      const vm = listed.get(id);
+      const isBack = vm?.state === VmState.Up && vm.worker !== turn.worker;
+      if (vm && !(turn.isConfirmed && isBack)) continue;
+      turns.delete(id);
+      this.#deps.log.info('upkeep_over', { wave: order.id, vm: id, isListed: vm !== undefined });
+    }
+  }
+
+  /** VMs whose turn comes, within the number that may be down; empty pools come first. */
+  #nextVms(wave: WaveProgress, listed: ReadonlyMap<string, ListedVm>): ListedVm[] {
+    const { order, done, turns } = wave;
+    const free = order.maxDown - turns.size;
+    if (free <= 0) return [];
+    const busyPools = new Map<string, number>();
+    for (const { pool } of turns.values()) busyPools.set(pool, (busyPools.get(pool) ?? 0) + 1);
+    const waiting = order.vms
+      .filter((vm) => !done.has(vm) && !turns.has(vm))
+      .map((vm) => listed.get(vm))
+      .filter((vm) => vm?.state === VmState.Up)
+      .filter((vm) => vm !== undefined);
+    return waiting
+      .sort((a, b) => (busyPools.get(a.pool) ?? 0) - (busyPools.get(b.pool) ?? 0))
+      .slice(0, free);
+  }
+
+  /** Whether the time that is left suffices only if tasks no longer hold upkeeps up. */
+  #isUrgent({ order, done, seenAt }: WaveProgress): boolean {
+    const left = order.withinS * 1000 - (this.#deps.clock.now() - seenAt);
+    const rounds = Math.ceil((order.vms.length - done.size) / order.maxDown);
+    return rounds * EXPECTED_AWAY_MS > left * URGENT_SHARE;
+  }
+
+  async #advance(wave: WaveProgress, turn: Turn, isUrgent: boolean): Promise<void> {
+    if (turn.isConfirmed) return;
+    if (!turn.isOrdered && !(await this.#isEmptied(turn, isUrgent))) return;
+    const { vms, claim, log, counters, canStart } = this.#deps;
+    if (!canStart()) return;
+    turn.isOrdered = true;
+    const answer = await vms.upkeep(turn.vm, wave.order.id, claim.epoch);
+    counters.count('upkeep_orders', answer);
+    log.info('upkeep_order', {
+      wave: wave.order.id,
+      vm: turn.vm,
+      worker: turn.worker,
+      answer,
+      urgent: isUrgent,
+      fence: claim.epoch,
+    });
+    if (answer === VmOrderAnswer.NoAnswer) return;
+    if (answer === VmOrderAnswer.Done) {
+      turn.isConfirmed = true;
+      await this.#recordDone(wave, turn.vm);
+      return;
+    }
+    // Nothing was done: another VM may come first.
+    wave.turns.delete(turn.vm);
+    const isNotOurs = answer === VmOrderAnswer.OtherWave || answer === VmOrderAnswer.NoSuchVm;
+    if (isNotOurs) await this.#recordDone(wave, turn.vm);
+    await this.#readmit(turn);
+  }
+
+  async #isEmptied({ pool, worker }: Turn, isUrgent: boolean): Promise<boolean> {
+    if (worker === undefined) return true;
+    const call = { kind: NodeCallKind.Vacate, service: pool, worker, isUrgent } as const;
+    const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+    return res.isOk && res.value.vacating?.isReady === true;
+  }
+
+  async #readmit({ pool, worker }: Turn): Promise<void> {
+    if (worker === undefined) return;
+    const call = { kind: NodeCallKind.Readmit, service: pool, worker } as const;
+    await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+  }
+
+  /** Keeps which VMs have had their upkeep, for a later holder. */
+  async #recordDone({ order, done }: WaveProgress, vm: string): Promise<void> {
+    const { store, claim, log } = this.#deps;
+    done.add(vm);
+    const res = await store.transact({
+      conditions: [{ ...headKey(FLEET_DUTY), version: claim.headVersion }],
+      writes: [{ ...doneKey(order.id), value: JSON.stringify([...done]) }],
+      removes: [],
+    });
+    if (res.isErr) log.warn('wave_not_recorded', { wave: order.id, vm, reason: res.error.code });
+  }
+
+  async #finish({ order, seenAt }: WaveProgress): Promise<void> {
+    const { board, clock, log } = this.#deps;
+    const res = await board.report(order.id, true);
+    if (res.isErr) return;
+    this.#finished.add(order.id);
+    this.#waves.delete(order.id);
+    const tookMs = Math.round(clock.now() - seenAt);
+    log.info('wave_finished', { wave: order.id, took_ms: tookMs, withinS: order.withinS });
+  }
+}
--- /dev/null
+++ b/src/batch/vacating.ts
@@ -0,0 +1,106 @@
+import type { Clock } from '../clock/index.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { Step } from './job.js';
+import type { RunControl } from './runControl.js';
+import { RunPhase, type Run, type Worker } from './worker.js';
+import type { WorkerSessions } from './workerSessions.js';
+
+/** A request to empty a worker lapses when it is not repeated for this long. */
+const REQUEST_TTL_MS = 3_000;
+
+/** Whether a worker is ready for planned work. */
+export interface VacateStatus {
+  isReady: boolean;
+  /** Runs that are still there. */
+  runs: number;
+}
+
+/** Needs of {@link Vacating}. */
+export interface VacatingDeps {
+  clock: Clock;
+  log: DecisionLog;
+  runs: RunControl;
+  sessions: WorkerSessions;
+}
+
+/**
+ * Empties workers before planned work and before they leave. Tasks that last are moved one at a
+ * time within the number that their step may miss; short tasks are let end.
+ */
+export class Vacating {
+  readonly #deps: VacatingDeps;
+  /** Monotonic time of the last request by worker id. */
+  readonly #requests = new Map<string, number>();
+
+  constructor(deps: VacatingDeps) {
+    this.#deps = deps;
+  }
+
+  /** Asks to empty a worker. With `isUrgent`, short tasks do not hold it up. */
+  request(workerId: string, isUrgent: boolean): VacateStatus {
+    const worker = this.#deps.sessions.get(workerId);
+    if (!worker) return { isReady: true, runs: 0 };
+    worker.isVacating = true;
+    this.#requests.set(workerId, this.#deps.clock.now());
+    this.proceed();
+    const runs = [...worker.runs.values()];
+    const isHeldUp = runs.some(
+      (run) => run.phase === RunPhase.Starting || !(this.#mayEnd(run) && (isUrgent || isLong(run))),
+    );
+    return { isReady: !isHeldUp, runs: runs.length };
+  }
+
+  /** Lets a worker get tasks again. */
+  cancel(workerId: string): void {
+    this.#requests.delete(workerId);
+    const worker = this.#deps.sessions.get(workerId);
+    if (worker) worker.isVacating = false;
+  }
+
+  /** Moves on; called regularly. */
+  proceed(): void {
+    const now = this.#deps.clock.now();
+    for (const [id, at] of this.#requests) if (now - at > REQUEST_TTL_MS) this.cancel(id);
+    for (const worker of this.#deps.sessions.all()) {
+      if (worker.isVacating || worker.record.isDraining) this.#moveLasting(worker);
+    }
+  }
+
+  #moveLasting(worker: Worker): void {
+    for (const run of worker.runs.values()) {
+      if (!isLong(run) || run.phase !== RunPhase.Running) continue;
+      const isLeaving = worker.record.isDraining;
+      if (!isLeaving && !(this.#mayEnd(run) && this.#hasOtherPlace(run))) continue;
+      this.#deps.runs.stop(run, isLeaving ? 'worker_draining' : 'planned_work');
+    }
+  }
+
+  /** Whether ending a run keeps its step within the number that it may miss. */
+  #mayEnd({ task }: Run): boolean {
+    const { mayMiss } = task.step.spec;
+    return mayMiss === 0 || countAway(task.step, task.index) < mayMiss;
+  }
+
+  #hasOtherPlace({ task, worker }: Run): boolean {
+    const { step } = task;
+    const now = this.#deps.clock.now();
+    for (const other of this.#deps.sessions.all()) {
+      if (other === worker || !other.canTake(now)) continue;
+      if (!other.hasRoom(step.spec, step.spec.fillsSpare)) continue;
+      const here = step.tasks.filter(({ run }) => run?.worker === other).length;
+      if (step.spec.maxPerWorker === 0 || here < step.spec.maxPerWorker) return true;
+    }
+    return false;
+  }
+}
+
+function isLong({ task }: Run): boolean {
+  return task.step.spec.isLasting;
+}
+
+/** Tasks of a step, without the one named, that are not at work. */
+function countAway(step: Step, exceptIndex: number): number {
+  const isAtWork = (run: Run | undefined) =>
+    run?.phase === RunPhase.Running && run.percent >= 100 && run.worker.misses === 0;
+  return step.tasks.filter(({ run, index }) => index !== exceptIndex && !isAtWork(run)).length;
+}
--- /dev/null
+++ b/src/batch/workerSessions.ts
@@ -0,0 +1,287 @@
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import { isAborted } from './follow.js';
+import type { Job } from './job.js';
+import { isStepReady } from './job.js';
+import { EntryOutcome, type Journal } from './journal.js';
+import { OrderAnswer, type HoldReply, type WorkerClient } from './ports.js';
+import { rosterKey } from './rows.js';
+import { LEASE_MS, type RunControl } from './runControl.js';
+import type { ServiceLoad } from './serviceLoad.js';
+import type { WorkerRecord } from './types.js';
+import { Worker } from './worker.js';
+
+/** Wait of a hold for an end. Renews leases several times within LEASE_MS. */
+const HOLD_WAIT_MS = 1_000;
+/** Wait of a hold on a worker with tasks that fill beside serving ones, whose figures change. */
+const PACED_HOLD_WAIT_MS = 400;
+/** Interval of looking at the registered workers. */
+const SYNC_INTERVAL_MS = 250;
+/** Pause after a call without an answer, and while ends cannot be acknowledged. */
+const RETRY_MS = 150;
+/** Time on top of a lease for an order that is on its way. */
+const LAPSE_SLACK_MS = 250;
+/** A worker without runs whose registration is missing is forgotten after this time. */
+const FORGET_MS = 6_000;
+
+/** Needs of {@link WorkerSessions}. */
+export interface WorkerSessionsDeps {
+  service: string;
+  epoch: number;
+  workers: WorkerClient;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  journal: Journal;
+  runs: RunControl;
+  registered: () => Iterable<WorkerRecord>;
+  canExtend: () => boolean;
+  place: () => void;
+  lose: (reason: string) => void;
+}
+
+interface Session {
+  worker: Worker;
+  /** Monotonic time since which the registration is missing. */
+  missingSince?: number;
+}
+
+/** One task for each worker of the service: holds its leases and follows what runs there. */
+export class WorkerSessions {
+  readonly #deps: WorkerSessionsDeps;
+  readonly #sessions = new Map<string, Session>();
+  /** Workers named in the stored roster, so that a later holder knows of them. */
+  readonly #roster = new Map<string, WorkerRecord>();
+  #signal: AbortSignal | undefined;
+
+  constructor(deps: WorkerSessionsDeps) {
+    this.#deps = deps;
+  }
+
+  /** All workers that may run something. */
+  *all(): Generator<Worker> {
+    for (const { worker } of this.#sessions.values()) yield worker;
+  }
+
+  get(id: string): Worker | undefined {
+    return this.#sessions.get(id)?.worker;
+  }
+
+  /** Follows the workers until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#deps;
+    this.#signal = signal;
+    for (const { worker } of this.#sessions.values()) void this.#serve(worker, signal);
+    do this.#sync();
+    while (await clock.sleep(SYNC_INTERVAL_MS, signal));
+  }
+
+  /** Adds workers of an earlier holder's roster. */
+  addFromRoster(records: Iterable<WorkerRecord>): void {
+    for (const record of records) {
+      this.#roster.set(record.id, record);
+      if (!this.#sessions.has(record.id)) this.#add(record);
+    }
+  }
+
+  /** Adds, updates and forgets workers after what is registered. */
+  #sync(): void {
+    const { clock, service, registered, place, log } = this.#deps;
+    const now = clock.now();
+    const present = new Set<string>();
+    for (const record of registered()) {
+      if (record.service !== service) continue;
+      present.add(record.id);
+      const session = this.#sessions.get(record.id);
+      if (!session) {
+        this.#add(record);
+        continue;
+      }
+      delete session.missingSince;
+      const { worker } = session;
+      if (record.isDraining && !worker.record.isDraining) {
+        log.info('worker_draining', { worker: record.id, runs: worker.runs.size });
+      }
+      const bornMs = Math.max(record.bornMs, worker.record.bornMs);
+      if (record.bornMs > worker.record.bornMs) this.#reborn(worker, record.bornMs);
+      worker.record = { ...record, bornMs };
+    }
+    for (const [id, session] of this.#sessions) {
+      if (present.has(id) && !session.worker.isGone) continue;
+      session.missingSince ??= now;
+      this.#forgetIfOver(id, session, now);
+    }
+    place();
+  }
+
+  #add(record: WorkerRecord): void {
+    const worker = new Worker(record);
+    this.#sessions.set(record.id, { worker });
+    if (this.#signal) void this.#serve(worker, this.#signal);
+  }
+
+  #forgetIfOver(id: string, { worker, missingSince }: Session, now: number): void {
+    const isLapsed = now > worker.lapsesBy + LAPSE_SLACK_MS;
+    const isLongMissing = missingSince !== undefined && now - missingSince > FORGET_MS;
+    if (!worker.isGone && !(isLapsed && isLongMissing && worker.runs.size === 0)) return;
+    worker.isGone = true;
+    this.#sessions.delete(id);
+    this.#roster.delete(id);
+    this.#deps.log.info('worker_forgotten', { worker: id });
+  }
+
+  #reborn(worker: Worker, bornMs: number): void {
+    this.#deps.log.warn('worker_restarted', { worker: worker.record.id, runs: worker.runs.size });
+    this.#deps.counters.count('workers_lost', 'restarted');
+    worker.record = { ...worker.record, bornMs };
+    worker.processedUpto = 0;
+    worker.durableUpto = 0;
+    worker.lapsesBy = 0;
+    worker.resetClock();
+    this.#deps.runs.dropRuns(worker, 'worker_restarted');
+  }
+
+  /** The task of one worker. */
+  async #serve(worker: Worker, signal: AbortSignal): Promise<void> {
+    const { clock, workers, epoch, canExtend } = this.#deps;
+    while (!signal.aborted && !worker.isGone) {
+      this.#dropLapsed(worker);
+      if (!canExtend()) {
+        await clock.sleep(RETRY_MS, signal);
+        continue;
+      }
+      const hasUnacknowledged = worker.processedUpto > worker.durableUpto;
+      const isSettled = worker.isHeld && worker.misses === 0;
+      const untilMs = isSettled ? worker.lease(LEASE_MS, clock.now()) : undefined;
+      const waitMs = isSettled && !hasUnacknowledged ? holdWait(worker) : 0;
+      const ackedUpto = worker.durableUpto;
+      const order = { fencingToken: epoch, ackedUpto, untilMs, waitMs };
+      const reply = await workers.hold(worker.record, order);
+      if (isAborted(signal)) return;
+      if (!reply.isListed) await this.#handleSilence(worker, reply.answer, signal);
+      else await this.#handleLists(worker, reply, signal);
+    }
+  }
+
+  #dropLapsed(worker: Worker): void {
+    if (worker.runs.size === 0 || worker.misses === 0) return;
+    if (this.#deps.clock.now() <= worker.lapsesBy + LAPSE_SLACK_MS) return;
+    this.#deps.counters.count('workers_lost', 'lease_lapsed');
+    this.#deps.runs.dropRuns(worker, 'lease_lapsed');
+  }
+
+  async #handleSilence(worker: Worker, answer: OrderAnswer, signal: AbortSignal): Promise<void> {
+    const { clock, log, counters, runs, lose } = this.#deps;
+    counters.count('hold_failures', answer);
+    if (answer === OrderAnswer.Fenced) {
+      lose(`worker ${worker.record.id} has seen a higher fencing token`);
+      return;
+    }
+    if (answer === OrderAnswer.OtherInstance) {
+      log.warn('worker_replaced', { worker: worker.record.id, address: worker.record.address });
+      runs.dropWorker(worker, 'address_reused');
+      return;
+    }
+    if (worker.misses === 0) {
+      log.warn('worker_silent', {
+        worker: worker.record.id,
+        answer,
+        runs: worker.runs.size,
+        lease_ms: Math.round(worker.lapsesBy - clock.now()),
+      });
+    }
+    worker.misses++;
+    await clock.sleep(RETRY_MS, signal);
+  }
+
+  async #handleLists(
+    worker: Worker,
+    reply: HoldReply & { isListed: true },
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, log, runs, place } = this.#deps;
+    if (reply.bornMs > worker.record.bornMs) this.#reborn(worker, reply.bornMs);
+    worker.readClock(reply.clockMs, clock.now());
+    if (worker.misses > 0) {
+      log.info('worker_back', { worker: worker.record.id, misses: worker.misses });
+      worker.misses = 0;
+      place();
+    }
+    let hasNewEnds = false;
+    for (const ended of reply.ended) {
+      if (ended.number <= worker.processedUpto) continue;
+      worker.processedUpto = ended.number;
+      runs.applyEnd(worker, ended);
+      hasNewEnds = true;
+    }
+    runs.reconcile(worker, reply.running, reply.clockMs);
+    if (!worker.isHeld) await this.#admit(worker);
+    if (hasNewEnds) {
+      const processed = worker.processedUpto;
+      const { bornMs } = worker.record;
+      const durable = this.#deps.journal.barrier().then((isDurable) => {
+        if (isDurable && worker.record.bornMs === bornMs) {
+          worker.durableUpto = Math.max(worker.durableUpto, processed);
+        }
+      });
+      await Promise.race([durable, clock.sleep(RETRY_MS, signal)]);
+    } else if (worker.processedUpto > worker.durableUpto) await clock.sleep(RETRY_MS, signal);
+  }
+
+  /** Lets a worker take tasks once the stored roster names it. */
+  async #admit(worker: Worker): Promise<void> {
+    const { service, journal, place, log, epoch } = this.#deps;
+    const { record } = worker;
+    if (!this.#roster.has(record.id)) {
+      this.#roster.set(record.id, record);
+      const value = JSON.stringify([...this.#roster.values()]);
+      const outcome = await new Promise<EntryOutcome>((settle) => {
+        const writes = [{ ...rosterKey(service), value }];
+        journal.append({ conditions: [], writes, removes: [], settle });
+      });
+      if (outcome !== EntryOutcome.Applied) return;
+    }
+    worker.isHeld = true;
+    log.info('worker_held', { worker: record.id, service, fence: epoch, runs: worker.runs.size });
+    place();
+  }
+
+  /** Load figures of the service. */
+  load(jobs: readonly Job[]): ServiceLoad {
+    let waitingCpu = 0;
+    let spreadNeed = 0;
+    for (const job of jobs) {
+      for (const { steps } of job.occurrences.values()) {
+        for (const step of steps) {
+          const { spec } = step;
+          if (spec.maxPerWorker > 0 && spec.isLasting) {
+            spreadNeed = Math.max(spreadNeed, Math.ceil(spec.count / spec.maxPerWorker));
+          }
+          if (!spec.fillsSpare && isStepReady(step)) waitingCpu += step.idleCount * spec.cpuMillis;
+        }
+      }
+    }
+    const workers = [...this.all()];
+    return {
+      waitingCpu,
+      spreadNeed,
+      usedCpu: workers.reduce((sum, { cpuUsed }) => sum + cpuUsed, 0),
+      capacityCpu: workers
+        .filter(({ isHeld, isVacating }) => isHeld && !isVacating)
+        .reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0),
+      workers: workers.map((worker) => ({
+        id: worker.record.id,
+        runs: worker.runs.size,
+        lasting: [...worker.runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
+        isVacating: worker.isVacating,
+      })),
+    };
+  }
+}
+
+function holdWait(worker: Worker): number {
+  const runs = [...worker.runs.values()];
+  const hasFillers = runs.some(({ task }) => task.step.spec.fillsSpare);
+  return hasFillers ? PACED_HOLD_WAIT_MS : HOLD_WAIT_MS;
+}
--- a/src/lifecycle/supervisor.ts
+++ b/src/lifecycle/supervisor.ts
@@ -32,7 +32,7 @@
 export interface SupervisorOptions {
   clock: Clock;
   random: Random;
-  logger: Logger;
+  logger: Pick<Logger, 'warn'>;
   /** Failures within `failureWindowMs` after which the supervisor itself fails. */
   maxFailures: number;
   failureWindowMs: number;
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -11,7 +11,7 @@
   let owner: string | undefined;
   let best = -1;
   for (const name of names) {
-    const score = hash(`${name}/${key}`);
+    const score = rendezvousScore(name, key);
     if (score > best || (score === best && owner !== undefined && name < owner)) {
       owner = name;
       best = score;
@@ -20,6 +20,11 @@
   return owner;
 }
 
+/** Weight of a name for a key, from 0 to 2^32 - 1; the same on every process. */
+export function rendezvousScore(name: string, key: string): number {
+  return hash(`${name}/${key}`);
+}
+
 /** FNV-1a over UTF-16 units with the final mix of MurmurHash3, which spreads similar names. */
 function hash(text: string): number {
   let h = FNV_OFFSET;
