Keep a step within what it may miss while two VMs are emptied, and tell holders of ended workers

A worker found ready now counts as away. The holder is told when an upkeep ended a worker, so that its tasks start elsewhere at once instead of after the lease.

--- a/src/batch/decisionLog.ts
+++ b/src/batch/decisionLog.ts
@@ -11,6 +11,8 @@
 /** Lines a second that are written on average, and at once. Bounds the volume under load. */
 const LINES_PER_SECOND = 200;
 const BURST_LINES = 400;
+/** Lines that are kept for decisions on whole jobs and on dependencies. */
+const RESERVED_LINES = 150;
 
 /** How severe an event is. */
 enum Severity {
@@ -45,6 +47,11 @@
     this.#write(Severity.Info, event, fields);
   }
 
+  /** A decision on one task. Under load these lines are left out first. */
+  detail(event: string, fields: LogFields = {}): void {
+    this.#write(Severity.Info, event, fields, RESERVED_LINES);
+  }
+
   warn(event: string, fields: LogFields = {}): void {
     this.#write(Severity.Warn, event, fields);
   }
@@ -54,8 +61,8 @@
     this.#isSinkFull = false;
   }
 
-  #write(severity: Severity, event: string, fields: LogFields): void {
-    if (this.#isSinkFull || !this.#takeToken()) {
+  #write(severity: Severity, event: string, fields: LogFields, reserved = 0): void {
+    if (this.#isSinkFull || !this.#takeToken(reserved)) {
       this.#leftOut++;
       return;
     }
@@ -69,12 +76,12 @@
     this.#isSinkFull = !this.#sink.write(`${line}\n`);
   }
 
-  #takeToken(): boolean {
+  #takeToken(reserved: number): boolean {
     const now = this.#clock.now();
     const earned = ((now - this.#refilledAt) * LINES_PER_SECOND) / 1000;
     this.#tokens = Math.min(BURST_LINES, this.#tokens + earned);
     this.#refilledAt = now;
-    if (this.#tokens < 1) return false;
+    if (this.#tokens < 1 + reserved) return false;
     this.#tokens--;
     return true;
   }
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -104,7 +104,7 @@
   #accepted(spec: JobSpec, through: string, tookMs: number): CallAnswer {
     this.#deps.counters.observe('submit_ms', tookMs);
     const took_ms = Math.round(tookMs);
-    this.#deps.log.info('submit', { job: spec.id, queue: spec.queue, through, took_ms });
+    this.#deps.log.detail('submit', { job: spec.id, queue: spec.queue, through, took_ms });
     return { outcome: CallOutcome.Ok };
   }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -249,6 +249,11 @@
     this.#vacating.cancel(workerId);
   }
 
+  /** Tells that planned work has ended everything on a worker. */
+  ended(workerId: string): void {
+    this.#vacating.ended(workerId);
+  }
+
   /** Load figures of the service for the move policy. */
   load(): ServiceLoad {
     return this.#sessions.load([...this.#jobs.open()]);
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -73,6 +73,9 @@
       case NodeCallKind.Readmit:
         holder.readmit(call.worker);
         return { isHolder: true };
+      case NodeCallKind.Ended:
+        holder.ended(call.worker);
+        return { isHolder: true };
       case NodeCallKind.Load:
         return { isHolder: true, load: holder.load() };
     }
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -11,6 +11,8 @@
   Pending = 'pending',
   Vacate = 'vacate',
   Readmit = 'readmit',
+  /** Planned work has ended everything on a worker. */
+  Ended = 'ended',
   Load = 'load',
 }
 
@@ -21,7 +23,7 @@
   | { kind: NodeCallKind.Cancel; job: string }
   | { kind: NodeCallKind.Pending; queue: string }
   | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean }
-  | { kind: NodeCallKind.Readmit; worker: string }
+  | { kind: NodeCallKind.Readmit | NodeCallKind.Ended; worker: string }
   | { kind: NodeCallKind.Load }
 );
 
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -108,7 +108,7 @@
     const { job } = task.step;
     const now = clock.now();
     if (reply.clockMs !== undefined) worker.readClock(reply.clockMs, now);
-    log.info('task_start', {
+    log.detail('task_start', {
       job: job.spec.id,
       task: task.name,
       run: number,
@@ -191,7 +191,7 @@
     const isStarting = run.phase === RunPhase.Starting;
     run.phase = RunPhase.Stopping;
     this.#deps.counters.count('stops', reason);
-    this.#deps.log.info('task_stop', {
+    this.#deps.log.detail('task_stop', {
       job: run.task.step.job.spec.id,
       task: run.task.name,
       run: run.number,
@@ -240,7 +240,7 @@
     if (run && isCurrent) this.#detach(run);
     const address = parseTaskName(ended.task);
     const job = address && jobs.get(address.job);
-    log.info('task_end', {
+    log.detail('task_end', {
       job: address?.job,
       task: ended.task,
       run: ended.run,
@@ -358,7 +358,12 @@
     for (const { run, percent } of choosePaces(worker)) {
       if (run.phase !== RunPhase.Running) continue;
       const { task, number } = run;
-      log.info('task_pace', { task: task.name, worker: worker.record.id, from: run.pace, percent });
+      log.detail('task_pace', {
+        task: task.name,
+        worker: worker.record.id,
+        from: run.pace,
+        percent,
+      });
       run.pace = percent;
       const order = { task: task.name, run: number, percent, fencingToken: epoch };
       void workers.pace(worker.record, order).then((reply) => {
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -206,6 +206,7 @@
     if (answer === VmOrderAnswer.NoAnswer) return;
     if (answer === VmOrderAnswer.Done) {
       turn.isConfirmed = true;
+      await this.#tellHolder(turn, NodeCallKind.Ended);
       await this.#recordDone(wave, turn.vm);
       return;
     }
@@ -213,7 +214,7 @@
     wave.turns.delete(turn.vm);
     const isNotOurs = answer === VmOrderAnswer.OtherWave || answer === VmOrderAnswer.NoSuchVm;
     if (isNotOurs) await this.#recordDone(wave, turn.vm);
-    await this.#readmit(turn);
+    await this.#tellHolder(turn, NodeCallKind.Readmit);
   }
 
   async #isEmptied({ pool, worker }: Turn, isUrgent: boolean): Promise<boolean> {
@@ -223,10 +224,12 @@
     return res.isOk && res.value.vacating?.isReady === true;
   }
 
-  async #readmit({ pool, worker }: Turn): Promise<void> {
+  async #tellHolder(
+    { pool, worker }: Turn,
+    kind: NodeCallKind.Readmit | NodeCallKind.Ended,
+  ): Promise<void> {
     if (worker === undefined) return;
-    const call = { kind: NodeCallKind.Readmit, service: pool, worker } as const;
-    await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+    await this.#deps.holders.call({ kind, service: pool, worker }, CALL_TIMEOUT_MS);
   }
 
   /** Keeps which VMs have had their upkeep, for a later holder. */
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -31,6 +31,8 @@
   readonly #deps: VacatingDeps;
   /** Monotonic time of the last request by worker id. */
   readonly #requests = new Map<string, number>();
+  /** Workers reported as ready: what runs there may be ended at any moment. */
+  readonly #granted = new Set<Worker>();
 
   constructor(deps: VacatingDeps) {
     this.#deps = deps;
@@ -47,14 +49,25 @@
     const isHeldUp = runs.some(
       (run) => run.phase === RunPhase.Starting || !(this.#mayEnd(run) && (isUrgent || isLong(run))),
     );
+    if (isHeldUp) this.#granted.delete(worker);
+    else this.#granted.add(worker);
     return { isReady: !isHeldUp, runs: runs.length };
   }
 
+  /** Tells that everything on a worker has been ended by planned work. */
+  ended(workerId: string): void {
+    const worker = this.#deps.sessions.get(workerId);
+    if (worker) this.#deps.runs.dropWorker(worker, 'planned_work');
+    this.cancel(workerId);
+  }
+
   /** Lets a worker get tasks again. */
   cancel(workerId: string): void {
     this.#requests.delete(workerId);
     const worker = this.#deps.sessions.get(workerId);
-    if (worker) worker.isVacating = false;
+    if (!worker) return;
+    worker.isVacating = false;
+    this.#granted.delete(worker);
   }
 
   /** Moves on; called regularly. */
@@ -78,7 +91,17 @@
   /** Whether ending a run keeps its step within the number that it may miss. */
   #mayEnd({ task }: Run): boolean {
     const { mayMiss } = task.step.spec;
-    return mayMiss === 0 || countAway(task.step, task.index) < mayMiss;
+    return mayMiss === 0 || this.#countAway(task.step, task.index) < mayMiss;
+  }
+
+  /** Tasks of a step, without the one named, that are not at work or may be ended any moment. */
+  #countAway(step: Step, exceptIndex: number): number {
+    const isAtWork = (run: Run | undefined) =>
+      run?.phase === RunPhase.Running &&
+      run.percent >= 100 &&
+      run.worker.misses === 0 &&
+      !this.#granted.has(run.worker);
+    return step.tasks.filter(({ run, index }) => index !== exceptIndex && !isAtWork(run)).length;
   }
 
   #hasOtherPlace({ task, worker }: Run): boolean {
@@ -97,10 +120,3 @@
 function isLong({ task }: Run): boolean {
   return task.step.spec.isLasting;
 }
-
-/** Tasks of a step, without the one named, that are not at work. */
-function countAway(step: Step, exceptIndex: number): number {
-  const isAtWork = (run: Run | undefined) =>
-    run?.phase === RunPhase.Running && run.percent >= 100 && run.worker.misses === 0;
-  return step.tasks.filter(({ run, index }) => index !== exceptIndex && !isAtWork(run)).length;
-}
