Count the VMs that an earlier holder took down against a wave's number

VMs that are listed in upkeep count now. As the vendor answers alike when the upkeep took place before, holders are told of ended workers only once the list shows it; a wrong notice would have started tasks twice.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
-import { BatchRig, StoreFault, type RigNode } from '../testing/batchRig/index.js';
+import { BatchRig, required, StoreFault, type RigNode } from '../testing/batchRig/index.js';
 import { CallOutcome } from './gateway.js';
 import { JobState, RunEnd, type JobSpec } from './types.js';
 
@@ -7,7 +7,7 @@
 
 function nodeOf(rig: BatchRig, index = 0): RigNode {
   const live = rig.nodes.filter(({ isDead }) => !isDead);
-  return live[index % live.length] as RigNode;
+  return required(live[index % live.length]);
 }
 
 async function submit(rig: BatchRig, spec: JobSpec, node = nodeOf(rig)): Promise<CallOutcome> {
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -28,6 +28,8 @@
 /** Share of the remaining time from which tasks no longer hold an upkeep up. */
 const URGENT_SHARE = 0.8;
 const CALL_TIMEOUT_MS = 500;
+/** A VM that is still up with the same worker so long after its order had its upkeep before. */
+const BEGUN_WITHIN_MS = 1_500;
 
 /** Where the operator reads how far a wave is. */
 export interface WaveBoard {
@@ -59,6 +61,10 @@
   /** Whether the order was sent and may have been carried out. */
   isOrdered: boolean;
   isConfirmed: boolean;
+  /** Monotonic time of the last order in milliseconds. */
+  orderedAt: number;
+  /** Whether the holder of the pool knows that everything on the worker has ended. */
+  isHolderTold: boolean;
 }
 
 interface WaveProgress {
@@ -140,33 +146,54 @@
       wave.isReported = res.isOk;
     }
     const listed = new Map(this.#list.map((vm) => [vm.vm, vm]));
-    this.#settleTurns(wave, listed);
+    await this.#settleTurns(wave, listed);
     for (const vm of this.#nextVms(wave, listed)) {
       const { vm: id, pool, worker } = vm;
-      turns.set(id, { vm: id, pool, worker, isOrdered: false, isConfirmed: false });
+      const untouched = { isOrdered: false, isConfirmed: false, orderedAt: 0, isHolderTold: false };
+      turns.set(id, { vm: id, pool, worker, ...untouched });
     }
     const isUrgent = this.#isUrgent(wave);
     await Promise.all([...turns.values()].map((turn) => this.#advance(wave, turn, isUrgent)));
     const isOver = order.vms.every((vm) => done.has(vm) || !listed.has(vm));
-    const isQuiet = [...turns.values()].every(({ isConfirmed }) => isConfirmed);
+    const isQuiet = [...turns.values()].every((turn) => turn.isConfirmed && turn.isHolderTold);
     if (isOver && isQuiet) await this.#finish(wave);
   }
 
   /** Ends the turns of VMs that are back with a new worker, or that left. */
-  #settleTurns({ turns, order }: WaveProgress, listed: ReadonlyMap<string, ListedVm>): void {
+  async #settleTurns(
+    { turns, order }: WaveProgress,
+    listed: ReadonlyMap<string, ListedVm>,
+  ): Promise<void> {
     for (const [id, turn] of turns) {
       const vm = listed.get(id);
-      const isBack = vm?.state === VmState.Up && vm.worker !== turn.worker;
-      if (vm && !(turn.isConfirmed && isBack)) continue;
+      const isUp = vm?.state === VmState.Up;
+      const isListedSince = this.#listedAt > turn.orderedAt;
+      const hasBegun = turn.isOrdered && (!isUp || vm.worker !== turn.worker);
+      // The answer to an order is the same when the upkeep took place before, under another holder.
+      if (hasBegun && isListedSince) await this.#tellEnded(turn);
+      const isBack = isUp && hasBegun;
+      const wasBefore = isUp && this.#listedAt > turn.orderedAt + BEGUN_WITHIN_MS;
+      if (vm && !(turn.isConfirmed && isListedSince && (isBack || wasBefore))) continue;
       turns.delete(id);
-      this.#deps.log.info('upkeep_over', { wave: order.id, vm: id, isListed: vm !== undefined });
+      if (!hasBegun) await this.#tellHolder(turn, NodeCallKind.Readmit);
+      this.#deps.log.info('upkeep_over', { wave: order.id, vm: id, listed: vm !== undefined });
     }
   }
 
+  async #tellEnded(turn: Turn): Promise<void> {
+    if (turn.isHolderTold) return;
+    turn.isHolderTold = true;
+    await this.#tellHolder(turn, NodeCallKind.Ended);
+  }
+
   /** VMs whose turn comes, within the number that may be down; empty pools come first. */
   #nextVms(wave: WaveProgress, listed: ReadonlyMap<string, ListedVm>): ListedVm[] {
     const { order, done, turns } = wave;
-    const free = order.maxDown - turns.size;
+    // An earlier holder may have taken these down.
+    const others = order.vms.filter(
+      (vm) => !turns.has(vm) && listed.get(vm)?.state === VmState.Upkeep,
+    );
+    const free = order.maxDown - turns.size - others.length;
     if (free <= 0) return [];
     const busyPools = new Map<string, number>();
     for (const { pool } of turns.values()) busyPools.set(pool, (busyPools.get(pool) ?? 0) + 1);
@@ -193,6 +220,7 @@
     const { vms, claim, log, counters, canStart } = this.#deps;
     if (!canStart()) return;
     turn.isOrdered = true;
+    turn.orderedAt = this.#deps.clock.now();
     const answer = await vms.upkeep(turn.vm, wave.order.id, claim.epoch);
     counters.count('upkeep_orders', answer);
     log.info('upkeep_order', {
@@ -206,7 +234,6 @@
     if (answer === VmOrderAnswer.NoAnswer) return;
     if (answer === VmOrderAnswer.Done) {
       turn.isConfirmed = true;
-      await this.#tellHolder(turn, NodeCallKind.Ended);
       await this.#recordDone(wave, turn.vm);
       return;
     }
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -13,7 +13,6 @@
   type StepSpec,
   type VmClient,
   type WaveOrder,
-  type WorkerClient,
   type WorkerRecord,
 } from '../../batch/index.js';
 import { Counters } from '../../batch/counters.js';
@@ -24,6 +23,7 @@
 import { BatchNode, type OperatorItem } from '../../batch/node.js';
 import type { WaveBoard } from '../../batch/upkeep.js';
 import type { Clock } from '../../clock/index.js';
+import { InvariantError } from '../../errors/index.js';
 import { Lifecycle } from '../../lifecycle/index.js';
 import { createRandom } from '../../random/index.js';
 import { createFakeTimers } from '../virtualClock.js';
@@ -188,7 +188,7 @@
         return async (...args: unknown[]) => {
           if (state.isDead) return never();
           const result: unknown = await Reflect.apply(value, object, args);
-          return state.isDead ? never() : result;
+          return isGone(state) ? never() : result;
         };
       },
     });
@@ -263,7 +263,7 @@
       list: () => {
         const vms = new Set([...this.fleet.executors.keys()].map(vmOf));
         const listed = [...vms].map((vm): ListedVm => {
-          const { record } = current(vm) as FakeExecutor;
+          const { record } = required(current(vm));
           const state = this.#down.has(vm) ? VmState.Upkeep : VmState.Up;
           const { capacity, labels, service: pool } = record;
           return {
@@ -282,7 +282,7 @@
         if (this.#finishedUpkeeps.has(`${wave}/${vm}`)) return Promise.resolve(VmOrderAnswer.Done);
         if (this.#down.has(vm)) return Promise.resolve(VmOrderAnswer.Busy);
         this.#finishedUpkeeps.add(`${wave}/${vm}`);
-        this.#takeDown(vm, current(vm) as FakeExecutor);
+        this.#takeDown(vm, required(current(vm)));
         return Promise.resolve(VmOrderAnswer.Done);
       },
     };
@@ -365,7 +365,7 @@
   /** The queue of a service as configured. */
   queue(name: string): Queue {
     const queue = this.nodes.find(({ isDead }) => !isDead)?.node.config?.queues;
-    return queue?.find((entry) => entry.name === name) as Queue;
+    return required(queue?.find((entry) => entry.name === name));
   }
 
   /** Cuts the calls from one node to another. */
@@ -411,6 +411,17 @@
   }
 }
 
+/** Asked anew after a wait. */
+function isGone(state: { isDead: boolean }): boolean {
+  return state.isDead;
+}
+
+/** A value that the test cannot go on without. */
+export function required<T>(value: T | undefined): T {
+  if (value === undefined) throw new InvariantError('a value of the test rig is missing');
+  return value;
+}
+
 function overlap(a: SeenRun, b: SeenRun): boolean {
   return a.startedAt < (b.endedAt ?? Infinity) && b.startedAt < (a.endedAt ?? Infinity);
 }
--- a/src/testing/batchRig/index.ts
+++ b/src/testing/batchRig/index.ts
@@ -1,4 +1,4 @@
-export { BatchRig, type BatchRigOptions, type RigNode } from './batchRig.js';
+export { BatchRig, required, type BatchRigOptions, type RigNode } from './batchRig.js';
 export {
   FakeExecutors,
   type FakeExecutor,
