Count failed runs by their numbers, whatever order workers list them in

Cause: the numbers of failed runs were kept as a count and the highest one. The new case failed before.

--- /dev/null
+++ b/src/batch/balance.spec.ts
@@ -0,0 +1,120 @@
+import test from 'ava';
+import { planMoves, wantedWorkers, type BalancedService, type BalancedVm } from './balance.js';
+import { VmState } from './ports.js';
+import type { ServiceLoad } from './serviceLoad.js';
+
+const CPU = 64_000;
+
+function load(fields: Partial<ServiceLoad>): ServiceLoad {
+  const idle = { waitingCpu: 0, usedCpu: 0, capacityCpu: 6 * CPU, workers: [], spreadNeed: 0 };
+  return { ...idle, ...fields };
+}
+
+function service(name: string, fields?: Partial<ServiceLoad>, arriving = 0): BalancedService {
+  return { name, isStandby: false, load: fields && load(fields), arriving };
+}
+
+const standby: BalancedService = { name: 'portal', isStandby: true, arriving: 0 };
+
+function pool(name: string, count: number, emptyForMs?: number): BalancedVm[] {
+  return Array.from({ length: count }, (_, index) => ({
+    vm: `${name}-${index}`,
+    pool: name,
+    state: VmState.Up,
+    capacity: { cpuMillis: CPU, memoryMb: 262_144, accelerators: 0 },
+    labels: [],
+    worker: name === 'portal' ? undefined : `worker-${name}-${index}`,
+    emptyForMs,
+  }));
+}
+
+interface Case {
+  title: string;
+  services: BalancedService[];
+  vms: BalancedVm[];
+  /** Expected moves as `from>to`. */
+  expected: string[];
+}
+
+const cases: Case[] = [
+  {
+    title: 'a service in its turn gets VMs of the pool that is switched off',
+    services: [service('motions', { usedCpu: 6 * CPU, waitingCpu: 2 * CPU }), standby],
+    vms: [...pool('motions', 6), ...pool('portal', 6, 0)],
+    expected: ['portal>motions', 'portal>motions', 'portal>motions', 'portal>motions'],
+  },
+  {
+    title: 'empty VMs of a service out of its turn go to one in its turn when none are spare',
+    services: [
+      service('motions', { usedCpu: 2 * CPU, waitingCpu: CPU }),
+      service('standings', { usedCpu: 0 }),
+      standby,
+    ],
+    vms: [...pool('motions', 2), ...pool('standings', 5, 500)],
+    expected: ['standings>motions', 'standings>motions'],
+  },
+  {
+    title: 'VMs that are on their way count',
+    services: [service('motions', { usedCpu: 6 * CPU, waitingCpu: 2 * CPU }, 4), standby],
+    vms: [...pool('motions', 6), ...pool('portal', 6, 0)],
+    expected: [],
+  },
+  {
+    title: 'VMs that have been empty for some time are switched off',
+    services: [service('motions', { usedCpu: CPU, spreadNeed: 3 }), standby],
+    vms: [...pool('motions', 3), ...pool('motions', 5, 3_000).slice(3)],
+    expected: ['motions>portal', 'motions>portal'],
+  },
+  {
+    title: 'a VM that has just become empty stays',
+    services: [service('motions', { usedCpu: CPU }), standby],
+    vms: [...pool('motions', 2), ...pool('motions', 4, 400).slice(2)],
+    expected: [],
+  },
+  {
+    title: 'a service whose holder does not answer neither lends nor borrows',
+    services: [
+      service('motions', { usedCpu: 6 * CPU, waitingCpu: 2 * CPU }),
+      service('standings'),
+      standby,
+    ],
+    vms: [...pool('motions', 6), ...pool('standings', 6, 9_000)],
+    expected: [],
+  },
+  {
+    title: 'a lasting step that spreads over more workers than there are gets them',
+    services: [service('motions', { usedCpu: CPU, waitingCpu: CPU, spreadNeed: 8 }), standby],
+    vms: [...pool('motions', 6), ...pool('portal', 6, 0)],
+    expected: ['portal>motions', 'portal>motions'],
+  },
+];
+
+for (const { title, services, vms, expected } of cases) {
+  test(title, (t) => {
+    const moves = planMoves(services, vms).map(({ from, to }) => `${from}>${to}`);
+    t.deepEqual(moves, expected);
+  });
+}
+
+test('no VM moves twice in one plan', (t) => {
+  const services = [
+    service('motions', { usedCpu: 6 * CPU, waitingCpu: 9 * CPU }),
+    service('tabroom', { usedCpu: 6 * CPU, waitingCpu: 9 * CPU }),
+    service('standings', { usedCpu: 0 }),
+    standby,
+  ];
+  const vms = [
+    ...pool('motions', 6),
+    ...pool('tabroom', 6),
+    ...pool('standings', 9, 5_000),
+    ...pool('portal', 3, 0),
+  ];
+  const moved = planMoves(services, vms).map(({ vm }) => vm);
+  t.is(new Set(moved).size, moved.length);
+  t.is(moved.length, 10);
+});
+
+test('the workers wanted cover what runs and waits', (t) => {
+  t.is(wantedWorkers(load({ usedCpu: 3 * CPU, waitingCpu: CPU }), CPU), 5);
+  t.is(wantedWorkers(load({}), CPU), 2);
+});
--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -176,6 +176,25 @@
       t.true(rig.fleet.runs().length > 2);
     },
   },
+  {
+    // Guards against failed runs that are counted by the highest run number, although workers
+    // list them in any order.
+    title: 'failed runs that the earlier holder could not record count for the next one',
+    rig: { maxAttempts: 4, workersPerService: 2 },
+    run: async (t, rig) => {
+      const spec = rig.job('motions', [{ count: 1 }]);
+      rig.fleet.script = () => ({ runMs: 150, end: RunEnd.Failed });
+      const holder = required(rig.holderOf('motions'));
+      await submit(rig, spec);
+      rig.store.faults.set(holder.name, StoreFault.Refuse);
+      await rig.until(() => rig.fleet.runs().filter(({ end }) => end).length === 4, 2_000);
+      holder.isDead = true;
+      t.true(await rig.until(() => rig.holderOf('motions') !== undefined));
+      await rig.advance(2_000);
+      t.is(await stateOf(rig, spec), JobState.Failed);
+      t.is(rig.fleet.runs().length, 4);
+    },
+  },
   ...[0, 300, 600, 900, 1_200, 1_500].map(replacedHolderCase),
   {
     title: 'an order that is carried out late does not make a second run',
--- /dev/null
+++ b/src/batch/fleetDuty.ts
@@ -0,0 +1,64 @@
+import type { Clock } from '../clock/index.js';
+import { FleetView, type FleetViewDeps } from './fleetView.js';
+import { Mover } from './mover.js';
+import type { Claim } from './ownership.js';
+import type { RowStore } from './ports.js';
+import type { Service, WaveOrder } from './types.js';
+import { Upkeep, type WaveBoard } from './upkeep.js';
+
+/** Interval of a round. */
+const ROUND_MS = 250;
+/** Age of the VM list up to which it is used while something is under way, and otherwise. */
+const BUSY_LIST_AGE_MS = 450;
+const IDLE_LIST_AGE_MS = 2_500;
+/** Wait after a takeover before the first order, so that holders do not take turns. */
+const TAKEOVER_WAIT_MS = 3_300;
+
+/** Needs of {@link FleetDuty}. */
+export interface FleetDutyDeps extends FleetViewDeps {
+  claim: Claim;
+  store: RowStore;
+  board: WaveBoard;
+  clock: Clock;
+  services: () => readonly Service[];
+  waves: () => Iterable<WaveOrder>;
+  /** Whether orders may be given. */
+  canStart: () => boolean;
+}
+
+/** The one task that gives orders to the vendor: maintenance waves and moves between pools. */
+export class FleetDuty {
+  readonly #deps: FleetDutyDeps;
+  readonly #view: FleetView;
+  readonly #upkeep: Upkeep;
+  readonly #mover: Mover;
+
+  constructor(deps: FleetDutyDeps) {
+    this.#deps = deps;
+    this.#view = new FleetView(deps);
+    this.#upkeep = new Upkeep({ ...deps, view: this.#view });
+    this.#mover = new Mover({ ...deps, view: this.#view, epoch: deps.claim.epoch });
+  }
+
+  /** Runs until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, claim } = this.#deps;
+    if (claim.hadOwner) await clock.sleep(TAKEOVER_WAIT_MS, signal);
+    do await this.#round();
+    while (await clock.sleep(ROUND_MS, signal));
+  }
+
+  async #round(): Promise<void> {
+    const { canStart, services } = this.#deps;
+    await this.#upkeep.openWaves();
+    if (!canStart()) return;
+    const names = services()
+      .filter(({ isStandby }) => !isStandby)
+      .map(({ name }) => name);
+    await this.#view.refreshLoads(names);
+    const isBusy = this.#upkeep.isBusy || this.#mover.isBusy;
+    if (!(await this.#view.refreshList(isBusy ? BUSY_LIST_AGE_MS : IDLE_LIST_AGE_MS))) return;
+    await this.#upkeep.round((vm) => this.#mover.isMoving(vm));
+    await this.#mover.round(this.#upkeep.vms());
+  }
+}
--- /dev/null
+++ b/src/batch/fleetView.ts
@@ -0,0 +1,80 @@
+import type { Clock } from '../clock/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { HolderDirectory } from './holderDirectory.js';
+import { NodeCallKind } from './nodeCalls.js';
+import type { ListedVm, VmClient } from './ports.js';
+import type { ServiceLoad } from './serviceLoad.js';
+
+/** Wait for a call to the holder of a service. */
+const CALL_TIMEOUT_MS = 400;
+
+/** Needs of a {@link FleetView}. */
+export interface FleetViewDeps {
+  vms: VmClient;
+  holders: HolderDirectory;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+}
+
+/** The VMs as the vendor lists them, and the load of each service as its holder sees it. */
+export class FleetView {
+  readonly #deps: FleetViewDeps;
+  #list: ListedVm[] = [];
+  #listedAt = -Infinity;
+  #loads = new Map<string, ServiceLoad>();
+
+  constructor(deps: FleetViewDeps) {
+    this.#deps = deps;
+  }
+
+  /** VMs by name, as of {@link listedAt}. */
+  byName(): Map<string, ListedVm> {
+    return new Map(this.#list.map((vm) => [vm.vm, vm]));
+  }
+
+  /** Monotonic time at which the list was asked for, in milliseconds. */
+  get listedAt(): number {
+    return this.#listedAt;
+  }
+
+  /** Load of a service; undefined when its holder did not answer. */
+  load(service: string): ServiceLoad | undefined {
+    return this.#loads.get(service);
+  }
+
+  /** Runs on the worker of a VM; undefined when they are not known. */
+  runsOn({ pool, worker }: ListedVm): number | undefined {
+    if (worker === undefined) return 0;
+    return this.#loads.get(pool)?.workers.find(({ id }) => id === worker)?.runs;
+  }
+
+  /** Reads the list unless it is younger than `maxAgeMs`; false when there is no such list. */
+  async refreshList(maxAgeMs: number): Promise<boolean> {
+    const { vms, clock, log, counters } = this.#deps;
+    const askedAt = clock.now();
+    if (askedAt - this.#listedAt < maxAgeMs) return true;
+    const res = await vms.list();
+    if (res.isErr) {
+      counters.count('vm_list_failures', res.error.code);
+      log.warn('vm_list_failed', { reason: res.error.code, age_ms: askedAt - this.#listedAt });
+      return false;
+    }
+    this.#list = res.value;
+    this.#listedAt = askedAt;
+    return true;
+  }
+
+  /** Asks the holders of services for their load. */
+  async refreshLoads(services: readonly string[]): Promise<void> {
+    const loads = new Map<string, ServiceLoad>();
+    const ask = async (service: string) => {
+      const call = { kind: NodeCallKind.Load, service } as const;
+      const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+      if (res.isOk && res.value.load) loads.set(service, res.value.load);
+    };
+    await Promise.all(services.map(ask));
+    this.#loads = loads;
+  }
+}
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -9,10 +9,8 @@
   index: number;
   name: string;
   isDone: boolean;
-  /** Runs that ended as failed. */
-  failures: number;
-  /** Number of the last run that was counted as failed. */
-  lastFailedRun: number;
+  /** Numbers of the runs that ended as failed. */
+  failedRuns: Set<number>;
   /** Number of the next run. */
   nextRun: number;
   /** Progress to resume from; empty for none. */
@@ -50,8 +48,8 @@
 interface StoredProgress {
   /** Indexes of ended tasks by `occurrence.step`. */
   done: Record<string, number[]>;
-  /** Count of failed runs and number of the last one, by `occurrence.step.index`. */
-  failures: Record<string, [count: number, lastRun: number]>;
+  /** Numbers of failed runs by `occurrence.step.index`. */
+  failures: Record<string, number[]>;
   /** Ended occurrences below this number are left out of `done`. */
   ended?: number;
 }
@@ -123,8 +121,7 @@
           index,
           name: taskName(this.spec.id, number, stepNumber, index),
           isDone: false,
-          failures: 0,
-          lastFailedRun: 0,
+          failedRuns: new Set(),
           nextRun: this.#firstRun,
           checkpoint: '',
           notBefore: 0,
@@ -194,8 +191,8 @@
       const { step } = task;
       const stepKey = `${step.occurrence.number}.${step.number}`;
       if (task.isDone) (stored.done[stepKey] ??= []).push(task.index);
-      else if (task.failures > 0) {
-        stored.failures[`${stepKey}.${task.index}`] = [task.failures, task.lastFailedRun];
+      else if (task.failedRuns.size > 0) {
+        stored.failures[`${stepKey}.${task.index}`] = [...task.failedRuns];
       }
     }
     return JSON.stringify(stored);
@@ -221,13 +218,12 @@
         if (task) this.complete(task);
       }
     }
-    for (const [key, [failures, lastRun]] of Object.entries(stored.failures)) {
+    for (const [key, failedRuns] of Object.entries(stored.failures)) {
       const [occurrence = 0, step = 0, index = 0] = key.split('.').map(Number);
       if (!this.occurrences.has(occurrence)) this.#open(occurrence);
       const task = this.task(occurrence, step, index);
       if (!task) continue;
-      task.failures = failures;
-      task.lastFailedRun = lastRun;
+      task.failedRuns = new Set(failedRuns);
     }
     return Result.ok(this);
   }
--- /dev/null
+++ b/src/batch/mover.ts
@@ -0,0 +1,167 @@
+import type { Clock } from '../clock/index.js';
+import { planMoves, type BalancedVm, type PlannedMove } from './balance.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { FleetView } from './fleetView.js';
+import type { HolderDirectory } from './holderDirectory.js';
+import { NodeCallKind } from './nodeCalls.js';
+import { VmOrderAnswer, VmState, type VmClient } from './ports.js';
+import type { Service } from './types.js';
+
+/** Wait for a call to the holder of a service. */
+const CALL_TIMEOUT_MS = 400;
+/** A worker that is not empty for so long after the request stays in its pool. */
+const VACATE_LIMIT_MS = 800;
+/** A VM that has not arrived for so long after its order is looked at anew. */
+const ARRIVAL_LIMIT_MS = 6_000;
+/** A VM stays in its pool for this long after a move that was refused. */
+const REFUSED_PAUSE_MS = 2_000;
+
+interface Move extends PlannedMove {
+  startedAt: number;
+  orderedAt?: number;
+  isConfirmed: boolean;
+  isHolderTold: boolean;
+}
+
+/** Needs of a {@link Mover}. */
+export interface MoverDeps {
+  epoch: number;
+  vms: VmClient;
+  view: FleetView;
+  holders: HolderDirectory;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  services: () => readonly Service[];
+  /** Whether orders may be given. */
+  canStart: () => boolean;
+}
+
+/** Carries out the moves of VMs between pools. A VM is emptied before it moves. */
+export class Mover {
+  readonly #deps: MoverDeps;
+  readonly #moves = new Map<string, Move>();
+  /** Monotonic time since which a VM has been seen empty. */
+  readonly #emptySince = new Map<string, number>();
+  readonly #pausedUntil = new Map<string, number>();
+
+  constructor(deps: MoverDeps) {
+    this.#deps = deps;
+  }
+
+  /** Whether a VM is on its way. */
+  isMoving(vm: string): boolean {
+    return this.#moves.has(vm);
+  }
+
+  /** Whether anything is under way. */
+  get isBusy(): boolean {
+    return this.#moves.size > 0;
+  }
+
+  /** Plans and carries out moves; VMs in `excluded` are under other planned work. */
+  async round(excluded: ReadonlySet<string>): Promise<void> {
+    this.#settle();
+    await Promise.all([...this.#moves.values()].map((move) => this.#advance(move)));
+    const { clock, log } = this.#deps;
+    for (const move of this.#plan(excluded)) {
+      const started = { startedAt: clock.now(), isConfirmed: false, isHolderTold: false };
+      this.#moves.set(move.vm, { ...move, ...started });
+      log.info('move_planned', { vm: move.vm, from: move.from, to: move.to, worker: move.worker });
+    }
+    await Promise.all([...this.#moves.values()].map((move) => this.#advance(move)));
+  }
+
+  #plan(excluded: ReadonlySet<string>): PlannedMove[] {
+    const { view, services, clock } = this.#deps;
+    const now = clock.now();
+    const vms: BalancedVm[] = [];
+    for (const vm of view.byName().values()) {
+      const isEmpty = view.runsOn(vm) === 0;
+      if (!isEmpty) this.#emptySince.delete(vm.vm);
+      else if (!this.#emptySince.has(vm.vm)) this.#emptySince.set(vm.vm, now);
+      if (excluded.has(vm.vm) || this.#moves.has(vm.vm)) continue;
+      const isPaused = (this.#pausedUntil.get(vm.vm) ?? 0) > now;
+      const since = isPaused ? undefined : this.#emptySince.get(vm.vm);
+      vms.push({ ...vm, emptyForMs: since === undefined ? undefined : now - since });
+    }
+    const arriving = (name: string) =>
+      [...this.#moves.values()].filter(({ to }) => to === name).length;
+    const balanced = services().map(({ name, isStandby }) => {
+      return { name, isStandby, load: view.load(name), arriving: arriving(name) };
+    });
+    return planMoves(balanced, vms);
+  }
+
+  /** Ends the moves of VMs that have arrived, left, or stayed. */
+  #settle(): void {
+    const { view, clock, log } = this.#deps;
+    const listed = view.byName();
+    const now = clock.now();
+    for (const [name, move] of this.#moves) {
+      const vm = listed.get(name);
+      const isListedSince = view.listedAt > (move.orderedAt ?? Infinity);
+      const hasArrived = isListedSince && vm?.pool === move.to && vm.state === VmState.Up;
+      const isLate = move.orderedAt !== undefined && now - move.orderedAt > ARRIVAL_LIMIT_MS;
+      if (vm && !hasArrived && !isLate) continue;
+      this.#moves.delete(name);
+      this.#emptySince.delete(name);
+      const tookMs = Math.round(now - move.startedAt);
+      log.info('move_over', { vm: name, to: move.to, arrived: hasArrived, took_ms: tookMs });
+    }
+  }
+
+  async #advance(move: Move): Promise<void> {
+    const { vms, epoch, canStart, clock, log, counters, view } = this.#deps;
+    if (move.isConfirmed) {
+      const vm = view.byName().get(move.vm);
+      const hasBegun = vm?.state !== VmState.Up || vm.worker !== move.worker;
+      const isListedSince = view.listedAt > (move.orderedAt ?? Infinity);
+      if (hasBegun && isListedSince && !move.isHolderTold) {
+        move.isHolderTold = true;
+        await this.#tellHolder(move, NodeCallKind.Ended);
+      }
+      return;
+    }
+    if (move.orderedAt === undefined && !(await this.#isEmptied(move))) {
+      if (clock.now() - move.startedAt > VACATE_LIMIT_MS) await this.#giveUp(move, 'not_empty');
+      return;
+    }
+    if (!canStart()) return;
+    move.orderedAt = clock.now();
+    const answer = await vms.move(move.vm, move.to, epoch);
+    counters.count('move_orders', answer);
+    log.info('move_order', { vm: move.vm, from: move.from, to: move.to, answer, fence: epoch });
+    if (answer === VmOrderAnswer.Done) move.isConfirmed = true;
+    else if (answer !== VmOrderAnswer.NoAnswer) await this.#giveUp(move, answer);
+  }
+
+  async #giveUp(move: Move, reason: string): Promise<void> {
+    const { clock, counters } = this.#deps;
+    counters.count('moves_given_up', reason);
+    this.#moves.delete(move.vm);
+    this.#pausedUntil.set(move.vm, clock.now() + REFUSED_PAUSE_MS);
+    await this.#tellHolder(move, NodeCallKind.Readmit);
+  }
+
+  async #isEmptied({ from, worker }: Move): Promise<boolean> {
+    if (worker === undefined || this.#isStandby(from)) return true;
+    const call = { kind: NodeCallKind.Vacate, service: from, worker, isUrgent: false } as const;
+    const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+    const status = res.isOk ? res.value.vacating : undefined;
+    return status?.isReady === true && status.runs === 0;
+  }
+
+  #isStandby(service: string): boolean {
+    return this.#deps.services().some(({ name, isStandby }) => name === service && isStandby);
+  }
+
+  async #tellHolder(
+    { from, worker }: Move,
+    kind: NodeCallKind.Readmit | NodeCallKind.Ended,
+  ): Promise<void> {
+    if (worker === undefined) return;
+    await this.#deps.holders.call({ kind, service: from, worker }, CALL_TIMEOUT_MS);
+  }
+}
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -18,7 +18,8 @@
 import { FLEET_DUTY, Ownership, type Claim } from './ownership.js';
 import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
 import type { BatchConfig, WaveOrder, WorkerRecord } from './types.js';
-import { Upkeep, type WaveBoard } from './upkeep.js';
+import { FleetDuty } from './fleetDuty.js';
+import type { WaveBoard } from './upkeep.js';
 
 /** Wait of the call that follows what operators write; below the bound of 2 s for a change. */
 const OPERATOR_FEED_WAIT_MS = 1_000;
@@ -210,14 +211,15 @@
   }
 
   #fleetTask(claim: Claim): (lifecycle: Lifecycle) => Promise<void> {
-    const upkeep = new Upkeep({
+    const duty = new FleetDuty({
       ...this.#deps,
       claim,
       holders: this.#directory,
       waves: () => this.#waves.values(),
+      services: () => this.#config?.services ?? [],
       canStart: () => this.#ownership.canStart() && this.#ownership.holds(FLEET_DUTY),
     });
-    return (lifecycle) => upkeep.run(lifecycle.signal);
+    return (lifecycle) => duty.run(lifecycle.signal);
   }
 
   async #stopHolding(service: string): Promise<void> {
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -286,12 +286,12 @@
       task.notBefore = now + LASTING_RETRY_MS;
       return;
     }
-    if (runNumber <= task.lastFailedRun) return;
-    task.lastFailedRun = runNumber;
-    task.failures++;
+    if (task.failedRuns.has(runNumber)) return;
+    task.failedRuns.add(runNumber);
     const members = step.spec.isGang ? step.tasks : [task];
-    const failures = members.reduce((sum, member) => sum + member.failures, 0);
-    if (failures >= maxAttempts(step.job.spec.queue)) {
+    // The members of a gang share the numbers of their runs.
+    const failedRuns = new Set(members.flatMap((member) => [...member.failedRuns]));
+    if (failedRuns.size >= maxAttempts(step.job.spec.queue)) {
       void jobs.close(step.job, JobState.Failed);
       this.stopAll(step.job, 'job_failed');
       return;
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -3,6 +3,7 @@
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { HolderDirectory } from './holderDirectory.js';
+import type { FleetView } from './fleetView.js';
 import { headKey } from './journal.js';
 import { NodeCallKind } from './nodeCalls.js';
 import { FLEET_DUTY, type Claim } from './ownership.js';
@@ -17,16 +18,12 @@
 } from './ports.js';
 import type { WaveOrder } from './types.js';
 
-/** Interval of a round while waves are under way. */
-const ROUND_MS = 250;
-/** Interval of reading the VM list while waves are under way. */
-const LIST_INTERVAL_MS = 500;
-/** Wait after a takeover before the first order, so that holders do not take turns. */
-const TAKEOVER_WAIT_MS = 3_300;
 /** Time that one VM is expected to be away for its upkeep, with the wait for its tasks. */
 const EXPECTED_AWAY_MS = 3_500;
 /** Share of the remaining time from which tasks no longer hold an upkeep up. */
 const URGENT_SHARE = 0.8;
+/** Share of a wave's time in which it is planned to end. */
+const PACE_SHARE = 0.75;
 const CALL_TIMEOUT_MS = 500;
 /** A VM that is still up with the same worker so long after its order had its upkeep before. */
 const BEGUN_WITHIN_MS = 1_500;
@@ -43,6 +40,7 @@
   claim: Claim;
   store: RowStore;
   vms: VmClient;
+  view: FleetView;
   board: WaveBoard;
   holders: HolderDirectory;
   clock: Clock;
@@ -81,37 +79,37 @@
 export class Upkeep {
   readonly #deps: UpkeepDeps;
   readonly #waves = new Map<string, WaveProgress>();
-  #finished = new Set<string>();
-  #list: ListedVm[] = [];
-  #listedAt = -Infinity;
+  #finished: Set<string> | undefined;
 
   constructor(deps: UpkeepDeps) {
     this.#deps = deps;
   }
 
-  /** Runs until the signal is aborted. */
-  async run(signal: AbortSignal): Promise<void> {
-    const { clock, claim } = this.#deps;
-    if (claim.hadOwner) await clock.sleep(TAKEOVER_WAIT_MS, signal);
-    while (!(await this.#loadFinished())) if (!(await clock.sleep(ROUND_MS, signal))) return;
-    do await this.#round();
-    while (await clock.sleep(ROUND_MS, signal));
+  /** Whether a wave is under way. */
+  get isBusy(): boolean {
+    return this.#waves.size > 0;
   }
 
-  async #loadFinished(): Promise<boolean> {
-    const res = await this.#deps.board.finished();
-    if (res.isErr) return false;
-    this.#finished = res.value;
-    return true;
+  /** VMs whose turn it is, or that a wave will take down. */
+  vms(): Set<string> {
+    return new Set([...this.#waves.values()].flatMap(({ turns }) => [...turns.keys()]));
   }
 
-  async #round(): Promise<void> {
+  /** Opens the waves that operators asked for. */
+  async openWaves(): Promise<void> {
+    if (!this.#finished) {
+      const res = await this.#deps.board.finished();
+      if (res.isErr) return;
+      this.#finished = res.value;
+    }
     for (const order of this.#deps.waves()) {
       if (!this.#finished.has(order.id) && !this.#waves.has(order.id)) await this.#open(order);
     }
-    if (this.#waves.size === 0 || !this.#deps.canStart()) return;
-    if (!(await this.#refreshList())) return;
-    for (const wave of this.#waves.values()) await this.#proceed(wave);
+  }
+
+  /** Moves the open waves on; VMs for which `isTaken` holds are under other planned work. */
+  async round(isTaken: (vm: string) => boolean): Promise<void> {
+    for (const wave of this.#waves.values()) await this.#proceed(wave, isTaken);
   }
 
   async #open(order: WaveOrder): Promise<void> {
@@ -125,29 +123,15 @@
     log.info('wave_open', { wave: id, vms: vms.length, done: done.size, max: maxDown, withinS });
   }
 
-  async #refreshList(): Promise<boolean> {
-    const { vms, clock, log, counters } = this.#deps;
-    if (clock.now() - this.#listedAt < LIST_INTERVAL_MS) return true;
-    const res = await vms.list();
-    if (res.isErr) {
-      counters.count('vm_list_failures', res.error.code);
-      log.warn('vm_list_failed', { reason: res.error.code });
-      return false;
-    }
-    this.#list = res.value;
-    this.#listedAt = clock.now();
-    return true;
-  }
-
-  async #proceed(wave: WaveProgress): Promise<void> {
+  async #proceed(wave: WaveProgress, isTaken: (vm: string) => boolean): Promise<void> {
     const { order, done, turns } = wave;
     if (!wave.isReported) {
       const res = await this.#deps.board.report(order.id, false);
       wave.isReported = res.isOk;
     }
-    const listed = new Map(this.#list.map((vm) => [vm.vm, vm]));
+    const listed = this.#deps.view.byName();
     await this.#settleTurns(wave, listed);
-    for (const vm of this.#nextVms(wave, listed)) {
+    for (const vm of this.#nextVms(wave, listed, isTaken)) {
       const { vm: id, pool, worker } = vm;
       const untouched = { isOrdered: false, isConfirmed: false, orderedAt: 0, isHolderTold: false };
       turns.set(id, { vm: id, pool, worker, ...untouched });
@@ -167,12 +151,12 @@
     for (const [id, turn] of turns) {
       const vm = listed.get(id);
       const isUp = vm?.state === VmState.Up;
-      const isListedSince = this.#listedAt > turn.orderedAt;
+      const isListedSince = this.#deps.view.listedAt > turn.orderedAt;
       const hasBegun = turn.isOrdered && (!isUp || vm.worker !== turn.worker);
       // The answer to an order is the same when the upkeep took place before, under another holder.
       if (hasBegun && isListedSince) await this.#tellEnded(turn);
       const isBack = isUp && hasBegun;
-      const wasBefore = isUp && this.#listedAt > turn.orderedAt + BEGUN_WITHIN_MS;
+      const wasBefore = isUp && this.#deps.view.listedAt > turn.orderedAt + BEGUN_WITHIN_MS;
       if (vm && !(turn.isConfirmed && isListedSince && (isBack || wasBefore))) continue;
       turns.delete(id);
       if (!hasBegun) await this.#tellHolder(turn, NodeCallKind.Readmit);
@@ -186,25 +170,50 @@
     await this.#tellHolder(turn, NodeCallKind.Ended);
   }
 
-  /** VMs whose turn comes, within the number that may be down; empty pools come first. */
-  #nextVms(wave: WaveProgress, listed: ReadonlyMap<string, ListedVm>): ListedVm[] {
+  /**
+   * VMs whose turn comes, within the number that may be down. Empty ones come first, then those of
+   * the least loaded services; no more at once than the time that is left asks for.
+   */
+  #nextVms(
+    wave: WaveProgress,
+    listed: ReadonlyMap<string, ListedVm>,
+    isTaken: (vm: string) => boolean,
+  ): ListedVm[] {
     const { order, done, turns } = wave;
+    const { view } = this.#deps;
     // An earlier holder may have taken these down.
     const others = order.vms.filter(
       (vm) => !turns.has(vm) && listed.get(vm)?.state === VmState.Upkeep,
     );
     const free = order.maxDown - turns.size - others.length;
     if (free <= 0) return [];
-    const busyPools = new Map<string, number>();
-    for (const { pool } of turns.values()) busyPools.set(pool, (busyPools.get(pool) ?? 0) + 1);
+    const busy = new Map<string, number>();
+    for (const { pool } of turns.values()) busy.set(pool, (busy.get(pool) ?? 0) + 1);
+    const pressure = ({ pool }: ListedVm) => {
+      const load = view.load(pool);
+      const isKnown = load !== undefined && load.capacityCpu > 0;
+      const share = isKnown ? (load.usedCpu + load.waitingCpu) / load.capacityCpu : 0;
+      return share + (busy.get(pool) ?? 0);
+    };
     const waiting = order.vms
-      .filter((vm) => !done.has(vm) && !turns.has(vm))
+      .filter((vm) => !done.has(vm) && !turns.has(vm) && !isTaken(vm))
       .map((vm) => listed.get(vm))
       .filter((vm) => vm?.state === VmState.Up)
       .filter((vm) => vm !== undefined);
-    return waiting
-      .sort((a, b) => (busyPools.get(a.pool) ?? 0) - (busyPools.get(b.pool) ?? 0))
-      .slice(0, free);
+    const empty = waiting.filter((vm) => view.runsOn(vm) === 0);
+    const loaded = waiting
+      .filter((vm) => view.runsOn(vm) !== 0)
+      .sort((a, b) => pressure(a) - pressure(b));
+    const paced = Math.max(0, this.#pace(wave) - turns.size);
+    return [...empty, ...loaded.slice(0, paced)].slice(0, free);
+  }
+
+  /** VMs that have to be away at the same time for the wave to end in time. */
+  #pace({ order, done, seenAt }: WaveProgress): number {
+    const leftMs = order.withinS * 1000 * PACE_SHARE - (this.#deps.clock.now() - seenAt);
+    const left = order.vms.length - done.size;
+    if (leftMs <= EXPECTED_AWAY_MS) return order.maxDown;
+    return Math.min(order.maxDown, Math.ceil((left * EXPECTED_AWAY_MS) / leftMs));
   }
 
   /** Whether the time that is left suffices only if tasks no longer hold upkeeps up. */
@@ -275,7 +284,7 @@
     const { board, clock, log } = this.#deps;
     const res = await board.report(order.id, true);
     if (res.isErr) return;
-    this.#finished.add(order.id);
+    this.#finished?.add(order.id);
     this.#waves.delete(order.id);
     const tookMs = Math.round(clock.now() - seenAt);
     log.info('wave_finished', { wave: order.id, took_ms: tookMs, withinS: order.withinS });
