--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -338,6 +338,23 @@
       t.true(await rig.until(() => rig.isFinished('1'), 60_000));
     },
   },
+  {
+    // Guards against two tasks of one step that are ended together with their worker.
+    title: 'a wave keeps a step within what it may miss when two of its tasks share a worker',
+    rig: { services: ['motions'], workersPerService: 3 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: Infinity });
+      // Two fill a worker, so that none can go elsewhere first.
+      const step = { count: 6, isLasting: true, mayMiss: 1, cpuMillis: 2_000 };
+      await submit(rig, rig.job('motions', [step]));
+      await rig.until(() => rig.fleet.runs().length === 6);
+      await rig.advance(1_000);
+      const vms = [...rig.fleet.executors.keys()];
+      rig.orderWave({ id: '1', vms, withinS: 10, maxDown: 3 });
+      await rig.advance(15_000);
+      t.false(rig.isFinished('1'));
+    },
+  },
   {
     // Guards against a new holder that counts only the VMs which it took down itself.
     title: 'a wave keeps its number when the holder of the fleet changes',
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Step } from './job.js';
+import { countOnWorker } from './placement.js';
 import type { RunControl } from './runControl.js';
 import { RunPhase, type Run, type Worker } from './worker.js';
 import type { WorkerSessions } from './workerSessions.js';
@@ -47,7 +48,8 @@
     this.proceed();
     const runs = [...worker.runs.values()];
     const isHeldUp = runs.some(
-      (run) => run.phase === RunPhase.Starting || !(this.#mayEnd(run) && (isUrgent || isLong(run))),
+      (run) =>
+        run.phase === RunPhase.Starting || !this.#mayEndAll(run) || !(isUrgent || isLong(run)),
     );
     if (isHeldUp) this.#granted.delete(worker);
     else this.#granted.add(worker);
@@ -104,13 +106,20 @@
     return step.tasks.filter(({ run, index }) => index !== exceptIndex && !isAtWork(run)).length;
   }
 
+  /** Whether ending all tasks of a run's step on its worker keeps the step within its number. */
+  #mayEndAll({ task, worker }: Run): boolean {
+    const { mayMiss } = task.step.spec;
+    const here = countOnWorker(task.step.tasks, worker);
+    return mayMiss === 0 || this.#countAway(task.step, task.index) + here - 1 < mayMiss;
+  }
+
   #hasOtherPlace({ task, worker }: Run): boolean {
     const { step } = task;
     const now = this.#deps.clock.now();
     for (const other of this.#deps.sessions.all()) {
       if (other === worker || !other.canTake(now)) continue;
       if (!other.hasRoom(step.spec, step.spec.fillsSpare)) continue;
-      const here = step.tasks.filter(({ run }) => run?.worker === other).length;
+      const here = countOnWorker(step.tasks, other);
       if (step.spec.maxPerWorker === 0 || here < step.spec.maxPerWorker) return true;
     }
     return false;
