--- a/src/batch/fleetDuty.ts
+++ b/src/batch/fleetDuty.ts
@@ -43,7 +43,7 @@
   /** Runs until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, claim } = this.#deps;
-    if (claim.hadOwner) await clock.sleep(TAKEOVER_WAIT_MS, signal);
+    if (claim.mayOverlap) await clock.sleep(TAKEOVER_WAIT_MS, signal);
     do await this.#round();
     while (await clock.sleep(ROUND_MS, signal));
   }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -4,7 +4,7 @@
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
-import { isStepReady, Job } from './job.js';
+import { criticalPathMs, isStepReady, Job } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal } from './journal.js';
 import { orderWaiting } from './ordering.js';
@@ -213,6 +213,9 @@
       queue: spec.queue,
       service: this.service,
       steps: spec.steps.length,
+      tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
+      lasting: job.isLasting,
+      path_ms: criticalPathMs(spec.steps),
       config: config()?.version,
     });
     this.#requestPlacement();
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -20,6 +20,8 @@
 const FIRST_CLAIM_DELAY_MS = 900;
 /** Wait of a node for each other live node that is better placed to claim a service. */
 const CLAIM_STAGGER_MS = 500;
+/** The same for a service that was given back, which all nodes see at once. */
+const RELEASED_STAGGER_MS = 150;
 /** Wait of one feed call; short, so that a channel that went silent is noticed. */
 const FEED_WAIT_MS = 1_500;
 const RETRY_MS = 300;
@@ -47,8 +49,8 @@
   epoch: number;
   /** Version of the head row after the claim. */
   headVersion: number;
-  /** Whether there was a holder before. */
-  hadOwner: boolean;
+  /** Whether an earlier holder may just have given orders. */
+  mayOverlap: boolean;
 }
 
 /** Events of {@link Ownership}. */
@@ -105,6 +107,7 @@
   #lastReadAt = -Infinity;
   #startedAt: number;
   #isLeaving = false;
+  #isClaiming = false;
 
   constructor(deps: OwnershipDeps) {
     this.#deps = deps;
@@ -175,6 +178,17 @@
     } while (await clock.sleep(RENEW_INTERVAL_MS, signal));
   }
 
+  /** Claims a service that was given back without waiting for the next renewal. */
+  async #claimReleased(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#deps;
+    let isReleased = true;
+    while (isReleased && !signal.aborted && !this.#isLeaving && this.isStoreReachable()) {
+      await this.#claimFree();
+      isReleased = [...this.#owners.values()].some((owner) => owner.isReleased);
+      await clock.sleep(RELEASED_STAGGER_MS, signal);
+    }
+  }
+
   async #renew(): Promise<void> {
     if (this.#isLeaving) return;
     const { clock, store, node, incarnation, address, log, counters } = this.#deps;
@@ -231,6 +245,7 @@
       if (res.isOk) {
         for (const row of res.value.rows) this.#seeOwner(row);
         after = res.value.version;
+        if (res.value.rows.length > 0) void this.#claimReleased(signal);
         continue;
       }
       after = undefined;
@@ -283,6 +298,13 @@
   }
 
   async #claimFree(): Promise<void> {
+    if (this.#isClaiming) return;
+    this.#isClaiming = true;
+    await this.#claimEach();
+    this.#isClaiming = false;
+  }
+
+  async #claimEach(): Promise<void> {
     const { clock, services } = this.#deps;
     const now = clock.now();
     if (now - this.#startedAt < FIRST_CLAIM_DELAY_MS) return;
@@ -295,7 +317,8 @@
       const since = this.#unownedSince.get(service) ?? now;
       this.#unownedSince.set(service, since);
       const isOwn = owner?.node === this.#deps.node && !owner.isReleased;
-      const wait = isOwn ? 0 : this.#rank(service) * CLAIM_STAGGER_MS;
+      const stagger = owner?.isReleased ? RELEASED_STAGGER_MS : CLAIM_STAGGER_MS;
+      const wait = isOwn ? 0 : this.#rank(service) * stagger;
       if (now - since >= wait) await this.#claim(service);
     }
   }
@@ -370,7 +393,8 @@
     this.#unownedSince.delete(service);
     counters.count('takeovers', reason);
     log.info('service_claimed', { service, epoch, reason, before: before?.node });
-    const claim = { service, epoch, headVersion: version, hadOwner: before !== undefined };
+    const mayOverlap = before !== undefined && !before.isReleased;
+    const claim = { service, epoch, headVersion: version, mayOverlap };
     void this.events.emit('claimed', claim);
   }
 
