Start accepted tasks while the store is away, and refuse callers at once then

Cause: a holder stopped starting tasks 2.6 s after its last renewal, also when the store was away for all nodes; callers waited for an answer until their deadline and got 504, after which they do not try again. A successor waits for every lease that the earlier holder may have given, so tasks that ran nowhere before may start for 7 s; only a task whose run was lost with a silent worker needs a certain hold, as a successor may have reached that worker. UNREACHED wait falls from 11.5 to 9.5 s, 5.5 s after a hand-over.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -195,6 +195,38 @@
       t.is(rig.fleet.runs().length, 4);
     },
   },
+  {
+    // Guards against accepted work that stands still while the store is away for some seconds.
+    title: 'accepted tasks go on starting while the store is silent for 4.5 s',
+    rig: { workersPerService: 1 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 1_000 });
+      // Four fit at a time.
+      const spec = rig.job('motions', [{ count: 24 }]);
+      await submit(rig, spec);
+      for (const { name } of rig.nodes) rig.store.faults.set(name, StoreFault.Silent);
+      await rig.advance(4_500);
+      t.true(rig.fleet.runs().length >= 16, `${rig.fleet.runs().length} started`);
+      rig.store.faults.clear();
+      t.is(await ends(rig, spec), JobState.Succeeded);
+      t.is(rig.fleet.runs().length, 24);
+    },
+  },
+  {
+    title: 'a caller is refused at once while the store is known to be away',
+    run: async (t, rig) => {
+      for (const { name } of rig.nodes) rig.store.faults.set(name, StoreFault.Silent);
+      await rig.advance(2_000);
+      const startedAt = rig.clock.now();
+      const spec = rig.job('motions', [{ count: 1 }]);
+      const answer = nodeOf(rig, 1).node.gateway.submit(rig.queue('motions'), spec, 3_000);
+      t.is((await rig.settle(answer)).outcome, CallOutcome.Refused);
+      t.true(rig.clock.now() - startedAt < 100);
+      rig.store.faults.clear();
+      await rig.advance(2_000);
+      t.is(await submit(rig, spec), CallOutcome.Ok);
+    },
+  },
   ...[0, 300, 600, 900, 1_200, 1_500].map(replacedHolderCase),
   {
     title: 'an order that is carried out late does not make a second run',
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -4,7 +4,8 @@
 import type { HolderDirectory } from './holderDirectory.js';
 import { encodeJob } from './jobCodec.js';
 import { NodeCallKind } from './nodeCalls.js';
-import { StoreErrorCode, type RowKey, type RowStore } from './ports.js';
+import type { MonitoredStore } from './monitoredStore.js';
+import { StoreErrorCode, type RowKey } from './ports.js';
 import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState, type BatchConfig, type JobSpec, type Queue } from './types.js';
 
@@ -41,7 +42,7 @@
 
 /** Needs of a {@link Gateway}. */
 export interface GatewayDeps {
-  store: RowStore;
+  store: MonitoredStore;
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
@@ -93,6 +94,8 @@
         return this.#accepted(spec, 'store', clock.now() - startedAt);
       }
       if (direct === CallOutcome.Unknown) mayBeAccepted = true;
+      // With the store away nothing can be accepted; the caller does better to come back.
+      if (this.#deps.store.isSuspect && !mayBeAccepted) break;
       await clock.sleep(RETRY_MS);
     } while (left() > LAST_TRY_MS);
     if (!mayBeAccepted) return this.#refused(spec, 'store_unavailable', UNAVAILABLE_RETRY_MS);
@@ -115,6 +118,7 @@
   }
 
   async #submitThroughStore(service: string, spec: JobSpec): Promise<CallOutcome> {
+    if (this.#deps.store.isSuspect) return CallOutcome.Refused;
     const inbox = inboxKey(service, spec.id);
     const absent = [inbox, jobKey(service, spec.id), endedKey(service, spec.id)];
     const res = await this.#deps.store.transact({
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -9,7 +9,8 @@
 import { EntryOutcome, Journal } from './journal.js';
 import { orderWaiting } from './ordering.js';
 import { placeSteps } from './placement.js';
-import type { AdviceClient, RowStore, WorkerClient } from './ports.js';
+import type { MonitoredStore } from './monitoredStore.js';
+import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
 import { RunControl } from './runControl.js';
 import { jobKey, endedKey, inboxKey } from './rows.js';
@@ -30,6 +31,8 @@
 const MAX_OPEN_JOBS = 4_000;
 /** Wait before a caller that was refused for want of room is to come back. */
 const FULL_RETRY_MS = 2_000;
+/** Wait before a caller that was refused while the store is away is to come back. */
+const STORE_RETRY_MS = 1_000;
 /** Interval of opening due occurrences and of placing what waited for a delay. */
 const TICK_MS = 100;
 /** Wait for other causes before a placement round, so that one round serves them all. */
@@ -38,11 +41,15 @@
 /** What became of a job that was handed in. */
 export type SubmitOutcome =
   | { isAccepted: true }
-  | { isAccepted: false; reason: 'full' | 'not_holder' | 'unresolved'; retryAfterMs: number };
+  | {
+      isAccepted: false;
+      reason: 'full' | 'not_holder' | 'store_away' | 'unresolved';
+      retryAfterMs: number;
+    };
 
 /** Needs of a {@link Holder}. */
 export interface HolderDeps {
-  store: RowStore;
+  store: MonitoredStore;
   workers: WorkerClient;
   advice: AdviceClient;
   clock: Clock;
@@ -51,9 +58,9 @@
   config: () => BatchConfig | undefined;
   /** Workers of all services as registered. */
   registered: () => Iterable<WorkerRecord>;
-  /** Whether new runs may be started. */
+  /** Whether the hold on the service is certain, so that lost runs may be started again. */
   canStart: () => boolean;
-  /** Whether leases may be extended. */
+  /** Whether leases may be extended and tasks started that ran nowhere before. */
   canExtend: () => boolean;
   onLost: (service: string, reason: string) => void;
 }
@@ -175,6 +182,10 @@
     }
     const known = await this.#jobs.awaitAcceptance(spec.id);
     if (known) return { isAccepted: true };
+    if (this.#deps.store.isSuspect) {
+      this.#deps.counters.count('refusals', 'store_away');
+      return { isAccepted: false, reason: 'store_away', retryAfterMs: STORE_RETRY_MS };
+    }
     if (this.#jobs.size >= MAX_OPEN_JOBS) {
       this.#deps.counters.count('refusals', 'too_many_open_jobs');
       return { isAccepted: false, reason: 'full', retryAfterMs: FULL_RETRY_MS };
@@ -279,8 +290,9 @@
   }
 
   #place(): void {
-    const { clock, canStart } = this.#deps;
-    if (this.#isClosed || !this.isLoaded || !canStart()) return;
+    const { clock, canStart, canExtend } = this.#deps;
+    if (this.#isClosed || !this.isLoaded || !canExtend()) return;
+    const mayRestart = canStart();
     const now = clock.now();
     const queues = new Map(this.#deps.config()?.queues.map((queue) => [queue.name, queue]));
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStart(job));
@@ -288,7 +300,8 @@
     const steps = waiting
       .map(({ step }) => step)
       .filter((step) => isStepReady(step) && this.#advice.isKnown(step, queues, this.#sessions));
-    placeSteps(steps, [...this.#sessions.all()], now, ({ task, worker }) => {
+    const workers = [...this.#sessions.all()];
+    placeSteps({ steps, workers, now, mayRestart }, ({ task, worker }) => {
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     });
   }
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -18,6 +18,11 @@
   run?: Run;
   /** No start before this monotonic time, in milliseconds. */
   notBefore: number;
+  /**
+   * Whether a run was lost with a silent worker. Another holder may have reached it there, so a new
+   * run needs a certain hold on the service.
+   */
+  wasLost: boolean;
   /** Worker that failed the task last; avoided while there are others. */
   avoid?: string;
 }
@@ -125,6 +130,7 @@
           nextRun: this.#firstRun,
           checkpoint: '',
           notBefore: 0,
+          wasLost: false,
         });
       }
       occurrence.steps.push(step);
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -16,6 +16,7 @@
 import type { NodeTransport } from './links.js';
 import type { NodeCall } from './nodeCalls.js';
 import { FLEET_DUTY, Ownership, type Claim } from './ownership.js';
+import { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
 import type { BatchConfig, WaveOrder, WorkerRecord } from './types.js';
 import { FleetDuty } from './fleetDuty.js';
@@ -57,6 +58,7 @@
 export class BatchNode {
   readonly gateway: Gateway;
   readonly #deps: BatchNodeDeps;
+  readonly #store: MonitoredStore;
   readonly #ownership: Ownership;
   readonly #directory: HolderDirectory;
   readonly #holders = new Map<string, Holder>();
@@ -66,7 +68,9 @@
   #config: BatchConfig | undefined;
   #isLeaving = false;
 
-  constructor(deps: BatchNodeDeps) {
+  constructor(given: BatchNodeDeps) {
+    this.#store = new MonitoredStore(given.store, given.clock);
+    const deps = { ...given, store: this.#store };
     this.#deps = deps;
     this.#ownership = new Ownership({
       ...deps,
@@ -74,7 +78,12 @@
       services: () => this.#services(),
     });
     this.#directory = new HolderDirectory(this.#ownership, deps.transport, this.#holders);
-    this.gateway = new Gateway({ ...deps, config: () => this.#config, holders: this.#directory });
+    this.gateway = new Gateway({
+      ...deps,
+      store: this.#store,
+      config: () => this.#config,
+      holders: this.#directory,
+    });
   }
 
   /** The configuration in force here. */
@@ -196,6 +205,7 @@
         ...this.#deps,
         config: () => this.#config,
         registered: () => this.#workers.values(),
+        store: this.#store,
         canStart: () => ownership.canStart(),
         canExtend: () => ownership.canExtend(),
         onLost: (service, reason) => {
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -10,10 +10,18 @@
 const RENEW_INTERVAL_MS = 800;
 /** Unchanged for this long, with the store answering, a node counts as gone. */
 const NODE_EXPIRY_MS = 3_000;
-/** Since its last renewal, a holder starts new runs for this long; below NODE_EXPIRY_MS. */
+/** Since its last renewal, a holder is certain to hold its services for this long. */
 const START_AUTHORITY_MS = 2_600;
-/** Since its last renewal, a holder extends leases of running tasks for this long. */
-export const EXTEND_AUTHORITY_MS = 6_000;
+/**
+ * Since its last renewal, a holder extends leases and starts tasks that ran nowhere before for
+ * this long; a successor waits for the leases that may have been given meanwhile.
+ */
+const EXTEND_AUTHORITY_MS = 7_000;
+/**
+ * Time from an expiry until the last order of the earlier holder, in milliseconds. A holder that
+ * gave back, or whose process has ended, gives none any more.
+ */
+export const LAST_ORDER_MS = EXTEND_AUTHORITY_MS - NODE_EXPIRY_MS;
 /** A gap between answered reads after which all expiries are counted anew. */
 const READ_GAP_MS = 1_800;
 /** Wait of a new process before its first claim, so that all nodes of a start are seen. */
@@ -141,12 +149,12 @@
       .map(([, { address }]) => address);
   }
 
-  /** Whether the last renewal is recent enough to start new runs. */
+  /** Whether no other node can have claimed a service of this one. */
   canStart(): boolean {
     return this.#renewalAge() < START_AUTHORITY_MS;
   }
 
-  /** Whether the last renewal is recent enough to extend leases. */
+  /** Whether the last renewal is recent enough for orders that a successor reckons with. */
   canExtend(): boolean {
     return this.#renewalAge() < EXTEND_AUTHORITY_MS;
   }
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -18,19 +18,27 @@
 /** Weight of one task of the same lasting step, of which planned work may end only some at once. */
 const SAME_STEP_SCORE = -4;
 
+/** What a placement round works on. */
+export interface PlacementRound {
+  /** Steps that may start, most urgent first. */
+  steps: Iterable<Step>;
+  /** Workers of the service. */
+  workers: readonly Worker[];
+  /** Monotonic milliseconds. */
+  now: number;
+  /** Whether tasks may start whose run was lost with a silent worker. */
+  mayRestart: boolean;
+}
+
 /**
  * Places the idle tasks of steps in the given order. `assign` must reserve the room at once.
  *
- * @param steps - steps that may start, most urgent first
- * @param workers - workers of the service
- * @param now - monotonic milliseconds
+ * @param round - steps, workers and conditions
  * @param assign - called for each task that gets a worker
  * @returns number of tasks that found no room
  */
 export function placeSteps(
-  steps: Iterable<Step>,
-  workers: readonly Worker[],
-  now: number,
+  { steps, workers, now, mayRestart }: PlacementRound,
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.canTake(now));
@@ -42,7 +50,9 @@
       left += step.idleCount;
       continue;
     }
-    const tasks = step.tasks.filter((task) => !task.isDone && !task.run && task.notBefore <= now);
+    const isIdle = (task: Task) =>
+      !task.isDone && !task.run && task.notBefore <= now && (mayRestart || !task.wasLost);
+    const tasks = step.tasks.filter(isIdle);
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, assign)
       : placeEach(step, tasks, usable, assign);
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -4,19 +4,15 @@
 import { Job } from './job.js';
 import { decodeJob } from './jobCodec.js';
 import type { JobTable } from './jobTable.js';
-import { EXTEND_AUTHORITY_MS, type Claim } from './ownership.js';
+import { LAST_ORDER_MS, type Claim } from './ownership.js';
 import type { Row, RowStore } from './ports.js';
 import { LEASE_MS } from './runControl.js';
 import { JobState, type WorkerRecord } from './types.js';
 import type { Worker } from './worker.js';
 import type { WorkerSessions } from './workerSessions.js';
 
-/**
- * After a takeover, tasks may still run on a worker that cannot be reached until the earlier
- * holder's authority and then the last lease that it could give have ended, with the drift of the
- * worker's clock.
- */
-const UNREACHED_WAIT_MS = EXTEND_AUTHORITY_MS + LEASE_MS * 1.03 + 300;
+/** Longest time from the last order of a holder until its lease has ended on any worker's clock. */
+const LAST_LEASE_MS = LEASE_MS * 1.03 + 300;
 /** Runs of one task that one holder starts, at most; separates the numbers of successive holders. */
 const RUNS_PER_EPOCH = 1_000;
 const RETRY_MS = 200;
@@ -55,7 +51,8 @@
   async load(signal: AbortSignal): Promise<number | undefined> {
     const { claim, clock, log, counters } = this.#deps;
     const startedAt = clock.now();
-    this.#waitUntil = startedAt + UNREACHED_WAIT_MS;
+    const lastOrderMs = claim.mayOverlap ? LAST_ORDER_MS : 0;
+    this.#waitUntil = startedAt + lastOrderMs + LAST_LEASE_MS;
     const inbox = await this.#read('inbox', signal);
     const roster = await this.#read('roster', signal);
     const jobs = await this.#read('job', signal);
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -383,6 +383,7 @@
       worker: run.worker.record.id,
       reason,
     });
+    run.task.wasLost = true;
     this.#requeue(run);
   }
 
