Size pools by the rate of arrivals, and a backlog by the time to work it off

Cause: pools grew only with a backlog, a second into a turn, and then by the whole backlog as if it lasted.

--- a/src/batch/balance.spec.ts
+++ b/src/batch/balance.spec.ts
@@ -6,8 +6,9 @@
 const CPU = 64_000;
 
 function load(fields: Partial<ServiceLoad>): ServiceLoad {
-  const idle = { waitingCpu: 0, usedCpu: 0, capacityCpu: 6 * CPU, workers: [], spreadNeed: 0 };
-  return { ...idle, ...fields };
+  const { waitingCpu = 0 } = fields;
+  const cpu = { waitingCpu, backlogCpu: waitingCpu, expectedCpu: 0, lastingCpu: 0, usedCpu: 0 };
+  return { ...cpu, capacityCpu: 6 * CPU, workers: [], spreadNeed: 0, ...fields };
 }
 
 function service(name: string, fields?: Partial<ServiceLoad>, arriving = 0): BalancedService {
@@ -53,6 +54,15 @@
     vms: [...pool('motions', 2), ...pool('standings', 5, 500)],
     expected: ['standings>motions', 'standings>motions'],
   },
+  {
+    title: 'a rate of arrivals brings VMs before there is a backlog',
+    services: [
+      service('motions', { usedCpu: CPU, lastingCpu: CPU, expectedCpu: 6 * CPU }),
+      standby,
+    ],
+    vms: [...pool('motions', 6), ...pool('portal', 6, 0)],
+    expected: ['portal>motions', 'portal>motions', 'portal>motions'],
+  },
   {
     title: 'VMs that are on their way count',
     services: [service('motions', { usedCpu: 6 * CPU, waitingCpu: 2 * CPU }, 4), standby],
--- a/src/batch/balance.ts
+++ b/src/batch/balance.ts
@@ -37,7 +37,9 @@
 
 /** Workers that a service needs for what runs and waits. */
 export function wantedWorkers(load: ServiceLoad, cpuPerWorker: number): number {
-  const need = (load.usedCpu + load.waitingCpu) * HEADROOM;
+  const present = load.usedCpu + load.backlogCpu;
+  const expected = load.expectedCpu + load.lastingCpu;
+  const need = Math.max(present, expected) * HEADROOM;
   const byCpu = cpuPerWorker > 0 ? Math.ceil(need / cpuPerWorker) : 0;
   return Math.max(MIN_WORKERS, load.spreadNeed, byCpu);
 }
@@ -64,7 +66,8 @@
     const own = vms.filter(({ pool }) => pool === name);
     const have = own.length + arriving;
     const wanted = wantedWorkers(load, averageCpu(own.length > 0 ? own : vms));
-    if (wanted > have && load.waitingCpu > 0) deficits.push({ name, missing: wanted - have });
+    const isDemanded = load.waitingCpu > 0 || load.expectedCpu > 0;
+    if (wanted > have && isDemanded) deficits.push({ name, missing: wanted - have });
     const empty = own
       .filter(({ state, emptyForMs }) => state === VmState.Up && emptyForMs !== undefined)
       .sort((a, b) => (b.emptyForMs ?? 0) - (a.emptyForMs ?? 0));
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { AdviceBook } from './adviceBook.js';
+import { Arrivals } from './arrivals.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
@@ -75,6 +76,7 @@
   readonly #sessions: WorkerSessions;
   readonly #recovery: Recovery;
   readonly #vacating: Vacating;
+  readonly #arrivals = new Arrivals();
   readonly #advice: AdviceBook;
   readonly #inbox: Inbox;
   #isPlacementDue = false;
@@ -218,6 +220,7 @@
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
     job.openDue(clock.wallTime());
+    this.#arrivals.add(spec.steps, clock.now());
     this.#jobs.add(job);
     log.info('job_accepted', {
       job: spec.id,
@@ -272,7 +275,8 @@
 
   /** Load figures of the service for the move policy. */
   load(): ServiceLoad {
-    return this.#sessions.load([...this.#jobs.open()]);
+    const expectedCpu = this.#arrivals.expectedCpu(this.#deps.clock.now());
+    return this.#sessions.load([...this.#jobs.open()], expectedCpu);
   }
 
   #queueOf(name: string): Queue | undefined {
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -22,6 +22,8 @@
 const RETRY_MS = 150;
 /** Time on top of a lease for an order that is on its way. */
 const LAPSE_SLACK_MS = 250;
+/** Time in which a backlog is to be worked off, in milliseconds. */
+const BACKLOG_MS = 1_000;
 /** A worker without runs whose registration is missing is forgotten after this time. */
 const FORGET_MS = 6_000;
 
@@ -248,8 +250,9 @@
   }
 
   /** Load figures of the service. */
-  load(jobs: readonly Job[]): ServiceLoad {
+  load(jobs: readonly Job[], expectedCpu: number): ServiceLoad {
     let waitingCpu = 0;
+    let backlogCpu = 0;
     let spreadNeed = 0;
     for (const job of jobs) {
       for (const { steps } of job.occurrences.values()) {
@@ -258,13 +261,23 @@
           if (spec.maxPerWorker > 0 && spec.isLasting) {
             spreadNeed = Math.max(spreadNeed, Math.ceil(spec.count / spec.maxPerWorker));
           }
-          if (!spec.fillsSpare && isStepReady(step)) waitingCpu += step.idleCount * spec.cpuMillis;
+          if (spec.fillsSpare || !isStepReady(step)) continue;
+          const waiting = step.idleCount * spec.cpuMillis;
+          waitingCpu += waiting;
+          const isShort = !spec.isLasting && spec.estimateMs < BACKLOG_MS;
+          backlogCpu += isShort ? (waiting * spec.estimateMs) / BACKLOG_MS : waiting;
         }
       }
     }
     const workers = [...this.all()];
+    const lasting = workers.flatMap(({ runs }) =>
+      [...runs.values()].filter(({ task }) => task.step.spec.isLasting),
+    );
     return {
       waitingCpu,
+      backlogCpu,
+      expectedCpu,
+      lastingCpu: lasting.reduce((sum, { task }) => sum + task.step.spec.cpuMillis, 0),
       spreadNeed,
       usedCpu: workers.reduce((sum, { cpuUsed }) => sum + cpuUsed, 0),
       capacityCpu: workers
