Let planned work wait until a new holder has seen what runs

Ruled out: two grants by one holder, tasks that share a worker. A worker is ready only once it was reached, or once nothing can run there.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -387,6 +387,31 @@
       t.false(rig.isFinished('1'));
     },
   },
+  {
+    // Guards against a new holder that takes a worker for empty before it has seen its runs.
+    title: 'a wave waits for a new holder to see what runs',
+    rig: { services: ['motions'], workersPerService: 3 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: Infinity });
+      const step = { count: 3, isLasting: true, maxPerWorker: 1, mayMiss: 1 };
+      await submit(rig, rig.job('motions', [step]));
+      await rig.until(() => rig.fleet.runs().length === 3);
+      await rig.advance(1_000);
+      const holder = required(rig.holderOf('motions'));
+      const workers = [...rig.fleet.executors.keys()];
+      for (const { name } of rig.nodes) {
+        for (const worker of workers)
+          if (name !== holder.name) rig.fleet.cuts.add(`${name}>${worker}`);
+      }
+      holder.isDead = true;
+      await rig.until(() => rig.holderOf('motions') !== undefined);
+      rig.orderWave({ id: '1', vms: workers, withinS: 20, maxDown: 3 });
+      await rig.advance(1_500);
+      rig.fleet.cuts.clear();
+      await rig.advance(1_000);
+      t.pass();
+    },
+  },
   {
     // Guards against a new holder that counts only the VMs which it took down itself.
     title: 'a wave keeps its number when the holder of the fleet changes',
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -132,7 +132,13 @@
       sessions: this.#sessions,
       place,
     });
-    this.#vacating = new Vacating({ clock, log, runs: this.#runs, sessions: this.#sessions });
+    this.#vacating = new Vacating({
+      clock,
+      log,
+      runs: this.#runs,
+      sessions: this.#sessions,
+      seesAll: () => this.#recovery.seesAll(),
+    });
     this.#advice = new AdviceBook({ ...deps, place });
     this.#inbox = new Inbox({
       store,
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -16,6 +16,8 @@
 /** Runs of one task that one holder starts, at most; separates the numbers of successive holders. */
 const RUNS_PER_EPOCH = 1_000;
 const RETRY_MS = 200;
+/** Time after loading until the registered workers are known as well. */
+const SYNC_MS = 1_000;
 
 /** Needs of {@link Recovery}. */
 export interface RecoveryDeps {
@@ -38,6 +40,7 @@
   #unreached: Worker[] = [];
   #waitUntil = 0;
   isLoaded = false;
+  #loadedAt = Infinity;
 
   constructor(deps: RecoveryDeps) {
     this.#deps = deps;
@@ -62,6 +65,7 @@
     const progressById = new Map(progress.rows.map((row) => [row.key, row.value]));
     for (const row of [...jobs.rows, ...inbox.rows]) this.#loadJob(row, progressById);
     this.isLoaded = true;
+    this.#loadedAt = clock.now();
     counters.observe('recovery_ms', clock.now() - startedAt);
     log.info('service_loaded', {
       service: claim.service,
@@ -126,6 +130,14 @@
     if (job.isComplete) void jobs.close(job, JobState.Succeeded);
   }
 
+  /** Whether each worker has been reached, or nothing can run there any more. */
+  seesAll(): boolean {
+    const { clock } = this.#deps;
+    this.#unreached = this.#unreached.filter((worker) => !worker.isHeld && !worker.isGone);
+    const isSynced = clock.now() - this.#loadedAt > SYNC_MS;
+    return isSynced && (this.#unreached.length === 0 || clock.now() >= this.#waitUntil);
+  }
+
   /** Whether no task of a job can still run out of this holder's sight. */
   mayStart(job: Job): boolean {
     if (this.#inherited.size === 0 || !this.#inherited.has(job.spec.id)) return true;
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -22,6 +22,8 @@
   log: DecisionLog;
   runs: RunControl;
   sessions: WorkerSessions;
+  /** Whether nothing can run any more that the holder has not seen. */
+  seesAll: () => boolean;
 }
 
 /**
@@ -42,15 +44,18 @@
   /** Asks to empty a worker. With `isUrgent`, short tasks do not hold it up. */
   request(workerId: string, isUrgent: boolean): VacateStatus {
     const worker = this.#deps.sessions.get(workerId);
-    if (!worker) return { isReady: true, runs: 0 };
+    if (!worker) return { isReady: this.#deps.seesAll(), runs: 0 };
     worker.isVacating = true;
     this.#requests.set(workerId, this.#deps.clock.now());
     this.proceed();
     const runs = [...worker.runs.values()];
-    const isHeldUp = runs.some(
-      (run) =>
-        run.phase === RunPhase.Starting || !this.#mayEndAll(run) || !(isUrgent || isLong(run)),
-    );
+    const isUnseen = !worker.isHeld && !this.#deps.seesAll();
+    const isHeldUp =
+      isUnseen ||
+      runs.some(
+        (run) =>
+          run.phase === RunPhase.Starting || !this.#mayEndAll(run) || !(isUrgent || isLong(run)),
+      );
     if (isHeldUp) this.#granted.delete(worker);
     else this.#granted.add(worker);
     return { isReady: !isHeldUp, runs: runs.length };
