--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -64,6 +64,33 @@
   };
 }
 
+// Guards against a new holder that does not know of a stop under way, and ends a second task.
+function stopUnderWayCase(orderAfterMs: number): Case {
+  return {
+    title: `a wave ordered ${orderAfterMs} ms into a cut of the holder keeps the budget`,
+    rig: { services: ['motions'], workersPerService: 3, nodes: 4 },
+    run: async (t, rig) => {
+      rig.fleet.stopMs = 900;
+      rig.fleet.script = () => ({ runMs: Infinity });
+      const step = { count: 4, isLasting: true, maxPerWorker: 2, mayMiss: 1 };
+      await submit(rig, rig.job('motions', [step]));
+      await rig.until(() => rig.fleet.runs().length === 4);
+      const shared = [...rig.fleet.executors.values()].filter(
+        ({ running }) => running.length === 2,
+      );
+      await rig.advance(1_000);
+      const holder = required(rig.holderOf('motions'));
+      t.not(holder, rig.fleetHolder());
+      rig.store.faults.set(holder.name, StoreFault.Silent);
+      await rig.advance(orderAfterMs);
+      const vms = shared.map(({ record }) => record.id);
+      rig.orderWave({ id: '1', vms, withinS: 8, maxDown: 1 });
+      await rig.advance(8_000);
+      t.deepEqual(rig.stoppedTogether(), []);
+    },
+  };
+}
+
 const cases: Case[] = [
   {
     title: 'a job of two steps runs in order and succeeds',
@@ -228,6 +255,7 @@
     },
   },
   ...[0, 300, 600, 900, 1_200, 1_500].map(replacedHolderCase),
+  ...[1_800, 2_200, 2_600, 3_000].map(stopUnderWayCase),
   {
     title: 'an order that is carried out late does not make a second run',
     run: async (t, rig) => {
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -76,7 +76,7 @@
 
   #createRun(task: Task, worker: Worker, number: number, phase: RunPhase): Run {
     const startedAt = this.#deps.clock.now();
-    const idle = { isStopSent: false, percent: 0, figure: 0, pace: 100 };
+    const idle = { isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
     return { task, worker, number, phase, startedAt, ...idle };
   }
 
@@ -337,6 +337,7 @@
     if (!task || task.isDone || task.run || worker.runs.has(entry.task)) return false;
     const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
     run.settledClockMs = clockMs;
+    run.isAdopted = true;
     job.attach(task, run);
     worker.add(run);
     job.state = JobState.Running;
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -9,6 +9,9 @@
 /** A request to empty a worker lapses when it is not repeated for this long. */
 const REQUEST_TTL_MS = 3_000;
 
+/** Longest time from a stop order until its run has ended. Source: the platform's `stopMs`. */
+const STOP_SETTLED_MS = 1_500;
+
 /** Whether a worker is ready for planned work. */
 export interface VacateStatus {
   isReady: boolean;
@@ -107,6 +110,7 @@
       run?.phase === RunPhase.Running &&
       run.percent >= 100 &&
       run.worker.misses === 0 &&
+      !this.#mayBeStopping(run) &&
       !this.#granted.has(run.worker);
     return step.tasks.filter(({ run, index }) => index !== exceptIndex && !isAtWork(run)).length;
   }
@@ -118,6 +122,11 @@
     return mayMiss === 0 || this.#countAway(task.step, task.index) + here - 1 < mayMiss;
   }
 
+  /** An earlier holder may have told an adopted run to stop before it lost the worker. */
+  #mayBeStopping({ isAdopted, startedAt }: Run): boolean {
+    return isAdopted && this.#deps.clock.now() - startedAt < STOP_SETTLED_MS;
+  }
+
   #hasOtherPlace({ task, worker }: Run): boolean {
     const { step } = task;
     const now = this.#deps.clock.now();
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -25,8 +25,10 @@
    * without the run shows that the run is over. Undefined while an order is unanswered.
    */
   settledClockMs?: number;
-  /** Monotonic time of the start order in milliseconds. */
+  /** Monotonic time of the start order, or of the adoption, in milliseconds. */
   startedAt: number;
+  /** Whether an earlier holder started it. */
+  isAdopted: boolean;
   percent: number;
   /** Response time tail in milliseconds of a serving task, else the processor in use. */
   figure: number;
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -389,6 +389,25 @@
     await this.advance(500);
   }
 
+  /** Lasting tasks that were stopped while more others of their step were away than it may miss. */
+  stoppedTogether(): string[] {
+    const found: string[] = [];
+    const runs = this.fleet.runs();
+    for (const { job, step, spec } of this.#lastingSteps) {
+      const own = runs.filter(({ task }) => task.startsWith(`${job}.0.${step}.`));
+      for (const stopped of own.filter(({ end }) => end === RunEnd.Stopped)) {
+        const at = (stopped.endedAt ?? 0) - this.fleet.stopMs;
+        const isAtWork = ({ task, startedAt, endedAt = Infinity, end }: SeenRun) => {
+          const leaves = end === RunEnd.Stopped ? endedAt - this.fleet.stopMs : endedAt;
+          return task !== stopped.task && startedAt <= at && leaves > at;
+        };
+        const away = spec.count - 1 - own.filter(isAtWork).length;
+        if (away >= spec.mayMiss) found.push(`${stopped.task} with ${away} away`);
+      }
+    }
+    return found;
+  }
+
   /** What callers and workers must never see. */
   violations(): string[] {
     const byTask = new Map<string, SeenRun[]>();
--- a/src/testing/batchRig/fakeExecutors.ts
+++ b/src/testing/batchRig/fakeExecutors.ts
@@ -157,7 +157,13 @@
     if (fencingToken < this.#fence) return { answer: OrderAnswer.Fenced, clockMs };
     this.#fence = fencingToken;
     const active = this.#runs.get(task);
-    if (active?.run === run) this.#end(active, RunEnd.Stopped);
+    if (active?.run === run && this.#fleet.stopMs === 0) this.#end(active, RunEnd.Stopped);
+    else if (active?.run === run) {
+      active.timer?.cancel();
+      active.timer = this.#fleet.clock.setTimer(this.#fleet.stopMs, () => {
+        if (this.#runs.get(task) === active) this.#end(active, RunEnd.Stopped);
+      });
+    }
     this.#endedRuns.set(task, Math.max(run, this.#endedRuns.get(task) ?? 0));
     return { answer: OrderAnswer.Done, clockMs };
   }
@@ -176,7 +182,9 @@
       await this.#fleet.clock.sleep(order.waitMs, wait.signal);
       this.#wake.delete(wake);
     }
-    const running = [...this.#runs.values()].map(({ task, run, startedAt }) => {
+    // Newest first: the order of the list says nothing.
+    const runs = [...this.#runs.values()].reverse();
+    const running = runs.map(({ task, run, startedAt }) => {
       const percent = this.#fleet.clock.now() - startedAt >= this.#fleet.startupMs ? 100 : 50;
       return { task, run, checkpoint: '', percent, figure: 0 };
     });
@@ -192,6 +200,8 @@
   readonly executors = new Map<string, FakeExecutor>();
   /** Time in milliseconds until a task is at work. */
   startupMs = 100;
+  /** Time in milliseconds that a stop takes. */
+  stopMs = 0;
   /** Decides how a run goes. */
   script: (task: string, run: number, worker: string) => TaskScript = () => ({ runMs: 500 });
   /** Pairs `node>worker` whose calls go nowhere. */
