Leave the rotation and refuse at once when the store does not answer this node

Ruled out: the store away for all nodes, a lost holder. The two new cases cover the cut and single lost answers.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -254,6 +254,40 @@
       t.is(await submit(rig, spec), CallOutcome.Ok);
     },
   },
+  {
+    // Guards against a node in a zone that is cut off, which stays in the balancer's rotation and
+    // leaves its callers without an answer.
+    title: 'a node cut off from the store and the holder is soon not ready and refuses at once',
+    run: async (t, rig) => {
+      const holder = required(rig.holderOf('motions'));
+      const other = required(rig.nodes.find((node) => node !== holder));
+      rig.store.faults.set(other.name, StoreFault.Silent);
+      rig.cutLink(other.name, holder.name);
+      await rig.advance(1_300);
+      t.false(other.node.isReady);
+      const startedAt = rig.clock.now();
+      const spec = rig.job('motions', [{ count: 1 }]);
+      t.is(await submit(rig, spec, other), CallOutcome.Refused);
+      t.true(rig.clock.now() - startedAt < 100);
+      rig.store.faults.clear();
+      await rig.advance(1_500);
+      t.true(other.node.isReady);
+    },
+  },
+  {
+    // Guards against refusals for single answers that are lost.
+    title: 'a node stays ready while every other answer of the store is lost',
+    run: async (t, rig) => {
+      const node = nodeOf(rig);
+      for (let round = 0; round < 10; round++) {
+        rig.store.faults.set(node.name, StoreFault.LoseAnswer);
+        await rig.advance(100);
+        rig.store.faults.delete(node.name);
+        await rig.advance(300);
+        t.true(node.node.isReady);
+      }
+    },
+  },
   ...[0, 300, 600, 900, 1_200, 1_500].map(replacedHolderCase),
   ...[1_800, 2_200, 2_600, 3_000].map(stopUnderWayCase),
   {
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -76,6 +76,11 @@
     const { clock, holders, counters } = this.#deps;
     const startedAt = clock.now();
     const left = () => timeoutMs - (clock.now() - startedAt);
+    // A node without the store has likely lost the holder as well. Nothing was sent yet, so the
+    // caller can be told to come back, and finds another node.
+    if (this.#deps.store.isSuspect()) {
+      return this.#refused(spec, 'store_away', UNAVAILABLE_RETRY_MS);
+    }
     let mayBeAccepted = false;
     do {
       const call = { kind: NodeCallKind.Submit, service: queue.service, spec } as const;
@@ -95,7 +100,7 @@
       }
       if (direct === CallOutcome.Unknown) mayBeAccepted = true;
       // With the store away nothing can be accepted; the caller does better to come back.
-      if (this.#deps.store.isSuspect && !mayBeAccepted) break;
+      if (this.#deps.store.isSuspect() && !mayBeAccepted) break;
       await clock.sleep(RETRY_MS);
     } while (left() > LAST_TRY_MS);
     if (!mayBeAccepted) return this.#refused(spec, 'store_unavailable', UNAVAILABLE_RETRY_MS);
@@ -118,7 +123,7 @@
   }
 
   async #submitThroughStore(service: string, spec: JobSpec): Promise<CallOutcome> {
-    if (this.#deps.store.isSuspect) return CallOutcome.Refused;
+    if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
     const inbox = inboxKey(service, spec.id);
     const absent = [inbox, jobKey(service, spec.id), endedKey(service, spec.id)];
     const res = await this.#deps.store.transact({
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -190,7 +190,7 @@
     }
     const known = await this.#jobs.awaitAcceptance(spec.id);
     if (known) return { isAccepted: true };
-    if (this.#deps.store.isSuspect) {
+    if (this.#deps.store.isSuspect()) {
       this.#deps.counters.count('refusals', 'store_away');
       return { isAccepted: false, reason: 'store_away', retryAfterMs: STORE_RETRY_MS };
     }
--- a/src/batch/monitoredStore.ts
+++ b/src/batch/monitoredStore.ts
@@ -9,8 +9,13 @@
   TransactionOutcome,
 } from './ports.js';
 
-/** A call that has had no answer for so long makes the store suspect; slow phases take less. */
-const SUSPECT_AFTER_MS = 450;
+/** A call that has had no answer for so long counts as failing; slow phases take less. */
+const FAILING_AFTER_MS = 450;
+/**
+ * The store is suspect after so long without any answer. Above the interval of the regular calls,
+ * so that single answers that are lost do not count.
+ */
+const SUSPECT_AFTER_MS = 700;
 
 /** Follows whether the store answers this node, over all its short calls. */
 export class MonitoredStore implements RowStore {
@@ -26,12 +31,11 @@
   }
 
   /** Whether a call now is likely to have no answer. */
-  get isSuspect(): boolean {
-    if (this.#failedAt > this.#answeredAt) return true;
-    const [oldest] = this.#open.values();
-    if (oldest === undefined || this.#clock.now() - oldest < SUSPECT_AFTER_MS) return false;
-    // Calls sent later may have been answered on other channels.
-    return this.#answeredAt < oldest + SUSPECT_AFTER_MS;
+  isSuspect(): boolean {
+    const now = this.#clock.now();
+    if (now - this.#answeredAt < SUSPECT_AFTER_MS) return false;
+    const [oldest = Infinity] = this.#open.values();
+    return this.#failedAt > this.#answeredAt || now - oldest > FAILING_AFTER_MS;
   }
 
   transact(tx: Transaction): Promise<Result<TransactionOutcome, StoreError>> {
@@ -49,8 +53,11 @@
     return this.#follow(this.#store.readRow(key));
   }
 
-  feed(...args: Parameters<RowStore['feed']>): ReturnType<RowStore['feed']> {
-    return this.#store.feed(...args);
+  async feed(...args: Parameters<RowStore['feed']>): ReturnType<RowStore['feed']> {
+    // Feeds wait by design, so only their ends tell something.
+    const res = await this.#store.feed(...args);
+    this.#note(res.isOk);
+    return res;
   }
 
   async #follow<T>(call: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
@@ -58,8 +65,12 @@
     this.#open.set(key, this.#clock.now());
     const res = await call;
     this.#open.delete(key);
-    if (res.isOk) this.#answeredAt = this.#clock.now();
-    else this.#failedAt = this.#clock.now();
+    this.#note(res.isOk);
     return res;
   }
+
+  #note(isAnswered: boolean): void {
+    if (isAnswered) this.#answeredAt = this.#clock.now();
+    else this.#failedAt = this.#clock.now();
+  }
 }
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -93,7 +93,8 @@
 
   /** Whether callers are served well here. */
   get isReady(): boolean {
-    return !this.#isLeaving && this.#config !== undefined && this.#ownership.isStoreReachable();
+    if (this.#isLeaving || this.#config === undefined) return false;
+    return this.#ownership.isStoreReachable() && !this.#store.isSuspect();
   }
 
   /** Whether this node holds a service and has loaded its jobs. */
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -175,17 +175,26 @@
 
   /** Renews, watches and claims until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#renewLoop(signal), this.#watchOwners(signal)]);
+    await Promise.all([
+      this.#renewLoop(signal),
+      this.#watchNodes(signal),
+      this.#watchOwners(signal),
+    ]);
   }
 
   async #renewLoop(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
     do {
-      await Promise.all([this.#renew(), this.#readNodes()]);
+      await this.#renew();
       if (this.isStoreReachable() && !this.#isLeaving) await this.#claimFree();
     } while (await clock.sleep(RENEW_INTERVAL_MS, signal));
   }
 
+  async #watchNodes(signal: AbortSignal): Promise<void> {
+    do await this.#readNodes();
+    while (await this.#deps.clock.sleep(RENEW_INTERVAL_MS, signal));
+  }
+
   /** Claims a service that was given back without waiting for the next renewal. */
   async #claimReleased(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -151,7 +151,10 @@
         this.calls.feed++;
         const err = await guard();
         if (err) return Result.err(err);
-        return this.#feed(table, after, waitMs, signal);
+        const res = await this.#feed(table, after, waitMs, signal);
+        // What is cut meanwhile does not arrive.
+        const cut = await guard();
+        return cut ? Result.err(cut) : res;
       },
     };
   }
