Take ended workers out of the stored roster

Cause: the roster was written anew only when a worker joined, so workers that had moved to other pools stayed in it (24 to 28 entries where 6 lived). Ruled out: workers that are really out of reach, and the load itself (30 ms). The new case failed before.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -509,6 +509,24 @@
       t.true(at('event=upkeep_order') - at('service=@fleet') >= 700);
     },
   },
+  {
+    // Guards against a new holder that waits for workers which ended before the takeover.
+    title: 'a new holder does not wait for workers that planned work has ended',
+    run: async (t, rig) => {
+      rig.upkeepMs = 60_000;
+      rig.orderWave({ id: '1', vms: ['motions-0'], withinS: 20, maxDown: 1 });
+      await rig.until(() => rig.maxDown === 1);
+      await rig.advance(2_000);
+      rig.fleet.script = () => ({ runMs: 2_000 });
+      const spec = rig.job('motions', [{ count: 3 }, { count: 2, after: [0] }]);
+      await submit(rig, spec);
+      await rig.until(() => rig.fleet.runs().length === 3);
+      required(rig.holderOf('motions')).isDead = true;
+      t.true(await rig.until(() => rig.holderOf('motions') !== undefined));
+      await rig.advance(700);
+      t.is(rig.fleet.runs().length, 5);
+    },
+  },
   {
     title: 'acceptances of a burst are grouped into few transactions',
     run: async (t, rig) => {
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -109,11 +109,14 @@
       if (record.bornMs > worker.record.bornMs) this.#reborn(worker, record.bornMs);
       worker.record = { ...record, bornMs };
     }
+    const known = this.#roster.size;
     for (const [id, session] of this.#sessions) {
       if (present.has(id) && !session.worker.isGone) continue;
       session.missingSince ??= now;
       this.#forgetIfOver(id, session, now);
     }
+    // A later holder would wait for workers that are named there and do not answer.
+    if (this.#roster.size < known) void this.#writeRoster();
     place();
   }
 
@@ -233,22 +236,26 @@
 
   /** Lets a worker take tasks once the stored roster names it. */
   async #admit(worker: Worker): Promise<void> {
-    const { service, journal, place, log, epoch } = this.#deps;
+    const { service, place, log, epoch } = this.#deps;
     const { record } = worker;
     if (!this.#roster.has(record.id)) {
       this.#roster.set(record.id, record);
-      const value = JSON.stringify([...this.#roster.values()]);
-      const outcome = await new Promise<EntryOutcome>((settle) => {
-        const writes = [{ ...rosterKey(service), value }];
-        journal.append({ conditions: [], writes, removes: [], settle });
-      });
-      if (outcome !== EntryOutcome.Applied) return;
+      if ((await this.#writeRoster()) !== EntryOutcome.Applied) return;
     }
     worker.isHeld = true;
     log.info('worker_held', { worker: record.id, service, fence: epoch, runs: worker.runs.size });
     place();
   }
 
+  #writeRoster(): Promise<EntryOutcome> {
+    const { service, journal } = this.#deps;
+    const value = JSON.stringify([...this.#roster.values()]);
+    return new Promise((settle) => {
+      const writes = [{ ...rosterKey(service), value }];
+      journal.append({ conditions: [], writes, removes: [], settle });
+    });
+  }
+
   /** Load figures of the service. */
   load(jobs: readonly Job[], expectedCpu: number): ServiceLoad {
     let waitingCpu = 0;
