--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -527,6 +527,20 @@
       t.is(rig.fleet.runs().length, 5);
     },
   },
+  {
+    // Guards against a refusal that says a job never runs although it was accepted before.
+    title: 'a job handed in again while the store is away is known as accepted',
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 8_000 });
+      const spec = rig.job('motions', [{ count: 1 }]);
+      await submit(rig, spec);
+      for (const { name } of rig.nodes) rig.store.faults.set(name, StoreFault.Silent);
+      await rig.advance(2_000);
+      for (const node of rig.nodes) t.is(await submit(rig, spec, node), CallOutcome.Ok);
+      rig.store.faults.clear();
+      t.is(await ends(rig, spec), JobState.Succeeded);
+    },
+  },
   {
     title: 'acceptances of a burst are grouped into few transactions',
     run: async (t, rig) => {
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -11,6 +11,8 @@
 
 /** Wait for one call to a holder, so that there is time for the way through the store. */
 const HOLDER_TIMEOUT_MS = 700;
+/** Wait for a holder that is asked whether it knows a job, before the job is refused. */
+const LOOKUP_TIMEOUT_MS = 80;
 /** Time left below which nothing more is tried, so that the caller gets its answer. */
 const LAST_TRY_MS = 150;
 /** Pause between tries. */
@@ -79,6 +81,10 @@
     // A node without the store has likely lost the holder as well. Nothing was sent yet, so the
     // caller can be told to come back, and finds another node.
     if (this.#deps.store.isSuspect()) {
+      const status = { kind: NodeCallKind.Status, service: queue.service, job: spec.id } as const;
+      const known = await holders.call(status, LOOKUP_TIMEOUT_MS);
+      if (known.isOk && known.value.state)
+        return this.#accepted(spec, 'earlier', clock.now() - startedAt);
       return this.#refused(spec, 'store_away', UNAVAILABLE_RETRY_MS);
     }
     let mayBeAccepted = false;
--- a/src/batch/links.ts
+++ b/src/batch/links.ts
@@ -11,6 +11,8 @@
 const MAX_FRAME_BYTES = 1_048_576;
 /** Wait for a connection before a call on it fails. */
 const CONNECT_TIMEOUT_MS = 500;
+/** A connection on which a call had no answer, and nothing else came for so long, is closed. */
+const SILENT_AFTER_MS = 400;
 /** Inbound connections, at most; above the number of nodes of the largest deployment. */
 const MAX_INBOUND = 1_200;
 
@@ -91,7 +93,8 @@
     if (res.isErr) {
       this.#deps.counters.count('link_failures', res.error.code);
       // A channel can go silent for good; the next call opens a new one.
-      if (res.error.code === LinkErrorCode.NoAnswer) connection.close('no answer in time');
+      const isSilent = connection.silentMs > SILENT_AFTER_MS;
+      if (res.error.code === LinkErrorCode.NoAnswer && isSilent) connection.close('silent');
     }
     return res;
   }
@@ -108,11 +111,13 @@
   readonly #socket: Socket;
   readonly #waiting = new Map<number, (res: Result<unknown, LinkError>) => void>();
   #lastCall = 0;
+  #receivedAt: number;
   isClosed = false;
 
   constructor(address: string, deps: LinksDeps) {
     this.#address = address;
     this.#deps = deps;
+    this.#receivedAt = deps.clock.now();
     const [host = '', port = ''] = address.split(':');
     this.#socket = connect({ host, port: Number(port), noDelay: true });
     this.#socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
@@ -127,6 +132,7 @@
   async #read(): Promise<void> {
     try {
       for await (const frame of readFrames(this.#socket, () => MAX_FRAME_BYTES)) {
+        this.#receivedAt = this.#deps.clock.now();
         const decoded = decodeBody(frame);
         if (decoded.isErr) break;
         const { call, body } = decoded.value as RequestFrame;
@@ -138,6 +144,11 @@
     }
   }
 
+  /** Milliseconds since something was received. */
+  get silentMs(): number {
+    return this.#deps.clock.now() - this.#receivedAt;
+  }
+
   #settle(call: number, res: Result<unknown, LinkError>): void {
     const resolve = this.#waiting.get(call);
     this.#waiting.delete(call);
