--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -12,7 +12,7 @@
 /** Wait for one call to a holder, so that there is time for the way through the store. */
 const HOLDER_TIMEOUT_MS = 700;
 /** Wait for a holder that is asked whether it knows a job, before the job is refused. */
-const LOOKUP_TIMEOUT_MS = 80;
+const LOOKUP_TIMEOUT_MS = 60;
 /** Time left below which nothing more is tried, so that the caller gets its answer. */
 const LAST_TRY_MS = 150;
 /** Pause between tries. */
