--- a/src/batch/balance.ts
+++ b/src/batch/balance.ts
@@ -6,10 +6,10 @@
 /** Workers that a service keeps in any case, so that the first jobs of a turn start at once. */
 const MIN_WORKERS = 2;
 /**
- * A VM must have been empty for this long before it leaves its pool. Two moves cost about as much
- * as a VM that idles for 2.3 s in the users' accounting.
+ * A VM must have been empty for this long before it leaves its pool: longer than the gaps between
+ * jobs within a turn, and short against the ten seconds and more between two turns of a service.
  */
-const IDLE_MS = 2_300;
+const IDLE_MS = 1_200;
 
 /** A service as the policy sees it. */
 export interface BalancedService {
--- a/src/batch/fleetDuty.ts
+++ b/src/batch/fleetDuty.ts
@@ -7,7 +7,7 @@
 import { Upkeep, type WaveBoard } from './upkeep.js';
 
 /** Interval of a round. */
-const ROUND_MS = 250;
+const ROUND_MS = 120;
 /** Age of the VM list up to which it is used while something is under way, and otherwise. */
 const BUSY_LIST_AGE_MS = 450;
 const IDLE_LIST_AGE_MS = 2_500;
