Let lasting tasks of different jobs share workers

Cause: each lasting task avoided workers with any other lasting one, so a pool of 8 had one on nearly every VM and few VMs became empty between turns. Only tasks of one step need to be apart.

--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -13,8 +13,6 @@
 /** Score against a worker that failed the task last or fails what it starts. */
 const FAILURE_SCORE = -8;
 
-/** Weight of one lasting task beside a lasting one, so that these spread. */
-const SPREAD_SCORE = -1;
 /** Weight of one task of the same lasting step, of which planned work may end only some at once. */
 const SAME_STEP_SCORE = -4;
 
@@ -178,10 +176,7 @@
   if (spec.isColocated && sharesRack(step, worker, chosen)) score += NEAR_SCORE;
   if (task.avoid === worker.record.id) score += FAILURE_SCORE;
   if (worker.failuresInRow > 1) score += FAILURE_SCORE;
-  if (spec.isLasting) {
-    score += SAME_STEP_SCORE * countOnWorker(step.tasks, worker);
-    for (const run of worker.runs.values()) if (run.task.step.spec.isLasting) score += SPREAD_SCORE;
-  }
+  if (spec.isLasting) score += SAME_STEP_SCORE * countOnWorker(step.tasks, worker);
   return score;
 }
 
