--- /dev/null
+++ b/src/batch/ordering.spec.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import { Job } from './job.js';
+import { completeStep } from './jobCodec.js';
+import { orderWaiting, Urgency } from './ordering.js';
+import type { Queue, StepSpec } from './types.js';
+
+const queue: Queue = {
+  name: 'q',
+  host: '',
+  pathPrefix: '',
+  service: 's',
+  objectiveMs: 600,
+  stretch: 1.6,
+  priority: 0,
+  maxAttempts: 3,
+};
+
+function job(id: string, acceptedAt: number, steps: Partial<StepSpec>[]): Job {
+  const times = { occurrences: 0, firstDueMs: 0, periodMs: 0, acceptedMs: 0 };
+  const made = new Job(
+    { id, queue: 'q', payload: '', steps: steps.map(completeStep), ...times },
+    acceptedAt,
+    1,
+  );
+  made.openDue(0);
+  return made;
+}
+
+interface Case {
+  title: string;
+  jobs: Job[];
+  now: number;
+  /** Expected order as `job:urgency`. */
+  expected: string[];
+}
+
+const short = [{ estimateMs: 500 }];
+const long = [{ estimateMs: 2_000 }];
+
+const cases: Case[] = [
+  {
+    title: 'least slack first',
+    jobs: [job('new', 900, short), job('old', 100, short)],
+    now: 1_000,
+    expected: [`old:${Urgency.OnTime}`, `new:${Urgency.OnTime}`],
+  },
+  {
+    title: 'a job that can no longer be on time waits for those that can',
+    jobs: [job('late', 0, short), job('new', 1_900, short)],
+    now: 2_000,
+    expected: [`new:${Urgency.OnTime}`, `late:${Urgency.Late}`],
+  },
+  {
+    title: 'among late jobs the shortest first, the overdue last',
+    jobs: [job('overdue', 0, short), job('lateLong', 2_000, long), job('lateShort', 5_000, short)],
+    now: 7_000,
+    expected: [
+      `lateShort:${Urgency.Late}`,
+      `lateLong:${Urgency.Late}`,
+      `overdue:${Urgency.Overdue}`,
+    ],
+  },
+  {
+    title: 'lasting tasks before all',
+    jobs: [job('new', 0, short), job('lasting', 0, [{ isLasting: true }])],
+    now: 10,
+    expected: [`lasting:${Urgency.Lasting}`, `new:${Urgency.OnTime}`],
+  },
+  {
+    title: 'a step waits for the steps before it',
+    jobs: [job('two', 0, [{ estimateMs: 100 }, { estimateMs: 100, after: [0] }])],
+    now: 10,
+    expected: [`two:${Urgency.OnTime}`],
+  },
+];
+
+for (const { title, jobs, now, expected } of cases) {
+  test(title, (t) => {
+    const waiting = orderWaiting(jobs, () => queue, now, now);
+    t.deepEqual(
+      waiting.map(({ step, urgency }) => `${step.job.spec.id}:${urgency}`),
+      expected,
+    );
+  });
+}
