--- /dev/null
+++ b/demo/jobs.ts
@@ -0,0 +1,54 @@
+import { fileURLToPath } from 'node:url';
+import { RunEnd } from '../src/batch/index.js';
+import { StandinDeployment, type Daemon } from '../platform/standin/deployment.js';
+import { waitFor } from '../testbed/index.js';
+
+const MAIN = fileURLToPath(new URL('../platform/main.js', import.meta.url));
+const JOB = '00000000000000d1';
+const NODES = 3;
+
+/** Records whether a promise was kept. */
+export type Check = (promise: string, isKept: boolean, detail: string) => void;
+
+/** Runs a job of two steps on three nodes and kills the holder of its service in between. */
+export async function showJobs(check: Check): Promise<void> {
+  const deployment = await StandinDeployment.start(3);
+  try {
+    const nodes = Array.from({ length: NODES }, () => deployment.startDaemon(MAIN));
+    for (const node of nodes) {
+      await waitFor(`${node.name} is ready`, () => deployment.isReady(node));
+    }
+    const holds = ({ output }: Daemon) => output().includes('service_loaded service=motions');
+    await waitFor('the service has a holder', () => nodes.some(holds));
+    deployment.fleet.script = () => ({ runMs: 1_500 });
+    const holder = nodes.find(holds);
+    const caller = nodes.find((node) => node !== holder);
+    if (!holder || !caller) return;
+    await runJob(deployment, caller, holder);
+    const runs = deployment.fleet.runs();
+    const areDone = runs.every(({ end }) => end === RunEnd.Done);
+    check(
+      'a job runs each task once although its holder was killed',
+      areDone && runs.length === 6,
+      `${runs.length} runs of 6 tasks in two steps`,
+    );
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function runJob(
+  deployment: StandinDeployment,
+  caller: Daemon,
+  holder: Daemon,
+): Promise<void> {
+  const step = { count: 3, cpu: 1_000, memMb: 100, estRuntimeMs: 1_500 };
+  const steps = [step, { ...step, after: [0] }];
+  await deployment.call(caller, 'POST', JOB, { spec: 'pairings', steps });
+  await waitFor('the first step runs', () => deployment.fleet.runs().length === 3);
+  holder.process.kill('SIGKILL');
+  await waitFor('the job succeeds', async () => {
+    const res = await deployment.call(caller, 'GET', JOB);
+    return res?.body.state === 'succeeded';
+  });
+}
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -4,6 +4,7 @@
 import type { StatusAnswer, VmLine } from '../src/operators/index.js';
 import { Deployment, waitFor, type TestEntry } from '../testbed/index.js';
 import { callService, CallerLoad, percentile } from './callers.js';
+import { showJobs } from './jobs.js';
 
 /** Bound on the whole demonstration, in milliseconds. */
 const TOTAL_BOUND_MS = 85_000;
@@ -25,16 +26,16 @@
 }
 
 async function main(deployment: Deployment): Promise<void> {
-  print('1/8 starting the platform and backend stand-ins, and two zones with two entry processes');
+  print('1/9 starting the platform and backend stand-ins, and two zones with two entry processes');
   await deployment.start();
   const [first] = deployment.entries;
   if (!first) throw new Error('no entry process was started');
   await waitFor('all members know each other', () => knowsAll(deployment, first));
 
-  print('2/8 loading the inventory through the command line');
+  print('2/9 loading the inventory through the command line');
   await loadInventory(deployment, first);
 
-  print('3/8 sending short and long requests');
+  print('3/9 sending short and long requests');
   const load = new CallerLoad();
   const urls = () =>
     deployment.entries.filter(({ process }) => !process.hasExited).map(({ callers }) => callers);
@@ -42,19 +43,19 @@
   load.start(urls, 'motions', '/work?ms=400', 2);
   await waitFor('the first 200 answers', () => load.ends.length >= 200);
 
-  print('4/8 repeating a non-idempotent request through other entry processes');
+  print('4/9 repeating a non-idempotent request through other entry processes');
   await repeatRequest(deployment);
 
-  print('5/8 submitting one job');
+  print('5/9 submitting one job');
   await runJob(first);
 
-  print('6/8 changing a rule');
+  print('6/9 changing a rule');
   await changeRule(deployment, first);
 
-  print('7/8 draining and rebooting one VM under load');
+  print('7/9 draining and rebooting one VM under load');
   await rebootVm(deployment, first);
 
-  print('8/8 killing one entry process under load');
+  print('8/9 killing one entry process under load');
   await killEntry(deployment, first, load);
 
   await load.stop();
@@ -261,6 +262,8 @@
 }, TOTAL_BOUND_MS);
 try {
   await main(deployment);
+  print("9/9 running a job of two steps on the nodes for the users' platform");
+  await showJobs(check);
 } catch (err) {
   broken.push('the demonstration runs to its end');
   print(err instanceof Error ? err.message : String(err));
