--- /dev/null
+++ b/bench/placementWall.ts
@@ -0,0 +1,77 @@
+import { Job } from '../src/batch/job.js';
+import { completeStep } from '../src/batch/jobCodec.js';
+import { orderWaiting } from '../src/batch/ordering.js';
+import { placeSteps } from '../src/batch/placement.js';
+import { RunPhase, Worker } from '../src/batch/worker.js';
+
+/** Sizes of a peak: waiting tasks, and the workers of one service. */
+const JOBS = 625;
+const TASKS_PER_JOB = 8;
+const WORKERS = 250;
+const ROUNDS = 40;
+/** Bound of one round in milliseconds, so that a holder on a third of a core starts tasks in time. */
+const BOUND_MS = 5;
+
+function createWorkers(): Worker[] {
+  return Array.from({ length: WORKERS }, (_, index) => {
+    const capacity = { cpuMillis: 64_000, memoryMb: 262_144, accelerators: 0 };
+    const place = { address: '', zone: '', labels: [], isDraining: false, bornMs: 0 };
+    const worker = new Worker({ id: `w${index}`, service: 's', capacity, ...place });
+    worker.isHeld = true;
+    return worker;
+  });
+}
+
+function createJobs(): Job[] {
+  return Array.from({ length: JOBS }, (_, index) => {
+    const step = completeStep({
+      count: TASKS_PER_JOB,
+      cpuMillis: 3_000 + (index % 9) * 900,
+      memoryMb: 7_000,
+      estimateMs: 850,
+    });
+    const times = { occurrences: 0, firstDueMs: 0, periodMs: 0, acceptedMs: 0 };
+    const job = new Job(
+      { id: `j${index}`, queue: 'q', payload: '', steps: [step], ...times },
+      0,
+      1,
+    );
+    job.openDue(0);
+    return job;
+  });
+}
+
+/** Orders and places all waiting tasks once; returns milliseconds and tasks placed. */
+function round(jobs: readonly Job[], workers: readonly Worker[]): { ms: number; placed: number } {
+  let placed = 0;
+  const startedAt = performance.now();
+  const steps = orderWaiting(jobs, () => undefined, 0, 0).map(({ step }) => step);
+  placeSteps({ steps, workers, now: 0, mayRestart: true }, ({ task, worker }) => {
+    const order = { task, worker, number: 1, phase: RunPhase.Starting, startedAt: 0 };
+    const idle = { isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
+    const run = { ...order, ...idle };
+    task.step.job.attach(task, run);
+    worker.add(run);
+    placed++;
+  });
+  return { ms: performance.now() - startedAt, placed };
+}
+
+const fresh: number[] = [];
+const full: number[] = [];
+let placed = 0;
+for (let index = 0; index < ROUNDS; index++) {
+  const jobs = createJobs();
+  const workers = createWorkers();
+  const first = round(jobs, workers);
+  placed = first.placed;
+  fresh.push(first.ms);
+  // With every worker full, the usual round of a peak.
+  full.push(round(jobs, workers).ms);
+}
+const median = (values: number[]) => values.sort((a, b) => a - b)[values.length >> 1] ?? 0;
+const print = (line: string) => process.stdout.write(`${line}\n`);
+print(`${JOBS * TASKS_PER_JOB} tasks on ${WORKERS} workers, medians of ${ROUNDS} rounds`);
+print(`empty workers: ${median(fresh).toFixed(2)} ms for ${placed} placed, bound ${BOUND_MS} ms`);
+print(`full workers:  ${median(full).toFixed(2)} ms, bound ${BOUND_MS} ms`);
+process.exitCode = median(full) > BOUND_MS || median(fresh) > BOUND_MS ? 1 : 0;
