Specify the succession of holders, and explore it with five wrong variants

The first draft broke noStartAfterEnd: a worker counted as reached before its listed ends were applied. The code applies them first; the draft's order is kept as a wrong variant.

--- a/model/index.ts
+++ b/model/index.ts
@@ -1,12 +1,19 @@
 import { explore } from './explore.js';
 import { configurationSpecification } from './specifications/configuration.js';
 import { moveSpecification, stopSpecification } from './specifications/drain.js';
+import { holderSpecification } from './specifications/holder.js';
 import { requestSpecification } from './specifications/requests.js';
 import type { Exploration, Specification, WrongVariant } from './types.js';
 
 export { explore } from './explore.js';
 export type { Exploration, Invariant, Specification, Step, WrongVariant } from './types.js';
-export { configurationSpecification, moveSpecification, requestSpecification, stopSpecification };
+export {
+  configurationSpecification,
+  holderSpecification,
+  moveSpecification,
+  requestSpecification,
+  stopSpecification,
+};
 
 /** One entry of the registry, with the state type hidden. */
 export interface SpecificationEntry {
@@ -34,4 +41,5 @@
   register(stopSpecification),
   register(moveSpecification),
   register(requestSpecification),
+  register(holderSpecification),
 ];
--- /dev/null
+++ b/model/specifications/holder.ts
@@ -0,0 +1,262 @@
+import { at, clone } from '../support.js';
+import type { Specification, Step } from '../types.js';
+
+/** Time since the claim of the second holder, in the order in which its bounds pass. */
+enum Phase {
+  /** Only the first holder exists. */
+  Unclaimed = 0,
+  Claimed = 1,
+  /** The first holder gives no orders any more. */
+  LastOrder = 2,
+  /** Every lease that the first holder gave has ended. */
+  LeasesEnded = 3,
+}
+
+/** What a holder believes of the task. */
+type Belief = 'idle' | 'running' | 'lost' | 'done';
+
+interface Holder {
+  epoch: number;
+  isAlive: boolean;
+  belief: Belief;
+  /** Worker of the run that it believes in. */
+  worker: number;
+  /** Workers that it reached under its token. */
+  held: boolean[];
+}
+
+interface WorkerState {
+  fence: number;
+  isRunning: boolean;
+  /** The run has ended as done and its end is still listed. */
+  listsEnd: boolean;
+}
+
+interface Order {
+  worker: number;
+  fence: number;
+}
+
+interface HolderState {
+  phase: Phase;
+  holders: Holder[];
+  workers: WorkerState[];
+  /** Start orders on their way; they may arrive late or never. */
+  orders: Order[];
+  /** The end of the task is in the store. */
+  isRecorded: boolean;
+  /** Facts about the past. */
+  endedAsDone: boolean;
+  endWasAcknowledged: boolean;
+  startedAfterEnd: boolean;
+}
+
+const WORKERS = [0, 1];
+const MAX_ORDERS = 2;
+
+function mayOrder(state: HolderState, holder: number): boolean {
+  const { isAlive, epoch } = at(state.holders, holder);
+  if (!isAlive || epoch === 0) return false;
+  return holder === 1 || state.phase < Phase.LastOrder;
+}
+
+function mayStart(state: HolderState, holder: number, worker: number, variant?: string): boolean {
+  const self = at(state.holders, holder);
+  if (!mayOrder(state, holder) || !self.held[worker]) return false;
+  if (self.belief === 'lost') {
+    // Another holder may have reached the worker and gone on with the run.
+    return state.phase === Phase.Unclaimed || holder === 1 || variant === 'restartsLostRuns';
+  }
+  if (self.belief !== 'idle') return false;
+  if (holder === 0 || variant === 'startsBeforeAllAreReached') return true;
+  return self.held.every((isHeld) => isHeld) || state.phase === Phase.LeasesEnded;
+}
+
+function steps(state: HolderState, variant?: string): Step[] {
+  const all: Step[] = [];
+  if (state.phase === Phase.Unclaimed) all.push({ type: 'claim' });
+  else if (state.phase < Phase.LeasesEnded) all.push({ type: 'timePasses' });
+  if (at(state.holders, 0).isAlive) all.push({ type: 'kill', process: 0 });
+  for (const [index] of state.orders.entries()) all.push({ type: 'deliver', peer: index });
+  for (const vm of WORKERS) {
+    const worker = at(state.workers, vm);
+    if (worker.isRunning) all.push({ type: 'end', vm });
+    for (const process of [0, 1]) {
+      const self = at(state.holders, process);
+      if (mayStart(state, process, vm, variant) && state.orders.length < MAX_ORDERS) {
+        all.push({ type: 'start', process, vm });
+      }
+      if (process === 1 && mayOrder(state, 1) && !self.held[vm]) {
+        all.push({ type: 'reach', process, vm });
+      }
+      if (!mayOrder(state, process) || !self.held[vm]) continue;
+      if (worker.listsEnd && worker.fence <= self.epoch) {
+        if (self.belief !== 'done') all.push({ type: 'seeEnd', process, vm });
+        else if (state.isRecorded || variant === 'acknowledgesFirst') {
+          all.push({ type: 'acknowledge', process, vm });
+        }
+      }
+      const isOver = !worker.isRunning || at(state.holders, 1 - process).held[vm];
+      if (process === 0 && self.belief === 'running' && self.worker === vm && isOver) {
+        // Its lease has passed without an answer.
+        if (!worker.listsEnd && state.orders.length === 0) all.push({ type: 'lose', process, vm });
+      }
+    }
+  }
+  for (const process of [0, 1]) {
+    const self = at(state.holders, process);
+    const isCurrent = process === 1 || state.phase === Phase.Unclaimed;
+    if (self.isAlive && self.belief === 'done' && isCurrent && !state.isRecorded) {
+      all.push({ type: 'record', process });
+    }
+  }
+  return all;
+}
+
+function next(before: HolderState, step: Step, variant?: string): HolderState {
+  const state = clone(before);
+  const self = at(state.holders, step.process ?? 0);
+  const vm = step.vm ?? 0;
+  const worker = at(state.workers, vm);
+  switch (step.type) {
+    case 'claim': {
+      state.phase = Phase.Claimed;
+      const successor = at(state.holders, 1);
+      successor.epoch = 2;
+      successor.belief = state.isRecorded ? 'done' : 'idle';
+      return state;
+    }
+    case 'timePasses':
+      state.phase = state.phase === Phase.Claimed ? Phase.LastOrder : Phase.LeasesEnded;
+      if (state.phase === Phase.LeasesEnded) endLeases(state);
+      return state;
+    case 'kill':
+      self.isAlive = false;
+      return state;
+    case 'start':
+      state.orders.push({ worker: vm, fence: self.epoch });
+      self.belief = 'running';
+      self.worker = vm;
+      return state;
+    case 'deliver':
+      deliver(state, step.peer ?? 0, variant);
+      return state;
+    case 'reach':
+      if (variant !== 'noFence') worker.fence = self.epoch;
+      self.held[vm] = true;
+      if (worker.isRunning && self.belief === 'idle') {
+        self.belief = 'running';
+        self.worker = vm;
+      }
+      // The first list tells of ends as well, and is applied before the worker counts as reached.
+      if (worker.listsEnd && variant !== 'reachesWithoutEnds') self.belief = 'done';
+      return state;
+    case 'end':
+      worker.isRunning = false;
+      worker.listsEnd = true;
+      state.endedAsDone = true;
+      return state;
+    case 'seeEnd':
+      self.belief = 'done';
+      return state;
+    case 'record':
+      state.isRecorded = true;
+      return state;
+    case 'acknowledge':
+      worker.listsEnd = false;
+      state.endWasAcknowledged = true;
+      return state;
+    default:
+      self.belief = 'lost';
+      return state;
+  }
+}
+
+/** A worker carries out a start unless it has seen a higher token or the lease has passed. */
+function deliver(state: HolderState, index: number, variant?: string): void {
+  const { worker: vm, fence } = at(state.orders, index);
+  state.orders.splice(index, 1);
+  const worker = at(state.workers, vm);
+  if (fence < worker.fence && variant !== 'noFence') return;
+  if (state.phase === Phase.LeasesEnded && fence === 1) return;
+  if (worker.isRunning || worker.listsEnd) return;
+  worker.fence = Math.max(worker.fence, fence);
+  worker.isRunning = true;
+  if (state.endedAsDone) state.startedAfterEnd = true;
+}
+
+/** What the first holder started and the second did not reach has lapsed. */
+function endLeases(state: HolderState): void {
+  const successor = at(state.holders, 1);
+  for (const vm of WORKERS) {
+    if (successor.held[vm]) continue;
+    const worker = at(state.workers, vm);
+    worker.isRunning = false;
+    // An end whose worker's lease lapsed before the acknowledgement does not count.
+    if (worker.listsEnd) state.endedAsDone = false;
+    worker.listsEnd = false;
+  }
+}
+
+function createHolder(epoch: number): Holder {
+  const isHeld = epoch > 0;
+  return { epoch, isAlive: true, belief: 'idle', worker: 0, held: WORKERS.map(() => isHeld) };
+}
+
+/** One task, two workers, and a holder that is succeeded while it may go on. */
+export const holderSpecification: Specification<HolderState> = {
+  id: 'holder',
+  text: 'a task is started under leases and fencing tokens while its holder is succeeded',
+  initial: {
+    phase: Phase.Unclaimed,
+    holders: [createHolder(1), createHolder(0)],
+    workers: WORKERS.map(() => ({ fence: 1, isRunning: false, listsEnd: false })),
+    orders: [],
+    isRecorded: false,
+    endedAsDone: false,
+    endWasAcknowledged: false,
+    startedAfterEnd: false,
+  },
+  steps,
+  next,
+  invariants: [
+    {
+      id: 'oneRun',
+      text: 'no two runs of a task at the same time',
+      holds: ({ workers }) => workers.filter(({ isRunning }) => isRunning).length <= 1,
+    },
+    {
+      id: 'noStartAfterEnd',
+      text: 'no start after an end that is acknowledged',
+      holds: ({ startedAfterEnd, endWasAcknowledged }) => !(startedAfterEnd && endWasAcknowledged),
+    },
+    {
+      id: 'nothingLost',
+      text: 'an acknowledged end is in the store',
+      holds: ({ endWasAcknowledged, isRecorded }) => !endWasAcknowledged || isRecorded,
+    },
+  ],
+  wrongVariants: [
+    { id: 'noFence', text: 'workers do not compare fencing tokens', breaks: 'oneRun' },
+    {
+      id: 'startsBeforeAllAreReached',
+      text: 'a new holder starts tasks before it reached all workers or their leases ended',
+      breaks: 'oneRun',
+    },
+    {
+      id: 'restartsLostRuns',
+      text: 'a holder without a certain hold starts a lost run again',
+      breaks: 'oneRun',
+    },
+    {
+      id: 'reachesWithoutEnds',
+      text: 'a worker counts as reached before the ends that it lists are applied',
+      breaks: 'noStartAfterEnd',
+    },
+    {
+      id: 'acknowledgesFirst',
+      text: 'an end is acknowledged before it is in the store',
+      breaks: 'nothingLost',
+    },
+  ],
+};
