--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -141,14 +141,6 @@
       .map(([name]) => name);
   }
 
-  /** Peer addresses of the live nodes but this one. */
-  peerAddresses(): string[] {
-    const live = new Set(this.liveNodes());
-    return [...this.#nodes]
-      .filter(([name]) => live.has(name) && name !== this.#deps.node)
-      .map(([, { address }]) => address);
-  }
-
   /** Whether no other node can have claimed a service of this one. */
   canStart(): boolean {
     return this.#renewalAge() < START_AUTHORITY_MS;
