Make runs in one place, and drop a second check of ready steps in a placement round

The fields of a new run stood in the run control, the bench and two specs; createRun serves all four. orderWaiting leaves out steps that are not ready, so the placement round need not ask again. Recovery filtered its unreached workers in two places. JobTable had an epoch that nothing read.

--- a/bench/placementWall.ts
+++ b/bench/placementWall.ts
@@ -2,7 +2,7 @@
 import { completeStep } from '../src/batch/jobCodec.js';
 import { orderWaiting } from '../src/batch/ordering.js';
 import { placeSteps } from '../src/batch/placement.js';
-import { RunPhase, Worker } from '../src/batch/worker.js';
+import { createRun, RunPhase, Worker } from '../src/batch/worker.js';
 
 /** Sizes of a peak: waiting tasks, and the workers of one service. */
 const JOBS = 625;
@@ -48,8 +48,7 @@
   const steps = orderWaiting(jobs, () => undefined, 0, 0).map(({ step }) => step);
   placeSteps({ steps, workers, now: 0, mayRestart: true }, ({ task, worker }) => {
     const order = { task, worker, number: 1, phase: RunPhase.Starting, startedAt: 0 };
-    const idle = { isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
-    const run = { ...order, ...idle };
+    const run = createRun(order);
     task.step.job.attach(task, run);
     worker.add(run);
     placed++;
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -5,7 +5,7 @@
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
-import { criticalPathMs, isStepReady, Job } from './job.js';
+import { criticalPathMs, Job } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal } from './journal.js';
 import { orderWaiting } from './ordering.js';
@@ -93,7 +93,7 @@
     const place = () => {
       this.#requestPlacement();
     };
-    this.#jobs = new JobTable({ service, epoch, clock, log, counters });
+    this.#jobs = new JobTable({ service, clock, log, counters });
     this.#journal = new Journal({
       store,
       clock,
@@ -309,7 +309,7 @@
     const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
     const steps = waiting
       .map(({ step }) => step)
-      .filter((step) => isStepReady(step) && this.#advice.isKnown(step, queues, this.#sessions));
+      .filter((step) => this.#advice.isKnown(step, queues, this.#sessions));
     const workers = [...this.#sessions.all()];
     placeSteps({ steps, workers, now, mayRestart }, ({ task, worker }) => {
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -14,7 +14,6 @@
 /** Needs of a {@link JobTable}. */
 export interface JobTableDeps {
   service: string;
-  epoch: number;
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
--- a/src/batch/pacing.spec.ts
+++ b/src/batch/pacing.spec.ts
@@ -2,7 +2,7 @@
 import { Job } from './job.js';
 import { completeStep } from './jobCodec.js';
 import { choosePaces } from './pacing.js';
-import { RunPhase, Worker } from './worker.js';
+import { createRun, RunPhase, Worker } from './worker.js';
 
 /** A worker with one task that serves and one that fills, and their present figures. */
 function shared(tailMs: number, pace: number): Worker {
@@ -23,7 +23,7 @@
       figure: isServing ? tailMs : 500,
       pace: isServing ? 100 : pace,
     };
-    const run = { ...order, ...figures, isStopSent: false, isAdopted: false };
+    const run = { ...createRun(order), ...figures };
     job.attach(task, run);
     worker.add(run);
   }
--- a/src/batch/placement.spec.ts
+++ b/src/batch/placement.spec.ts
@@ -3,7 +3,7 @@
 import { completeStep } from './jobCodec.js';
 import { placeSteps } from './placement.js';
 import type { StepSpec } from './types.js';
-import { RunPhase, Worker } from './worker.js';
+import { createRun, RunPhase, Worker } from './worker.js';
 
 function worker(id: string, labels: string[] = [], cpuMillis = 4_000): Worker {
   const capacity = { cpuMillis, memoryMb: 8_000, accelerators: 0 };
@@ -40,9 +40,8 @@
 function place(waiting: Step[], workers: Worker[], mayRestart = true): string[] {
   const placed: string[] = [];
   placeSteps({ steps: waiting, workers, now: 0, mayRestart }, ({ task, worker: chosen }) => {
-    const idle = { isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
     const start = { task, worker: chosen, number: 1, phase: RunPhase.Starting, startedAt: 0 };
-    const run = { ...start, ...idle };
+    const run = createRun(start);
     task.step.job.attach(task, run);
     chosen.add(run);
     placed.push(`${task.index}@${chosen.record.id}`);
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -132,18 +132,21 @@
 
   /** Whether each worker has been reached, or nothing can run there any more. */
   seesAll(): boolean {
-    const { clock } = this.#deps;
+    const isSynced = this.#deps.clock.now() - this.#loadedAt > SYNC_MS;
+    return isSynced && this.#hasWaitedForWorkers();
+  }
+
+  /** Whether each worker known at loading was reached or is gone, or every lease there has ended. */
+  #hasWaitedForWorkers(): boolean {
     this.#unreached = this.#unreached.filter((worker) => !worker.isHeld && !worker.isGone);
-    const isSynced = clock.now() - this.#loadedAt > SYNC_MS;
-    return isSynced && (this.#unreached.length === 0 || clock.now() >= this.#waitUntil);
+    return this.#unreached.length === 0 || this.#deps.clock.now() >= this.#waitUntil;
   }
 
   /** Whether no task of a job can still run out of this holder's sight. */
   mayStart(job: Job): boolean {
     if (this.#inherited.size === 0 || !this.#inherited.has(job.spec.id)) return true;
-    const { clock, log, claim } = this.#deps;
-    this.#unreached = this.#unreached.filter((worker) => !worker.isHeld && !worker.isGone);
-    if (this.#unreached.length > 0 && clock.now() < this.#waitUntil) return false;
+    if (!this.#hasWaitedForWorkers()) return false;
+    const { log, claim } = this.#deps;
     log.info('inherited_jobs_released', {
       service: claim.service,
       jobs: this.#inherited.size,
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -13,7 +13,7 @@
   type WorkerClient,
 } from './ports.js';
 import { JobState, RunEnd } from './types.js';
-import { RunPhase, type Run, type Worker } from './worker.js';
+import { createRun, RunPhase, type Run, type Worker } from './worker.js';
 
 /** Lease given with each order. Below the platform's longest lease of 6 s. */
 export const LEASE_MS = 5_000;
@@ -76,8 +76,7 @@
 
   #createRun(task: Task, worker: Worker, number: number, phase: RunPhase): Run {
     const startedAt = this.#deps.clock.now();
-    const idle = { isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
-    return { task, worker, number, phase, startedAt, ...idle };
+    return createRun({ task, worker, number, phase, startedAt });
   }
 
   async #sendStart(run: Run, ticket: string | undefined): Promise<void> {
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -90,7 +90,7 @@
     return this.#waves.size > 0;
   }
 
-  /** VMs whose turn it is, or that a wave will take down. */
+  /** VMs whose turn it is. */
   vms(): Set<string> {
     return new Set([...this.#waves.values()].flatMap(({ turns }) => [...turns.keys()]));
   }
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -36,6 +36,13 @@
   pace: number;
 }
 
+/** A run whose start order is sent, or that is adopted, at a monotonic time in milliseconds. */
+export function createRun(
+  order: Pick<Run, 'task' | 'worker' | 'number' | 'phase' | 'startedAt'>,
+): Run {
+  return { ...order, isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
+}
+
 /** A worker's clock can run this much slow. Source: the platform's protocol. */
 const CLOCK_DRIFT = 0.02;
 
