Ask and tell holders about planned work through one piece of code

Waves and moves each built the same calls to empty a worker, let it be used again and tell of its end. They stand in HolderDirectory now; waits stay with their callers.

--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -4,6 +4,7 @@
 import { LinkErrorCode, type NodeTransport } from './links.js';
 import { NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
+import type { VacateStatus } from './vacating.js';
 
 /** Codes of {@link HolderCallError}. */
 export enum HolderCallErrorCode {
@@ -46,6 +47,32 @@
     return this.#failed(service, wasSent ? NoAnswer : Unreachable);
   }
 
+  /**
+   * Asks the holder of a service to empty a worker for planned work.
+   *
+   * @returns how far it is; undefined when the holder did not answer
+   */
+  async vacate(
+    service: string,
+    worker: string,
+    isUrgent: boolean,
+    timeoutMs: number,
+  ): Promise<VacateStatus | undefined> {
+    const call = { kind: NodeCallKind.Vacate, service, worker, isUrgent } as const;
+    const res = await this.call(call, timeoutMs);
+    return res.isOk ? res.value.vacating : undefined;
+  }
+
+  /** Tells the holder of a service what became of planned work on a worker, where there is one. */
+  async tell(
+    kind: NodeCallKind.Readmit | NodeCallKind.Ended,
+    service: string,
+    worker: string | undefined,
+    timeoutMs: number,
+  ): Promise<void> {
+    if (worker !== undefined) await this.call({ kind, service, worker }, timeoutMs);
+  }
+
   #checked(service: string, answer: NodeAnswer): Result<NodeAnswer, HolderCallError> {
     if (answer.isHolder) return Result.ok(answer);
     return this.#failed(service, HolderCallErrorCode.NotHolder);
--- a/src/batch/mover.ts
+++ b/src/batch/mover.ts
@@ -147,9 +147,7 @@
 
   async #isEmptied({ from, worker }: Move): Promise<boolean> {
     if (worker === undefined || this.#isStandby(from)) return true;
-    const call = { kind: NodeCallKind.Vacate, service: from, worker, isUrgent: false } as const;
-    const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
-    const status = res.isOk ? res.value.vacating : undefined;
+    const status = await this.#deps.holders.vacate(from, worker, false, CALL_TIMEOUT_MS);
     return status?.isReady === true && status.runs === 0;
   }
 
@@ -157,11 +155,10 @@
     return this.#deps.services().some(({ name, isStandby }) => name === service && isStandby);
   }
 
-  async #tellHolder(
+  #tellHolder(
     { from, worker }: Move,
     kind: NodeCallKind.Readmit | NodeCallKind.Ended,
   ): Promise<void> {
-    if (worker === undefined) return;
-    await this.#deps.holders.call({ kind, service: from, worker }, CALL_TIMEOUT_MS);
+    return this.#deps.holders.tell(kind, from, worker, CALL_TIMEOUT_MS);
   }
 }
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -255,17 +255,15 @@
 
   async #isEmptied({ pool, worker }: Turn, isUrgent: boolean): Promise<boolean> {
     if (worker === undefined) return true;
-    const call = { kind: NodeCallKind.Vacate, service: pool, worker, isUrgent } as const;
-    const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
-    return res.isOk && res.value.vacating?.isReady === true;
+    const status = await this.#deps.holders.vacate(pool, worker, isUrgent, CALL_TIMEOUT_MS);
+    return status?.isReady === true;
   }
 
-  async #tellHolder(
+  #tellHolder(
     { pool, worker }: Turn,
     kind: NodeCallKind.Readmit | NodeCallKind.Ended,
   ): Promise<void> {
-    if (worker === undefined) return;
-    await this.#deps.holders.call({ kind, service: pool, worker }, CALL_TIMEOUT_MS);
+    return this.#deps.holders.tell(kind, pool, worker, CALL_TIMEOUT_MS);
   }
 
   /** Keeps which VMs have had their upkeep, for a later holder. */
