Run a job again whose recorded attempt never started

Cause: an attempt is written to the job's row before its start is sent. When the controller ended between the two, its successor found a row that says the job may have run, and a worker that lists no such task. A restarted worker lists none either, so a job that must run at most once was parked.

Change: a worker's report names its incarnation. The attempt of a non-idempotent job records it, and the start carries it, so that a restarted worker refuses the start. A task that is missing from a report of the same incarnation, read after the stop that fences it, never started: the job is queued again.

Ruled out: writing the row after the start (a start could then run unrecorded); trusting the report alone (two cases of the new table restart the worker before the takeover, and between report and fence; both must stay parked).

--- a/src/jobs/attempts.ts
+++ b/src/jobs/attempts.ts
@@ -1,4 +1,10 @@
-import { PlatformErrorCode, TaskState, type TaskSpec, type TaskStatus } from '../platform/index.js';
+import {
+  PlatformErrorCode,
+  TaskState,
+  type TaskSpec,
+  type TaskStatus,
+  type WorkerReport,
+} from '../platform/index.js';
 import type { JobContext } from './context.js';
 import { RunPhase, type OpenJob, type RunState } from './openJobs.js';
 import { RunEnd, uncountedEnds } from './policy.js';
@@ -16,6 +22,8 @@
   #polledAt = new Map<string, number>();
   /** When a poll was requested that has not ended, by VM. */
   readonly #pollsRequested = new Map<string, number>();
+  /** Latest known incarnation, by VM. */
+  readonly #incarnations = new Map<string, string>();
   /** Task ids whose start call is not yet answered. */
   readonly #starting = new Set<string>();
 
@@ -32,10 +40,12 @@
     const { clock, policy, settings } = this.#context;
     const decidedAt = clock.now();
     const { record } = job;
+    const incarnation = await this.#incarnationFor(job, vm);
+    if (!record.idempotent && incarnation === undefined) return;
     const epoch = record.epoch + 1;
     const taskId = `${record.id}.${epoch}`;
     const resultKey = jobKeys.result(record.id, epoch);
-    const run: JobRun = { taskId, vm, epoch, resultKey, isDuplicate };
+    const run: JobRun = { taskId, vm, epoch, resultKey, isDuplicate, incarnation };
     const attempts = record.attempts + (isDuplicate ? 0 : 1);
     const runs = [...record.runs, run];
     const next: JobRecord = { ...record, state: JobState.Running, epoch, attempts, runs };
@@ -96,16 +106,13 @@
       const expected = this.#context.open
         .runsOn(vm)
         .filter(({ run }) => !this.#starting.has(run.taskId));
-      const result = await this.#context.deps.platform.workers.tasks(vm);
+      const report = await this.#readReport(vm);
       if (!this.#context.holdsLease()) return;
-      if (result.isErr) {
-        // A spent share says nothing about the worker.
-        if (result.error.code !== PlatformErrorCode.RateLimited) this.#context.suspect(vm);
+      if (!report) {
         for (const state of expected) await this.#endIfLapsed(state);
         return;
       }
-      this.#context.trust(vm);
-      const byId = new Map(result.value.map((status) => [status.id, status]));
+      const byId = new Map(report.tasks.map((status) => [status.id, status]));
       for (const state of expected) {
         if (this.#context.open.isCurrent(state)) await this.#act(state, byId.get(state.run.taskId));
       }
@@ -163,11 +170,39 @@
     return { state: JobState.Failed, error };
   }
 
+  /** Reads what a worker reports; undefined when it gave no answer. */
+  async #readReport(vm: string): Promise<WorkerReport | undefined> {
+    const result = await this.#context.deps.platform.workers.report(vm);
+    if (result.isErr) {
+      this.#incarnations.delete(vm);
+      // A spent share says nothing about the worker.
+      if (result.error.code !== PlatformErrorCode.RateLimited) this.#context.suspect(vm);
+      return undefined;
+    }
+    this.#context.trust(vm);
+    this.#incarnations.set(vm, result.value.incarnation);
+    return result.value;
+  }
+
+  /**
+   * Incarnation to record with an attempt, so that a successor can tell one that never started.
+   * Undefined for idempotent jobs, which run again in any case, and when the worker is silent.
+   */
+  async #incarnationFor(job: OpenJob, vm: string): Promise<string | undefined> {
+    if (job.record.idempotent) return undefined;
+    const known = this.#incarnations.get(vm);
+    if (known !== undefined || !this.#context.isWritable(job)) return known;
+    job.writing = true;
+    const report = await this.#readReport(vm);
+    job.writing = false;
+    return report?.incarnation;
+  }
+
   /** Starts the task. Returns how the attempt ended, if it did. */
   async #start(state: RunState, need: Resources): Promise<RunEnd | undefined> {
     const { clock, counters, settings, deps } = this.#context;
     const { record } = state.job;
-    const { vm, taskId, epoch, resultKey } = state.run;
+    const { vm, taskId, epoch, resultKey, incarnation } = state.run;
     const spec: TaskSpec = {
       ...need,
       id: taskId,
@@ -177,6 +212,7 @@
       payload: record.payload,
       checkpoint: record.checkpoint,
       resultKey,
+      incarnation,
     };
     const result = await deps.platform.workers.start(vm, spec);
     const now = clock.now();
@@ -188,6 +224,10 @@
       return undefined;
     }
     const { code, mayHaveTakenEffect } = result.error;
+    if (code === PlatformErrorCode.OtherIncarnation) {
+      this.#incarnations.delete(vm);
+      return RunEnd.NotSent;
+    }
     if (code !== PlatformErrorCode.RateLimited) this.#context.suspect(vm);
     if (mayHaveTakenEffect) {
       return record.urgent && record.idempotent ? RunEnd.Abandoned : undefined;
@@ -219,9 +259,18 @@
 
   async #vanished(state: RunState): Promise<void> {
     // The stop makes the worker refuse a start that is still on its way.
-    const { vm, taskId } = state.run;
+    const { vm, taskId, incarnation } = state.run;
     const fenced = await this.#context.deps.platform.workers.stop(vm, taskId);
-    if (fenced.isOk) await this.end(state, RunEnd.Vanished);
+    if (fenced.isErr) return;
+    if (incarnation === undefined) {
+      await this.end(state, RunEnd.Vanished);
+      return;
+    }
+    // Only a report from after the fence shows which incarnation holds it.
+    const report = await this.#readReport(vm);
+    if (!report || report.tasks.some(({ id }) => id === taskId)) return;
+    const isSameLife = report.incarnation === incarnation;
+    await this.end(state, isSameLife ? RunEnd.NeverStarted : RunEnd.Vanished);
   }
 
   async #endIfLapsed(state: RunState): Promise<void> {
--- a/src/jobs/jobController.spec.ts
+++ b/src/jobs/jobController.spec.ts
@@ -135,6 +135,74 @@
   await controller.close();
 });
 
+/** What happens to the worker of an attempt whose start was never sent. */
+enum WorkerFate {
+  Stays = 'stays',
+  RestartsBeforeTakeover = 'restarts before the takeover',
+  RestartsAfterListing = 'restarts between the listing and the fence',
+}
+
+/** Lets a controller end between the write of an attempt and its start; a successor takes over. */
+async function successorOfUnsentStart(fate: WorkerFate): Promise<JobZone> {
+  const zone = createJobZone({ workers: 1 });
+  zone.startController((client) => ({
+    ...client,
+    workers: { ...client.workers, start: () => new Promise<never>(() => undefined) },
+  }));
+  await zone.submit('j', { runMs: 2_000 }, { idempotent: false });
+  await zone.clock.advance(5_000);
+  const vm = (await zone.job('j')).runs[0]?.vm ?? '';
+  zone.takeLease();
+  if (fate === WorkerFate.RestartsBeforeTakeover) zone.platform.workers.restart(vm);
+  const successor = zone.startController((client) =>
+    withFaults(client, (_part, name) => {
+      if (fate === WorkerFate.RestartsAfterListing && name === 'stop') {
+        zone.platform.workers.restart(vm);
+      }
+      return CallFault.None;
+    }),
+  );
+  await zone.clock.advance(30_000);
+  await successor.close();
+  return zone;
+}
+
+const unsentStarts: [WorkerFate, JobState, number][] = [
+  [WorkerFate.Stays, JobState.Succeeded, 1],
+  [WorkerFate.RestartsBeforeTakeover, JobState.Parked, 0],
+  [WorkerFate.RestartsAfterListing, JobState.Parked, 0],
+];
+
+// Guards against a job that is parked although the worker shows that it never ran there, and
+// against a second run after a restart that made the worker forget the first.
+for (const [fate, state, starts] of unsentStarts) {
+  test(`a non-idempotent job whose start was not sent, worker ${fate}: ${state}`, async (t) => {
+    const zone = await successorOfUnsentStart(fate);
+    t.is((await zone.job('j')).state, state);
+    t.is(startsOf(zone, 'j').length, starts);
+  });
+}
+
+test('a start that arrives after a restart of its worker is refused', async (t) => {
+  const zone = createJobZone({ workers: 1 });
+  const controller = zone.startController((client) => ({
+    ...client,
+    workers: {
+      ...client.workers,
+      start: (vm, task) => {
+        if (task.epoch === 1) zone.platform.workers.restart(vm);
+        return client.workers.start(vm, task);
+      },
+    },
+  }));
+  await zone.submit('j', { runMs: 2_000 }, { idempotent: false });
+  await zone.clock.advance(20_000);
+  await controller.close();
+  const { state, epoch, attempts } = await zone.job('j');
+  t.deepEqual([state, epoch, attempts], [JobState.Succeeded, 2, 1]);
+  t.is(startsOf(zone, 'j').length, 1);
+});
+
 /** Cuts a worker off while it runs a job and returns the most tasks that ran at once. */
 async function mostConcurrent(
   policy: JobZoneOptions['policy'],
--- a/src/jobs/openJobs.ts
+++ b/src/jobs/openJobs.ts
@@ -33,7 +33,7 @@
   version: number;
   /** When the job was queued here; monotonic, in milliseconds. */
   queuedAt: number;
-  /** A write of the row is under way. */
+  /** A write of the row is prepared or under way. */
   writing: boolean;
   /** The row must be read again before the next decision. */
   stale: boolean;
--- a/src/jobs/policy.ts
+++ b/src/jobs/policy.ts
@@ -13,7 +13,9 @@
   Failed = 'failed',
   /** The worker stopped it, on request or because its lease lapsed. */
   Stopped = 'stopped',
-  /** The worker does not know it. */
+  /** The worker, not restarted since, never started it and refuses to from now on. */
+  NeverStarted = 'never_started',
+  /** The worker does not know it and may have restarted. */
   Vanished = 'vanished',
   /** The worker does not answer and the lease has lapsed. */
   LeaseLapsed = 'lease_lapsed',
@@ -25,6 +27,7 @@
 export const uncountedEnds: ReadonlySet<RunEnd> = new Set([
   RunEnd.StartRefused,
   RunEnd.NotSent,
+  RunEnd.NeverStarted,
   RunEnd.Interrupted,
 ]);
 
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -48,6 +48,8 @@
   epoch: number;
   /** Object key that receives this attempt's result. */
   resultKey: string;
+  /** Incarnation of the worker for which the attempt was recorded; no other starts it. */
+  incarnation?: string;
   /** Runs beside a straggler and does not count as an attempt. */
   isDuplicate?: boolean;
 }
--- a/src/platform/createPlatformClient.ts
+++ b/src/platform/createPlatformClient.ts
@@ -245,6 +245,9 @@
   } catch (err) {
     return failure(PlatformErrorCode.BadAnswer, messageOf(err));
   }
+  if (status === 421) {
+    return failure(PlatformErrorCode.OtherIncarnation, answer.body.toString());
+  }
   if (status < 500 || answer.headers[REFUSED] === id) {
     return failure(PlatformErrorCode.Refused, `status ${status}: ${answer.body.toString()}`);
   }
@@ -342,7 +345,7 @@
       checkpoint: (vm, taskId) => control(`${taskPath(vm, taskId)}/checkpoint`),
       throttle: (vm, taskId, share) => control(`${taskPath(vm, taskId)}/throttle`, { share }),
       stop: (vm, taskId) => control(`${taskPath(vm, taskId)}/stop`),
-      tasks: (vm) => read(`${vmPath(vm)}/tasks`, jsonField('tasks'), CallKind.Control),
+      report: (vm) => read(`${vmPath(vm)}/tasks`, jsonField('report'), CallKind.Control),
     },
   };
 }
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -9,6 +9,8 @@
   OutcomeUnknown = 'outcome_unknown',
   /** The platform answered that it refused the call; it had no effect. */
   Refused = 'refused',
+  /** The worker has restarted since the incarnation that the call names; it had no effect. */
+  OtherIncarnation = 'other_incarnation',
   /** A condition of a transaction did not hold; it had no effect. */
   ConditionFailed = 'condition_failed',
   /** The process spent its share of platform reads or writes; nothing was sent. */
@@ -152,6 +154,8 @@
   checkpoint?: string;
   /** Object key that receives the result. */
   resultKey: string;
+  /** Incarnation of the worker that is meant; any other refuses the start. */
+  incarnation?: string;
 }
 
 /** Status of one task as reported by its worker. */
@@ -171,6 +175,14 @@
   error?: string;
 }
 
+/** What a worker reports about itself. */
+export interface WorkerReport {
+  /** Names one life of the worker. A worker that restarts gets another and knows no earlier task. */
+  incarnation: string;
+  /** Every task that was started in this life, ended ones included. */
+  tasks: TaskStatus[];
+}
+
 /** The worker interface. */
 export interface WorkerService {
   start(vm: string, task: TaskSpec): PlatformResult<void>;
@@ -180,7 +192,7 @@
   throttle(vm: string, taskId: string, share: number): PlatformResult<void>;
   /** Stops a task. A worker that does not know the task refuses to start it from then on. */
   stop(vm: string, taskId: string): PlatformResult<void>;
-  tasks(vm: string): PlatformResult<TaskStatus[]>;
+  report(vm: string): PlatformResult<WorkerReport>;
 }
 
 /** Everything the platform gives. */
--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -92,6 +92,7 @@
   switch (err.code) {
     case PlatformErrorCode.Unreachable:
     case PlatformErrorCode.Refused:
+    case PlatformErrorCode.OtherIncarnation:
       return new ClaimError(ClaimErrorCode.Unavailable, err.message, err);
     case PlatformErrorCode.RateLimited:
       return new ClaimError(ClaimErrorCode.RateLimited, err.message, err);
--- a/src/testing/fakePlatform.ts
+++ b/src/testing/fakePlatform.ts
@@ -124,7 +124,7 @@
         checkpoint: (vm, taskId) => call(() => this.workers.checkpoint(vm, taskId)),
         throttle: (vm, taskId, share) => call(() => this.workers.throttle(vm, taskId, share)),
         stop: (vm, taskId) => call(() => this.workers.stop(vm, taskId)),
-        tasks: (vm) => call(() => this.workers.status(vm)),
+        report: (vm) => call(() => this.workers.report(vm)),
       },
     };
   }
--- a/src/testing/fakeWorkers.ts
+++ b/src/testing/fakeWorkers.ts
@@ -7,6 +7,7 @@
   TaskState,
   type TaskSpec,
   type TaskStatus,
+  type WorkerReport,
 } from '../platform/index.js';
 
 /** Payload of a task that a fake worker carries out by waiting. */
@@ -51,6 +52,7 @@
 }
 
 interface Worker {
+  incarnation: string;
   executions: Map<string, Execution>;
   /** Largest epoch seen per job. */
   epochs: Map<string, number>;
@@ -70,6 +72,7 @@
   /** Time until actual use is reported, in milliseconds. */
   usageLagMs = 1_000;
   readonly #workers = new Map<string, Worker>();
+  #incarnations = 0;
   readonly #clock: Clock;
   readonly #objects: Map<string, Uint8Array>;
 
@@ -86,6 +89,10 @@
   start(vm: string, spec: TaskSpec): Outcome {
     const worker = this.#worker(vm);
     if (worker.faults.cutOff) return unreachable(vm);
+    if (spec.incarnation !== undefined && spec.incarnation !== worker.incarnation) {
+      const message = `worker ${vm} is ${worker.incarnation}, not ${spec.incarnation}`;
+      return Result.err(new PlatformError(PlatformErrorCode.OtherIncarnation, message));
+    }
     if (worker.executions.has(spec.id)) return done;
     if (worker.fenced.has(spec.id)) return refused(`task ${spec.id} was stopped before it started`);
     if (worker.faults.refuseStarts) return refused(`worker ${vm} takes no new tasks`);
@@ -156,10 +163,11 @@
     return done;
   }
 
-  status(vm: string): Result<TaskStatus[], PlatformError> {
+  report(vm: string): Result<WorkerReport, PlatformError> {
     const worker = this.#worker(vm);
     if (worker.faults.cutOff) return Result.err(unreachableError(vm));
-    return Result.ok(structuredClone(this.tasks.get(vm) ?? []));
+    const tasks = structuredClone(this.tasks.get(vm) ?? []);
+    return Result.ok({ incarnation: worker.incarnation, tasks });
   }
 
   /** Number of tasks running on a VM. */
@@ -177,7 +185,9 @@
   #worker(vm: string): Worker {
     const known = this.#workers.get(vm);
     if (known) return known;
+    this.#incarnations += 1;
     const worker: Worker = {
+      incarnation: `${vm}#${this.#incarnations}`,
       executions: new Map(),
       epochs: new Map(),
       fenced: new Set(),
--- a/standins/platform/platform.ts
+++ b/standins/platform/platform.ts
@@ -123,7 +123,7 @@
   ): Promise<Answer> {
     const { workers } = client;
     if (taskId === undefined) {
-      if (call.method === 'GET') return answer(workers.tasks(vm), (tasks) => ({ tasks }));
+      if (call.method === 'GET') return answer(workers.report(vm), (report) => ({ report }));
       return answer(workers.start(vm, call.json() as TaskSpec));
     }
     const body = call.json() as { epoch: number; leaseMs: number; share: number };
@@ -254,5 +254,6 @@
   if (err.code === PlatformErrorCode.ConditionFailed) {
     return { status: 409, body: { failedKey: err.failedKey, message: err.message } };
   }
-  return { status: 422, body: { message: err.message } };
+  const status = err.code === PlatformErrorCode.OtherIncarnation ? 421 : 422;
+  return { status, body: { message: err.message } };
 }
--- a/testbed/faults.spec.ts
+++ b/testbed/faults.spec.ts
@@ -256,8 +256,8 @@
   let count = 0;
   for (const { id } of deployment.vms) {
     const res = await request(`${deployment.platform.url}/v1/vms/${id}/tasks`);
-    const { tasks } = (await res.body.json()) as { tasks: { jobId: string }[] };
-    count += tasks.filter((task) => task.jobId === jobId).length;
+    const { report } = (await res.body.json()) as { report: { tasks: { jobId: string }[] } };
+    count += report.tasks.filter((task) => task.jobId === jobId).length;
   }
   return count;
 }
