--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -17,6 +17,7 @@
 import type { NodeCall } from './nodeCalls.js';
 import { FLEET_DUTY, Ownership, type Claim } from './ownership.js';
 import { MonitoredStore } from './monitoredStore.js';
+import { nodeWeight, type NodeResources } from './nodeWeight.js';
 import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
 import type { BatchConfig, WaveOrder, WorkerRecord } from './types.js';
 import { FleetDuty } from './fleetDuty.js';
@@ -51,6 +52,7 @@
   node: string;
   /** Differs for each life of the process. */
   incarnation: string;
+  resources: NodeResources;
   transport: NodeTransport;
 }
 
@@ -75,6 +77,7 @@
     this.#ownership = new Ownership({
       ...deps,
       address: deps.transport.address,
+      weight: nodeWeight(deps.resources),
       services: () => this.#services(),
     });
     this.#directory = new HolderDirectory(this.#ownership, deps.transport, this.#holders);
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -1,9 +1,9 @@
 import Emittery from 'emittery';
 import type { Clock } from '../clock/index.js';
-import { rendezvousScore } from '../membership/rendezvous.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { claimedHead, headKey } from './journal.js';
+import { rankForService, type Candidate } from './nodeWeight.js';
 import type { Row, RowKey, RowStore } from './ports.js';
 
 /** Interval of renewing and reading the node rows. */
@@ -33,6 +33,8 @@
 /** Wait of one feed call; short, so that a channel that went silent is noticed. */
 const FEED_WAIT_MS = 1_500;
 const RETRY_MS = 300;
+/** Weight of a node whose row names none. */
+const DEFAULT_WEIGHT = 1;
 
 /** Name of the service whose holder gives the orders to the vendor. */
 export const FLEET_DUTY = '@fleet';
@@ -79,6 +81,8 @@
   incarnation: string;
   /** `IP:port` of this process's peer listener. */
   address: string;
+  /** How many busy services this node can carry. */
+  weight: number;
   /** Services that need a holder. */
   services: () => string[];
 }
@@ -86,6 +90,7 @@
 interface NodeRow {
   incarnation: string;
   address: string;
+  weight?: number;
 }
 
 interface SeenNode extends NodeRow {
@@ -200,10 +205,10 @@
 
   async #renew(): Promise<void> {
     if (this.#isLeaving) return;
-    const { clock, store, node, incarnation, address, log, counters } = this.#deps;
+    const { clock, store, node, incarnation, address, weight, log, counters } = this.#deps;
     const sentAt = clock.now();
     const sentWall = clock.wallTime();
-    const row: NodeRow = { incarnation, address };
+    const row: NodeRow = { incarnation, address, weight };
     const res = await store.transact({
       conditions: [],
       writes: [{ ...nodeKey(node), value: JSON.stringify(row) }],
@@ -327,29 +332,30 @@
       this.#unownedSince.set(service, since);
       const isOwn = owner?.node === this.#deps.node && !owner.isReleased;
       const stagger = owner?.isReleased ? RELEASED_STAGGER_MS : CLAIM_STAGGER_MS;
-      const wait = isOwn ? 0 : this.#rank(service) * stagger;
+      const wait = isOwn
+        ? 0
+        : rankForService(this.#deps.node, service, this.#candidates()) * stagger;
       if (now - since >= wait) await this.#claim(service);
     }
   }
 
-  /** How many live nodes are better placed to hold a service: fewer services, then by hash. */
-  #rank(service: string): number {
-    const counts = new Map(this.liveNodes().map((node) => [node, 0]));
-    counts.set(this.#deps.node, 0);
+  /** The live nodes, with the services that each holds. */
+  #candidates(): Candidate[] {
+    const { node, weight } = this.#deps;
+    const held = new Map([...this.liveNodes(), node].map((name) => [name, 0]));
     for (const owner of this.#owners.values()) {
-      const count = counts.get(owner.node);
+      const count = held.get(owner.node);
       if (count !== undefined && !owner.isReleased && this.#isAlive(owner)) {
-        counts.set(owner.node, count + 1);
+        held.set(owner.node, count + 1);
       }
     }
-    const own = counts.get(this.#deps.node) ?? 0;
-    const ownHash = rendezvousScore(this.#deps.node, service);
-    let better = 0;
-    for (const [node, count] of counts) {
-      if (node === this.#deps.node) continue;
-      if (count < own || (count === own && rendezvousScore(node, service) > ownHash)) better++;
-    }
-    return better;
+    const weightOf = (name: string) =>
+      name === node ? weight : (this.#nodes.get(name)?.weight ?? DEFAULT_WEIGHT);
+    return [...held].map(([name, count]) => ({
+      node: name,
+      weight: weightOf(name),
+      held: count,
+    }));
   }
 
   async #claim(service: string): Promise<void> {
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -170,6 +170,7 @@
       counters,
       node: name,
       incarnation: `${name}#${this.nodes.length}`,
+      resources: { cores: 1, linkMbps: 1_000 },
       transport: this.#transport(name, rigNode),
     });
     const started: RigNode = Object.assign(rigNode, { node });
