Name the fields of own types apart from the platform's

Cause: fields such as mayMiss, ackedUpto, clockMs, untilMs and validMs kept the platform's names outside the adapter, where they say little.

Change: maxAway, lastAcknowledgedEnd, workerTimeMs, leaseEndMs, nearRack, ticketLifeMs, bandwidthMbps, timeLimitS, latencyTargetMs. Terms that are usual in the field (fencingToken, maxAttempts, pathPrefix) stay.

--- a/src/batch/adviceBook.ts
+++ b/src/batch/adviceBook.ts
@@ -51,7 +51,7 @@
     if (!this.#asking.has(step)) {
       this.#asking.add(step);
       const usable = [...workers.all()].filter((worker) => worker.canTake(now));
-      void this.#ask(step, usable, policy.validMs * USED_VALIDITY);
+      void this.#ask(step, usable, policy.ticketLifeMs * USED_VALIDITY);
     }
     return false;
   }
--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -72,7 +72,7 @@
     run: async (t, rig) => {
       rig.fleet.stopMs = 900;
       rig.fleet.script = () => ({ runMs: Infinity });
-      const step = { count: 4, isLasting: true, maxPerWorker: 2, mayMiss: 1 };
+      const step = { count: 4, isLasting: true, maxPerWorker: 2, maxAway: 1 };
       await submit(rig, rig.job('motions', [step]));
       await rig.until(() => rig.fleet.runs().length === 4);
       const shared = [...rig.fleet.executors.values()].filter(
@@ -84,7 +84,7 @@
       rig.store.faults.set(holder.name, StoreFault.Silent);
       await rig.advance(orderAfterMs);
       const vms = shared.map(({ record }) => record.id);
-      rig.orderWave({ id: '1', vms, withinS: 8, maxDown: 1 });
+      rig.orderWave({ id: '1', vms, timeLimitS: 8, maxDown: 1 });
       await rig.advance(8_000);
       t.deepEqual(rig.stoppedTogether(), []);
     },
@@ -411,7 +411,7 @@
     rig: { services: ['motions'], workersPerService: 6 },
     run: async (t, rig) => {
       const vms = [...rig.fleet.executors.keys()];
-      rig.orderWave({ id: '1', vms, withinS: 25, maxDown: 2 });
+      rig.orderWave({ id: '1', vms, timeLimitS: 25, maxDown: 2 });
       t.true(await rig.until(() => rig.isFinished('1'), 25_000));
       t.is(rig.maxDown, 2);
       t.true(vms.every((vm) => rig.fleet.executors.get(vm)?.isUp === false));
@@ -423,12 +423,12 @@
     rig: { services: ['motions'], workersPerService: 5 },
     run: async (t, rig) => {
       rig.fleet.script = () => ({ runMs: Infinity });
-      const step = { count: 4, isLasting: true, maxPerWorker: 1, mayMiss: 1 };
+      const step = { count: 4, isLasting: true, maxPerWorker: 1, maxAway: 1 };
       await submit(rig, rig.job('motions', [step]));
       await rig.until(() => rig.fleet.runs().length === 4);
       await rig.advance(1_000);
       const vms = [...rig.fleet.executors.keys()];
-      rig.orderWave({ id: '1', vms, withinS: 60, maxDown: 4 });
+      rig.orderWave({ id: '1', vms, timeLimitS: 60, maxDown: 4 });
       t.true(await rig.until(() => rig.isFinished('1'), 60_000));
     },
   },
@@ -439,12 +439,12 @@
     run: async (t, rig) => {
       rig.fleet.script = () => ({ runMs: Infinity });
       // Two fill a worker, so that none can go elsewhere first.
-      const step = { count: 6, isLasting: true, mayMiss: 1, cpuMillis: 2_000 };
+      const step = { count: 6, isLasting: true, maxAway: 1, cpuMillis: 2_000 };
       await submit(rig, rig.job('motions', [step]));
       await rig.until(() => rig.fleet.runs().length === 6);
       await rig.advance(1_000);
       const vms = [...rig.fleet.executors.keys()];
-      rig.orderWave({ id: '1', vms, withinS: 10, maxDown: 3 });
+      rig.orderWave({ id: '1', vms, timeLimitS: 10, maxDown: 3 });
       await rig.advance(15_000);
       t.false(rig.isFinished('1'));
     },
@@ -455,7 +455,7 @@
     rig: { services: ['motions'], workersPerService: 3 },
     run: async (t, rig) => {
       rig.fleet.script = () => ({ runMs: Infinity });
-      const step = { count: 3, isLasting: true, maxPerWorker: 1, mayMiss: 1 };
+      const step = { count: 3, isLasting: true, maxPerWorker: 1, maxAway: 1 };
       await submit(rig, rig.job('motions', [step]));
       await rig.until(() => rig.fleet.runs().length === 3);
       await rig.advance(1_000);
@@ -467,7 +467,7 @@
       }
       holder.isDead = true;
       await rig.until(() => rig.holderOf('motions') !== undefined);
-      rig.orderWave({ id: '1', vms: workers, withinS: 20, maxDown: 3 });
+      rig.orderWave({ id: '1', vms: workers, timeLimitS: 20, maxDown: 3 });
       await rig.advance(1_500);
       rig.fleet.cuts.clear();
       await rig.advance(1_000);
@@ -481,7 +481,7 @@
     run: async (t, rig) => {
       const vms = [...rig.fleet.executors.keys()];
       rig.upkeepMs = 9_000;
-      rig.orderWave({ id: '1', vms, withinS: 60, maxDown: 2 });
+      rig.orderWave({ id: '1', vms, timeLimitS: 60, maxDown: 2 });
       await rig.until(() => rig.maxDown === 2);
       const first = rig.fleetHolder();
       if (first) first.isDead = true;
@@ -497,7 +497,7 @@
     run: async (t, rig) => {
       const first = required(rig.fleetHolder());
       first.isDead = true;
-      rig.orderWave({ id: '1', vms: [...rig.fleet.executors.keys()], withinS: 20, maxDown: 1 });
+      rig.orderWave({ id: '1', vms: [...rig.fleet.executors.keys()], timeLimitS: 20, maxDown: 1 });
       t.true(await rig.until(() => rig.isFinished('1'), 40_000));
       const claims = rig.nodes
         .flatMap(({ lines }) => lines.filter((line) => line.includes('event=service_claimed')))
@@ -514,7 +514,7 @@
     title: 'a new holder does not wait for workers that planned work has ended',
     run: async (t, rig) => {
       rig.upkeepMs = 60_000;
-      rig.orderWave({ id: '1', vms: ['motions-0'], withinS: 20, maxDown: 1 });
+      rig.orderWave({ id: '1', vms: ['motions-0'], timeLimitS: 20, maxDown: 1 });
       await rig.until(() => rig.maxDown === 1);
       await rig.advance(2_000);
       rig.fleet.script = () => ({ runMs: 2_000 });
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -18,9 +18,9 @@
   allowsCopies: false,
   isLasting: false,
   image: '',
-  targetMs: 0,
+  latencyTargetMs: 0,
   fillsSpare: false,
-  mayMiss: 0,
+  maxAway: 0,
 };
 
 /** A step with the given fields, all others at their defaults. */
--- a/src/batch/nodeWeight.spec.ts
+++ b/src/batch/nodeWeight.spec.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import { nodeWeight, rankForService, type Candidate } from './nodeWeight.js';
 
-const small = nodeWeight({ cores: 0.324, linkMbps: 10 });
-const large = nodeWeight({ cores: 1.35, linkMbps: 200 });
+const small = nodeWeight({ cores: 0.324, bandwidthMbps: 10 });
+const large = nodeWeight({ cores: 1.35, bandwidthMbps: 200 });
 
 interface RankCase {
   title: string;
@@ -53,5 +53,8 @@
 test('the weight of a VM is bounded by what it has least of', (t) => {
   t.true(small < 1, `${small}`);
   t.true(large > 4, `${large}`);
-  t.is(nodeWeight({ cores: 1.35, linkMbps: 10 }), nodeWeight({ cores: 0.4, linkMbps: 10 }));
+  t.is(
+    nodeWeight({ cores: 1.35, bandwidthMbps: 10 }),
+    nodeWeight({ cores: 0.4, bandwidthMbps: 10 }),
+  );
 });
--- a/src/batch/nodeWeight.ts
+++ b/src/batch/nodeWeight.ts
@@ -10,7 +10,7 @@
   /** Processor in cores of ordinary speed. */
   cores: number;
   /** Bandwidth of the VM's own link, in Mbit/s. */
-  linkMbps: number;
+  bandwidthMbps: number;
 }
 
 /** A node that could hold a service. */
@@ -23,8 +23,8 @@
 }
 
 /** How many busy services a VM can carry, by what it has least of; below 1 for a small VM. */
-export function nodeWeight({ cores, linkMbps }: NodeResources): number {
-  return Math.min(cores / CORES_PER_SERVICE, linkMbps / LINK_PER_SERVICE_MBPS);
+export function nodeWeight({ cores, bandwidthMbps }: NodeResources): number {
+  return Math.min(cores / CORES_PER_SERVICE, bandwidthMbps / LINK_PER_SERVICE_MBPS);
 }
 
 /**
--- a/src/batch/pacing.ts
+++ b/src/batch/pacing.ts
@@ -43,6 +43,6 @@
 
 /** Response time tail as a share of the target; 0 for a task that serves nobody. */
 function strainOf({ task, figure, percent }: Run): number {
-  const { targetMs } = task.step.spec;
-  return targetMs > 0 && percent > 0 ? figure / targetMs : 0;
+  const { latencyTargetMs } = task.step.spec;
+  return latencyTargetMs > 0 && percent > 0 ? figure / latencyTargetMs : 0;
 }
--- a/src/batch/placement.spec.ts
+++ b/src/batch/placement.spec.ts
@@ -83,7 +83,7 @@
   },
   {
     title: 'the rack of the input comes first',
-    specs: [{ count: 1, dataRack: 'r2' }],
+    specs: [{ count: 1, nearRack: 'r2' }],
     workers: () => [worker('a', ['r1']), worker('b', ['r2'])],
     expected: ['0@b'],
   },
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -172,7 +172,7 @@
   const { capacity, labels } = worker.record;
   const share = capacity.cpuMillis > 0 ? worker.cpuUsed / capacity.cpuMillis : 1;
   let score = spec.isLasting ? -share : share;
-  if (spec.dataRack !== undefined && labels.includes(spec.dataRack)) score += NEAR_SCORE;
+  if (spec.nearRack !== undefined && labels.includes(spec.nearRack)) score += NEAR_SCORE;
   if (spec.isColocated && sharesRack(step, worker, chosen)) score += NEAR_SCORE;
   if (task.avoid === worker.record.id) score += FAILURE_SCORE;
   if (worker.failuresInRow > 1) score += FAILURE_SCORE;
--- a/src/batch/ports.ts
+++ b/src/batch/ports.ts
@@ -96,7 +96,7 @@
 export interface OrderReply {
   answer: OrderAnswer;
   /** The worker's steady clock in milliseconds. */
-  clockMs?: number;
+  workerTimeMs?: number;
 }
 
 /** A run that a worker lists as running. */
@@ -121,7 +121,13 @@
 
 /** Answer to a hold: the lists of the worker, or why there is none. */
 export type HoldReply =
-  | { isListed: true; clockMs: number; bornMs: number; running: ListedRun[]; ended: ListedEnd[] }
+  | {
+      isListed: true;
+      workerTimeMs: number;
+      bornMs: number;
+      running: ListedRun[];
+      ended: ListedEnd[];
+    }
   | { isListed: false; answer: OrderAnswer };
 
 /** Where a worker is reached. */
@@ -141,14 +147,19 @@
 export interface WorkerClient {
   start(
     worker: WorkerAddress,
-    order: RunOrder & { payload: string; untilMs: number; checkpoint: string; ticket?: string },
+    order: RunOrder & { payload: string; leaseEndMs: number; checkpoint: string; ticket?: string },
   ): Promise<OrderReply>;
   stop(worker: WorkerAddress, order: RunOrder): Promise<OrderReply>;
   pace(worker: WorkerAddress, order: RunOrder & { percent: number }): Promise<OrderReply>;
   /** Extends the lease of everything that runs there, acknowledges ends, and waits for new ones. */
   hold(
     worker: WorkerAddress,
-    order: { fencingToken: number; ackedUpto: number; untilMs?: number; waitMs: number },
+    order: {
+      fencingToken: number;
+      lastAcknowledgedEnd: number;
+      leaseEndMs?: number;
+      waitMs: number;
+    },
   ): Promise<HoldReply>;
 }
 
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -82,8 +82,8 @@
   async #sendStart(run: Run, ticket: string | undefined): Promise<void> {
     const { workers, clock, epoch, counters } = this.#deps;
     const { task, worker, number } = run;
-    const untilMs = worker.lease(LEASE_MS, clock.now());
-    if (untilMs === undefined) {
+    const leaseEndMs = worker.lease(LEASE_MS, clock.now());
+    if (leaseEndMs === undefined) {
       this.#requeue(run);
       return;
     }
@@ -91,7 +91,7 @@
       task: task.name,
       run: number,
       payload: task.step.job.spec.payload,
-      untilMs,
+      leaseEndMs,
       fencingToken: epoch,
       checkpoint: task.checkpoint,
       ticket,
@@ -106,7 +106,7 @@
     if (task.run !== run) return;
     const { job } = task.step;
     const now = clock.now();
-    if (reply.clockMs !== undefined) worker.readClock(reply.clockMs, now);
+    if (reply.workerTimeMs !== undefined) worker.readClock(reply.workerTimeMs, now);
     log.detail('task_start', {
       job: job.spec.id,
       task: task.name,
@@ -118,7 +118,7 @@
     });
     switch (reply.answer) {
       case OrderAnswer.Done:
-        run.settledClockMs = reply.clockMs;
+        run.settledClockMs = reply.workerTimeMs;
         if (job.state === JobState.Queued) {
           job.state = JobState.Running;
           counters.observe('job_start_wait_ms', now - job.acceptedAt);
@@ -222,8 +222,8 @@
         this.dropWorker(worker, 'address_reused');
         return;
       }
-      if (reply.clockMs !== undefined && reply.answer !== OrderAnswer.Unhealthy) {
-        run.settledClockMs = reply.clockMs;
+      if (reply.workerTimeMs !== undefined && reply.answer !== OrderAnswer.Unhealthy) {
+        run.settledClockMs = reply.workerTimeMs;
         return;
       }
       this.#deps.counters.count('order_retries', `stop_${reply.answer}`);
@@ -299,19 +299,19 @@
   }
 
   /** Compares what a worker lists as running with what is known, and settles the differences. */
-  reconcile(worker: Worker, running: readonly ListedRun[], clockMs: number): void {
+  reconcile(worker: Worker, running: readonly ListedRun[], workerTimeMs: number): void {
     const listed = new Map(running.map((entry) => [entry.task, entry]));
     for (const run of [...worker.runs.values()]) {
       const entry = listed.get(run.task.name);
-      if (entry?.run === run.number) this.#refresh(run, entry, clockMs);
-      else if (run.settledClockMs !== undefined && run.settledClockMs < clockMs) {
+      if (entry?.run === run.number) this.#refresh(run, entry, workerTimeMs);
+      else if (run.settledClockMs !== undefined && run.settledClockMs < workerTimeMs) {
         this.#drop(run, 'not_listed');
       }
     }
     let hasOrphans = false;
     for (const entry of running) {
       if (worker.runs.get(entry.task)?.number === entry.run) continue;
-      if (this.#adopt(worker, entry, clockMs)) continue;
+      if (this.#adopt(worker, entry, workerTimeMs)) continue;
       hasOrphans = true;
       void this.#stopOrphan(worker, entry);
     }
@@ -320,27 +320,27 @@
     this.#pace(worker);
   }
 
-  #refresh(run: Run, entry: ListedRun, clockMs: number): void {
+  #refresh(run: Run, entry: ListedRun, workerTimeMs: number): void {
     run.percent = entry.percent;
     run.figure = entry.figure;
     if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
-    if (run.phase === RunPhase.Running) run.settledClockMs ??= clockMs;
+    if (run.phase === RunPhase.Running) run.settledClockMs ??= workerTimeMs;
   }
 
   /** Takes over a run that an earlier holder started; false when it must not go on. */
-  #adopt(worker: Worker, entry: ListedRun, clockMs: number): boolean {
+  #adopt(worker: Worker, entry: ListedRun, workerTimeMs: number): boolean {
     const address = parseTaskName(entry.task);
     const job = address && this.#deps.jobs.get(address.job);
     if (!job || job.closedAs) return false;
     const task = job.task(address.occurrence, address.step, address.index);
     if (!task || task.isDone || task.run || worker.runs.has(entry.task)) return false;
     const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
-    run.settledClockMs = clockMs;
+    run.settledClockMs = workerTimeMs;
     run.isAdopted = true;
     job.attach(task, run);
     worker.add(run);
     job.state = JobState.Running;
-    this.#refresh(run, entry, clockMs);
+    this.#refresh(run, entry, workerTimeMs);
     this.#deps.counters.count('runs_adopted', 'takeover');
     return true;
   }
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -23,7 +23,7 @@
   /** Label that a worker must have. */
   requiredLabel?: string;
   /** Label of the rack that holds the input. */
-  dataRack?: string;
+  nearRack?: string;
   /** Tasks of the step on one worker at most; 0 means any number. */
   maxPerWorker: number;
   savesProgress: boolean;
@@ -33,11 +33,11 @@
   /** What the tasks run; tasks of one image behave alike. */
   image: string;
   /** Bound of the response time tail in milliseconds; 0 when the tasks serve nobody. */
-  targetMs: number;
+  latencyTargetMs: number;
   /** The tasks use the processor that others leave; their `cpuMillis` is not reserved. */
   fillsSpare: boolean;
   /** Tasks of the step that planned work may have away at the same time. */
-  mayMiss: number;
+  maxAway: number;
 }
 
 /** A job as the caller handed it in. */
@@ -84,7 +84,7 @@
 
 /** Advice service of a queue: which workers may run a step. Milliseconds. */
 export interface AdvicePolicy {
-  validMs: number;
+  ticketLifeMs: number;
 }
 
 /** A queue: where callers hand jobs in, and how these are treated. */
@@ -134,7 +134,7 @@
   id: string;
   vms: string[];
   /** Seconds in which all must have had their upkeep. */
-  withinS: number;
+  timeLimitS: number;
   /** VMs down for this wave at the same time, at most. */
   maxDown: number;
 }
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -119,8 +119,8 @@
     const done = new Set(res.value ? (JSON.parse(res.value.value) as string[]) : []);
     const progress = { order, seenAt: clock.now(), done, turns: new Map<string, Turn>() };
     this.#waves.set(order.id, { ...progress, isReported: false });
-    const { id, vms, maxDown, withinS } = order;
-    log.info('wave_open', { wave: id, vms: vms.length, done: done.size, max: maxDown, withinS });
+    const { id, vms, maxDown, timeLimitS } = order;
+    log.info('wave_open', { wave: id, vms: vms.length, done: done.size, max: maxDown, timeLimitS });
   }
 
   async #proceed(wave: WaveProgress, isTaken: (vm: string) => boolean): Promise<void> {
@@ -210,7 +210,7 @@
 
   /** VMs that have to be away at the same time for the wave to end in time. */
   #pace({ order, done, seenAt }: WaveProgress): number {
-    const leftMs = order.withinS * 1000 * PACE_SHARE - (this.#deps.clock.now() - seenAt);
+    const leftMs = order.timeLimitS * 1000 * PACE_SHARE - (this.#deps.clock.now() - seenAt);
     const left = order.vms.length - done.size;
     if (leftMs <= EXPECTED_AWAY_MS) return order.maxDown;
     return Math.min(order.maxDown, Math.ceil((left * EXPECTED_AWAY_MS) / leftMs));
@@ -218,7 +218,7 @@
 
   /** Whether the time that is left suffices only if tasks no longer hold upkeeps up. */
   #isUrgent({ order, done, seenAt }: WaveProgress): boolean {
-    const left = order.withinS * 1000 - (this.#deps.clock.now() - seenAt);
+    const left = order.timeLimitS * 1000 - (this.#deps.clock.now() - seenAt);
     const rounds = Math.ceil((order.vms.length - done.size) / order.maxDown);
     return rounds * EXPECTED_AWAY_MS > left * URGENT_SHARE;
   }
@@ -285,6 +285,6 @@
     this.#finished?.add(order.id);
     this.#waves.delete(order.id);
     const tookMs = Math.round(clock.now() - seenAt);
-    log.info('wave_finished', { wave: order.id, took_ms: tookMs, withinS: order.withinS });
+    log.info('wave_finished', { wave: order.id, took_ms: tookMs, timeLimitS: order.timeLimitS });
   }
 }
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -100,8 +100,8 @@
 
   /** Whether ending a run keeps its step within the number that it may miss. */
   #mayEnd({ task }: Run): boolean {
-    const { mayMiss } = task.step.spec;
-    return mayMiss === 0 || this.#countAway(task.step, task.index) < mayMiss;
+    const { maxAway } = task.step.spec;
+    return maxAway === 0 || this.#countAway(task.step, task.index) < maxAway;
   }
 
   /** Tasks of a step, without the one named, that are not at work or may be ended any moment. */
@@ -117,9 +117,9 @@
 
   /** Whether ending all tasks of a run's step on its worker keeps the step within its number. */
   #mayEndAll({ task, worker }: Run): boolean {
-    const { mayMiss } = task.step.spec;
+    const { maxAway } = task.step.spec;
     const here = countOnWorker(task.step.tasks, worker);
-    return mayMiss === 0 || this.#countAway(task.step, task.index) + here - 1 < mayMiss;
+    return maxAway === 0 || this.#countAway(task.step, task.index) + here - 1 < maxAway;
   }
 
   /** An earlier holder may have told an adopted run to stop before it lost the worker. */
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -70,7 +70,7 @@
   cpuUsed = 0;
   memoryUsed = 0;
   acceleratorsUsed = 0;
-  #clockMs: number | undefined;
+  #workerTimeMs: number | undefined;
   #clockReadAt = 0;
 
   constructor(record: WorkerRecord) {
@@ -78,28 +78,28 @@
   }
 
   /** Records a reading of the worker's clock that arrived at `now`. */
-  readClock(clockMs: number, now: number): void {
-    if (this.#clockMs !== undefined && clockMs < this.#clockMs) return;
-    this.#clockMs = clockMs;
+  readClock(workerTimeMs: number, now: number): void {
+    if (this.#workerTimeMs !== undefined && workerTimeMs < this.#workerTimeMs) return;
+    this.#workerTimeMs = workerTimeMs;
     this.#clockReadAt = now;
   }
 
   /** Forgets the clock of an earlier incarnation. */
   resetClock(): void {
-    this.#clockMs = undefined;
+    this.#workerTimeMs = undefined;
   }
 
   get hasClock(): boolean {
-    return this.#clockMs !== undefined;
+    return this.#workerTimeMs !== undefined;
   }
 
   /** End of a lease of `leaseMs` on the worker's clock, and its latest end on ours. */
   lease(leaseMs: number, now: number): number | undefined {
-    if (this.#clockMs === undefined) return undefined;
-    const untilMs = Math.floor(this.#clockMs + (now - this.#clockReadAt) + leaseMs);
-    const latest = this.#clockReadAt + (untilMs - this.#clockMs) / (1 - CLOCK_DRIFT);
+    if (this.#workerTimeMs === undefined) return undefined;
+    const leaseEndMs = Math.floor(this.#workerTimeMs + (now - this.#clockReadAt) + leaseMs);
+    const latest = this.#clockReadAt + (leaseEndMs - this.#workerTimeMs) / (1 - CLOCK_DRIFT);
     this.lapsesBy = Math.max(this.lapsesBy, latest);
-    return untilMs;
+    return leaseEndMs;
   }
 
   /** Whether it may get new runs. */
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -158,10 +158,10 @@
       }
       const hasUnacknowledged = worker.processedUpto > worker.durableUpto;
       const isSettled = worker.isHeld && worker.misses === 0;
-      const untilMs = isSettled ? worker.lease(LEASE_MS, clock.now()) : undefined;
+      const leaseEndMs = isSettled ? worker.lease(LEASE_MS, clock.now()) : undefined;
       const waitMs = isSettled && !hasUnacknowledged ? holdWait(worker) : 0;
-      const ackedUpto = worker.durableUpto;
-      const order = { fencingToken: epoch, ackedUpto, untilMs, waitMs };
+      const lastAcknowledgedEnd = worker.durableUpto;
+      const order = { fencingToken: epoch, lastAcknowledgedEnd, leaseEndMs, waitMs };
       const reply = await workers.hold(worker.record, order);
       if (isAborted(signal)) return;
       if (!reply.isListed) await this.#handleSilence(worker, reply.answer, signal);
@@ -207,7 +207,7 @@
   ): Promise<void> {
     const { clock, log, runs, place } = this.#deps;
     if (reply.bornMs > worker.record.bornMs) this.#reborn(worker, reply.bornMs);
-    worker.readClock(reply.clockMs, clock.now());
+    worker.readClock(reply.workerTimeMs, clock.now());
     if (worker.misses > 0) {
       log.info('worker_back', { worker: worker.record.id, misses: worker.misses });
       worker.misses = 0;
@@ -220,7 +220,7 @@
       runs.applyEnd(worker, ended);
       hasNewEnds = true;
     }
-    runs.reconcile(worker, reply.running, reply.clockMs);
+    runs.reconcile(worker, reply.running, reply.workerTimeMs);
     if (!worker.isHeld) await this.#admit(worker);
     if (hasNewEnds) {
       const processed = worker.processedUpto;
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -170,7 +170,7 @@
       counters,
       node: name,
       incarnation: `${name}#${this.nodes.length}`,
-      resources: { cores: 1, linkMbps: 1_000 },
+      resources: { cores: 1, bandwidthMbps: 1_000 },
       transport: this.#transport(name, rigNode),
     });
     const started: RigNode = Object.assign(rigNode, { node });
@@ -314,8 +314,8 @@
           .filter((task) => task.startsWith(prefix)),
       );
       const away = spec.count - 1 - others.size;
-      if (away < spec.mayMiss) continue;
-      this.vendorViolations.push(`${prefix}* has ${away} away, may miss ${spec.mayMiss}`);
+      if (away < spec.maxAway) continue;
+      this.vendorViolations.push(`${prefix}* has ${away} away, may miss ${spec.maxAway}`);
     }
   }
 
@@ -403,7 +403,7 @@
           return task !== stopped.task && startedAt <= at && leaves > at;
         };
         const away = spec.count - 1 - own.filter(isAtWork).length;
-        if (away >= spec.mayMiss) found.push(`${stopped.task} with ${away} away`);
+        if (away >= spec.maxAway) found.push(`${stopped.task} with ${away} away`);
       }
     }
     return found;
--- a/src/testing/batchRig/fakeExecutors.ts
+++ b/src/testing/batchRig/fakeExecutors.ts
@@ -79,7 +79,7 @@
     this.record = { id, service, capacity, labels, bornMs, ...place };
   }
 
-  get clockMs(): number {
+  get workerTimeMs(): number {
     return Math.floor(this.#fleet.clock.now() - this.#bornAt) + 1_000;
   }
 
@@ -104,11 +104,11 @@
     this.record = { ...this.record, bornMs: this.#fleet.clock.wallTime() + 1 };
   }
 
-  #extend(untilMs: number): void {
+  #extend(leaseEndMs: number): void {
     const { clock } = this.#fleet;
     this.#leaseUntil = Math.max(
       this.#leaseUntil,
-      Math.min(untilMs, this.clockMs + MAX_LEASE_MS) - this.clockMs + clock.now(),
+      Math.min(leaseEndMs, this.workerTimeMs + MAX_LEASE_MS) - this.workerTimeMs + clock.now(),
     );
     this.#leaseTimer?.cancel();
     this.#leaseTimer = clock.setTimer(this.#leaseUntil - clock.now(), () => {
@@ -129,16 +129,16 @@
   }
 
   start(order: Parameters<WorkerClient['start']>[1]): OrderReply {
-    const { clockMs } = this;
-    const { task, run, untilMs, fencingToken } = order;
-    if (fencingToken < this.#fence) return { answer: OrderAnswer.Fenced, clockMs };
+    const { workerTimeMs } = this;
+    const { task, run, leaseEndMs, fencingToken } = order;
+    if (fencingToken < this.#fence) return { answer: OrderAnswer.Fenced, workerTimeMs };
     this.#fence = fencingToken;
-    if (untilMs <= clockMs) return { answer: OrderAnswer.LeaseInPast, clockMs };
-    if (this.#runs.get(task)?.run === run) return { answer: OrderAnswer.Done, clockMs };
+    if (leaseEndMs <= workerTimeMs) return { answer: OrderAnswer.LeaseInPast, workerTimeMs };
+    if (this.#runs.get(task)?.run === run) return { answer: OrderAnswer.Done, workerTimeMs };
     if (run <= (this.#endedRuns.get(task) ?? 0) || this.#runs.has(task)) {
-      return { answer: OrderAnswer.RunTooOld, clockMs };
+      return { answer: OrderAnswer.RunTooOld, workerTimeMs };
     }
-    this.#extend(untilMs);
+    this.#extend(leaseEndMs);
     const active: ActiveRun = { task, run, startedAt: this.#fleet.clock.now() };
     this.#runs.set(task, active);
     const { id } = this.record;
@@ -149,12 +149,12 @@
         this.#end(active, script.end ?? RunEnd.Done);
       });
     }
-    return { answer: OrderAnswer.Done, clockMs };
+    return { answer: OrderAnswer.Done, workerTimeMs };
   }
 
   stop({ task, run, fencingToken }: Parameters<WorkerClient['stop']>[1]): OrderReply {
-    const { clockMs } = this;
-    if (fencingToken < this.#fence) return { answer: OrderAnswer.Fenced, clockMs };
+    const { workerTimeMs } = this;
+    if (fencingToken < this.#fence) return { answer: OrderAnswer.Fenced, workerTimeMs };
     this.#fence = fencingToken;
     const active = this.#runs.get(task);
     if (active?.run === run && this.#fleet.stopMs === 0) this.#end(active, RunEnd.Stopped);
@@ -165,14 +165,15 @@
       });
     }
     this.#endedRuns.set(task, Math.max(run, this.#endedRuns.get(task) ?? 0));
-    return { answer: OrderAnswer.Done, clockMs };
+    return { answer: OrderAnswer.Done, workerTimeMs };
   }
 
   async hold(order: Parameters<WorkerClient['hold']>[1]): Promise<HoldReply> {
     if (order.fencingToken < this.#fence) return { isListed: false, answer: OrderAnswer.Fenced };
     this.#fence = order.fencingToken;
-    this.#ends = this.#ends.filter(({ number }) => number > order.ackedUpto);
-    if (order.untilMs !== undefined && order.untilMs > this.clockMs) this.#extend(order.untilMs);
+    this.#ends = this.#ends.filter(({ number }) => number > order.lastAcknowledgedEnd);
+    if (order.leaseEndMs !== undefined && order.leaseEndMs > this.workerTimeMs)
+      this.#extend(order.leaseEndMs);
     if (this.#ends.length === 0 && order.waitMs > 0) {
       const wait = new AbortController();
       const wake = () => {
@@ -188,9 +189,9 @@
       const percent = this.#fleet.clock.now() - startedAt >= this.#fleet.startupMs ? 100 : 50;
       return { task, run, checkpoint: '', percent, figure: 0 };
     });
-    const { clockMs } = this;
+    const { workerTimeMs } = this;
     const ended = [...this.#ends];
-    return { isListed: true, clockMs, bornMs: this.record.bornMs, running, ended };
+    return { isListed: true, workerTimeMs, bornMs: this.record.bornMs, running, ended };
   }
 }
 
@@ -254,7 +255,8 @@
     return {
       start: (worker, start) => order(worker.id, (executor) => executor.start(start)),
       stop: (worker, stop) => order(worker.id, (executor) => executor.stop(stop)),
-      pace: (worker) => order(worker.id, ({ clockMs }) => ({ answer: OrderAnswer.Done, clockMs })),
+      pace: (worker) =>
+        order(worker.id, ({ workerTimeMs }) => ({ answer: OrderAnswer.Done, workerTimeMs })),
       hold: async (worker, hold) => {
         const executor = this.executors.get(worker.id);
         const isCut = () => this.cuts.has(`${node}>${worker.id}`);
