Name the reasons of a refusal in one enum

Cause: the holder and the gateway named them as texts, so that a counter, a log line and a comparison could drift apart.

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -7,7 +7,7 @@
 import type { MonitoredStore } from './monitoredStore.js';
 import { StoreErrorCode, type RowKey } from './ports.js';
 import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
-import { JobState, type BatchConfig, type JobSpec, type Queue } from './types.js';
+import { JobState, RefusalReason, type BatchConfig, type JobSpec, type Queue } from './types.js';
 
 /** Wait for one call to a holder, so that there is time for the way through the store. */
 const HOLDER_TIMEOUT_MS = 700;
@@ -39,7 +39,7 @@
   /** Milliseconds after which to come back. */
   retryAfterMs?: number;
   /** Why, for logs and counters. */
-  reason?: string;
+  reason?: RefusalReason | StoreErrorCode;
 }
 
 /** Needs of a {@link Gateway}. */
@@ -85,7 +85,7 @@
       const known = await holders.call(status, LOOKUP_TIMEOUT_MS);
       if (known.isOk && known.value.state)
         return this.#accepted(spec, 'earlier', clock.now() - startedAt);
-      return this.#refused(spec, 'store_away', UNAVAILABLE_RETRY_MS);
+      return this.#refused(spec, RefusalReason.StoreAway, UNAVAILABLE_RETRY_MS);
     }
     let mayBeAccepted = false;
     do {
@@ -93,15 +93,18 @@
       const res = await holders.call(call, Math.min(HOLDER_TIMEOUT_MS, left() - LAST_TRY_MS));
       const submitted = res.isOk ? res.value.submitted : undefined;
       if (submitted?.isAccepted) return this.#accepted(spec, 'holder', clock.now() - startedAt);
-      if (submitted?.reason === 'full' && !mayBeAccepted) {
-        return this.#refused(spec, 'full', submitted.retryAfterMs);
+      if (submitted?.reason === RefusalReason.Full && !mayBeAccepted) {
+        return this.#refused(spec, submitted.reason, submitted.retryAfterMs);
       }
-      if (res.isErr ? res.error.mayHaveRun : submitted?.reason === 'unresolved') {
+      if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
         mayBeAccepted = true;
       }
       const direct = await this.#submitThroughStore(queue.service, spec);
       if (direct === CallOutcome.Ok) {
-        counters.count('accepted_through_store', res.isErr ? res.error.code : 'not_holder');
+        counters.count(
+          'accepted_through_store',
+          res.isErr ? res.error.code : RefusalReason.NotHolder,
+        );
         return this.#accepted(spec, 'store', clock.now() - startedAt);
       }
       if (direct === CallOutcome.Unknown) mayBeAccepted = true;
@@ -109,10 +112,11 @@
       if (this.#deps.store.isSuspect() && !mayBeAccepted) break;
       await clock.sleep(RETRY_MS);
     } while (left() > LAST_TRY_MS);
-    if (!mayBeAccepted) return this.#refused(spec, 'store_unavailable', UNAVAILABLE_RETRY_MS);
+    if (!mayBeAccepted)
+      return this.#refused(spec, RefusalReason.StoreUnavailable, UNAVAILABLE_RETRY_MS);
     counters.count('unknown_outcomes', 'submit');
     this.#deps.log.warn('submit_unknown', { job: spec.id, queue: queue.name });
-    return { outcome: CallOutcome.Unknown, reason: 'store_unavailable' };
+    return { outcome: CallOutcome.Unknown, reason: RefusalReason.StoreUnavailable };
   }
 
   #accepted(spec: JobSpec, through: string, tookMs: number): CallAnswer {
@@ -122,7 +126,7 @@
     return { outcome: CallOutcome.Ok };
   }
 
-  #refused(spec: JobSpec, reason: string, retryAfterMs: number): CallAnswer {
+  #refused(spec: JobSpec, reason: RefusalReason, retryAfterMs: number): CallAnswer {
     this.#deps.counters.count('refusals', reason);
     this.#deps.log.warn('submit_refused', { job: spec.id, queue: spec.queue, reason });
     return { outcome: CallOutcome.Refused, reason, retryAfterMs };
@@ -181,7 +185,7 @@
       if (!res.value) continue;
       const stored = state(res.value.value);
       if (stored) return { outcome: CallOutcome.Ok, state: stored };
-      return { outcome: CallOutcome.Unknown, reason: 'bad_row' };
+      return { outcome: CallOutcome.Unknown, reason: RefusalReason.BadRow };
     }
     return { outcome: CallOutcome.NotFound };
   }
@@ -223,7 +227,7 @@
     const res = await this.#deps.holders.call(call, HOLDER_TIMEOUT_MS);
     const pending = res.isOk ? res.value.pending : undefined;
     if (pending !== undefined) return { outcome: CallOutcome.Ok, pending };
-    return { outcome: CallOutcome.Refused, reason: 'holder_unreachable' };
+    return { outcome: CallOutcome.Refused, reason: RefusalReason.HolderUnreachable };
   }
 }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -18,6 +18,7 @@
 import { encodeJob } from './jobCodec.js';
 import {
   JobState,
+  RefusalReason,
   type BatchConfig,
   type JobSpec,
   type Queue,
@@ -44,7 +45,7 @@
   | { isAccepted: true }
   | {
       isAccepted: false;
-      reason: 'full' | 'not_holder' | 'store_away' | 'unresolved';
+      reason: RefusalReason;
       retryAfterMs: number;
     };
 
@@ -186,21 +187,21 @@
   /** Hands a job in. The answer comes once it is durable. */
   async submit(spec: JobSpec): Promise<SubmitOutcome> {
     if (!this.isLoaded || this.#isClosed) {
-      return { isAccepted: false, reason: 'not_holder', retryAfterMs: FULL_RETRY_MS };
+      return { isAccepted: false, reason: RefusalReason.NotHolder, retryAfterMs: FULL_RETRY_MS };
     }
     const known = await this.#jobs.awaitAcceptance(spec.id);
     if (known) return { isAccepted: true };
     if (this.#deps.store.isSuspect()) {
-      this.#deps.counters.count('refusals', 'store_away');
-      return { isAccepted: false, reason: 'store_away', retryAfterMs: STORE_RETRY_MS };
+      this.#deps.counters.count('refusals', RefusalReason.StoreAway);
+      return { isAccepted: false, reason: RefusalReason.StoreAway, retryAfterMs: STORE_RETRY_MS };
     }
     if (this.#jobs.size >= MAX_OPEN_JOBS) {
       this.#deps.counters.count('refusals', 'too_many_open_jobs');
-      return { isAccepted: false, reason: 'full', retryAfterMs: FULL_RETRY_MS };
+      return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
     }
     const outcome = await this.#jobs.accept(spec.id, this.#record(spec));
     if (outcome === EntryOutcome.HolderLost) {
-      return { isAccepted: false, reason: 'unresolved', retryAfterMs: 0 };
+      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
     }
     // On a conflict the job had been accepted before, through another process.
     if (outcome === EntryOutcome.Applied) this.#admit(spec);
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -59,6 +59,24 @@
   acceptedMs: number;
 }
 
+/** Why a job was not accepted, or is not known to be. */
+export enum RefusalReason {
+  /** The holder keeps as many open jobs as it may. */
+  Full = 'full',
+  /** The node that was asked does not hold the service. */
+  NotHolder = 'not_holder',
+  /** The store does not answer; nothing was sent to it. */
+  StoreAway = 'store_away',
+  /** The store was asked and gave no usable answer. */
+  StoreUnavailable = 'store_unavailable',
+  /** The write was sent and the service was lost before its answer. */
+  Unresolved = 'unresolved',
+  /** The holder of the service gave no answer. */
+  HolderUnreachable = 'holder_unreachable',
+  /** The row of the job cannot be read. */
+  BadRow = 'bad_row',
+}
+
 /** State of a job as callers see it. */
 export enum JobState {
   Queued = 'queued',
