Read the workers' registrations on nodes that hold a service only

Cause: every node followed the registrations of all workers, which change all the time.

Change: WorkerRegistry follows them while a holder uses them. A new holder waits for a complete copy first, as a worker that is missing from it counts as gone.

Ruled out: leaving a running copy on all nodes for a faster takeover; the first read is one call of about 10 ms, next to seconds of waiting for expiries.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -149,6 +149,26 @@
       t.is(rig.fleet.runs().length, 2);
     },
   },
+  {
+    // Guards against registrations of all workers that go to every node, and against a new holder
+    // that takes workers for gone because it has not read them yet.
+    title: 'only holders read the registrations of workers',
+    rig: { nodes: 3 },
+    run: async (t, rig) => {
+      await rig.until(() => rig.holderOf('motions') !== undefined);
+      const holder = required(rig.holderOf('motions'));
+      await rig.advance(5_000);
+      const readers = rig.nodes.filter(({ name }) => rig.store.tableReads.has(`${name} registry`));
+      t.deepEqual(readers, [holder]);
+      rig.fleet.script = () => ({ runMs: 8_000 });
+      const spec = rig.job('motions', [{ count: 3 }]);
+      await submit(rig, spec);
+      await rig.until(() => rig.fleet.runs().length === 3);
+      holder.isDead = true;
+      t.is(await ends(rig, spec), JobState.Succeeded);
+      t.is(rig.fleet.runs().length, 3);
+    },
+  },
   {
     title: 'a job survives the kill of its holder, and its running tasks go on',
     run: async (t, rig) => {
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -22,13 +22,10 @@
 import type { BatchConfig, WaveOrder, WorkerRecord } from './types.js';
 import { FleetDuty } from './fleetDuty.js';
 import type { WaveBoard } from './upkeep.js';
+import { WorkerRegistry } from './workerRegistry.js';
 
 /** Wait of the call that follows what operators write; below the bound of 2 s for a change. */
 const OPERATOR_FEED_WAIT_MS = 1_000;
-/** Pause between reads of the worker registrations, which change all the time. */
-const REGISTRY_PAUSE_MS = 400;
-/** Wait of the call that follows the registrations. */
-const REGISTRY_FEED_WAIT_MS = 2_000;
 
 /** What operators wrote: a configuration or a wave. */
 export interface OperatorItem {
@@ -65,7 +62,7 @@
   readonly #directory: HolderDirectory;
   readonly #holders = new Map<string, Holder>();
   readonly #waves = new Map<string, WaveOrder>();
-  readonly #workers = new Map<string, WorkerRecord>();
+  readonly #registry: WorkerRegistry;
   readonly #lifecycles = new Map<string, Lifecycle>();
   #config: BatchConfig | undefined;
   #isLeaving = false;
@@ -74,6 +71,7 @@
     this.#store = new MonitoredStore(given.store, given.clock);
     const deps = { ...given, store: this.#store };
     this.#deps = deps;
+    this.#registry = new WorkerRegistry(deps);
     this.#ownership = new Ownership({
       ...deps,
       address: deps.transport.address,
@@ -140,7 +138,7 @@
     const policy = RestartPolicy.Permanent;
     const tasks = {
       operator: (signal: AbortSignal) => this.#followOperator(signal),
-      registry: (signal: AbortSignal) => this.#followRegistry(signal),
+      registry: (signal: AbortSignal) => this.#registry.run(signal),
       ownership: (signal: AbortSignal) => this.#ownership.run(signal),
     };
     for (const [name, task] of Object.entries(tasks)) {
@@ -179,20 +177,6 @@
     this.#config = config;
   }
 
-  #followRegistry(signal: AbortSignal): Promise<void> {
-    const { registry: source, clock, log, counters } = this.#deps;
-    const waits = { waitMs: REGISTRY_FEED_WAIT_MS, pauseMs: REGISTRY_PAUSE_MS };
-    const apply = (
-      { items, removed }: { items: WorkerRecord[]; removed: string[] },
-      isComplete: boolean,
-    ) => {
-      if (isComplete) this.#workers.clear();
-      for (const id of removed) this.#workers.delete(id);
-      for (const record of items) this.#workers.set(record.id, record);
-    };
-    return follow({ name: 'registry', source, clock, log, counters, ...waits, apply }, signal);
-  }
-
   #startHolding(claim: Claim, supervisor: Supervisor): void {
     const { service } = claim;
     void this.#stopHolding(service);
@@ -205,10 +189,11 @@
   #holderTask(claim: Claim): (lifecycle: Lifecycle) => Promise<void> {
     const ownership = this.#ownership;
     return async (lifecycle) => {
+      if (!(await this.#registry.use(lifecycle))) return;
       const holder = new Holder(claim, {
         ...this.#deps,
         config: () => this.#config,
-        registered: () => this.#workers.values(),
+        registered: () => this.#registry.records(),
         store: this.#store,
         canStart: () => ownership.canStart(),
         canExtend: () => ownership.canExtend(),
--- /dev/null
+++ b/src/batch/workerRegistry.ts
@@ -0,0 +1,116 @@
+import Emittery from 'emittery';
+import type { Clock } from '../clock/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+import { follow, type Changes, type ChangeSource } from './follow.js';
+import type { WorkerRecord } from './types.js';
+
+/** Pause between reads of the worker registrations, which change all the time, in milliseconds. */
+const PAUSE_MS = 400;
+/** Wait of the call that follows the registrations, in milliseconds. */
+const FEED_WAIT_MS = 2_000;
+
+interface RegistryEvents {
+  used: undefined;
+  loaded: undefined;
+}
+
+/** Needs of a {@link WorkerRegistry}. */
+export interface WorkerRegistryDeps {
+  registry: ChangeSource<WorkerRecord>;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+}
+
+/**
+ * The registered workers. They are followed only while a holder on this node uses them: the
+ * registrations of all workers change all the time, and most nodes of a large deployment hold
+ * nothing.
+ */
+export class WorkerRegistry {
+  readonly #deps: WorkerRegistryDeps;
+  readonly #events = new Emittery<RegistryEvents>();
+  readonly #records = new Map<string, WorkerRecord>();
+  #users = 0;
+  #isLoaded = false;
+  #unused = new AbortController();
+
+  constructor(deps: WorkerRegistryDeps) {
+    this.#deps = deps;
+  }
+
+  /** The workers as last read; empty while nobody uses the registry. */
+  records(): Iterable<WorkerRecord> {
+    return this.#records.values();
+  }
+
+  /**
+   * Keeps the registry up to date until the user's life cycle is closed. Resolves once it is
+   * complete, as a worker that is missing from it counts as gone.
+   *
+   * @returns whether it is complete; false when the life cycle was closed first
+   */
+  async use(user: Lifecycle): Promise<boolean> {
+    this.#users++;
+    user.own('worker registry', () => {
+      this.#release();
+    });
+    void this.#events.emit('used');
+    while (!this.#isLoaded && !user.signal.aborted) await this.#next('loaded', user.signal);
+    return !user.signal.aborted;
+  }
+
+  #release(): void {
+    this.#users--;
+    if (this.#users > 0) return;
+    this.#isLoaded = false;
+    this.#records.clear();
+    this.#unused.abort();
+  }
+
+  /** Follows the registry whenever it is used, until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { registry: source, clock, log, counters } = this.#deps;
+    const waits = { waitMs: FEED_WAIT_MS, pauseMs: PAUSE_MS };
+    const apply = (changes: Changes<WorkerRecord>, isComplete: boolean) => {
+      this.#apply(changes, isComplete);
+    };
+    while (!signal.aborted) {
+      if (this.#users === 0) {
+        await this.#next('used', signal);
+        continue;
+      }
+      this.#unused = new AbortController();
+      const whileUsed = AbortSignal.any([signal, this.#unused.signal]);
+      await follow({ name: 'registry', source, clock, log, counters, ...waits, apply }, whileUsed);
+    }
+  }
+
+  #apply({ items, removed }: Changes<WorkerRecord>, isComplete: boolean): void {
+    if (isComplete) this.#records.clear();
+    for (const id of removed) this.#records.delete(id);
+    for (const record of items) this.#records.set(record.id, record);
+    if (this.#isLoaded) return;
+    this.#isLoaded = true;
+    void this.#events.emit('loaded');
+  }
+
+  /** Resolves at the next event of a kind, or once the signal is aborted. */
+  async #next(event: keyof RegistryEvents, signal: AbortSignal): Promise<void> {
+    const next = this.#events.once(event);
+    const aborted = new Promise<void>((resolve) => {
+      if (signal.aborted) resolve();
+      signal.addEventListener(
+        'abort',
+        () => {
+          resolve();
+        },
+        { once: true },
+      );
+    });
+    await Promise.race([next, aborted]);
+    next.off();
+  }
+}
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -44,6 +44,8 @@
   readonly faults = new Map<string, StoreFault>();
   /** Counts calls by kind. */
   readonly calls = { transact: 0, read: 0, feed: 0 };
+  /** Reads of tables and of their changes by each node, as `NODE TABLE`. */
+  readonly tableReads = new Map<string, number>();
   #waiters = new Set<() => void>();
 
   constructor(clock: Clock) {
@@ -115,6 +117,10 @@
       await this.#clock.sleep(ANSWER_MS);
       return undefined;
     };
+    const countTable = (table: string) => {
+      const name = `${node} ${table}`;
+      this.tableReads.set(name, (this.tableReads.get(name) ?? 0) + 1);
+    };
     return {
       transact: async (tx) => {
         this.calls.transact++;
@@ -138,6 +144,7 @@
       },
       readPart: async (table, part) => {
         this.calls.read++;
+        countTable(table);
         const err = await guard();
         if (err) return Result.err(err);
         return Result.ok({ rows: this.part(table, part), version: this.#version });
@@ -149,6 +156,7 @@
       },
       feed: async (table, after, waitMs, signal) => {
         this.calls.feed++;
+        countTable(table);
         const err = await guard();
         if (err) return Result.err(err);
         const res = await this.#feed(table, after, waitMs, signal);
