--- a/src/batch/mover.ts
+++ b/src/batch/mover.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/index.js';
-import { planMoves, type BalancedVm, type PlannedMove } from './balance.js';
+import { planMoves, type BalancedService, type BalancedVm, type PlannedMove } from './balance.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { FleetView } from './fleetView.js';
@@ -16,6 +16,8 @@
 const ARRIVAL_LIMIT_MS = 6_000;
 /** A VM stays in its pool for this long after a move that was refused. */
 const REFUSED_PAUSE_MS = 2_000;
+/** Interval of the log lines that give the inputs of the moves, for each service. */
+const STATE_LOG_MS = 1_000;
 
 interface Move extends PlannedMove {
   startedAt: number;
@@ -45,6 +47,7 @@
   /** Monotonic time since which a VM has been seen empty. */
   readonly #emptySince = new Map<string, number>();
   readonly #pausedUntil = new Map<string, number>();
+  #stateLoggedAt = -Infinity;
 
   constructor(deps: MoverDeps) {
     this.#deps = deps;
@@ -91,9 +94,31 @@
     const balanced = services().map(({ name, isStandby }) => {
       return { name, isStandby, load: view.load(name), arriving: arriving(name) };
     });
+    if (now - this.#stateLoggedAt >= STATE_LOG_MS) {
+      this.#stateLoggedAt = now;
+      this.#logPools(balanced, vms);
+    }
     return planMoves(balanced, vms);
   }
 
+  #logPools(services: readonly BalancedService[], vms: readonly BalancedVm[]): void {
+    for (const { name, load, arriving } of services) {
+      const own = vms.filter(({ pool }) => pool === name);
+      this.#deps.log.detail('pool_state', {
+        service: name,
+        vms: own.length,
+        empty: own.filter(({ emptyForMs }) => emptyForMs !== undefined).length,
+        arriving,
+        used_cpu: load?.usedCpu,
+        backlog_cpu: load?.backlogCpu,
+        expected_cpu: load && Math.round(load.expectedCpu),
+        lasting_cpu: load?.lastingCpu,
+        spread_need: load?.spreadNeed,
+        capacity_cpu: load?.capacityCpu,
+      });
+    }
+  }
+
   /** Ends the moves of VMs that have arrived, left, or stayed. */
   #settle(): void {
     const { view, clock, log } = this.#deps;
