Keep services in a planned stop while the store cannot take them back

Cause: on SIGTERM a holder gave up its services at once and then wrote that it had. With the store away the write failed, and the services were held by nobody until the store was back and the row of the node had expired.

Ruled out: releasing later in any case (a stop with the store at hand gains from an early release); a takeover without the store (nothing would fence the holder).

Before: the new case 'a planned stop while the store is away ...' failed, nothing started during the outage. After: 95 tests of src/batch pass.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -30,6 +30,9 @@
   return state;
 }
 
+/** Time for giving services back in a planned stop, in milliseconds. */
+const STOP_LIMIT_MS = 4_000;
+
 interface Case {
   title: string;
   rig?: ConstructorParameters<typeof BatchRig>[0];
@@ -420,12 +423,47 @@
       await submit(rig, spec);
       await rig.until(() => rig.fleet.runs().length === 3);
       const holder = rig.holderOf('motions');
-      await rig.settle(holder?.node.leave() ?? Promise.resolve());
+      await rig.settle(holder?.node.leave(STOP_LIMIT_MS) ?? Promise.resolve());
       t.true(await rig.until(() => rig.holderOf('motions') !== undefined, 3_000));
       t.is(await ends(rig, spec), JobState.Succeeded);
       t.is(rig.fleet.runs().length, 3);
     },
   },
+  {
+    // Guards against services that nobody holds for the length of an outage, because their holders
+    // were stopped in it and could not give them back.
+    title: 'a planned stop while the store is away keeps the services until they can be given back',
+    rig: { nodes: 2, workersPerService: 2 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 1_000 });
+      const spec = rig.job('motions', [{ count: 24, cpuMillis: 2_000 }]);
+      await submit(rig, spec);
+      await rig.until(() => rig.fleet.runs().length >= 4);
+      const holder = required(rig.holderOf('motions'));
+      const next = required(rig.nodes.find((node) => node !== holder));
+      for (const { name } of rig.nodes) rig.store.faults.set(name, StoreFault.Silent);
+      await rig.advance(500);
+      const left = holder.node.leave(STOP_LIMIT_MS);
+      const startedBefore = rig.fleet.runs().length;
+      await rig.advance(2_000);
+      t.true(rig.fleet.runs().length > startedBefore, 'nothing starts during the outage');
+      rig.store.faults.clear();
+      await rig.settle(left);
+      t.true(await rig.until(() => next.node.holdsLoaded('motions'), 1_000));
+      t.is(await ends(rig, spec), JobState.Succeeded);
+      t.is(rig.fleet.runs().length, 24);
+    },
+  },
+  {
+    title: 'a planned stop ends in time when the store stays away',
+    run: async (t, rig) => {
+      const holder = required(rig.holderOf('motions') ?? rig.nodes[0]);
+      for (const { name } of rig.nodes) rig.store.faults.set(name, StoreFault.Silent);
+      const startedAt = rig.clock.now();
+      await rig.settle(holder.node.leave(STOP_LIMIT_MS));
+      t.true(rig.clock.now() - startedAt < STOP_LIMIT_MS + 3_000);
+    },
+  },
   {
     title: 'a wave takes every VM down once, within its number, and is then reported',
     rig: { services: ['motions'], workersPerService: 6 },
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -232,9 +232,13 @@
     }
   }
 
-  /** Stops taking callers and gives the services back, before a planned stop. */
-  async leave(): Promise<void> {
+  /**
+   * Stops taking callers and gives the services back, before a planned stop.
+   *
+   * @param limitMs - how long to hold on to the services while the store is away, in milliseconds
+   */
+  async leave(limitMs: number): Promise<void> {
     this.#isLeaving = true;
-    await this.#ownership.leave();
+    await this.#ownership.leave(limitMs);
   }
 }
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -119,7 +119,10 @@
   #renewedWall = -Infinity;
   #lastReadAt = -Infinity;
   #startedAt: number;
+  /** Set once no service is to be claimed any more. */
   #isLeaving = false;
+  /** Set once the row of this node is not to be renewed any more. */
+  #hasLeft = false;
   #isClaiming = false;
 
   constructor(deps: OwnershipDeps) {
@@ -203,8 +206,9 @@
     }
   }
 
-  async #renew(): Promise<void> {
-    if (this.#isLeaving) return;
+  /** Renews the row of this node; false when that failed. */
+  async #renew(): Promise<boolean> {
+    if (this.#hasLeft) return false;
     const { clock, store, node, incarnation, address, weight, log, counters } = this.#deps;
     const sentAt = clock.now();
     const sentWall = clock.wallTime();
@@ -217,13 +221,14 @@
     if (res.isErr) {
       counters.count('renewal_failures', res.error.code);
       log.warn('renewal_failed', { node, reason: res.error.code, age_ms: this.#renewalAge() | 0 });
-      return;
+      return false;
     }
     // After a gap another node may have claimed a service before this renewal.
     const hadGap = this.#renewalAge() >= START_AUTHORITY_MS;
-    if (hadGap && (await this.#readOwners()) === undefined) return;
+    if (hadGap && (await this.#readOwners()) === undefined) return false;
     this.#renewedAt = sentAt;
     this.#renewedWall = sentWall;
+    return true;
   }
 
   async #readNodes(): Promise<void> {
@@ -426,10 +431,20 @@
     void this.events.emit('lost', { service, reason });
   }
 
-  /** Gives all services back and removes the row of this node, before a planned stop. */
-  async leave(): Promise<void> {
+  /**
+   * Gives all services back and removes the row of this node, before a planned stop. While the
+   * store is away nobody could take them over, so they are kept until it answers.
+   *
+   * @param limitMs - how long to keep them at most, in milliseconds
+   */
+  async leave(limitMs: number): Promise<void> {
     this.#isLeaving = true;
-    const { store, node, log } = this.#deps;
+    const { store, node, log, clock } = this.#deps;
+    const end = clock.now() + limitMs;
+    while (this.#held.size > 0 && !(await this.#renew()) && clock.now() < end) {
+      await clock.sleep(RETRY_MS);
+    }
+    this.#hasLeft = true;
     for (const service of [...this.#held.keys()]) {
       const owner = this.#owners.get(service);
       this.lose(service, 'planned stop');
