Keep workers in order of fullness within a placement round

Cause: each task looked at each worker, and a run was made by spreading its order; the spread took 45% of a large round by the profile of the processor, collection of its garbage 20% more.

Change: FullestFirst keeps the workers of a round sorted for steps to which any worker is as good; steps with labels, racks, limits or lasting tasks look at all as before. createRun names its fields.

Ruled out: the index alone, 49 ms; a bound on tasks per round, which would delay what could start.

A property test with 500 drawn loads compares the choices with a look at each worker.

--- a/src/batch/placement.spec.ts
+++ b/src/batch/placement.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import { Job, type Step } from './job.js';
 import { completeStep } from './jobCodec.js';
 import { placeSteps } from './placement.js';
@@ -151,3 +152,58 @@
   step.tasks[0].avoid = 'a';
   t.deepEqual(place([step], [worker('a'), worker('b')]), ['0@b']);
 });
+
+/** The rule for tasks to which any worker is as good, written without an index. */
+function placeNaively(waiting: Step[], workers: Worker[]): string[] {
+  const used = new Map(workers.map((each) => [each, each.cpuUsed]));
+  const placed: string[] = [];
+  for (const { spec, tasks } of waiting) {
+    for (const { index } of tasks) {
+      let best: Worker | undefined;
+      let bestShare = -Infinity;
+      for (const each of workers) {
+        const { cpuMillis } = each.record.capacity;
+        const cpuUsed = used.get(each) ?? 0;
+        const share = cpuUsed / cpuMillis + (each.failuresInRow > 1 ? -8 : 0);
+        if (cpuUsed + spec.cpuMillis > cpuMillis || share <= bestShare) continue;
+        best = each;
+        bestShare = share;
+      }
+      if (!best) break;
+      used.set(best, (used.get(best) ?? 0) + spec.cpuMillis);
+      placed.push(`${index}@${best.record.id}`);
+    }
+  }
+  return placed;
+}
+
+// Guards against an index that chooses other workers than a look at each of them.
+test('the fullest worker with room is chosen, failing ones last, in any load', (t) => {
+  const machine = fc.record({
+    cores: fc.integer({ min: 1, max: 8 }),
+    usedShare: fc.integer({ min: 0, max: 4 }),
+    failures: fc.integer({ min: 0, max: 3 }),
+  });
+  const step = fc.record({
+    count: fc.integer({ min: 1, max: 6 }),
+    cores: fc.integer({ min: 1, max: 4 }),
+  });
+  const property = fc.property(
+    fc.array(machine, { maxLength: 8 }),
+    fc.array(step, { maxLength: 8 }),
+    (machines, specs) => {
+      const workers = machines.map(({ cores, usedShare, failures }, index) => {
+        const made = worker(`w${index}`, [], cores * 1_000);
+        made.cpuUsed = usedShare * cores * 250;
+        made.failuresInRow = failures;
+        return made;
+      });
+      const waiting = steps(
+        ...specs.map(({ count, cores }) => ({ count, cpuMillis: cores * 1_000, memoryMb: 0 })),
+      );
+      const expected = placeNaively(waiting, workers);
+      t.deepEqual(place(waiting, workers), expected);
+    },
+  );
+  fc.assert(property, { seed: 20_240, numRuns: 500 });
+});
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -1,3 +1,4 @@
+import { FAILURE_SCORE, FullestFirst, usedShare } from './fullestFirst.js';
 import type { Step, Task } from './job.js';
 import type { StepSpec } from './types.js';
 import type { Worker } from './worker.js';
@@ -10,8 +11,6 @@
 
 /** Score of a worker on the rack that holds the input, above any difference in free room. */
 const NEAR_SCORE = 4;
-/** Score against a worker that failed the task last or fails what it starts. */
-const FAILURE_SCORE = -8;
 
 /** Weight of one task of the same lasting step, of which planned work may end only some at once. */
 const SAME_STEP_SCORE = -4;
@@ -40,6 +39,11 @@
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.canTake(now));
+  const fullestFirst = new FullestFirst(usable);
+  const place = (assignment: Assignment) => {
+    assign(assignment);
+    fullestFirst.update(assignment.worker);
+  };
   const failedNeeds: StepSpec[] = [];
   let left = 0;
   for (const step of steps) {
@@ -52,8 +56,8 @@
       !task.isDone && !task.run && task.notBefore <= now && (mayRestart || !task.wasLost);
     const tasks = step.tasks.filter(isIdle);
     const placed = spec.isGang
-      ? placeGang(step, tasks, usable, assign)
-      : placeEach(step, tasks, usable, assign);
+      ? placeGang(step, tasks, usable, place)
+      : placeEach(step, tasks, usable, fullestFirst, place);
     if (placed < tasks.length) {
       left += tasks.length - placed;
       if (isPlain(step) && !spec.isGang) failedNeeds.push(spec);
@@ -67,6 +71,12 @@
   return spec.requiredLabel === undefined && spec.maxPerWorker === 0 && !allowedWorkers;
 }
 
+/** Whether workers with room differ for a step only by how full they are. */
+function hasNoPreference(step: Step): boolean {
+  const { spec } = step;
+  return isPlain(step) && !spec.isLasting && spec.nearRack === undefined && !spec.isColocated;
+}
+
 /** Whether a step that needs as much as a step without room finds none either. */
 function needsAtLeast(spec: StepSpec, failed: StepSpec): boolean {
   return (
@@ -81,11 +91,16 @@
   step: Step,
   tasks: readonly Task[],
   workers: readonly Worker[],
+  fullestFirst: FullestFirst,
   assign: (assignment: Assignment) => void,
 ): number {
   let placed = 0;
+  const isAnyAsGood = hasNoPreference(step);
   for (const task of tasks) {
-    const worker = chooseWorker(step, task, workers);
+    const worker =
+      isAnyAsGood && task.avoid === undefined
+        ? fullestFirst.find(step.spec)
+        : chooseWorker(step, task, workers);
     if (!worker) {
       if (task.avoid === undefined) break;
       continue;
@@ -169,8 +184,8 @@
 /** Fullest worker first, so that others stay empty for large tasks and for planned work. */
 function scoreOf(step: Step, task: Task, worker: Worker, chosen: readonly Assignment[]): number {
   const { spec } = step;
-  const { capacity, labels } = worker.record;
-  const share = capacity.cpuMillis > 0 ? worker.cpuUsed / capacity.cpuMillis : 1;
+  const { labels } = worker.record;
+  const share = usedShare(worker);
   let score = spec.isLasting ? -share : share;
   if (spec.nearRack !== undefined && labels.includes(spec.nearRack)) score += NEAR_SCORE;
   if (spec.isColocated && sharesRack(step, worker, chosen)) score += NEAR_SCORE;
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -37,10 +37,26 @@
 }
 
 /** A run whose start order is sent, or that is adopted, at a monotonic time in milliseconds. */
-export function createRun(
-  order: Pick<Run, 'task' | 'worker' | 'number' | 'phase' | 'startedAt'>,
-): Run {
-  return { ...order, isStopSent: false, isAdopted: false, percent: 0, figure: 0, pace: 100 };
+export function createRun({
+  task,
+  worker,
+  number,
+  phase,
+  startedAt,
+}: Pick<Run, 'task' | 'worker' | 'number' | 'phase' | 'startedAt'>): Run {
+  // Written out: spreading the argument took most of the time of a large placement round.
+  return {
+    task,
+    worker,
+    number,
+    phase,
+    startedAt,
+    isStopSent: false,
+    isAdopted: false,
+    percent: 0,
+    figure: 0,
+    pace: 100,
+  };
 }
 
 /** A worker's clock can run this much slow. Source: the platform's protocol. */
