--- a/bench/peakOrder.ts
+++ b/bench/peakOrder.ts
@@ -75,7 +75,7 @@
       all.push(live);
       open.set(live.job, live);
     }
-    const waiting = orderWaiting(open.keys(), () => queue, now, now, load.roomCpu);
+    const waiting = orderWaiting(open.keys(), () => queue, now, now);
     for (const { step } of order(waiting)) {
       for (const task of step.tasks) {
         if (task.isDone || task.run || step.spec.cpuMillis > free) continue;
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -307,13 +307,11 @@
     const now = clock.now();
     const queues = new Map(this.#deps.config()?.queues.map((queue) => [queue.name, queue]));
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStart(job));
-    const workers = [...this.#sessions.all()];
-    const roomCpu = workers.reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0);
-    const queueOf = (name: string) => queues.get(name);
-    const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), roomCpu);
+    const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
     const steps = waiting
       .map(({ step }) => step)
       .filter((step) => this.#advice.isKnown(step, queues, this.#sessions));
+    const workers = [...this.#sessions.all()];
     placeSteps({ steps, workers, now, mayRestart }, ({ task, worker }) => {
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     });
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -253,14 +253,6 @@
   return Math.max(0, ...ends);
 }
 
-/** Work of the tasks that have not ended, in thousandths of a core times milliseconds. */
-export function remainingWork({ steps }: Occurrence): number {
-  return steps.reduce(
-    (sum, { spec, doneCount }) => sum + (spec.count - doneCount) * spec.cpuMillis * spec.estimateMs,
-    0,
-  );
-}
-
 /** Declared run time in milliseconds of the longest chain of steps. */
 export function criticalPathMs(steps: readonly StepSpec[]): number {
   const ends: number[] = [];
