Start jobs of the inbox only while no successor can have taken them

Back after 7 s, its feed of the inbox told of a job that had been recorded after the takeover and that the successor had run and ended. Within its 7 s of extended authority it started the job again, on an executor that the successor had not reached, 70 ms before it read of the successor. That authority covers tasks that ran nowhere before, which holds for jobs accepted under the head row and not for the inbox.

Change: a job taken from the inbox past the certain hold (2 s since a renewal) waits until the hold is certain again. A row that the same answer of the feed shows as removed is not taken.

Ruled out: new executors as a second way (they take tasks only once the stored roster names them, under the head row); a shorter extended authority (accepted jobs would stop in each store outage of 2 s).

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -1,6 +1,8 @@
 import test, { type ExecutionContext } from 'ava';
 import { BatchRig, required, StoreFault, type RigNode } from '../testing/batchRig/index.js';
 import { CallOutcome } from './gateway.js';
+import { encodeJob } from './jobCodec.js';
+import { inboxKey } from './rows.js';
 import { JobState, RunEnd, type JobSpec } from './types.js';
 
 type Test = ExecutionContext;
@@ -67,6 +69,46 @@
   };
 }
 
+/** How the replaced holder of {@link staleInboxCase} learns of the job. */
+enum InboxNews {
+  /** One answer tells of the row and of its removal. */
+  WithRemoval = 'with its removal',
+  /** The removal comes with a later answer. */
+  BeforeRemoval = 'before its removal',
+}
+
+// Guards against a holder that, back from a cut, takes a job from the inbox that its successor has
+// taken, and has ended, meanwhile.
+function staleInboxCase(news: InboxNews, cutMs: number): Case {
+  return {
+    title: `a holder back after ${cutMs} ms starts no job that it learns of ${news}`,
+    rig: { nodes: 2, workersPerService: 2 },
+    run: async (t, rig) => {
+      await rig.until(() => rig.holderOf('motions') !== undefined);
+      const old = required(rig.holderOf('motions'));
+      const next = required(rig.nodes.find((node) => node !== old));
+      const [first = '', second = ''] = rig.fleet.executors.keys();
+      await rig.advance(2_000);
+      rig.store.faults.set(old.name, StoreFault.Silent);
+      // Each holder reaches one worker, so that none tells the old one of its successor.
+      rig.fleet.cuts.add(`${next.name}>${first}`);
+      rig.fleet.cuts.add(`${old.name}>${second}`);
+      rig.store.delays.set(`${old.name} owner`, 300);
+      const endOfCut = rig.clock.now() + cutMs;
+      t.true(await rig.until(() => next.node.holdsLoaded('motions')));
+      rig.fleet.script = () => ({ runMs: news === InboxNews.WithRemoval ? 100 : 4_000 });
+      const spec = rig.job('motions', [{ count: 1 }]);
+      rig.store.put(inboxKey('motions', spec.id), encodeJob(spec));
+      await rig.until(() => rig.fleet.runs().length === 1);
+      await rig.advance(Math.max(0, endOfCut - rig.clock.now()));
+      rig.store.faults.delete(old.name);
+      t.is(await ends(rig, spec, 10_000), JobState.Succeeded);
+      await rig.advance(2_000);
+      t.is(rig.fleet.runs().length, 1);
+    },
+  };
+}
+
 // Guards against a new holder that does not know of a stop under way, and ends a second task.
 function stopUnderWayCase(orderAfterMs: number): Case {
   return {
@@ -312,6 +354,9 @@
     },
   },
   ...[0, 300, 600, 900, 1_200, 1_500].map(replacedHolderCase),
+  ...Object.values(InboxNews).flatMap((news) =>
+    [4_000, 4_300, 4_600, 4_900, 5_200, 5_500].map((cutMs) => staleInboxCase(news, cutMs)),
+  ),
   ...[1_800, 2_200, 2_600, 3_000].map(stopUnderWayCase),
   {
     title: 'an order that is carried out late does not make a second run',
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -148,6 +148,7 @@
       service,
       jobs: this.#jobs,
       place,
+      canStart: deps.canStart,
       cancel: (id) => void this.cancel(id),
     });
   }
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -4,7 +4,7 @@
 import { decodeJob } from './jobCodec.js';
 import type { JobTable } from './jobTable.js';
 import type { DecisionLog } from './decisionLog.js';
-import { StoreErrorCode, type Row, type RowStore } from './ports.js';
+import { StoreErrorCode, type FeedRow, type Row, type RowStore } from './ports.js';
 
 /** Wait of one feed call; short, so that a channel that went silent is noticed. */
 const FEED_WAIT_MS = 1_500;
@@ -18,6 +18,8 @@
   service: string;
   jobs: JobTable;
   place: () => void;
+  /** Whether no other process can have claimed the service. */
+  canStart: () => boolean;
   cancel: (id: string) => void;
 }
 
@@ -37,8 +39,10 @@
     while (!signal.aborted) {
       const res = await store.feed('inbox', after, FEED_WAIT_MS, signal);
       if (res.isOk) {
-        const rows = res.value.rows.filter(({ part, isRemoved }) => part === service && !isRemoved);
-        for (const row of rows) this.#take(row);
+        // A row that was removed since may belong to a job that has ended.
+        const latest = new Map(res.value.rows.map((row) => [`${row.part}/${row.key}`, row]));
+        const isPresent = ({ part, isRemoved }: FeedRow) => part === service && !isRemoved;
+        for (const row of [...latest.values()].filter(isPresent)) this.#take(row);
         after = res.value.version;
         continue;
       }
@@ -60,7 +64,7 @@
   }
 
   #take({ key, value }: Row): void {
-    const { jobs, clock, log, cancel, place, service } = this.#deps;
+    const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
     if (key.endsWith('!')) {
       const id = key.slice(0, -1);
       jobs.get(id)?.inboxKeys.add(key);
@@ -75,9 +79,11 @@
     }
     const job = new Job(spec.value, clock.now(), 1);
     job.inboxKeys.add(key);
+    // Past the certain hold, a successor may have taken the job and started it.
+    job.mayHaveOtherHolder = !canStart();
     job.openDue(clock.wallTime());
     jobs.add(job);
-    log.info('job_taken_from_inbox', { job: key, service });
+    log.info('job_taken_from_inbox', { job: key, service, certain: !job.mayHaveOtherHolder });
     place();
   }
 }
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -65,6 +65,11 @@
   state = JobState.Queued;
   readonly occurrences = new Map<number, Occurrence>();
   hasProgressRow = false;
+  /**
+   * Whether another holder may have taken it before this one did, so that its tasks need a certain
+   * hold on the service to start.
+   */
+  mayHaveOtherHolder = false;
   /** Keys of rows in the inbox that belong to it. */
   readonly inboxKeys = new Set<string>();
   /** Set once nothing of it may start any more. */
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -23,7 +23,7 @@
   workers: readonly Worker[];
   /** Monotonic milliseconds. */
   now: number;
-  /** Whether tasks may start whose run was lost with a silent worker. */
+  /** Whether the hold on the service is certain: what another holder may have started can start. */
   mayRestart: boolean;
 }
 
@@ -52,8 +52,9 @@
       left += step.idleCount;
       continue;
     }
+    const needsCertainHold = ({ wasLost }: Task) => wasLost || step.job.mayHaveOtherHolder;
     const isIdle = (task: Task) =>
-      !task.isDone && !task.run && task.notBefore <= now && (mayRestart || !task.wasLost);
+      !task.isDone && !task.run && task.notBefore <= now && (mayRestart || !needsCertainHold(task));
     const tasks = step.tasks.filter(isIdle);
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, place)
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -44,6 +44,8 @@
   readonly faults = new Map<string, StoreFault>();
   /** Counts calls by kind. */
   readonly calls = { transact: 0, read: 0, feed: 0 };
+  /** Extra milliseconds of a node's reads of a table and of its changes, as `NODE TABLE`. */
+  readonly delays = new Map<string, number>();
   /** Reads of tables and of their changes by each node, as `NODE TABLE`. */
   readonly tableReads = new Map<string, number>();
   #waiters = new Set<() => void>();
@@ -117,9 +119,11 @@
       await this.#clock.sleep(ANSWER_MS);
       return undefined;
     };
-    const countTable = (table: string) => {
+    const startRead = async (table: string): Promise<void> => {
       const name = `${node} ${table}`;
       this.tableReads.set(name, (this.tableReads.get(name) ?? 0) + 1);
+      const delayMs = this.delays.get(name);
+      if (delayMs !== undefined) await this.#clock.sleep(delayMs);
     };
     return {
       transact: async (tx) => {
@@ -144,7 +148,7 @@
       },
       readPart: async (table, part) => {
         this.calls.read++;
-        countTable(table);
+        await startRead(table);
         const err = await guard();
         if (err) return Result.err(err);
         return Result.ok({ rows: this.part(table, part), version: this.#version });
@@ -156,7 +160,7 @@
       },
       feed: async (table, after, waitMs, signal) => {
         this.calls.feed++;
-        countTable(table);
+        await startRead(table);
         const err = await guard();
         if (err) return Result.err(err);
         const res = await this.#feed(table, after, waitMs, signal);
