Model jobs that reach a holder through the inbox

Change: a job is accepted by the first holder, or recorded through the store and taken from the inbox by each holder.

--- a/model/specifications/holder.ts
+++ b/model/specifications/holder.ts
@@ -15,9 +15,16 @@
 /** What a holder believes of the task. */
 type Belief = 'idle' | 'running' | 'lost' | 'done';
 
+/** How the job of the task was recorded. */
+type Origin = 'none' | 'accepted' | 'inbox';
+
 interface Holder {
   epoch: number;
   isAlive: boolean;
+  /** Whether it has read of the job. */
+  knowsJob: boolean;
+  /** Whether another holder may have read of the job before. */
+  needsCertainHold: boolean;
   belief: Belief;
   /** Worker of the run that it believes in. */
   worker: number;
@@ -39,6 +46,9 @@
 
 interface HolderState {
   phase: Phase;
+  origin: Origin;
+  /** Whether the second holder finds the job at its claim, and reckons with earlier starts. */
+  isInherited: boolean;
   holders: Holder[];
   workers: WorkerState[];
   /** Start orders on their way; they may arrive late or never. */
@@ -62,13 +72,15 @@
 
 function mayStart(state: HolderState, holder: number, worker: number, variant?: string): boolean {
   const self = at(state.holders, holder);
-  if (!mayOrder(state, holder) || !self.held[worker]) return false;
+  if (!mayOrder(state, holder) || !self.held[worker] || !self.knowsJob) return false;
+  if (self.needsCertainHold && variant !== 'trustsInbox') return false;
   if (self.belief === 'lost') {
     // Another holder may have reached the worker and gone on with the run.
     return state.phase === Phase.Unclaimed || holder === 1 || variant === 'restartsLostRuns';
   }
   if (self.belief !== 'idle') return false;
   if (holder === 0 || variant === 'startsBeforeAllAreReached') return true;
+  if (!state.isInherited) return true;
   return self.held.every((isHeld) => isHeld) || state.phase === Phase.LeasesEnded;
 }
 
@@ -77,6 +89,14 @@
   if (state.phase === Phase.Unclaimed) all.push({ type: 'claim' });
   else if (state.phase < Phase.LeasesEnded) all.push({ type: 'timePasses' });
   if (at(state.holders, 0).isAlive) all.push({ type: 'kill', process: 0 });
+  if (state.origin === 'none') {
+    if (mayOrder(state, 0) && state.phase === Phase.Unclaimed) all.push({ type: 'accept' });
+    all.push({ type: 'submitThroughStore' });
+  }
+  for (const process of [0, 1]) {
+    const isNews = state.origin === 'inbox' && !at(state.holders, process).knowsJob;
+    if (isNews && mayOrder(state, process)) all.push({ type: 'takeFromInbox', process });
+  }
   for (const [index] of state.orders.entries()) all.push({ type: 'deliver', peer: index });
   for (const vm of WORKERS) {
     const worker = at(state.workers, vm);
@@ -124,8 +144,23 @@
       const successor = at(state.holders, 1);
       successor.epoch = 2;
       successor.belief = state.isRecorded ? 'done' : 'idle';
+      successor.knowsJob = state.origin !== 'none';
       return state;
     }
+    case 'accept':
+      state.origin = 'accepted';
+      state.isInherited = true;
+      self.knowsJob = true;
+      return state;
+    case 'submitThroughStore':
+      state.origin = 'inbox';
+      state.isInherited = state.phase === Phase.Unclaimed;
+      return state;
+    case 'takeFromInbox':
+      self.knowsJob = true;
+      // The second holder is the last one here, so that its hold is certain.
+      self.needsCertainHold = step.process === 0 && state.phase !== Phase.Unclaimed;
+      return state;
     case 'timePasses':
       state.phase = state.phase === Phase.Claimed ? Phase.LastOrder : Phase.LeasesEnded;
       if (state.phase === Phase.LeasesEnded) endLeases(state);
@@ -200,7 +235,9 @@
 
 function createHolder(epoch: number): Holder {
   const isHeld = epoch > 0;
-  return { epoch, isAlive: true, belief: 'idle', worker: 0, held: WORKERS.map(() => isHeld) };
+  const held = WORKERS.map(() => isHeld);
+  const job = { knowsJob: false, needsCertainHold: false };
+  return { epoch, isAlive: true, ...job, belief: 'idle', worker: 0, held };
 }
 
 /** One task, two workers, and a holder that is succeeded while it may go on. */
@@ -209,6 +246,8 @@
   text: 'a task is started under leases and fencing tokens while its holder is succeeded',
   initial: {
     phase: Phase.Unclaimed,
+    origin: 'none',
+    isInherited: false,
     holders: [createHolder(1), createHolder(0)],
     workers: WORKERS.map(() => ({ fence: 1, isRunning: false, listsEnd: false })),
     orders: [],
@@ -248,6 +287,11 @@
       text: 'a holder without a certain hold starts a lost run again',
       breaks: 'oneRun',
     },
+    {
+      id: 'trustsInbox',
+      text: 'a holder without a certain hold starts a job that it takes from the inbox',
+      breaks: 'oneRun',
+    },
     {
       id: 'reachesWithoutEnds',
       text: 'a worker counts as reached before the ends that it lists are applied',
