Follow the inbox and the platform's tables through one source of changes

Cause: the inbox had a loop of its own beside follow(), with its own start, retry and re-reading; the test rig had a copy of the adapter's tableSource.

Change: tableSource moves to src/batch, takes the last change of each row, and serves the inbox, the adapter and the rig. The inbox starts at the version of its own full read; Recovery no longer hands one over.

Before: of the five new cases, 'a row that was written and then removed' and 'a row that was removed and then written' fail on the earlier split. After: 132 tests of src/batch and the decoders pass.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -146,6 +146,7 @@
       clock,
       log,
       service,
+      counters,
       jobs: this.#jobs,
       place,
       canStart: deps.canStart,
@@ -160,12 +161,11 @@
       this.#isClosed = true;
     });
     const journal = this.#journal.run(signal);
-    const inboxVersion = await this.#recovery.load(signal);
-    if (inboxVersion === undefined) return;
+    if (!(await this.#recovery.load(signal))) return;
     await Promise.all([
       journal,
       this.#sessions.run(signal),
-      this.#inbox.run(inboxVersion, signal),
+      this.#inbox.run(signal),
       this.#tick(signal),
     ]);
   }
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -1,20 +1,22 @@
 import type { Clock } from '../clock/index.js';
-import { isAborted } from './follow.js';
+import type { Counters } from './counters.js';
+import { follow, type Changes } from './follow.js';
 import { Job } from './job.js';
 import { decodeJob } from './jobCodec.js';
 import type { JobTable } from './jobTable.js';
 import type { DecisionLog } from './decisionLog.js';
-import { StoreErrorCode, type FeedRow, type Row, type RowStore } from './ports.js';
+import type { Row, RowStore } from './ports.js';
+import { tableSource } from './tableSource.js';
 
 /** Wait of one feed call; short, so that a channel that went silent is noticed. */
 const FEED_WAIT_MS = 1_500;
-const RETRY_MS = 300;
 
 /** Needs of an {@link Inbox}. */
 export interface InboxDeps {
   store: RowStore;
   clock: Clock;
   log: DecisionLog;
+  counters: Counters;
   service: string;
   jobs: JobTable;
   place: () => void;
@@ -31,36 +33,15 @@
     this.#deps = deps;
   }
 
-  /** Follows the inbox from a version of the store until the signal is aborted. */
-  async run(version: number, signal: AbortSignal): Promise<void> {
-    const { store, clock, log, service } = this.#deps;
-    let after = version;
-    await this.#readAll();
-    while (!signal.aborted) {
-      const res = await store.feed('inbox', after, FEED_WAIT_MS, signal);
-      if (res.isOk) {
-        // A row that was removed since may belong to a job that has ended.
-        const latest = new Map(res.value.rows.map((row) => [`${row.part}/${row.key}`, row]));
-        const isPresent = ({ part, isRemoved }: FeedRow) => part === service && !isRemoved;
-        for (const row of [...latest.values()].filter(isPresent)) this.#take(row);
-        after = res.value.version;
-        continue;
-      }
-      if (isAborted(signal)) return;
-      log.warn('inbox_feed_failed', { service, reason: res.error.code });
-      if (res.error.code === StoreErrorCode.HistoryGone) {
-        const newest = await this.#readAll();
-        if (newest !== undefined) after = newest;
-      }
-      await clock.sleep(RETRY_MS, signal);
-    }
-  }
-
-  async #readAll(): Promise<number | undefined> {
-    const res = await this.#deps.store.readPart('inbox', this.#deps.service);
-    if (res.isErr) return undefined;
-    for (const row of res.value.rows) this.#take(row);
-    return res.value.version;
+  /** Follows the inbox until the signal is aborted. */
+  run(signal: AbortSignal): Promise<void> {
+    const { store, clock, log, counters, service } = this.#deps;
+    const source = tableSource(store, 'inbox', service, (row) => row);
+    const apply = ({ items }: Changes<Row>) => {
+      for (const row of items) this.#take(row);
+    };
+    const waits = { waitMs: FEED_WAIT_MS, pauseMs: 0 };
+    return follow({ name: 'inbox', source, clock, log, counters, ...waits, apply }, signal);
   }
 
   #take({ key, value }: Row): void {
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -49,9 +49,9 @@
   /**
    * Reads the rows of the service, retrying until the store answers.
    *
-   * @returns version of the store from which the inbox is to be followed
+   * @returns whether they are loaded; false when the signal was aborted first
    */
-  async load(signal: AbortSignal): Promise<number | undefined> {
+  async load(signal: AbortSignal): Promise<boolean> {
     const { claim, clock, log, counters } = this.#deps;
     const startedAt = clock.now();
     const lastOrderMs = claim.mayOverlap ? LAST_ORDER_MS : 0;
@@ -60,10 +60,10 @@
     const roster = await this.#read('roster', signal);
     const jobs = await this.#read('job', signal);
     const progress = await this.#read('progress', signal);
-    if (!inbox || !roster || !jobs || !progress) return undefined;
-    this.#loadRoster(roster.rows);
-    const progressById = new Map(progress.rows.map((row) => [row.key, row.value]));
-    for (const row of [...jobs.rows, ...inbox.rows]) this.#loadJob(row, progressById);
+    if (!inbox || !roster || !jobs || !progress) return false;
+    this.#loadRoster(roster);
+    const progressById = new Map(progress.map((row) => [row.key, row.value]));
+    for (const row of [...jobs, ...inbox]) this.#loadJob(row, progressById);
     this.isLoaded = true;
     this.#loadedAt = clock.now();
     counters.observe('recovery_ms', clock.now() - startedAt);
@@ -75,17 +75,14 @@
       took_ms: Math.round(clock.now() - startedAt),
     });
     this.#deps.place();
-    return inbox.version;
+    return true;
   }
 
-  async #read(
-    table: string,
-    signal: AbortSignal,
-  ): Promise<{ rows: Row[]; version: number } | undefined> {
+  async #read(table: string, signal: AbortSignal): Promise<Row[] | undefined> {
     const { store, clock, claim, counters } = this.#deps;
     while (!signal.aborted) {
       const res = await store.readPart(table, claim.service);
-      if (res.isOk) return res.value;
+      if (res.isOk) return res.value.rows;
       counters.count('store_retries', res.error.code);
       await clock.sleep(RETRY_MS, signal);
     }
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -9,7 +9,7 @@
   type JobSpec,
   type ListedVm,
   type Queue,
-  type RowStore,
+  type Row,
   type StepSpec,
   type VmClient,
   type WaveOrder,
@@ -17,10 +17,10 @@
 } from '../../batch/index.js';
 import { Counters } from '../../batch/counters.js';
 import { DecisionLog } from '../../batch/decisionLog.js';
-import type { ChangeSource } from '../../batch/follow.js';
 import { completeStep } from '../../batch/jobCodec.js';
 import { LinkError, LinkErrorCode, type NodeTransport } from '../../batch/links.js';
 import { BatchNode, type OperatorItem } from '../../batch/node.js';
+import { tableSource } from '../../batch/tableSource.js';
 import type { WaveBoard } from '../../batch/upkeep.js';
 import type { Clock } from '../../clock/index.js';
 import { InvariantError } from '../../errors/index.js';
@@ -162,8 +162,8 @@
           Promise.resolve(Result.err(new StoreError(StoreErrorCode.Refused, 'no advice'))),
       },
       board: this.#gate(this.#board(), rigNode),
-      operator: this.#source<OperatorItem>(store, 'operator'),
-      registry: this.#source<WorkerRecord>(store, 'registry'),
+      operator: tableSource(store, 'operator', '', parseItem),
+      registry: tableSource(store, 'registry', '', parseWorker),
       clock: this.clock,
       random: createRandom(this.nodes.length + 1),
       log,
@@ -195,26 +195,6 @@
     });
   }
 
-  #source<T>(store: RowStore, table: string): ChangeSource<T> {
-    const parse = (value: string) => JSON.parse(value) as T;
-    return {
-      readAll: async () => {
-        const res = await store.readPart(table, '');
-        return res.map(({ rows, version }) => {
-          return { items: rows.map(({ value }) => parse(value)), removed: [], version };
-        });
-      },
-      changes: async (after, waitMs, signal) => {
-        const res = await store.feed(table, after, waitMs, signal);
-        return res.map(({ rows, version }) => ({
-          items: rows.filter(({ isRemoved }) => !isRemoved).map(({ value }) => parse(value)),
-          removed: rows.filter(({ isRemoved }) => isRemoved).map(({ key }) => key),
-          version,
-        }));
-      },
-    };
-  }
-
   #transport(name: string, state: { isDead: boolean }): NodeTransport {
     return {
       address: name,
@@ -445,3 +425,6 @@
 function overlap(a: SeenRun, b: SeenRun): boolean {
   return a.startedAt < (b.endedAt ?? Infinity) && b.startedAt < (a.endedAt ?? Infinity);
 }
+
+const parseItem = ({ value }: Row) => JSON.parse(value) as OperatorItem;
+const parseWorker = ({ value }: Row) => JSON.parse(value) as WorkerRecord;
