--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -124,7 +124,6 @@
       journal: this.#journal,
       runs: this.#runs,
       place,
-      lose,
     });
     this.#recovery = new Recovery({
       ...deps,
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -132,7 +132,7 @@
         this.stop(run, 'start_unanswered');
         break;
       case OrderAnswer.Fenced:
-        this.#lost(worker);
+        this.lost(worker);
         return;
       case OrderAnswer.RunTooOld:
         task.nextRun = number + 1;
@@ -178,7 +178,8 @@
     if (task.run === run) task.step.job.detach(task);
   }
 
-  #lost(worker: Worker): void {
+  /** Takes note that a worker refused an order, as it has seen a higher fencing token. */
+  lost(worker: Worker): void {
     if (this.#isLost) return;
     this.#isLost = true;
     this.#deps.lose(`worker ${worker.record.id} has seen a higher fencing token`);
@@ -215,7 +216,7 @@
       const order = { task: task.name, run: number, fencingToken: epoch };
       const reply = await workers.stop(worker.record, order);
       if (reply.answer === OrderAnswer.Fenced) {
-        this.#lost(worker);
+        this.lost(worker);
         return;
       }
       if (reply.answer === OrderAnswer.OtherInstance) {
@@ -350,7 +351,7 @@
     const reply = await workers.stop(worker.record, { task, run, fencingToken: epoch });
     counters.count('stops', 'orphan');
     log.warn('orphan_stopped', { task, run, worker: worker.record.id, answer: reply.answer });
-    if (reply.answer === OrderAnswer.Fenced) this.#lost(worker);
+    if (reply.answer === OrderAnswer.Fenced) this.lost(worker);
   }
 
   #pace(worker: Worker): void {
@@ -367,7 +368,7 @@
       run.pace = percent;
       const order = { task: task.name, run: number, percent, fencingToken: epoch };
       void workers.pace(worker.record, order).then((reply) => {
-        if (reply.answer === OrderAnswer.Fenced) this.#lost(worker);
+        if (reply.answer === OrderAnswer.Fenced) this.lost(worker);
       });
     }
   }
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -40,7 +40,6 @@
   registered: () => Iterable<WorkerRecord>;
   canExtend: () => boolean;
   place: () => void;
-  lose: (reason: string) => void;
 }
 
 interface Session {
@@ -177,10 +176,10 @@
   }
 
   async #handleSilence(worker: Worker, answer: OrderAnswer, signal: AbortSignal): Promise<void> {
-    const { clock, log, counters, runs, lose } = this.#deps;
+    const { clock, log, counters, runs } = this.#deps;
     counters.count('hold_failures', answer);
     if (answer === OrderAnswer.Fenced) {
-      lose(`worker ${worker.record.id} has seen a higher fencing token`);
+      runs.lost(worker);
       return;
     }
     if (answer === OrderAnswer.OtherInstance) {
