Index queues and VMs where they change, not where they are read

Cause: each placement round built a map of all queues, 250 and more on the grown sites, and each failed run searched them. The fleet's view built a map of all VMs at each look, once for each move under way in a round of 120 ms, and searched the workers of a pool for each VM. Load figures carried two fields that nobody reads.

Change: the holder indexes queues once for each configuration, the view VMs once for each list and runs once for each load. WorkerLoad keeps id and runs.

No figure was measured for it.

--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -21,17 +21,19 @@
 /** The VMs as the vendor lists them, and the load of each service as its holder sees it. */
 export class FleetView {
   readonly #deps: FleetViewDeps;
-  #list: ListedVm[] = [];
+  #byName: ReadonlyMap<string, ListedVm> = new Map();
   #listedAt = -Infinity;
   #loads = new Map<string, ServiceLoad>();
+  /** Runs by worker, for each service. */
+  #runs = new Map<string, ReadonlyMap<string, number>>();
 
   constructor(deps: FleetViewDeps) {
     this.#deps = deps;
   }
 
   /** VMs by name, as of {@link listedAt}. */
-  byName(): Map<string, ListedVm> {
-    return new Map(this.#list.map((vm) => [vm.vm, vm]));
+  byName(): ReadonlyMap<string, ListedVm> {
+    return this.#byName;
   }
 
   /** Monotonic time at which the list was asked for, in milliseconds. */
@@ -47,7 +49,7 @@
   /** Runs on the worker of a VM; undefined when they are not known. */
   runsOn({ pool, worker }: ListedVm): number | undefined {
     if (worker === undefined) return 0;
-    return this.#loads.get(pool)?.workers.find(({ id }) => id === worker)?.runs;
+    return this.#runs.get(pool)?.get(worker);
   }
 
   /** Reads the list unless it is younger than `maxAgeMs`; false when there is no such list. */
@@ -61,7 +63,7 @@
       log.warn('vm_list_failed', { reason: res.error.code, age_ms: askedAt - this.#listedAt });
       return false;
     }
-    this.#list = res.value;
+    this.#byName = new Map(res.value.map((vm) => [vm.vm, vm]));
     this.#listedAt = askedAt;
     return true;
   }
@@ -76,5 +78,8 @@
     };
     await Promise.all(services.map(ask));
     this.#loads = loads;
+    const runsById = ({ workers }: ServiceLoad) =>
+      new Map(workers.map(({ id, runs }) => [id, runs]));
+    this.#runs = new Map([...loads].map(([service, load]) => [service, runsById(load)]));
   }
 }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -80,6 +80,8 @@
   readonly #arrivals = new Arrivals();
   readonly #advice: AdviceBook;
   readonly #inbox: Inbox;
+  #indexedConfig: BatchConfig | undefined;
+  #queues: ReadonlyMap<string, Queue> = new Map();
   #isPlacementDue = false;
   #isClosed = false;
 
@@ -113,7 +115,7 @@
       ...deps,
       epoch,
       jobs: this.#jobs,
-      maxAttempts: (queue) => this.#queueOf(queue)?.maxAttempts ?? 1,
+      maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
       place,
       lose,
     });
@@ -144,8 +146,8 @@
       store,
       clock,
       log,
-      service,
       counters,
+      service,
       jobs: this.#jobs,
       place,
       canStart: deps.canStart,
@@ -286,8 +288,14 @@
     return this.#sessions.load([...this.#jobs.open()], expectedCpu);
   }
 
-  #queueOf(name: string): Queue | undefined {
-    return this.#deps.config()?.queues.find((queue) => queue.name === name);
+  /** Queues of the configuration in force; indexed once for each configuration. */
+  #queuesByName(): ReadonlyMap<string, Queue> {
+    const config = this.#deps.config();
+    if (config !== this.#indexedConfig) {
+      this.#indexedConfig = config;
+      this.#queues = new Map(config?.queues.map((queue) => [queue.name, queue]));
+    }
+    return this.#queues;
   }
 
   /** Places waiting tasks soon, once for all causes that come meanwhile. */
@@ -305,7 +313,7 @@
     if (this.#isClosed || !this.isLoaded || !canExtend()) return;
     const mayRestart = canStart();
     const now = clock.now();
-    const queues = new Map(this.#deps.config()?.queues.map((queue) => [queue.name, queue]));
+    const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStart(job));
     const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
     const steps = waiting
--- a/src/batch/serviceLoad.ts
+++ b/src/batch/serviceLoad.ts
@@ -2,9 +2,6 @@
 export interface WorkerLoad {
   id: string;
   runs: number;
-  /** Runs of tasks that last until they are cancelled. */
-  lasting: number;
-  isVacating: boolean;
 }
 
 /** Load of a service. */
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -289,12 +289,7 @@
       capacityCpu: workers
         .filter(({ isHeld, isVacating }) => isHeld && !isVacating)
         .reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0),
-      workers: workers.map((worker) => ({
-        id: worker.record.id,
-        runs: worker.runs.size,
-        lasting: [...worker.runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
-        isVacating: worker.isVacating,
-      })),
+      workers: workers.map(({ record, runs }) => ({ id: record.id, runs: runs.size })),
     };
   }
 }
