Do not record a VM as failed because it refused probes while it was drained

Cause: a backend server that drains for planned work may answer its health probe with an error.

Change: a refused probe that began or ended while the configuration had a stop or a move of the VM counts as unknown, and a failed result does not change the recorded state while the VM is drained. An unreachable VM is still recorded. Moves had the same fault.

Ruled out: asking the VM once more when the stop is cancelled; another process that takes the lease afterwards still has the old result.

--- a/src/controller/vmStatus.spec.ts
+++ b/src/controller/vmStatus.spec.ts
@@ -43,6 +43,17 @@
     // A VM that a planned stop reboots is expected not to answer.
     { listed: Live, probe: Unreachable, stop: StopState.Stopping, becomes: VmState.Up },
     { listed: undefined, probe: Unknown, stop: StopState.Returning, becomes: VmState.Up },
+    // A VM that is drained for a planned stop may refuse its probes.
+    { listed: Live, probe: Failed, stop: StopState.Granted, becomes: VmState.Up },
+    { listed: Live, probe: Failed, stop: StopState.Draining, becomes: VmState.Up },
+    { listed: Live, probe: Failed, stop: StopState.Drained, becomes: VmState.Up },
+    {
+      recorded: VmState.Failed,
+      listed: Live,
+      probe: Failed,
+      stop: StopState.Draining,
+      becomes: VmState.Failed,
+    },
     { listed: Live, probe: Unreachable, stop: StopState.Draining, becomes: VmState.Unreachable },
     { listed: Leaving, probe: Unreachable, stop: StopState.Stopping, becomes: VmState.Leaving },
   ];
--- a/src/entry/vmProbes.ts
+++ b/src/entry/vmProbes.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/index.js';
-import type { IndexedConfigView, Vm } from '../configuration/index.js';
+import { EntityKind, type IndexedConfigView, type Vm } from '../configuration/index.js';
 import { ProbeResult } from '../controller/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import type { Random } from '../random/index.js';
@@ -58,11 +58,26 @@
     }
   }
 
+  /** Whether the VM is drained for planned work, so that it may refuse its probes. */
+  function isDrained({ id }: Vm): boolean {
+    return (
+      deps.view.get(EntityKind.Stop, id) !== undefined ||
+      deps.view.get(EntityKind.Move, id) !== undefined
+    );
+  }
+
+  async function probeForStatus(vm: Vm, signal: AbortSignal): Promise<ProbeResult> {
+    const wasDrained = isDrained(vm);
+    const result = await probeNow(vm.id, signal);
+    const mayRefuse = wasDrained || isDrained(vm);
+    return result === ProbeResult.Failed && mayRefuse ? ProbeResult.Unknown : result;
+  }
+
   async function probeAll(vms: readonly Vm[], signal: AbortSignal): Promise<void> {
     const queue = [...vms];
     const worker = async () => {
       for (let vm = queue.pop(); vm && !signal.aborted; vm = queue.pop()) {
-        lastResults.set(vm.id, await probeNow(vm.id, signal));
+        lastResults.set(vm.id, await probeForStatus(vm, signal));
       }
     };
     await Promise.all(Array.from({ length: MAX_CONCURRENT_PROBES }, worker));
