Take services over with transactions of one part each

Cause: the claim of a service named the owner row (part of the service) and the node row (empty part) in one transaction.

Change: two steps, each in one part. The claimer fences the silent session in the node row under the version that it has observed unchanged, and then claims the owner row. A renewal requires the version of the previous one, so it fails after a fence; the process drops its services and goes on with a new session. A session that the node row no longer shows is only trusted as ended from a read made after the owner row was seen. The node row is removed only in its own version.

Ruled out: a lease row per service in the service's part; it adds a write per service and renewal, and a claimer would have to watch it for the whole expiry first, on top of the node row's.

--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -1,10 +1,11 @@
 import Emittery from 'emittery';
+import type { Result } from 'true-myth/result';
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { initialHeadValue, headKey } from './journal.js';
 import { rankForService, type Candidate } from './nodeWeight.js';
-import type { Row, RowKey, RowStore } from './ports.js';
+import type { Row, RowKey, RowStore, StoreError, TransactionOutcome } from './ports.js';
 
 /** Interval at which this node's row is renewed and all node rows are read. */
 const RENEW_INTERVAL_MS = 600;
@@ -43,6 +44,7 @@
 export interface Owner {
   service: string;
   node: string;
+  /** Session in which the holder claimed the service. */
   incarnation: string;
   epoch: number;
   /** `IP:port` of the holder's listener for other nodes. */
@@ -80,7 +82,7 @@
   log: DecisionLog;
   counters: Counters;
   node: string;
-  /** Unique per start of the process. */
+  /** Unique per start of the process; the sessions of a process extend it by a number. */
   incarnation: string;
   /** `IP:port` of this process's listener for other nodes. */
   address: string;
@@ -91,9 +93,15 @@
 }
 
 interface NodeRow {
+  /** Session of the process; see {@link Ownership}. */
   incarnation: string;
   address: string;
   weight?: number;
+  /**
+   * Whether another node has ended the session. A fenced session is never renewed again, so that its
+   * services can be claimed.
+   */
+  isFenced?: boolean;
 }
 
 interface ObservedNode extends NodeRow {
@@ -102,13 +110,19 @@
   observedAt: number;
 }
 
+/** Maximum transactions of one renewal: the row may have to be read first, or a session replaced. */
+const MAX_RENEWAL_ATTEMPTS = 3;
+
 const nodeKey = (node: string): RowKey => ({ table: 'node', part: '', key: node });
 const ownerKey = (service: string): RowKey => ({ table: 'owner', part: service, key: 'owner' });
 
 /**
- * Tracks and claims the ownership of services. Each process renews one node row. When a holder
- * stops renewing, another process claims its services with a higher epoch, which also serves as
- * the fencing token for the workers.
+ * Tracks and claims the ownership of services. Each process renews one node row, which lists its
+ * session. When a holder stops renewing, another process takes its services in two transactions of
+ * one part each: it fences the session in the node row, and then claims the service with a higher
+ * epoch, which also serves as the fencing token for the workers. A renewal requires the version of
+ * the previous one and therefore fails after a fence; the process then drops its services and
+ * continues with a new session.
  */
 export class Ownership {
   readonly events = new Emittery<OwnershipEvents>();
@@ -119,6 +133,10 @@
   readonly #heldEpochs = new Map<string, number>();
   /** Last epoch of each service that this process held and lost. */
   readonly #lostEpochs = new Map<string, number>();
+  /** Number of the current session of this process. */
+  #session = 1;
+  /** Version of the own node row at the last renewal; 0 when there is none. */
+  #rowVersion = 0;
   #renewedAt = -Infinity;
   #renewedWallTime = -Infinity;
   #lastReadAt = -Infinity;
@@ -190,7 +208,7 @@
     const { clock } = this.#deps;
     do {
       await this.#renew();
-      if (this.isStoreReachable() && !this.#isLeaving) await this.#claimAvailableServices();
+      if (this.#mayClaim()) await this.#claimAvailableServices();
     } while (await clock.sleep(RENEW_INTERVAL_MS, signal));
   }
 
@@ -203,40 +221,73 @@
   async #claimReleased(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
     let isReleased = true;
-    while (isReleased && !signal.aborted && !this.#isLeaving && this.isStoreReachable()) {
+    while (isReleased && !signal.aborted && this.#mayClaim()) {
       await this.#claimAvailableServices();
       isReleased = [...this.#owners.values()].some((owner) => owner.isReleased);
       await clock.sleep(RELEASED_STAGGER_MS, signal);
     }
   }
 
+  /** Whether the session is renewed in the store, so that other nodes see it as alive. */
+  #mayClaim(): boolean {
+    return !this.#isLeaving && this.isStoreReachable() && this.canStart();
+  }
+
+  /** Identifies the current session in node and owner rows. */
+  get #sessionId(): string {
+    return `${this.#deps.incarnation}/${this.#session}`;
+  }
+
   /** Renews the row of this node. Returns false on failure. */
   async #renew(): Promise<boolean> {
-    if (this.#hasStoppedRenewing) return false;
-    const { clock, store, node, incarnation, address, weight, log, counters } = this.#deps;
-    const sentAt = clock.now();
-    const sentWallTime = clock.wallTime();
-    const row: NodeRow = { incarnation, address, weight };
-    const res = await store.transact({
-      conditions: [],
-      writes: [{ ...nodeKey(node), value: JSON.stringify(row) }],
-      removes: [],
-    });
-    if (res.isErr) {
-      counters.count('renewal_failures', res.error.code);
-      log.warn('renewal_failed', {
-        node,
-        reason: res.error.code,
-        age_ms: this.#renewalAgeMs() | 0,
+    const { clock, store, node, address, weight, log, counters } = this.#deps;
+    for (let attempt = 0; attempt < MAX_RENEWAL_ATTEMPTS; attempt++) {
+      if (this.#hasStoppedRenewing) return false;
+      const sentAt = clock.now();
+      const sentWallTime = clock.wallTime();
+      const row: NodeRow = { incarnation: this.#sessionId, address, weight };
+      const res = await store.transact({
+        conditions: [{ ...nodeKey(node), version: this.#rowVersion }],
+        writes: [{ ...nodeKey(node), value: JSON.stringify(row) }],
+        removes: [],
       });
-      return false;
+      if (res.isErr) {
+        counters.count('renewal_failures', res.error.code);
+        log.warn('renewal_failed', {
+          node,
+          reason: res.error.code,
+          age_ms: this.#renewalAgeMs() | 0,
+        });
+        return false;
+      }
+      if (res.value.isApplied) {
+        this.#rowVersion = res.value.version;
+        this.#renewedAt = sentAt;
+        this.#renewedWallTime = sentWallTime;
+        return true;
+      }
+      this.#handleRenewalConflict(res.value.rows[0]);
+    }
+    counters.count('renewal_failures', 'conflict');
+    return false;
+  }
+
+  /** Continues from the found node row, with a new session unless the row is of this session. */
+  #handleRenewalConflict(found: Row | undefined): void {
+    const value = found && (parseRow(found) as NodeRow | undefined);
+    this.#rowVersion = found?.version ?? 0;
+    const isOwnSession = value?.incarnation === this.#sessionId;
+    // An earlier renewal whose answer was lost.
+    if (isOwnSession && value.isFenced !== true) return;
+    const { node, log, counters } = this.#deps;
+    const held = [...this.#heldEpochs.keys()];
+    if (isOwnSession || held.length > 0) {
+      const reason = isOwnSession ? 'fenced' : 'node_row_replaced';
+      counters.count('sessions_ended', reason);
+      log.warn('session_ended', { node, session: this.#session, reason, services: held.length });
     }
-    // After a gap, another node may have claimed a service before this renewal.
-    const hadGap = this.#renewalAgeMs() >= START_AUTHORITY_MS;
-    if (hadGap && (await this.#readOwners()) === undefined) return false;
-    this.#renewedAt = sentAt;
-    this.#renewedWallTime = sentWallTime;
-    return true;
+    this.#session++;
+    for (const service of held) this.markLost(service, 'the session of this process has ended');
   }
 
   async #readNodes(): Promise<void> {
@@ -246,19 +297,24 @@
     const now = clock.now();
     const hadGap = now - this.#lastReadAt > READ_GAP_MS;
     this.#lastReadAt = now;
-    const names = new Set<string>();
-    for (const row of res.value.rows) {
-      const value = parseRow(row) as NodeRow | undefined;
-      if (!value) continue;
-      names.add(row.key);
-      const observed = this.#nodes.get(row.key);
-      const isChanged = observed?.version !== row.version;
-      const observedAt = isChanged || hadGap ? now : observed.observedAt;
-      this.#nodes.set(row.key, { ...value, version: row.version, observedAt });
-    }
+    const names = new Set(res.value.rows.map(({ key }) => key));
+    for (const row of res.value.rows) this.#observeNode(row, hadGap);
     for (const name of this.#nodes.keys()) if (!names.has(name)) this.#nodes.delete(name);
   }
 
+  /** Records a node row. Its expiry period restarts when the row has changed, or if requested. */
+  #observeNode(row: Row, restartsExpiry = false): NodeRow | undefined {
+    const value = parseRow(row) as NodeRow | undefined;
+    if (!value) return undefined;
+    const observed = this.#nodes.get(row.key);
+    // A transaction may have shown a newer version while a read was in progress.
+    if (observed && observed.version > row.version) return observed;
+    const isChanged = observed?.version !== row.version;
+    const observedAt = isChanged || restartsExpiry ? this.#deps.clock.now() : observed.observedAt;
+    this.#nodes.set(row.key, { ...value, version: row.version, observedAt });
+    return value;
+  }
+
   async #watchOwners(signal: AbortSignal): Promise<void> {
     const { store, clock } = this.#deps;
     let after: number | undefined;
@@ -291,17 +347,51 @@
     return oldest;
   }
 
-  /** Whether the process named in an owner row is alive. */
+  /** Whether the session named in an owner row is alive. */
   #isAlive(owner: Owner): boolean {
-    const { clock, node, incarnation } = this.#deps;
+    const { clock, node } = this.#deps;
     if (owner.node === node) {
-      return owner.incarnation === incarnation && this.#heldEpochs.has(owner.service);
+      return owner.incarnation === this.#sessionId && this.#heldEpochs.has(owner.service);
     }
     const observed = this.#nodes.get(owner.node);
-    if (observed?.incarnation !== owner.incarnation) return false;
+    if (observed?.incarnation !== owner.incarnation || observed.isFenced === true) return false;
     return clock.now() - observed.observedAt < NODE_EXPIRY_MS;
   }
 
+  /**
+   * Makes sure that the session named in an owner row can never be renewed again. Another session in
+   * the node row, or none, is only trusted from a read after the owner row was seen.
+   */
+  async #endSession({ node, incarnation, service }: Owner): Promise<boolean> {
+    const { store, clock, log, counters } = this.#deps;
+    const observed = this.#nodes.get(node);
+    if (observed?.incarnation !== incarnation) {
+      const res = await store.readRow(nodeKey(node));
+      if (res.isErr) return false;
+      const current = res.value && this.#observeNode(res.value);
+      return current?.incarnation !== incarnation || current.isFenced === true;
+    }
+    if (observed.isFenced === true) return true;
+    const { version, observedAt, ...row } = observed;
+    const res = await store.transact({
+      conditions: [{ ...nodeKey(node), version }],
+      writes: [{ ...nodeKey(node), value: JSON.stringify({ ...row, isFenced: true }) }],
+      removes: [],
+    });
+    const outcome = outcomeOf(res);
+    counters.count('fences', outcome);
+    const silent_ms = Math.round(clock.now() - observedAt);
+    log.warn('node_fenced', { node, service, silent_ms, outcome });
+    if (res.isErr) return false;
+    if (res.value.isApplied) {
+      this.#nodes.set(node, { ...observed, version: res.value.version, isFenced: true });
+      return true;
+    }
+    const [found] = res.value.rows;
+    if (found) this.#observeNode(found);
+    return false;
+  }
+
   #applyOwnerRow(row: Row): void {
     const value = parseRow(row) as Omit<Owner, 'service' | 'version'> | undefined;
     if (!value) return;
@@ -318,8 +408,8 @@
 
   /** Whether the row shows a claim by this process whose answer was lost. */
   #isOwnUnacknowledgedClaim(owner: Owner): boolean {
-    const { node, incarnation } = this.#deps;
-    if (owner.node !== node || owner.incarnation !== incarnation || owner.isReleased) return false;
+    if (owner.node !== this.#deps.node || owner.incarnation !== this.#sessionId) return false;
+    if (owner.isReleased) return false;
     if (this.#isLeaving || this.#heldEpochs.has(owner.service)) return false;
     return owner.epoch > (this.#lostEpochs.get(owner.service) ?? 0);
   }
@@ -372,18 +462,15 @@
   }
 
   async #claim(service: string): Promise<void> {
-    const { store, node, incarnation, address, log, counters } = this.#deps;
+    const { store, node, address, log, counters } = this.#deps;
     const previous = this.#owners.get(service);
+    const hasOtherHolder = previous && previous.node !== node && !previous.isReleased;
+    if (hasOtherHolder && !(await this.#endSession(previous))) return;
     const epoch = (previous?.epoch ?? 0) + 1;
+    const incarnation = this.#sessionId;
     const row = { node, incarnation, epoch, address, isReleased: false };
-    const conditions = [{ ...ownerKey(service), version: previous?.version ?? 0 }];
-    if (previous && previous.node !== node && !previous.isReleased) {
-      // The claim fails if the previous holder has renewed its node row in the meantime.
-      const version = this.#nodes.get(previous.node)?.version ?? 0;
-      conditions.push({ ...nodeKey(previous.node), version });
-    }
     const res = await store.transact({
-      conditions,
+      conditions: [{ ...ownerKey(service), version: previous?.version ?? 0 }],
       writes: [
         { ...ownerKey(service), value: JSON.stringify(row) },
         { ...headKey(service), value: initialHeadValue(epoch) },
@@ -403,7 +490,9 @@
       }
       return;
     }
-    this.#recordClaim({ ...row, service, version: res.value.version }, previous);
+    const owner = { ...row, service, version: res.value.version };
+    // After the end of the session, another node may already have claimed the service again.
+    if (incarnation === this.#sessionId) this.#recordClaim(owner, previous);
   }
 
   /** Reads the owner row after a claim without an answer, to learn whether it was applied. */
@@ -463,14 +552,23 @@
         writes: [{ ...ownerKey(service), value: JSON.stringify({ ...row, isReleased: true }) }],
         removes: [],
       });
-      const outcome = res.isOk ? (res.value.isApplied ? 'applied' : 'conflict') : res.error.code;
-      log.info('service_released', { service, epoch: row.epoch, outcome });
+      log.info('service_released', { service, epoch: row.epoch, outcome: outcomeOf(res) });
     }
-    const res = await store.transact({ conditions: [], writes: [], removes: [nodeKey(node)] });
+    const res = await store.transact({
+      conditions: [{ ...nodeKey(node), version: this.#rowVersion }],
+      writes: [],
+      removes: [nodeKey(node)],
+    });
     if (res.isErr) log.warn('node_row_removal_failed', { node, reason: res.error.code });
   }
 }
 
+/** Outcome of a transaction for logs and counters. */
+function outcomeOf(res: Result<TransactionOutcome, StoreError>): string {
+  if (res.isErr) return res.error.code;
+  return res.value.isApplied ? 'applied' : 'conflict';
+}
+
 function takeoverReason(previous: Owner | undefined): string {
   if (!previous) return 'first';
   return previous.isReleased ? 'released' : 'expired';
