Store the roster of a service as one row per worker

Cause: the roster was one row with every worker of the service, written whole. It grows with the fleet and passes the maximum size of a row (65,536 bytes); from then on the store refuses every transaction that contains it.

Change: one row per worker, written when the worker is admitted and removed when it is gone. A worker counts as stored only after its row is durable; before, a failed write left it so.

Test: 'jobs are recorded for a service with 600 workers' failed before.

--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -92,11 +92,11 @@
 
   #loadRoster(rows: readonly Row[]): void {
     const { sessions, log } = this.#deps;
-    for (const { value } of rows) {
+    for (const { key, value } of rows) {
       try {
-        sessions.addFromRoster(JSON.parse(value) as WorkerRecord[]);
+        sessions.addFromRoster(JSON.parse(value) as WorkerRecord);
       } catch (err) {
-        log.warn('roster_unreadable', { error: String(err) });
+        log.warn('roster_unreadable', { worker: key, error: String(err) });
       }
     }
     this.#unreachedWorkers = [...sessions.all()];
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -31,9 +31,9 @@
 /** Id of the inbox row that requests the cancellation of a job. */
 export const cancellationId = (id: string): string => `${id}!`;
 
-/** Key of the row with the records of the workers on which runs may have been started. */
-export const rosterKey = (service: string): RowKey => ({
+/** Key of the row with the record of a worker on which runs may have been started. */
+export const rosterKey = (service: string, worker: string): RowKey => ({
   table: 'roster',
   part: service,
-  key: 'roster',
+  key: worker,
 });
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -4,7 +4,7 @@
 import { isAborted } from './follow.js';
 import type { Job } from './job.js';
 import { isStepReady } from './job.js';
-import { EntryOutcome, type Journal } from './journal.js';
+import { EntryOutcome, type Journal, type JournalEntry } from './journal.js';
 import { OrderAnswer, type HoldReply, type WorkerClient } from './ports.js';
 import { rosterKey } from './rows.js';
 import { LEASE_MS, type RunControl } from './runControl.js';
@@ -55,8 +55,8 @@
 export class WorkerSessions {
   readonly #deps: WorkerSessionsDeps;
   readonly #sessions = new Map<string, Session>();
-  /** Workers in the stored roster, from which a later holder learns where runs may exist. */
-  readonly #roster = new Map<string, WorkerRecord>();
+  /** Ids of the workers in the stored roster, from which a later holder learns where runs may be. */
+  readonly #roster = new Set<string>();
   #signal: AbortSignal | undefined;
 
   constructor(deps: WorkerSessionsDeps) {
@@ -81,12 +81,10 @@
     while (await clock.sleep(SYNC_INTERVAL_MS, signal));
   }
 
-  /** Adds the workers of an earlier holder's roster. */
-  addFromRoster(records: Iterable<WorkerRecord>): void {
-    for (const record of records) {
-      this.#roster.set(record.id, record);
-      if (!this.#sessions.has(record.id)) this.#add(record);
-    }
+  /** Adds a worker of an earlier holder's roster. */
+  addFromRoster(record: WorkerRecord): void {
+    this.#roster.add(record.id);
+    if (!this.#sessions.has(record.id)) this.#add(record);
   }
 
   /** Adds, updates and removes workers to match the registry. */
@@ -111,14 +109,11 @@
       if (record.bornMs > worker.record.bornMs) this.#handleRestart(worker, record.bornMs);
       worker.record = { ...record, bornMs };
     }
-    const previousSize = this.#roster.size;
     for (const [id, session] of this.#sessions) {
       if (present.has(id) && !session.worker.isGone) continue;
       session.missingSince ??= now;
       this.#removeIfGone(id, session, now);
     }
-    // Removed workers must leave the roster, or a later holder would wait for them to respond.
-    if (this.#roster.size < previousSize) void this.#writeRoster();
     place();
   }
 
@@ -129,13 +124,15 @@
   }
 
   #removeIfGone(id: string, { worker, missingSince }: Session, now: number): void {
+    const { service } = this.#deps;
     const haveLeasesExpired = now > worker.leasesExpireBy + LEASE_EXPIRY_SLACK_MS;
     const isLongMissing =
       missingSince !== undefined && now - missingSince > REMOVE_MISSING_AFTER_MS;
     if (!worker.isGone && !(haveLeasesExpired && isLongMissing && worker.runs.size === 0)) return;
     worker.isGone = true;
     this.#sessions.delete(id);
-    this.#roster.delete(id);
+    // A later holder would wait for the worker to respond.
+    if (this.#roster.delete(id)) void this.#writeRoster({ removes: [rosterKey(service, id)] });
     this.#deps.log.info('worker_removed', { worker: id });
   }
 
@@ -249,8 +246,10 @@
     const { service, place, log, epoch } = this.#deps;
     const { record } = worker;
     if (!this.#roster.has(record.id)) {
-      this.#roster.set(record.id, record);
-      if ((await this.#writeRoster()) !== EntryOutcome.Applied) return;
+      const value = JSON.stringify(record);
+      const writes = [{ ...rosterKey(service, record.id), value }];
+      if ((await this.#writeRoster({ writes })) !== EntryOutcome.Applied) return;
+      this.#roster.add(record.id);
     }
     worker.isAdmitted = true;
     log.info('worker_admitted', {
@@ -262,12 +261,10 @@
     place();
   }
 
-  #writeRoster(): Promise<EntryOutcome> {
-    const { service, journal } = this.#deps;
-    const value = JSON.stringify([...this.#roster.values()]);
+  #writeRoster(rows: Partial<Pick<JournalEntry, 'writes' | 'removes'>>): Promise<EntryOutcome> {
+    const { journal } = this.#deps;
     return new Promise((settle) => {
-      const writes = [{ ...rosterKey(service), value }];
-      journal.append({ conditions: [], writes, removes: [], settle });
+      journal.append({ conditions: [], writes: [], removes: [], ...rows, settle });
     });
   }
 
