Refuse to count pending jobs when the holder may not know all of them

Change: the holder reports a number only if it has seen the inbox within 1.9 s and no other process can hold the service; otherwise the caller gets 503 with Retry-After. Each count is logged with its source, age and the reason when there is none.

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -232,9 +232,18 @@
     const { service, name } = queue;
     const call = { kind: NodeCallKind.Pending, service, queue: name } as const;
     const res = await this.#deps.holders.call(call, HOLDER_TIMEOUT_MS);
-    const pending = res.isOk ? res.value.pending : undefined;
-    if (pending !== undefined) return { outcome: CallOutcome.Ok, pending };
-    return { outcome: CallOutcome.Refused, reason: RefusalReason.HolderUnreachable };
+    const { count, ageMs } = (res.isOk ? res.value.pending : undefined) ?? {};
+    const reason = res.isErr ? RefusalReason.HolderUnreachable : RefusalReason.CountUnknown;
+    this.#deps.log.detail('pending', {
+      queue: name,
+      service,
+      count,
+      age_ms: ageMs === undefined ? undefined : Math.round(ageMs),
+      failure: res.isErr ? res.error.code : undefined,
+    });
+    if (count !== undefined) return { outcome: CallOutcome.Ok, pending: count };
+    this.#deps.counters.count('refusals', reason);
+    return { outcome: CallOutcome.Refused, reason, retryAfterMs: UNAVAILABLE_RETRY_MS };
   }
 }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -35,6 +35,10 @@
 const FULL_RETRY_MS = 2_000;
 /** Retry delay for callers that are refused while the store is unavailable. */
 const STORE_RETRY_MS = 1_000;
+/** Retry delay for callers whose job the store never accepts; sending it again is of no use. */
+export const UNSTORABLE_RETRY_MS = 60_000;
+/** Maximum age of a count of pending jobs; the platform's protocol allows 2 s. */
+const MAX_PENDING_AGE_MS = 1_900;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
 /** Delay before a placement round, so that one round covers all requests that arrive meanwhile. */
@@ -49,6 +53,14 @@
       retryAfterMs: number;
     };
 
+/** Number of the jobs of a queue that have not started any task. */
+export interface PendingCount {
+  /** Undefined if the holder cannot know it. */
+  count?: number;
+  /** Time since the holder last knew all accepted jobs, in milliseconds. */
+  ageMs: number;
+}
+
 /** Dependencies of a {@link Holder}. */
 export interface HolderDeps {
   store: MonitoredStore;
@@ -265,13 +277,18 @@
     return isDurable;
   }
 
-  /** Number of open jobs of a queue that have not started any task. */
-  pending(queue: string): number {
+  /**
+   * Number of open jobs of a queue that have not started any task. Unknown while this process may
+   * have a successor, or has not seen the jobs that gateways wrote to the store recently.
+   */
+  pending(queue: string): PendingCount {
+    const ageMs = this.#inbox.ageMs();
+    if (ageMs > MAX_PENDING_AGE_MS || !this.#deps.canStart()) return { ageMs };
     let count = 0;
     for (const job of this.#jobs.open()) {
       if (job.spec.queue === queue && job.state === JobState.Queued) count++;
     }
-    return count;
+    return { ageMs, count };
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -32,6 +32,8 @@
  */
 export class Inbox {
   readonly #deps: InboxDeps;
+  #readAt = -Infinity;
+  #readWallTime = -Infinity;
 
   constructor(deps: InboxDeps) {
     this.#deps = deps;
@@ -43,11 +45,22 @@
     const source = tableSource(store, 'inbox', service, (row) => row);
     const apply = ({ items }: Changes<Row>) => {
       for (const row of items) this.#processRow(row);
+      this.#readAt = clock.now();
+      this.#readWallTime = clock.wallTime();
     };
     const waits = { waitMs: FEED_WAIT_MS, pauseMs: 0 };
     return follow({ name: 'inbox', source, clock, log, counters, ...waits, apply }, signal);
   }
 
+  /**
+   * Milliseconds since the inbox was last known completely. Also considers wall-clock time, because
+   * the monotonic clock stops while the VM is suspended.
+   */
+  ageMs(): number {
+    const { clock } = this.#deps;
+    return Math.max(clock.now() - this.#readAt, clock.wallTime() - this.#readWallTime);
+  }
+
   #processRow({ key, value }: Row): void {
     const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
     if (key.endsWith('!')) {
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -1,4 +1,4 @@
-import type { SubmitOutcome } from './holder.js';
+import type { PendingCount, SubmitOutcome } from './holder.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import type { JobSpec, JobState } from './types.js';
 import type { VacateStatus } from './vacating.js';
@@ -35,7 +35,7 @@
   state?: JobState;
   /** Whether the cancellation is durable; undefined when the holder has no such open job. */
   isCancelled?: boolean;
-  pending?: number;
+  pending?: PendingCount;
   vacating?: VacateStatus;
   load?: ServiceLoad;
 }
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -75,6 +75,8 @@
   Unresolved = 'unresolved',
   /** The holder of the service did not respond. */
   HolderUnreachable = 'holder_unreachable',
+  /** The holder of the service may not know all accepted jobs. */
+  CountUnknown = 'count_unknown',
   /** The stored row of the job cannot be decoded. */
   BadRow = 'bad_row',
 }
