Tell calls that the store never accepts from outages

A job whose write had an unreadable answer was reported as refused, although it may have been stored.

A job that cannot be stored is refused at once; one whose progress cannot be stored fails. Sizes are counted in bytes, for changed jobs as well, against the limits in the settings (rowBytes).

Tests: takeover.spec; the fake store now has the limits of the platform and accepts rows of one part unless a test asks for more.

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
+import { UNSTORABLE_RETRY_MS } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import { encodeJob } from './jobCodec.js';
 import { NodeCallKind } from './nodeCalls.js';
@@ -20,6 +21,12 @@
 /** Retry delay for callers that are refused because the store is unavailable. */
 const UNAVAILABLE_RETRY_MS = 1_000;
 
+/** Refusals by the holder that going through the store would not avoid. */
+const FINAL_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.Full,
+  RefusalReason.Unstorable,
+]);
+
 /** Outcome of a caller's request. */
 export enum CallOutcome {
   /** The request was carried out, or the state of the job is known. */
@@ -78,6 +85,8 @@
     const { clock, holders, counters } = this.#deps;
     const startedAt = clock.now();
     const remainingMs = () => timeoutMs - (clock.now() - startedAt);
+    if (Buffer.byteLength(encodeJob(spec)) > this.#deps.store.limits.rowBytes)
+      return this.#reportRefused(spec, RefusalReason.Unstorable, UNSTORABLE_RETRY_MS);
     // A node that cannot reach the store probably cannot reach the holder either. Nothing has been
     // sent yet, so the caller can safely be told to retry, and then reaches another node.
     if (this.#deps.store.isSuspect()) {
@@ -97,13 +106,15 @@
       const submitted = res.isOk ? res.value.submitted : undefined;
       if (submitted?.isAccepted)
         return this.#reportAccepted(spec, 'holder', clock.now() - startedAt);
-      if (submitted?.reason === RefusalReason.Full && !mayBeAccepted) {
+      if (submitted?.reason && FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted) {
         return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs);
       }
       if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
         mayBeAccepted = true;
       }
       const storeOutcome = await this.#submitThroughStore(queue.service, spec);
+      if (storeOutcome === RefusalReason.Unstorable && !mayBeAccepted)
+        return this.#reportRefused(spec, storeOutcome, UNSTORABLE_RETRY_MS);
       if (storeOutcome === CallOutcome.Ok) {
         counters.count(
           'accepted_through_store',
@@ -136,7 +147,10 @@
     return { outcome: CallOutcome.Refused, reason, retryAfterMs };
   }
 
-  async #submitThroughStore(service: string, spec: JobSpec): Promise<CallOutcome> {
+  async #submitThroughStore(
+    service: string,
+    spec: JobSpec,
+  ): Promise<CallOutcome | RefusalReason.Unstorable> {
     if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
     const inbox = inboxKey(service, spec.id);
     const mustBeAbsent = [inbox, jobKey(service, spec.id), endedKey(service, spec.id)];
@@ -147,7 +161,9 @@
     });
     // On a conflict, the job was already accepted.
     if (res.isOk) return CallOutcome.Ok;
-    return res.error.code === StoreErrorCode.NoAnswer ? CallOutcome.Unknown : CallOutcome.Refused;
+    if (res.error.code === StoreErrorCode.Invalid) return RefusalReason.Unstorable;
+    // Any other failure, such as an unreadable answer, leaves open whether the job was written.
+    return res.error.code === StoreErrorCode.Refused ? CallOutcome.Refused : CallOutcome.Unknown;
   }
 
   /** Looks up the state of a job, first at the holder and then in the store. */
@@ -227,7 +243,10 @@
     return { outcome: CallOutcome.Ok };
   }
 
-  /** Counts the open jobs of a queue that have not started any task. */
+  /**
+   * Counts the open jobs of a queue that have not started any task. Refuses if the holder cannot know
+   * all of them.
+   */
   async pending(queue: Queue): Promise<CallAnswer> {
     const { service, name } = queue;
     const call = { kind: NodeCallKind.Pending, service, queue: name } as const;
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -131,6 +131,9 @@
       place,
       lose,
     });
+    this.#jobs.onUnstorable = (job) => {
+      this.#runs.stopAll(job, 'unstorable');
+    };
     this.#sessions = new WorkerSessions({
       ...deps,
       service,
@@ -220,6 +223,14 @@
     if (outcome === EntryOutcome.HolderLost) {
       return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
     }
+    if (outcome === EntryOutcome.Rejected) {
+      this.#deps.counters.count('refusals', RefusalReason.Unstorable);
+      return {
+        isAccepted: false,
+        reason: RefusalReason.Unstorable,
+        retryAfterMs: UNSTORABLE_RETRY_MS,
+      };
+    }
     // On a conflict, the job was already accepted through another process.
     if (outcome === EntryOutcome.Applied) this.#openJob(spec);
     return { isAccepted: true };
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -2,14 +2,12 @@
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Job } from './job.js';
-import { EntryOutcome, type JournalEntry } from './journal.js';
+import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
 import { endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState } from './types.js';
 
 /** How long an ended job stays in memory; covers `status_s`. Its row is kept longer. */
 const ENDED_RETENTION_MS = 180_000;
-/** Maximum number of row operations in the entry of one job. */
-const OPERATIONS_PER_JOB = 5;
 
 /** Dependencies of a {@link JobTable}. */
 export interface JobTableDeps {
@@ -34,6 +32,8 @@
   readonly #closeWaiters = new Map<Job, ((isDurable: boolean) => void)[]>();
   /** Called when a job has unsaved changes. */
   onChange: () => void = () => undefined;
+  /** Called when a job fails because the store never accepts its progress. */
+  onUnstorable: (job: Job) => void = () => undefined;
 
   constructor(deps: JobTableDeps) {
     this.#deps = deps;
@@ -107,19 +107,22 @@
   }
 
   /**
-   * Takes jobs with unsaved changes and returns their journal entries, with at most `maxOperations`
-   * row operations in total.
+   * Takes jobs with unsaved changes and returns their journal entries, as far as they fit in the
+   * rest of a transaction.
    */
-  takeDirty(maxOperations: number): { entries: JournalEntry[]; hasMore: boolean } {
+  takeDirty(remaining: TransactionSize): { entries: JournalEntry[]; hasMore: boolean } {
     const entries: JournalEntry[] = [];
-    let remainingOperations = maxOperations;
+    let { operations, bytes } = remaining;
     for (const job of this.#dirty) {
-      if (remainingOperations < OPERATIONS_PER_JOB) break;
-      remainingOperations -= OPERATIONS_PER_JOB;
+      const entry = job.finalState
+        ? this.#closeEntry(job, job.finalState)
+        : this.#progressEntry(job);
+      const size = sizeOf(entry);
+      operations -= size.operations;
+      bytes -= size.bytes;
+      if (operations < 0 || bytes < 0) break;
       this.#dirty.delete(job);
-      entries.push(
-        job.finalState ? this.#closeEntry(job, job.finalState) : this.#progressEntry(job),
-      );
+      entries.push(entry);
     }
     return { entries, hasMore: this.#dirty.size > 0 };
   }
@@ -132,6 +135,10 @@
       removes: [],
       settle: (outcome) => {
         if (outcome === EntryOutcome.Applied) job.hasProgressRow = true;
+        if (outcome !== EntryOutcome.Rejected) return;
+        // Without its progress, a later holder would run completed tasks again.
+        void this.close(job, JobState.Failed);
+        this.onUnstorable(job);
       },
     };
   }
--- a/src/batch/journal.ts
+++ b/src/batch/journal.ts
@@ -10,10 +10,10 @@
   type Transaction,
 } from './ports.js';
 
-/** Maximum number of row operations per transaction; the platform's store accepts 100. */
-const MAX_OPERATIONS = 96;
-/** Maximum size of the row values per transaction; the store accepts 1 MB of base64. */
-const MAX_VALUE_BYTES = 500_000;
+/** Operations for the head row in each transaction: a condition and a write. */
+const HEAD_OPERATIONS = 2;
+/** Upper bound of the size of the head row's value. */
+const HEAD_VALUE_BYTES = 64;
 /** Backoff after a refused or unanswered transaction; doubled on each retry. */
 const RETRY_BASE_MS = 50;
 const RETRY_MAX_MS = 400;
@@ -23,6 +23,8 @@
   Applied = 'applied',
   /** A condition of the entry did not hold; none of its writes were applied. */
   Conflict = 'conflict',
+  /** The store never accepts the entry, for example because a row is too large. */
+  Rejected = 'rejected',
   /** This process no longer writes for the service: it was lost, or the journal has stopped. */
   HolderLost = 'holder_lost',
 }
@@ -35,6 +37,21 @@
   settle(outcome: EntryOutcome): void;
 }
 
+/** Size of a transaction, or of the part of it that is still free. */
+export interface TransactionSize {
+  operations: number;
+  /** Size of all values. */
+  bytes: number;
+}
+
+/** Size that an entry adds to its transaction. */
+export function sizeOf({ conditions, writes, removes }: JournalEntry): TransactionSize {
+  return {
+    operations: conditions.length + writes.length + removes.length,
+    bytes: writes.reduce((sum, { value }) => sum + Buffer.byteLength(value), 0),
+  };
+}
+
 /** Dependencies of a {@link Journal}. */
 export interface JournalDeps {
   store: RowStore;
@@ -46,8 +63,8 @@
   epoch: number;
   /** Version of the head row after the claim. */
   headVersion: number;
-  /** Takes entries for unsaved changes, with at most `maxOperations` row operations in total. */
-  takeDirty(maxOperations: number): { entries: JournalEntry[]; hasMore: boolean };
+  /** Takes entries for unsaved changes that fit in the rest of a transaction. */
+  takeDirty(remaining: TransactionSize): { entries: JournalEntry[]; hasMore: boolean };
   onLost(reason: string): void;
 }
 
@@ -73,6 +90,8 @@
   readonly #deps: JournalDeps;
   readonly #pending: JournalEntry[] = [];
   #barriers: ((isDurable: boolean) => void)[] = [];
+  /** Whether an entry was rejected since the last barrier, which is then not reached. */
+  #hasRejectedEntry = false;
   #headVersion: number;
   #lastHeadValue: string;
   #sequence = 0;
@@ -91,6 +110,11 @@
       entry.settle(EntryOutcome.HolderLost);
       return;
     }
+    const { rowBytes } = this.#deps.store.limits;
+    if (entry.writes.some(({ value }) => Buffer.byteLength(value) > rowBytes)) {
+      this.#reject(entry, `a row is larger than ${rowBytes} bytes`);
+      return;
+    }
     this.#pending.push(entry);
     this.#wakeWriter();
   }
@@ -119,11 +143,20 @@
       }
       const { entries, barriers } = this.#takeBatch();
       if (entries.length > 0) await this.#commit(entries, signal);
-      for (const resolve of barriers) resolve(!this.#isLost);
+      if (barriers.length === 0) continue;
+      const isDurable = this.#concludeBarrier();
+      for (const resolve of barriers) resolve(isDurable);
     }
     this.#failPending();
   }
 
+  /** Returns whether all entries since the last barrier are durable, and starts the next one. */
+  #concludeBarrier(): boolean {
+    const isDurable = !this.#isLost && !this.#hasRejectedEntry;
+    this.#hasRejectedEntry = false;
+    return isDurable;
+  }
+
   #failPending(): void {
     this.#isLost = true;
     for (const entry of this.#pending.splice(0)) entry.settle(EntryOutcome.HolderLost);
@@ -131,29 +164,41 @@
   }
 
   #takeBatch(): { entries: JournalEntry[]; barriers: ((isDurable: boolean) => void)[] } {
+    const { limits } = this.#deps.store;
     const entries: JournalEntry[] = [];
-    // Starts with the condition on the head row and the write to it.
-    let operations = 2;
-    let bytes = 0;
+    const remaining = {
+      operations: limits.operations - HEAD_OPERATIONS,
+      bytes: limits.transactionBytes - HEAD_VALUE_BYTES,
+    };
     for (let next = this.#pending[0]; next; next = this.#pending[0]) {
-      operations += countOperations(next);
-      bytes += next.writes.reduce((sum, { value }) => sum + value.length, 0);
-      if (entries.length > 0 && (operations > MAX_OPERATIONS || bytes > MAX_VALUE_BYTES)) break;
+      const { operations, bytes } = sizeOf(next);
+      const fits = operations <= remaining.operations && bytes <= remaining.bytes;
+      if (!fits && entries.length > 0) break;
+      remaining.operations -= operations;
+      remaining.bytes -= bytes;
       entries.push(next);
       this.#pending.shift();
     }
-    const dirty = this.#deps.takeDirty(MAX_OPERATIONS - operations);
+    const dirty = this.#deps.takeDirty(remaining);
     entries.push(...dirty.entries);
     if (dirty.hasMore) return { entries, barriers: [] };
     return { entries, barriers: this.#barriers.splice(0) };
   }
 
-  async #commit(entries: JournalEntry[], signal: AbortSignal): Promise<void> {
+  /**
+   * Writes entries in one transaction, or in several if the store rejects some of them.
+   *
+   * @param attempts - earlier attempts to write some of the entries, which may still be applied
+   */
+  async #commit(
+    entries: JournalEntry[],
+    signal: AbortSignal,
+    attempts: Attempt[] = [],
+  ): Promise<void> {
     const { store, clock, counters, log, service } = this.#deps;
-    const attempts: Attempt[] = [];
     let attempt = this.#createAttempt(entries);
     let delayMs = RETRY_BASE_MS;
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.#isLost) {
       attempts.push(attempt);
       const res = await store.transact(this.#buildTransaction(attempt));
       if (res.isOk && res.value.isApplied) {
@@ -167,6 +212,17 @@
         attempt = next;
         continue;
       }
+      if (res.isErr && res.error.code === StoreErrorCode.Invalid) {
+        const { entries: rejected } = attempt;
+        if (rejected[0] && rejected.length === 1) {
+          this.#reject(rejected[0], res.error.message);
+          return;
+        }
+        const middle = Math.ceil(rejected.length / 2);
+        await this.#commit(rejected.slice(0, middle), signal, attempts);
+        await this.#commit(rejected.slice(middle), signal, attempts);
+        return;
+      }
       if (res.isErr) {
         counters.count('store_retries', res.error.code);
         log.warn('journal_retry', { service, reason: res.error.code, entries: entries.length });
@@ -178,6 +234,20 @@
     for (const entry of attempt.entries) entry.settle(EntryOutcome.HolderLost);
   }
 
+  /** Settles an entry that the store never accepts. */
+  #reject(entry: JournalEntry, reason: string): void {
+    const { log, counters, service } = this.#deps;
+    this.#hasRejectedEntry = true;
+    counters.count('journal_rejections', service);
+    const rows = [
+      ...entry.conditions.map(rowId),
+      ...entry.writes.map((row) => `${rowId(row)}:${Buffer.byteLength(row.value)}`),
+      ...entry.removes.map(rowId),
+    ];
+    log.warn('journal_rejected', { service, rows: rows.join(','), reason });
+    entry.settle(EntryOutcome.Rejected);
+  }
+
   #createAttempt(entries: JournalEntry[]): Attempt {
     this.#sequence++;
     return { headValue: headValue(this.#deps.epoch, this.#sequence), entries };
@@ -246,10 +316,6 @@
 /** Value of the head row that a claim with this epoch writes. */
 export const initialHeadValue = (epoch: number): string => headValue(epoch, 0);
 
-function countOperations({ conditions, writes, removes }: JournalEntry): number {
-  return conditions.length + writes.length + removes.length;
-}
-
 function rowId({ table, key }: RowKey): string {
   return `${table}/${key}`;
 }
--- a/src/batch/monitoredStore.ts
+++ b/src/batch/monitoredStore.ts
@@ -4,6 +4,7 @@
   Row,
   RowKey,
   RowStore,
+  StoreLimits,
   StoreError,
   Transaction,
   TransactionOutcome,
@@ -30,6 +31,10 @@
     this.#clock = clock;
   }
 
+  get limits(): StoreLimits {
+    return this.#store.limits;
+  }
+
   /** Whether a call made now is likely to remain unanswered. */
   isSuspect(): boolean {
     const now = this.#clock.now();
--- a/src/batch/ports.ts
+++ b/src/batch/ports.ts
@@ -42,8 +42,10 @@
 
 /** Codes of {@link StoreError}. */
 export enum StoreErrorCode {
-  /** The call was rejected and had no effect. */
+  /** The call was rejected and had no effect; it may be accepted later. */
   Refused = 'refused',
+  /** The call was rejected for a reason that does not pass, such as a limit that it breaks. */
+  Invalid = 'invalid',
   /** No response arrived: the call may have taken effect, or may still do so. */
   NoAnswer = 'no_answer',
   /** The requested part of the change feed has been discarded. */
@@ -55,8 +57,20 @@
 /** A call to the store, to the VM vendor or to the advice service failed. */
 export class StoreError extends BaseError<StoreErrorCode> {}
 
+/** Sizes up to which the store accepts rows and transactions. */
+export interface StoreLimits {
+  /** Maximum size of the value of a row, in bytes. */
+  rowBytes: number;
+  /** Maximum number of conditions, writes and removes in a transaction. */
+  operations: number;
+  /** Maximum size of all values in a transaction, in bytes. */
+  transactionBytes: number;
+}
+
 /** Client of the transactional store. */
 export interface RowStore {
+  readonly limits: StoreLimits;
+  /** Applies a transaction, all of whose rows must be in one partition. */
   transact(tx: Transaction): Promise<Result<TransactionOutcome, StoreError>>;
   /** Reads all rows of a partition in ascending key order, with the store's latest version. */
   readPart(
--- /dev/null
+++ b/src/batch/takeover.spec.ts
@@ -0,0 +1,269 @@
+import test, { type ExecutionContext } from 'ava';
+import {
+  BatchRig,
+  fakeStoreLimits,
+  required,
+  StoreFault,
+  type RigNode,
+} from '../testing/batchRig/index.js';
+import { CallOutcome, type CallAnswer } from './gateway.js';
+import { encodeJob } from './jobCodec.js';
+import { inboxKey } from './rows.js';
+import { JobState, RefusalReason, type JobSpec } from './types.js';
+
+const SERVICE = 'motions';
+
+interface Case {
+  title: string;
+  rig?: ConstructorParameters<typeof BatchRig>[0];
+  /** Called with the holder of the service and the other nodes. */
+  run: (t: ExecutionContext, rig: BatchRig, holder: RigNode, others: RigNode[]) => Promise<void>;
+}
+
+function submit(rig: BatchRig, node: RigNode, spec: JobSpec): Promise<CallAnswer> {
+  return rig.settle(node.node.gateway.submit(rig.queue(SERVICE), spec, 3_000));
+}
+
+function pending(rig: BatchRig, node: RigNode): Promise<CallAnswer> {
+  return rig.settle(node.node.gateway.pending(rig.queue(SERVICE)));
+}
+
+async function stateOf(rig: BatchRig, { node }: RigNode, { id }: JobSpec) {
+  return (await rig.settle(node.gateway.status(rig.queue(SERVICE), id))).state;
+}
+
+function isFenced(rig: BatchRig, { name }: RigNode): boolean {
+  const row = rig.store.rowsOfPart('node', '').find(({ key }) => key === name);
+  return row?.value.includes('"isFenced":true') === true;
+}
+
+function claims({ logLines }: RigNode): string[] {
+  return logLines
+    .filter((line) => line.includes('event=service_claimed') && line.includes(`=${SERVICE} `))
+    .map((line) => /epoch=\d+/.exec(line)?.[0] ?? '');
+}
+
+const takeoverCases = [false, true].map((acceptsSeveralParts): Case => {
+  const store = acceptsSeveralParts ? 'accepts' : 'does not accept';
+  return {
+    // Guards against services without a holder on a platform whose transactions cover one part.
+    title: `a service is taken over when the store ${store} rows of several parts`,
+    rig: { acceptsSeveralParts },
+    run: async (t, rig, holder, others) => {
+      rig.fleet.script = () => ({ runMs: 9_000 });
+      const spec = rig.createJob(SERVICE, [{ count: 2 }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      await rig.until(() => rig.fleet.runs().length === 2);
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      const isTaken = () => others.some(({ node }) => node.hasLoadedService(SERVICE));
+      t.true(await rig.until(isTaken, 6_000));
+      await rig.advance(10_000);
+      const successor = required(others.find(({ node }) => node.hasLoadedService(SERVICE)));
+      t.is(await stateOf(rig, successor, spec), JobState.Succeeded);
+      t.is(rig.fleet.runs().length, 2);
+    },
+  };
+});
+
+const sessionCases: Case[] = [
+  {
+    // Guards against a service without a holder when the claimer fails after the fence.
+    title: 'a holder that was fenced but not replaced claims its services again in a new session',
+    rig: { nodes: 2 },
+    run: async (t, rig, holder, others) => {
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      // The claimer stops as soon as the fence is written.
+      while (!isFenced(rig, holder)) await rig.advance(1);
+      for (const other of others) other.isDead = true;
+      await rig.advance(3_000);
+      rig.store.faults.delete(holder.name);
+      await rig.advance(3_000);
+      t.true(holder.node.hasLoadedService(SERVICE));
+      t.deepEqual(claims(holder), ['epoch=1', 'epoch=2']);
+      const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      await rig.advance(3_000);
+      t.is(await stateOf(rig, holder, spec), JobState.Succeeded);
+    },
+  },
+  {
+    // Guards against a fence that reaches the store after the holder has renewed its session.
+    title: 'a fence that is applied late has no effect on a holder that renewed its session',
+    rig: { nodes: 2 },
+    run: async (t, rig, holder, [other]) => {
+      const { name } = required(other);
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      const fenceCalls = () =>
+        required(other).logLines.filter((line) => line.includes('node_fenced'));
+      await rig.advance(2_300);
+      rig.store.faults.set(name, StoreFault.ApplyLate);
+      await rig.until(() => fenceCalls().length > 0, 3_000);
+      rig.store.faults.delete(holder.name);
+      await rig.advance(1_000);
+      rig.store.faults.delete(name);
+      await rig.advance(5_000);
+      t.true(fenceCalls().length > 0);
+      t.false(isFenced(rig, holder));
+      t.deepEqual(claims(holder), ['epoch=1']);
+      t.deepEqual(claims(required(other)), []);
+    },
+  },
+  {
+    // Guards against a holder that acts on its authority after its session was ended meanwhile.
+    title: 'a holder that was fenced drops its services with its next renewal',
+    rig: { nodes: 2 },
+    run: async (t, rig, holder, others) => {
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      await rig.until(() => others.some(({ node }) => node.hasLoadedService(SERVICE)));
+      rig.store.delays.set(`${holder.name} owner`, 5_000);
+      rig.store.faults.delete(holder.name);
+      await rig.advance(2_000);
+      t.true(holder.logLines.some((line) => line.includes('event=session_ended')));
+      t.false(holder.node.hasLoadedService(SERVICE));
+    },
+  },
+  {
+    // Guards against taking a renewal whose answer was lost for the session of another process.
+    title: 'a holder keeps its session while answers to its renewals are lost now and then',
+    run: async (t, rig, holder) => {
+      for (let round = 0; round < 6; round++) {
+        rig.store.faults.set(holder.name, StoreFault.LoseAnswer);
+        await rig.advance(650);
+        rig.store.faults.delete(holder.name);
+        await rig.advance(2_600);
+      }
+      t.deepEqual(claims(holder), ['epoch=1']);
+      t.false(holder.logLines.some((line) => line.includes('event=session_ended')));
+    },
+  },
+];
+
+const rejectionCases: Case[] = [
+  {
+    // Guards against one transaction that the store never accepts and that is sent again for ever,
+    // so that nothing of the service is recorded any more.
+    title: 'a job that the store never accepts is refused, and the jobs beside it are accepted',
+    run: async (t, rig, holder) => {
+      const specs = Array.from({ length: 9 }, () => rig.createJob(SERVICE, [{ count: 1 }]));
+      const invalid = { ...rig.createJob(SERVICE, [{ count: 1 }]), id: 'f'.repeat(300) };
+      specs.splice(4, 0, invalid);
+      const answers = await Promise.all(specs.map((spec) => submit(rig, holder, spec)));
+      for (const [index, { outcome, reason }] of answers.entries()) {
+        const isInvalid = specs[index] === invalid;
+        t.is(outcome, isInvalid ? CallOutcome.Refused : CallOutcome.Ok);
+        if (isInvalid) t.is(reason, RefusalReason.Unstorable);
+      }
+      await rig.advance(5_000);
+      for (const spec of specs) {
+        const expected = spec === invalid ? undefined : JobState.Succeeded;
+        t.is(await stateOf(rig, holder, spec), expected);
+      }
+      t.true(holder.logLines.some((line) => line.includes('event=journal_rejected')));
+    },
+  },
+  {
+    title: 'a job larger than a row is refused without a call to the store, from any node',
+    run: async (t, rig, holder, [other]) => {
+      const payload = '\u00e4'.repeat(fakeStoreLimits.rowBytes / 2);
+      const spec = rig.createJob(SERVICE, [{ count: 1 }], { payload });
+      const throughHolder = await submit(rig, holder, spec);
+      t.is(throughHolder.reason, RefusalReason.Unstorable);
+      holder.isDead = true;
+      const throughStore = await submit(rig, required(other), spec);
+      t.is(throughStore.reason, RefusalReason.Unstorable);
+      t.is(throughStore.outcome, CallOutcome.Refused);
+      t.deepEqual(rig.store.invalidCalls, []);
+    },
+  },
+  {
+    // Guards against the roster of a large service growing over the size of a row.
+    title: 'jobs are recorded for a service with 600 workers',
+    rig: { workersPerService: 600, nodes: 2 },
+    run: async (t, rig, holder) => {
+      await rig.advance(3_000);
+      t.is(rig.store.rowsOfPart('roster', SERVICE).length, 600);
+      const spec = rig.createJob(SERVICE, [{ count: 10 }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      await rig.advance(3_000);
+      t.is(await stateOf(rig, holder, spec), JobState.Succeeded);
+      t.deepEqual(rig.store.invalidCalls, []);
+    },
+  },
+  {
+    // Guards against telling a caller that a job never runs although the store may have taken it.
+    title: 'a job whose write has an unreadable answer is not reported as refused',
+    run: async (t, rig, holder, [other]) => {
+      const node = required(other);
+      holder.isDead = true;
+      rig.store.faults.set(node.name, StoreFault.SpoilAnswer);
+      const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+      t.not((await submit(rig, node, spec)).outcome, CallOutcome.Refused);
+      rig.store.faults.clear();
+      await rig.advance(15_000);
+      t.is(await stateOf(rig, node, spec), JobState.Succeeded);
+    },
+  },
+];
+
+const pendingCases: Case[] = [
+  {
+    // Guards against a count without the jobs that gateways wrote to the store because the holder
+    // cannot reach it.
+    title: 'a holder that is cut off from the store does not report a number of pending jobs',
+    rig: { nodes: 3 },
+    run: async (t, rig, holder, [other]) => {
+      rig.fleet.script = () => ({ runMs: 60_000 });
+      for (const { record } of rig.fleet.executors.values())
+        rig.fleet.cuts.add(`${holder.name}>${record.id}`);
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      await rig.advance(1_000);
+      for (let count = 0; count < 5; count++) {
+        const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+        rig.store.put(inboxKey(SERVICE, spec.id), encodeJob(spec));
+      }
+      // Shortly before another node takes the service over.
+      await rig.advance(1_200);
+      t.true(holder.node.hasLoadedService(SERVICE));
+      for (const node of [holder, required(other)]) {
+        const { outcome, pending: count } = await pending(rig, node);
+        t.is(count, undefined);
+        t.is(outcome, CallOutcome.Refused);
+      }
+    },
+  },
+  {
+    title: 'a holder counts the pending jobs that gateways wrote to the store',
+    run: async (t, rig, holder, [other]) => {
+      for (const { record } of rig.fleet.executors.values()) {
+        for (const { name } of rig.nodes) rig.fleet.cuts.add(`${name}>${record.id}`);
+      }
+      await rig.advance(3_000);
+      for (let count = 0; count < 5; count++) {
+        const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+        rig.store.put(inboxKey(SERVICE, spec.id), encodeJob(spec));
+      }
+      await rig.advance(100);
+      for (const node of [holder, required(other)]) t.is((await pending(rig, node)).pending, 5);
+    },
+  },
+];
+
+for (const { title, rig: options, run } of [
+  ...takeoverCases,
+  ...sessionCases,
+  ...rejectionCases,
+  ...pendingCases,
+]) {
+  test(title, async (t) => {
+    const rig = new BatchRig(options);
+    await rig.ready();
+    const holder = required(rig.holderOf(SERVICE));
+    await run(
+      t,
+      rig,
+      holder,
+      rig.nodes.filter((node) => node !== holder),
+    );
+    t.deepEqual(rig.violations(), []);
+  });
+}
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -71,12 +71,14 @@
   StoreSuspect = 'store_away',
   /** The store was called and returned no usable response. */
   StoreUnavailable = 'store_unavailable',
+  /** The store never accepts the job. */
+  Unstorable = 'unstorable',
   /** The write was sent, and this node lost the service before the response arrived. */
   Unresolved = 'unresolved',
-  /** The holder of the service did not respond. */
-  HolderUnreachable = 'holder_unreachable',
   /** The holder of the service may not know all accepted jobs. */
   CountUnknown = 'count_unknown',
+  /** The holder of the service did not respond. */
+  HolderUnreachable = 'holder_unreachable',
   /** The stored row of the job cannot be decoded. */
   BadRow = 'bad_row',
 }
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -50,6 +50,8 @@
   workersPerService?: number;
   nodes?: number;
   maxAttempts?: number;
+  /** Whether the store accepts transactions with rows of several parts. */
+  acceptsSeveralParts?: boolean;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -80,11 +82,12 @@
     workersPerService = 3,
     nodes = 3,
     maxAttempts = 3,
+    acceptsSeveralParts = false,
   }: BatchRigOptions = {}) {
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
     this.clock = clock;
-    this.store = new FakeRowStore(clock);
+    this.store = new FakeRowStore(clock, acceptsSeveralParts);
     this.fleet = new FakeExecutors(clock);
     for (const service of services) {
       for (let number = 0; number < workersPerService; number++) {
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -6,6 +6,7 @@
   type Row,
   type RowKey,
   type RowStore,
+  type StoreLimits,
   type Transaction,
   type TransactionOutcome,
 } from '../../batch/index.js';
@@ -19,6 +20,8 @@
   DropCall = 'silent',
   /** A transaction is applied but not answered; other calls succeed. */
   LoseAnswer = 'lose_answer',
+  /** A transaction is applied, but its answer cannot be decoded; other calls succeed. */
+  SpoilAnswer = 'spoil_answer',
   /**
    * A transaction is applied after a delay if its conditions still hold, and not answered; other
    * calls succeed.
@@ -33,18 +36,31 @@
 /** Delay until a transaction with {@link StoreFault.ApplyLate} is applied. */
 const LATE_APPLY_DELAY_MS = 2_000;
 
+/** Maximum size of a table, part or key name. */
+const MAX_NAME_BYTES = 200;
+
+/** Sizes up to which the fake store accepts rows and transactions. */
+export const fakeStoreLimits: StoreLimits = {
+  rowBytes: 65_536,
+  operations: 100,
+  transactionBytes: 750_000,
+};
+
 const keyText = ({ table, part, key }: RowKey) => `${table}\n${part}\n${key}`;
 
 /** Linearizable in-memory row store that the nodes of a test share. */
 export class FakeRowStore {
   readonly rows = new Map<string, Row>();
   readonly #clock: Clock;
+  readonly #acceptsSeveralParts: boolean;
   readonly #history: FeedRow[] = [];
   /** The history holds only changes after this version. */
   #droppedUpToVersion = 0;
   #version = 1;
   /** Faults by node. */
   readonly faults = new Map<string, StoreFault>();
+  /** Broken limits of the calls that the store never accepts. */
+  readonly invalidCalls: string[] = [];
   /** Number of calls by kind. */
   readonly calls = { transact: 0, read: 0, feed: 0 };
   /** Additional delay in milliseconds of reads of parts and feeds, by `NODE TABLE`. */
@@ -53,8 +69,10 @@
   readonly tableReads = new Map<string, number>();
   #waiters = new Set<() => void>();
 
-  constructor(clock: Clock) {
+  /** @param acceptsSeveralParts - whether a transaction may contain rows of several parts */
+  constructor(clock: Clock, acceptsSeveralParts = false) {
     this.#clock = clock;
+    this.#acceptsSeveralParts = acceptsSeveralParts;
   }
 
   /** Drops the history of changes; a feed from an earlier version then fails. */
@@ -89,6 +107,23 @@
     for (const wake of waiters) wake();
   }
 
+  /** Why the store never accepts a transaction; undefined if it may. */
+  #findBrokenLimit({ conditions, writes, removes }: Transaction): string | undefined {
+    const { rowBytes, operations, transactionBytes } = fakeStoreLimits;
+    const keys = [...conditions, ...writes, ...removes];
+    if (keys.length > operations) return `${keys.length} entries`;
+    const isLong = (text: string) => Buffer.byteLength(text) > MAX_NAME_BYTES;
+    if (keys.some(({ table, part, key }) => isLong(table) || isLong(part) || isLong(key)))
+      return 'a name is too long';
+    const sizes = writes.map(({ value }) => Buffer.byteLength(value));
+    if (sizes.some((bytes) => bytes > rowBytes)) return 'a value is too long';
+    const bytes = sizes.reduce((sum, size) => sum + size, 0);
+    if (bytes > transactionBytes) return `${bytes} bytes`;
+    if (!this.#acceptsSeveralParts && new Set(keys.map(({ part }) => part)).size > 1)
+      return 'rows of several parts';
+    return undefined;
+  }
+
   #apply({ conditions, writes, removes }: Transaction): TransactionOutcome {
     const conditionsHold = conditions.every(
       (row) => (this.rows.get(keyText(row))?.version ?? 0) === row.version,
@@ -129,10 +164,16 @@
       if (delayMs !== undefined) await this.#clock.sleep(delayMs);
     };
     return {
+      limits: fakeStoreLimits,
       transact: async (tx) => {
         this.calls.transact++;
         const err = await applyNodeFault();
         if (err) return Result.err(err);
+        const brokenLimit = this.#findBrokenLimit(tx);
+        if (brokenLimit !== undefined) {
+          this.invalidCalls.push(brokenLimit);
+          return Result.err(new StoreError(StoreErrorCode.Invalid, brokenLimit));
+        }
         const fault = this.faults.get(node);
         if (fault === StoreFault.ApplyLate) {
           this.#clock.setTimer(LATE_APPLY_DELAY_MS, () => {
@@ -140,6 +181,9 @@
           });
         } else {
           const outcome = this.#apply(tx);
+          if (fault === StoreFault.SpoilAnswer) {
+            return Result.err(new StoreError(StoreErrorCode.BadAnswer, 'the answer is no JSON'));
+          }
           if (fault !== StoreFault.LoseAnswer) {
             // A feed may deliver the change before the answer arrives.
             await this.#clock.sleep(ANSWER_DELAY_MS);
--- a/src/testing/batchRig/index.ts
+++ b/src/testing/batchRig/index.ts
@@ -5,4 +5,4 @@
   type ObservedRun,
   type TaskScript,
 } from './fakeExecutors.js';
-export { FakeRowStore, StoreFault } from './fakeRowStore.js';
+export { fakeStoreLimits, FakeRowStore, StoreFault } from './fakeRowStore.js';
