--- a/model/index.ts
+++ b/model/index.ts
@@ -3,6 +3,7 @@
 import { moveSpecification, stopSpecification } from './specifications/drain.js';
 import { holderSpecification } from './specifications/holder.js';
 import { requestSpecification } from './specifications/requests.js';
+import { sessionSpecification } from './specifications/session.js';
 import type { Exploration, FaultyVariant, Specification } from './types.js';
 
 export { explore } from './explore.js';
@@ -12,6 +13,7 @@
   holderSpecification,
   moveSpecification,
   requestSpecification,
+  sessionSpecification,
   stopSpecification,
 };
 
@@ -42,4 +44,5 @@
   createEntry(moveSpecification),
   createEntry(requestSpecification),
   createEntry(holderSpecification),
+  createEntry(sessionSpecification),
 ];
