Survive malformed messages of other nodes and unexpected errors

Cause: a call between nodes was used as it was decoded. A rejected answer (a call without fields, an error in a holder) was handled nowhere, and an unhandled rejection ends the process with all the services that it holds. An error in a placement round, which runs from a timer, did the same.

Change: calls and answers are checked when they arrive; a call that fails gets no answer, so that its caller treats the outcome as unknown; it is logged and counted. An error in a placement round is logged, and the next tick tries again.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.js';
+import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator } from './arrivals.js';
@@ -337,9 +338,16 @@
   #requestPlacement(): void {
     if (this.#isPlacementScheduled || this.#isClosed) return;
     this.#isPlacementScheduled = true;
-    this.#deps.clock.setTimer(PLACEMENT_DELAY_MS, () => {
+    const { clock, counters, log } = this.#deps;
+    clock.setTimer(PLACEMENT_DELAY_MS, () => {
       this.#isPlacementScheduled = false;
-      this.#placeTasks();
+      // An error must not end the process; the tick requests the next round.
+      try {
+        this.#placeTasks();
+      } catch (err) {
+        counters.count('placement_failures', toError(err).name);
+        log.warn('placement_failed', { service: this.service, error: messageOf(err) });
+      }
     });
   }
 
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -2,7 +2,7 @@
 import { BaseError } from '../errors/index.js';
 import type { Holder } from './holder.js';
 import { LinkErrorCode, type NodeTransport } from './links.js';
-import { NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
+import { decodeNodeAnswer, NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
 import type { VacateStatus } from './vacating.js';
 
@@ -45,7 +45,12 @@
     const owner = this.#ownership.ownerOf(service);
     if (!owner) return this.#callError(service, HolderCallErrorCode.NoHolder);
     const res = await this.#transport.call(owner.address, call, Math.max(1, timeoutMs));
-    if (res.isOk) return this.#checkHolder(service, res.value as NodeAnswer);
+    if (res.isOk) {
+      const answer = decodeNodeAnswer(res.value);
+      // An unreadable answer leaves open whether the call took effect.
+      if (!answer) return this.#callError(service, HolderCallErrorCode.NoAnswer);
+      return this.#checkHolder(service, answer);
+    }
     const wasSent = res.error.code === LinkErrorCode.NoAnswer;
     const { NoAnswer, Unreachable } = HolderCallErrorCode;
     return this.#callError(service, wasSent ? NoAnswer : Unreachable);
--- a/src/batch/links.ts
+++ b/src/batch/links.ts
@@ -134,9 +134,9 @@
       for await (const frame of readFrames(this.#socket, () => MAX_FRAME_BYTES)) {
         this.#receivedAt = this.#deps.clock.now();
         const decoded = decodeBody(frame);
-        if (decoded.isErr) break;
-        const { call, body } = decoded.value as RequestFrame;
-        this.#settle(call, Result.ok(body));
+        const answer = decoded.isOk ? asRequestFrame(decoded.value) : undefined;
+        if (!answer) break;
+        this.#settle(answer.call, Result.ok(answer.body));
       }
       this.close('closed by the other node');
     } catch (err) {
@@ -199,7 +199,8 @@
   host: string;
   port: number;
   log: DecisionLog;
-  /** Answers one call; must not reject. */
+  counters: Counters;
+  /** Answers one call. A call on which it rejects gets no answer. */
   answer: (body: unknown) => Promise<unknown>;
 }
 
@@ -223,16 +224,18 @@
   return server;
 }
 
-async function serveConnection(
-  socket: Socket,
-  { answer, log }: LinkListenerOptions,
-): Promise<void> {
+async function serveConnection(socket: Socket, options: LinkListenerOptions): Promise<void> {
+  const { log, counters } = options;
   try {
     for await (const frame of readFrames(socket, () => MAX_FRAME_BYTES)) {
       const decoded = decodeBody(frame);
-      if (decoded.isErr) break;
-      const { call, body } = decoded.value as RequestFrame;
-      void reply(socket, call, answer(body));
+      const request = decoded.isOk ? asRequestFrame(decoded.value) : undefined;
+      if (!request) {
+        counters.count('link_failures', 'bad_frame');
+        log.warn('link_failed', { peer: socket.remoteAddress, error: 'malformed frame' });
+        break;
+      }
+      void reply(socket, request, options);
     }
   } catch (err) {
     log.warn('link_failed', { peer: socket.remoteAddress, error: messageOf(err) });
@@ -240,7 +243,24 @@
   socket.destroy();
 }
 
-async function reply(socket: Socket, call: number, answer: Promise<unknown>): Promise<void> {
-  const frame = encodeFrame({ call, body: await answer }, MAX_FRAME_BYTES);
-  if (frame.isOk && socket.writable) socket.write(frame.value);
+async function reply(
+  socket: Socket,
+  { call, body }: RequestFrame,
+  { answer, log, counters }: LinkListenerOptions,
+): Promise<void> {
+  try {
+    const frame = encodeFrame({ call, body: await answer(body) }, MAX_FRAME_BYTES);
+    if (frame.isErr) throw frame.error;
+    if (socket.writable) socket.write(frame.value);
+  } catch (err) {
+    counters.count('link_failures', 'call_failed');
+    log.warn('link_call_failed', { peer: socket.remoteAddress, error: messageOf(err) });
+  }
+}
+
+/** Returns the decoded frame if it has the fields of one. */
+function asRequestFrame(value: unknown): RequestFrame | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  const { call, body } = value as Partial<RequestFrame>;
+  return typeof call === 'number' ? { call, body } : undefined;
 }
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -14,7 +14,7 @@
 import { Holder } from './holder.js';
 import { HolderDirectory } from './holderDirectory.js';
 import type { NodeTransport } from './links.js';
-import type { NodeCall } from './nodeCalls.js';
+import { decodeNodeCall, NodeCallError, NodeCallErrorCode } from './nodeCalls.js';
 import { FLEET_SERVICE, Ownership, type Claim } from './ownership.js';
 import { MonitoredStore } from './monitoredStore.js';
 import { nodeWeight, type NodeResources } from './nodeWeight.js';
@@ -133,8 +133,7 @@
       this.#startHolder(claim, supervisor);
     });
     this.#ownership.events.on('lost', ({ service }) => this.#stopHolder(service));
-    const answer = (body: unknown) => this.#directory.answer(body as NodeCall);
-    await transport.listen(answer, lifecycle);
+    await transport.listen((body) => this.#answer(body), lifecycle);
     const policy = RestartPolicy.Permanent;
     const tasks = {
       operator: (signal: AbortSignal) => this.#followOperator(signal),
@@ -152,6 +151,13 @@
     await Promise.race([closed, supervisor.failed]);
   }
 
+  /** Answers a call from another node. */
+  async #answer(body: unknown): Promise<unknown> {
+    const call = decodeNodeCall(body);
+    if (call) return this.#directory.answer(call);
+    throw new NodeCallError(NodeCallErrorCode.Malformed, 'a call from another node is malformed');
+  }
+
   #followOperator(signal: AbortSignal): Promise<void> {
     const { operator: source, clock, log, counters } = this.#deps;
     const apply = ({ items }: { items: OperatorItem[] }) => {
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -1,8 +1,17 @@
+import { BaseError } from '../errors/index.js';
 import type { PendingCount, SubmitOutcome } from './holder.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import type { JobSpec, JobState } from './types.js';
 import type { VacateStatus } from './vacating.js';
 
+/** Codes of {@link NodeCallError}. */
+export enum NodeCallErrorCode {
+  Malformed = 'malformed',
+}
+
+/** A call from another node cannot be answered. */
+export class NodeCallError extends BaseError<NodeCallErrorCode> {}
+
 /** Kinds of calls to the holder of a service. */
 export enum NodeCallKind {
   Submit = 'submit',
@@ -39,3 +48,58 @@
   vacating?: VacateStatus;
   load?: ServiceLoad;
 }
+
+const callKinds: ReadonlySet<unknown> = new Set(Object.values(NodeCallKind));
+
+const isText = (value: unknown): value is string => typeof value === 'string';
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function isJobSpec(value: unknown): boolean {
+  if (!isObject(value) || !isText(value.id) || !isText(value.queue) || !isText(value.payload))
+    return false;
+  const { steps } = value;
+  return (
+    Array.isArray(steps) &&
+    steps.length > 0 &&
+    steps.every((step) => isObject(step) && Array.isArray(step.after))
+  );
+}
+
+/** Whether a call has the fields of its kind. */
+function hasFieldsOfKind(call: Record<string, unknown>): boolean {
+  switch (call.kind as NodeCallKind) {
+    case NodeCallKind.Submit:
+      return isJobSpec(call.spec);
+    case NodeCallKind.Status:
+    case NodeCallKind.Cancel:
+      return isText(call.job);
+    case NodeCallKind.Pending:
+      return isText(call.queue);
+    case NodeCallKind.Vacate:
+      return isText(call.worker) && typeof call.isUrgent === 'boolean';
+    case NodeCallKind.Readmit:
+    case NodeCallKind.RunsEnded:
+      return isText(call.worker);
+    case NodeCallKind.Load:
+      return true;
+  }
+}
+
+/** Decodes a call from another node; returns undefined if it is malformed. */
+export function decodeNodeCall(body: unknown): NodeCall | undefined {
+  if (!isObject(body) || !isText(body.service) || !callKinds.has(body.kind)) return undefined;
+  return hasFieldsOfKind(body) ? (body as unknown as NodeCall) : undefined;
+}
+
+/** Decodes an answer from another node; returns undefined if it is malformed. */
+export function decodeNodeAnswer(body: unknown): NodeAnswer | undefined {
+  if (!isObject(body) || typeof body.isHolder !== 'boolean') return undefined;
+  const { submitted, pending, vacating, load } = body;
+  const parts = [submitted, pending, vacating, load];
+  if (!parts.every((part) => part === undefined || part === null || isObject(part)))
+    return undefined;
+  return body as unknown as NodeAnswer;
+}
--- a/src/lifecycle/index.ts
+++ b/src/lifecycle/index.ts
@@ -8,3 +8,4 @@
   type ChildSpec,
   type SupervisorOptions,
 } from './supervisor.js';
+export { guardProcess, UnhandledErrorEvent, type ProcessGuardDeps } from './processGuard.js';
