Load a service although the progress row of a job is malformed

Cause: only the JSON syntax of a progress row was checked. A row of another shape made the holder's task fail; after six failures the process ended, and the next holder went the same way.

Change: any error while a row is applied counts as an unreadable row, which is logged; the job is loaded without its progress.

--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -211,13 +211,16 @@
 
   /** Applies a progress row written by {@link encodeProgress}. */
   applyProgress(text: string): Result<this, BatchError> {
-    let stored: StoredProgress;
     try {
-      stored = JSON.parse(text) as StoredProgress;
+      this.#restore(JSON.parse(text) as StoredProgress);
+      return Result.ok(this);
     } catch (err) {
-      const message = `cannot parse progress row of job ${this.spec.id}`;
+      const message = `cannot read the progress row of job ${this.spec.id}`;
       return Result.err(new BatchError(BatchErrorCode.BadRow, message, err));
     }
+  }
+
+  #restore(stored: StoredProgress): void {
     this.#endedOccurrences = stored.ended ?? 0;
     this.#nextOccurrence = this.#endedOccurrences;
     for (const [stepKey, indexes] of Object.entries(stored.done)) {
@@ -236,7 +239,6 @@
       if (!task) continue;
       task.failedRuns = new Set(failedRuns);
     }
-    return Result.ok(this);
   }
 }
 
--- a/src/batch/takeover.spec.ts
+++ b/src/batch/takeover.spec.ts
@@ -8,7 +8,7 @@
 } from '../testing/batchRig/index.js';
 import { CallOutcome, type CallAnswer } from './gateway.js';
 import { encodeJob } from './jobCodec.js';
-import { inboxKey } from './rows.js';
+import { inboxKey, progressKey } from './rows.js';
 import { JobState, RefusalReason, type JobSpec } from './types.js';
 
 const SERVICE = 'motions';
@@ -205,6 +205,27 @@
   },
 ];
 
+const malformedRows = ['5', 'null', '{}', '{"done":5}', '{"done":{"0.0":7},"failures":null}', 'x'];
+
+const malformedRowCases = malformedRows.map((value): Case => {
+  return {
+    // Guards against a row that ends the tasks of every holder that reads it, one after the other.
+    title: `a service is loaded although a progress row of it is ${value}`,
+    run: async (t, rig, holder) => {
+      rig.fleet.script = () => ({ runMs: 60_000 });
+      const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      rig.store.put(progressKey(SERVICE, spec.id), value);
+      holder.isDead = true;
+      t.true(await rig.until(() => rig.holderOf(SERVICE) !== undefined));
+      await rig.advance(1_000);
+      const successor = required(rig.holderOf(SERVICE));
+      t.is(await stateOf(rig, successor, spec), JobState.Running);
+      t.is(successor.counters.value('child_failures', `hold ${SERVICE}`), 0);
+    },
+  };
+});
+
 const pendingCases: Case[] = [
   {
     // Guards against a count without the jobs that gateways wrote to the store because the holder
@@ -252,6 +273,7 @@
   ...takeoverCases,
   ...sessionCases,
   ...rejectionCases,
+  ...malformedRowCases,
   ...pendingCases,
 ]) {
   test(title, async (t) => {
