Store the progress of a wave as one row per VM

Cause: the row of a wave listed all VMs that need no further order. It grows with the wave and passes the maximum size of a row at about 3,000 VMs; the list was also parsed without a check.

Change: one row without a value per wave and VM.

Tests: the wave cases of batch.spec, which change holders during a wave.

--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -80,7 +80,14 @@
   isReported: boolean;
 }
 
-const doneKey = (wave: string): RowKey => ({ table: 'wave', part: FLEET_SERVICE, key: wave });
+const WAVE_TABLE = 'wave';
+
+/** Key of the row of a VM that needs no further order in a wave. */
+const doneKey = (wave: string, vm: string): RowKey => ({
+  table: WAVE_TABLE,
+  part: FLEET_SERVICE,
+  key: `${wave}/${vm}`,
+});
 
 /** Carries out maintenance waves: empties VMs, orders their maintenance, and reports progress. */
 export class MaintenanceWaves {
@@ -121,9 +128,11 @@
 
   async #open(spec: WaveSpec): Promise<void> {
     const { store, clock, log } = this.#deps;
-    const res = await store.readRow(doneKey(spec.id));
+    const res = await store.readPart(WAVE_TABLE, FLEET_SERVICE);
     if (res.isErr) return;
-    const done = new Set(res.value ? (JSON.parse(res.value.value) as string[]) : []);
+    const prefix = `${spec.id}/`;
+    const keys = res.value.rows.map(({ key }) => key).filter((key) => key.startsWith(prefix));
+    const done = new Set(keys.map((key) => key.slice(prefix.length)));
     const progress = {
       spec,
       openedAt: clock.now(),
@@ -307,7 +316,7 @@
     done.add(vm);
     const res = await store.transact({
       conditions: [{ ...headKey(FLEET_SERVICE), version: claim.headVersion }],
-      writes: [{ ...doneKey(spec.id), value: JSON.stringify([...done]) }],
+      writes: [{ ...doneKey(spec.id, vm), value: '' }],
       removes: [],
     });
     if (res.isErr) log.warn('wave_not_recorded', { wave: spec.id, vm, reason: res.error.code });
