Count the time limit of a wave from its request

Cause: each new holder of the fleet service granted a wave its whole time again, from the moment at which it opened the wave.

Change: the first holder stores when it opened the wave, and every node notes when it first read the request; the longer of the two is the time that has passed. Wall clocks of nodes differ, so the stored time counts only within the limit.

Tests: two cases in batch.spec (elapsed_ms of wave_open); neither is met before.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -629,6 +629,41 @@
       t.true(timeOf('event=upkeep_order') - timeOf('service=@fleet') >= 700);
     },
   },
+  {
+    // Guards against a wave that ends late because each new holder grants it the whole time again.
+    title: 'the time limit of a wave goes on when the holder of the fleet service changes',
+    run: async (t, rig) => {
+      rig.maintenanceMs = 20_000;
+      rig.requestWave({ id: '1', vms: ['motions-0'], timeLimitS: 30, maxDown: 1 });
+      await rig.until(() => rig.maxDown === 1);
+      const opened = rig.clock.now();
+      required(rig.fleetServiceHolder()).isDead = true;
+      t.true(await rig.until(() => rig.fleetServiceHolder() !== undefined));
+      const { logLines } = required(rig.fleetServiceHolder());
+      const openLine = () => logLines.find((line) => line.includes('event=wave_open'));
+      t.true(await rig.until(() => openLine() !== undefined));
+      const elapsedMs = Number(/elapsed_ms=(\d+)/.exec(required(openLine()))?.[1]);
+      const expectedMs = rig.clock.now() - opened;
+      t.true(Math.abs(elapsedMs - expectedMs) < 300, `${elapsedMs} ms, expected ${expectedMs} ms`);
+    },
+  },
+  {
+    // Guards against a wave that ends late because it was requested while the service had no holder.
+    title: 'the time limit of a wave counts from its request when there is no holder',
+    run: async (t, rig) => {
+      required(rig.fleetServiceHolder()).isDead = true;
+      await rig.advance(200);
+      rig.requestWave({ id: '1', vms: ['motions-0'], timeLimitS: 30, maxDown: 1 });
+      const requestedAt = rig.clock.now();
+      t.true(await rig.until(() => rig.fleetServiceHolder() !== undefined));
+      const { logLines } = required(rig.fleetServiceHolder());
+      const openLine = () => logLines.find((line) => line.includes('event=wave_open'));
+      t.true(await rig.until(() => openLine() !== undefined));
+      const elapsedMs = Number(/elapsed_ms=(\d+)/.exec(required(openLine()))?.[1]);
+      const expectedMs = rig.clock.now() - requestedAt;
+      t.true(expectedMs > 2_000 && expectedMs - elapsedMs < 300, `${elapsedMs}, ${expectedMs}`);
+    },
+  },
   {
     // Guards against a new holder that waits for workers that ended before the takeover.
     title: 'a new holder does not wait for workers that were ended by planned work',
--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -3,8 +3,8 @@
 import { VmMover } from './vmMover.js';
 import type { Claim } from './ownership.js';
 import type { RowStore } from './ports.js';
-import type { Service, WaveSpec } from './types.js';
-import { MaintenanceWaves, type WaveStatusStore } from './upkeep.js';
+import type { Service } from './types.js';
+import { MaintenanceWaves, type RequestedWave, type WaveStatusStore } from './upkeep.js';
 
 const ROUND_INTERVAL_MS = 120;
 /** Maximum age of the VM list while moves or maintenance are in progress. */
@@ -24,7 +24,7 @@
   board: WaveStatusStore;
   clock: Clock;
   services: () => readonly Service[];
-  waves: () => Iterable<WaveSpec>;
+  waves: () => Iterable<RequestedWave>;
   /** Whether orders may be sent to the vendor. */
   canStart: () => boolean;
 }
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -21,7 +21,7 @@
 import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
 import type { BatchConfig, WaveSpec, WorkerRecord } from './types.js';
 import { FleetController } from './fleetController.js';
-import type { WaveStatusStore } from './upkeep.js';
+import type { RequestedWave, WaveStatusStore } from './upkeep.js';
 import { WorkerRegistry } from './workerRegistry.js';
 
 /** Long-poll duration of the operator feed; below the 2 s within which changes must take effect. */
@@ -61,7 +61,7 @@
   readonly #ownership: Ownership;
   readonly #directory: HolderDirectory;
   readonly #holders = new Map<string, Holder>();
-  readonly #waves = new Map<string, WaveSpec>();
+  readonly #waves = new Map<string, RequestedWave>();
   readonly #registry: WorkerRegistry;
   readonly #holderLifecycles = new Map<string, Lifecycle>();
   #config: BatchConfig | undefined;
@@ -163,7 +163,10 @@
     const apply = ({ items }: { items: OperatorItem[] }) => {
       for (const { config, wave } of items) {
         if (config) this.#applyConfig(config);
-        if (wave) this.#waves.set(wave.id, wave);
+        if (wave) {
+          const seenAt = this.#waves.get(wave.id)?.seenAt ?? clock.now();
+          this.#waves.set(wave.id, { spec: wave, seenAt });
+        }
       }
     };
     const waits = { waitMs: OPERATOR_FEED_WAIT_MS, pauseMs: 0 };
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -39,6 +39,13 @@
   report(wave: string, isFinished: boolean): Promise<Result<unknown, StoreError>>;
 }
 
+/** A wave as read from the operator's rows. */
+export interface RequestedWave {
+  spec: WaveSpec;
+  /** Monotonic time at which this process first read it, in milliseconds. */
+  seenAt: number;
+}
+
 /** Dependencies of {@link MaintenanceWaves}. */
 export interface MaintenanceWavesDeps {
   claim: Claim;
@@ -50,7 +57,7 @@
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
-  waves: () => Iterable<WaveSpec>;
+  waves: () => Iterable<RequestedWave>;
   /** Whether orders may be sent to the vendor. */
   canStart: () => boolean;
 }
@@ -72,7 +79,7 @@
 
 interface WaveProgress {
   spec: WaveSpec;
-  /** Monotonic time at which this holder opened the wave, in milliseconds. */
+  /** Monotonic time from which its time limit counts, in milliseconds. */
   openedAt: number;
   /** VMs that need no further order: theirs was accepted, or they are not part of the wave. */
   done: Set<string>;
@@ -89,6 +96,13 @@
   key: `${wave}/${vm}`,
 });
 
+/** Key of the row with the time at which the first holder opened a wave. */
+const openedKey = (wave: string): RowKey => ({
+  table: WAVE_TABLE,
+  part: FLEET_SERVICE,
+  key: wave,
+});
+
 /** Carries out maintenance waves: empties VMs, orders their maintenance, and reports progress. */
 export class MaintenanceWaves {
   readonly #deps: MaintenanceWavesDeps;
@@ -116,8 +130,9 @@
       if (res.isErr) return;
       this.#finished = res.value;
     }
-    for (const spec of this.#deps.waves()) {
-      if (!this.#finished.has(spec.id) && !this.#waves.has(spec.id)) await this.#open(spec);
+    for (const wave of this.#deps.waves()) {
+      const { id } = wave.spec;
+      if (!this.#finished.has(id) && !this.#waves.has(id)) await this.#open(wave);
     }
   }
 
@@ -126,22 +141,51 @@
     for (const wave of this.#waves.values()) await this.#advanceWave(wave, isExcluded);
   }
 
-  async #open(spec: WaveSpec): Promise<void> {
+  async #open({ spec, seenAt }: RequestedWave): Promise<void> {
     const { store, clock, log } = this.#deps;
     const res = await store.readPart(WAVE_TABLE, FLEET_SERVICE);
     if (res.isErr) return;
+    const { rows } = res.value;
     const prefix = `${spec.id}/`;
-    const keys = res.value.rows.map(({ key }) => key).filter((key) => key.startsWith(prefix));
+    const keys = rows.map(({ key }) => key).filter((key) => key.startsWith(prefix));
     const done = new Set(keys.map((key) => key.slice(prefix.length)));
+    const opened = rows.find(({ key }) => key === spec.id);
+    const sinceOpenedMs = opened ? this.#elapsedMs(Number(opened.value), spec) : 0;
+    // There may have been no holder when the wave was requested.
+    const elapsedMs = Math.max(sinceOpenedMs, clock.now() - seenAt);
+    if (!opened) await this.#recordOpened(spec.id);
     const progress = {
       spec,
-      openedAt: clock.now(),
+      openedAt: clock.now() - elapsedMs,
       done,
       inProgress: new Map<string, VmMaintenance>(),
     };
     this.#waves.set(spec.id, { ...progress, isReported: false });
     const { id, vms, maxDown, timeLimitS } = spec;
-    log.info('wave_open', { wave: id, vms: vms.length, done: done.size, max: maxDown, timeLimitS });
+    log.info('wave_open', {
+      wave: id,
+      vms: vms.length,
+      done: done.size,
+      max: maxDown,
+      timeLimitS,
+      elapsed_ms: Math.round(elapsedMs),
+    });
+  }
+
+  /** Time since a wave was opened; wall clocks of nodes differ, so it is kept within the limit. */
+  #elapsedMs(openedWallTime: number, { timeLimitS }: WaveSpec): number {
+    const elapsedMs = this.#deps.clock.wallTime() - openedWallTime;
+    return Number.isFinite(elapsedMs) ? Math.min(Math.max(0, elapsedMs), timeLimitS * 1000) : 0;
+  }
+
+  async #recordOpened(wave: string): Promise<void> {
+    const { store, claim, clock, log } = this.#deps;
+    const res = await store.transact({
+      conditions: [{ ...headKey(FLEET_SERVICE), version: claim.headVersion }],
+      writes: [{ ...openedKey(wave), value: String(clock.wallTime()) }],
+      removes: [],
+    });
+    if (res.isErr) log.warn('wave_not_recorded', { wave, reason: res.error.code });
   }
 
   async #advanceWave(wave: WaveProgress, isExcluded: (vm: string) => boolean): Promise<void> {
