Check the permission to order the vendor when the order is sent

Cause: the fleet controller checked that it still holds its duty and then called the HTTP client, which may keep a request for up to 1 s until a connection is free, and for as long as the process is paused before the connection is set up. The order was then sent under a hold that had run out; where the platform does not check fences, nothing else stops it.

Change: a call may carry a permission, which is checked right before the request is written.

--- a/src/batch/ports.ts
+++ b/src/batch/ports.ts
@@ -212,11 +212,19 @@
   NoAnswer = 'no_answer',
 }
 
+/** Fields that are common to the orders to the vendor. */
+export interface VmOrder {
+  vm: string;
+  fencingToken: number;
+  /** Whether the order may still be sent; checked again right before it is. */
+  isPermitted: () => boolean;
+}
+
 /** Client for the API of the VM vendor. */
 export interface VmClient {
   list(): Promise<Result<ListedVm[], StoreError>>;
-  move(vm: string, pool: string, fencingToken: number): Promise<VmOrderAnswer>;
-  upkeep(vm: string, wave: string, fencingToken: number): Promise<VmOrderAnswer>;
+  move(order: VmOrder & { pool: string }): Promise<VmOrderAnswer>;
+  upkeep(order: VmOrder & { wave: string }): Promise<VmOrderAnswer>;
 }
 
 /** Tickets for the workers that may run a step, by worker id. */
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -318,7 +318,12 @@
     if (!canStart()) return;
     maintenance.isOrdered = true;
     maintenance.orderedAt = this.#deps.clock.now();
-    const answer = await vms.upkeep(maintenance.vm, wave.spec.id, claim.epoch);
+    const answer = await vms.upkeep({
+      vm: maintenance.vm,
+      wave: wave.spec.id,
+      fencingToken: claim.epoch,
+      isPermitted: canStart,
+    });
     counters.count('upkeep_orders', answer);
     log.info('upkeep_order', {
       wave: wave.spec.id,
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -160,7 +160,12 @@
     }
     if (!canStart()) return;
     move.orderedAt = clock.now();
-    const answer = await vms.move(move.vm, move.to, epoch);
+    const answer = await vms.move({
+      vm: move.vm,
+      pool: move.to,
+      fencingToken: epoch,
+      isPermitted: canStart,
+    });
     counters.count('move_orders', answer);
     log.info('move_order', { vm: move.vm, from: move.from, to: move.to, answer, fence: epoch });
     if (answer === VmOrderAnswer.Done) move.isConfirmed = true;
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -263,7 +263,7 @@
         return Promise.resolve(Result.ok(listed));
       },
       move: () => Promise.resolve(VmOrderAnswer.Refused),
-      upkeep: (vm, wave) => {
+      upkeep: ({ vm, wave }) => {
         if (this.#acceptedMaintenance.has(`${wave}/${vm}`))
           return Promise.resolve(VmOrderAnswer.Done);
         if (this.#vmsDown.has(vm)) return Promise.resolve(VmOrderAnswer.Busy);
