Finish orders to the vendor before the fleet service is released

Cause: a planned stop released the fleet service while an order to the vendor was in progress. The next holder claimed it within 0.2 s, before the answer was recorded, and sent the same order again.

Change: a node that leaves first ends its fleet task, which finishes its round of orders, and waits at most 1.5 s for it.

Test: 'a planned stop of the holder of the fleet service repeats no order' failed before: 2 of 3 VMs were ordered twice, one of them three times.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -629,6 +629,24 @@
       t.true(timeOf('event=upkeep_order') - timeOf('service=@fleet') >= 700);
     },
   },
+  {
+    // Guards against orders that go out twice because the holder of the fleet service is stopped
+    // while they are in progress.
+    title: 'a planned stop of the holder of the fleet service repeats no order to the vendor',
+    rig: { workersPerService: 4 },
+    run: async (t, rig) => {
+      rig.vendorDelayMs = 400;
+      const vms = ['motions-0', 'motions-1', 'motions-2'];
+      rig.requestWave({ id: '1', vms, timeLimitS: 20, maxDown: 2 });
+      await rig.until(() => rig.maintenanceOrders.length > 0);
+      await rig.settle(required(rig.fleetServiceHolder()).node.leave(STOP_LIMIT_MS));
+      t.true(await rig.until(() => rig.isFinished('1')));
+      t.deepEqual(
+        [...rig.maintenanceOrders].sort(),
+        vms.map((vm) => `1/${vm}`),
+      );
+    },
+  },
   {
     // Guards against a wave that ends late because each new holder grants it the whole time again.
     title: 'the time limit of a wave goes on when the holder of the fleet service changes',
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -27,6 +27,9 @@
 /** Long-poll duration of the operator feed; below the 2 s within which changes must take effect. */
 const OPERATOR_FEED_WAIT_MS = 1_000;
 
+/** Maximum time for finishing orders to the vendor before a planned stop. */
+const VM_ORDERS_LIMIT_MS = 1_500;
+
 /** An operator row: a configuration or a maintenance wave. */
 export interface OperatorItem {
   config?: BatchConfig;
@@ -242,6 +245,13 @@
     }
   }
 
+  /** Waits for the orders to the vendor that are in progress, so that a successor repeats none. */
+  async #finishVmOrders(): Promise<void> {
+    const { clock } = this.#deps;
+    const limit = clock.sleep(VM_ORDERS_LIMIT_MS);
+    await Promise.race([this.#stopHolder(FLEET_SERVICE), limit]);
+  }
+
   /**
    * Reports this node as not ready and releases its services, before a planned stop.
    *
@@ -250,6 +260,7 @@
    */
   async leave(limitMs: number): Promise<void> {
     this.#isLeaving = true;
+    if (this.holdsFleetService) await this.#finishVmOrders();
     await this.#ownership.leave(limitMs);
   }
 }
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -64,6 +64,10 @@
   maintenanceMs = 2_000;
   /** Largest number of VMs that were down for maintenance at the same time. */
   maxDown = 0;
+  /** Time until the vendor answers an order. */
+  vendorDelayMs = 0;
+  /** Orders for maintenance that the vendor received, as `wave/vm`. */
+  readonly maintenanceOrders: string[] = [];
   /** Violations of `maxAway` found when the vendor took a VM down. */
   readonly vendorViolations: string[] = [];
   /** Directed pairs `from>to` of nodes whose calls are lost. */
@@ -263,13 +267,14 @@
         return Promise.resolve(Result.ok(listed));
       },
       move: () => Promise.resolve(VmOrderAnswer.Refused),
-      upkeep: ({ vm, wave }) => {
-        if (this.#acceptedMaintenance.has(`${wave}/${vm}`))
-          return Promise.resolve(VmOrderAnswer.Done);
-        if (this.#vmsDown.has(vm)) return Promise.resolve(VmOrderAnswer.Busy);
+      upkeep: async ({ vm, wave }) => {
+        this.maintenanceOrders.push(`${wave}/${vm}`);
+        await this.clock.sleep(this.vendorDelayMs);
+        if (this.#acceptedMaintenance.has(`${wave}/${vm}`)) return VmOrderAnswer.Done;
+        if (this.#vmsDown.has(vm)) return VmOrderAnswer.Busy;
         this.#acceptedMaintenance.add(`${wave}/${vm}`);
         this.#startMaintenance(vm, required(current(vm)));
-        return Promise.resolve(VmOrderAnswer.Done);
+        return VmOrderAnswer.Done;
       },
     };
   }
