--- a/src/batch/takeover.spec.ts
+++ b/src/batch/takeover.spec.ts
@@ -272,12 +272,43 @@
   },
 ];
 
+const silences: { ms: number; runs: number }[] = [
+  { ms: 1_000, runs: 1 },
+  { ms: 2_000, runs: 1 },
+  { ms: 3_000, runs: 1 },
+  { ms: 9_000, runs: 2 },
+];
+
+const silenceCases = silences.map(({ ms, runs }): Case => {
+  return {
+    // Guards against running work that is started again, or given up, because its worker was silent
+    // for a while. Its lease lasts 5 s; afterwards the worker has ended it by itself.
+    title: `a worker that is silent for ${ms} ms leaves ${runs} runs of a long-running task`,
+    rig: { workersPerService: 2 },
+    run: async (t, rig, holder) => {
+      rig.fleet.script = () => ({ runMs: Infinity });
+      const spec = rig.createJob(SERVICE, [{ count: 1, isLasting: true }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      await rig.until(() => rig.fleet.runs().length === 1);
+      await rig.advance(2_000);
+      const cut = `${holder.name}>${rig.fleet.runs()[0]?.worker ?? ''}`;
+      rig.fleet.cuts.add(cut);
+      await rig.advance(ms);
+      rig.fleet.cuts.delete(cut);
+      await rig.advance(8_000);
+      t.is(rig.fleet.runs().length, runs);
+      t.is(rig.fleet.runs().filter(({ endedAt }) => endedAt === undefined).length, 1);
+    },
+  };
+});
+
 for (const { title, rig: options, run } of [
   ...takeoverCases,
   ...sessionCases,
   ...rejectionCases,
   ...malformedRowCases,
   ...pendingCases,
+  ...silenceCases,
 ]) {
   test(title, async (t) => {
     const rig = new BatchRig(options);
