--- a/src/batch/journal.ts
+++ b/src/batch/journal.ts
@@ -170,10 +170,15 @@
       operations: limits.operations - HEAD_OPERATIONS,
       bytes: limits.transactionBytes - HEAD_VALUE_BYTES,
     };
+    const changedRows = new Set<string>();
     for (let next = this.#pending[0]; next; next = this.#pending[0]) {
       const { operations, bytes } = sizeOf(next);
       const fits = operations <= remaining.operations && bytes <= remaining.bytes;
-      if (!fits && entries.length > 0) break;
+      const ids = [...next.writes, ...next.removes].map(rowId);
+      // Within a transaction, the order of two changes of one row is undefined.
+      const isOrdered = !ids.some((id) => changedRows.has(id));
+      if (entries.length > 0 && !(fits && isOrdered)) break;
+      for (const id of ids) changedRows.add(id);
       remaining.operations -= operations;
       remaining.bytes -= bytes;
       entries.push(next);
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -114,6 +114,8 @@
     const { rowBytes, operations, transactionBytes } = fakeStoreLimits;
     const keys = [...conditions, ...writes, ...removes];
     if (keys.length > operations) return `${keys.length} entries`;
+    const changed = [...writes, ...removes].map(keyText);
+    if (new Set(changed).size < changed.length) return 'a row is changed twice';
     const isLong = (text: string) => Buffer.byteLength(text) > MAX_NAME_BYTES;
     if (keys.some(({ table, part, key }) => isLong(table) || isLong(part) || isLong(key)))
       return 'a name is too long';
