Trust the end of inherited leases only while there can be no successor

Change: the time limit of the leases counts only while no other process can have claimed the service.

Ruled out: a missing roster row (the worker was in the roster of the first holder).

Tests: four cases in takeover.spec, all of which failed before.

--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -28,6 +28,8 @@
   counters: Counters;
   jobs: JobTable;
   sessions: WorkerSessions;
+  /** Whether no other process can have claimed the service. */
+  canStart: () => boolean;
   /** Requests a placement round. */
   place: () => void;
 }
@@ -139,13 +141,16 @@
 
   /**
    * Whether each worker in the stored roster has been reached or is gone, or every lease that an
-   * earlier holder granted has expired.
+   * earlier holder granted has expired. A successor may have extended these leases, so their end only
+   * counts while there can be none.
    */
   #areWorkersResolved(): boolean {
     this.#unreachedWorkers = this.#unreachedWorkers.filter(
       (worker) => !worker.isAdmitted && !worker.isGone,
     );
-    return this.#unreachedWorkers.length === 0 || this.#deps.clock.now() >= this.#leasesEndAt;
+    if (this.#unreachedWorkers.length === 0) return true;
+    const { clock, canStart } = this.#deps;
+    return clock.now() >= this.#leasesEndAt && canStart();
   }
 
   /** Whether no task of a job can still have a run that this holder does not know of. */
--- a/src/batch/takeover.spec.ts
+++ b/src/batch/takeover.spec.ts
@@ -13,6 +13,9 @@
 
 const SERVICE = 'motions';
 
+/** Maximum time for releasing services in a planned stop. */
+const STOP_LIMIT_MS = 4_000;
+
 interface Case {
   title: string;
   rig?: ConstructorParameters<typeof BatchRig>[0];
@@ -161,6 +164,41 @@
   },
 ];
 
+const handOverCutCases = [5_000, 5_600, 6_200, 6_800].map((cutMs): Case => {
+  return {
+    // Guards against a holder that is cut off right after a hand-over and takes the leases of the
+    // earlier holder as expired, although its successor has extended them.
+    title: `a holder cut off for ${cutMs} ms after a hand-over starts no task that its successor adopted`,
+    rig: { workersPerService: 2 },
+    run: async (t, rig, holder) => {
+      rig.fleet.script = () => ({ runMs: Infinity });
+      const spec = rig.createJob(SERVICE, [{ count: 1, isLasting: true }]);
+      t.is((await submit(rig, holder, spec)).outcome, CallOutcome.Ok);
+      await rig.until(() => rig.fleet.runs().length === 1);
+      await rig.advance(2_000);
+      const used = rig.fleet.runs()[0]?.worker ?? '';
+      const [unused = ''] = [...rig.fleet.executors.keys()].filter((id) => id !== used);
+      // The node that takes over reaches only the unused worker, the others only the used one.
+      for (const { name } of rig.nodes) rig.fleet.cuts.add(`${name}>${used}`);
+      rig.fleet.cuts.delete(`${holder.name}>${used}`);
+      void holder.node.leave(STOP_LIMIT_MS);
+      const isTaken = () => rig.holderOf(SERVICE) !== undefined && rig.holderOf(SERVICE) !== holder;
+      t.true(await rig.until(isTaken, 5_000));
+      const cutOff = required(rig.holderOf(SERVICE));
+      holder.isDead = true;
+      rig.store.faults.set(cutOff.name, StoreFault.DropCall);
+      for (const { name } of rig.nodes.filter((node) => node !== cutOff)) {
+        rig.fleet.cuts.delete(`${name}>${used}`);
+        rig.fleet.cuts.add(`${name}>${unused}`);
+      }
+      await rig.advance(cutMs);
+      rig.store.faults.delete(cutOff.name);
+      await rig.advance(4_000);
+      t.is(rig.fleet.runs().length, 1);
+    },
+  };
+});
+
 const rejectionCases: Case[] = [
   {
     // Guards against one transaction that the store never accepts and that is sent again for ever,
@@ -325,6 +363,7 @@
 for (const { title, rig: options, run } of [
   ...takeoverCases,
   ...sessionCases,
+  ...handOverCutCases,
   ...rejectionCases,
   ...malformedRowCases,
   ...pendingCases,
