--- /dev/null
+++ b/src/accounts/index.ts
@@ -0,0 +1,1 @@
+export type { Account, AccountRules } from './types.js';
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -1,3 +1,4 @@
+import type { AccountRules } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { toError } from '../errors/index.js';
 import {
@@ -53,6 +54,10 @@
   /** Unique per start of the process. */
   incarnation: string;
   resources: NodeResources;
+  /** Rules for client accounts; undefined where a deployment has none. */
+  accountRules?: AccountRules;
+  /** Factor by which a task runs longer away from its data or its group; 1 if undefined. */
+  remoteSlowdown?: number;
   transport: NodeTransport;
 }
 
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -1,3 +1,4 @@
+import type { Account } from '../accounts/index.js';
 import { BaseError } from '../errors/index.js';
 
 /** CPU, memory and accelerators, offered by a worker or requested by one task. */
@@ -59,6 +60,8 @@
   periodMs: number;
   /** Unix time of acceptance in milliseconds, for ordering only. */
   acceptedMs: number;
+  /** Name of the client account that submitted it; undefined for a job of a public queue. */
+  account?: string;
 }
 
 /** Why a job was not accepted, or why it is unknown whether it was. */
@@ -126,6 +129,8 @@
   /** Failed runs of one task after which the job fails. */
   maxAttempts: number;
   advice?: AdvicePolicy;
+  /** Whether callers need no key; its jobs belong to no client account. */
+  isPublic?: boolean;
 }
 
 /** A service; its tasks run on the workers of one pool. */
@@ -151,6 +156,8 @@
   queues: Queue[];
   services: Service[];
   limits: RequestLimits;
+  /** Client accounts; undefined if the deployment has none. */
+  accounts?: Account[];
 }
 
 /** A maintenance wave as requested by the operator. */
