Reach the store through a peer while it does not answer a node

Cause: in an outage that concerns single nodes, the holder of the service at its peak accepted nothing for 3.2 s, until it had expired and was replaced; gateways among these nodes refused their callers, and no VMs were ordered for the peak. Change: src/storeRelay, enabled by Features.relaysStore, which the settings of a deployment with the health contract set.

--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -20,7 +20,8 @@
 import { MonitoredStore } from './monitoredStore.js';
 import { nodeWeight, type NodeResources } from './nodeWeight.js';
 import type { AdviceClient, RowStore, VmClient, WorkerClient } from './ports.js';
-import type { BatchConfig, WaveSpec, WorkerRecord } from './types.js';
+import { answerRelayCall, isRelayCall, RelayedStore } from '../storeRelay/index.js';
+import type { BatchConfig, Features, WaveSpec, WorkerRecord } from './types.js';
 import { FleetController } from './fleetController.js';
 import type { RequestedWave, WaveStatusStore } from './upkeep.js';
 import { WorkerRegistry } from './workerRegistry.js';
@@ -58,6 +59,8 @@
   accountRules?: AccountRules;
   /** Factor by which a task runs longer away from its data or its group; 1 if undefined. */
   remoteSlowdown?: number;
+  /** Features that the settings of the deployment enable; none if undefined. */
+  features?: Features;
   transport: NodeTransport;
 }
 
@@ -65,6 +68,8 @@
 export class BatchNode {
   readonly gateway: Gateway;
   readonly #deps: BatchNodeDeps;
+  /** The store by this node's own path. */
+  readonly #directStore: MonitoredStore;
   readonly #store: MonitoredStore;
   readonly #ownership: Ownership;
   readonly #directory: HolderDirectory;
@@ -76,7 +81,10 @@
   #isLeaving = false;
 
   constructor(nodeDeps: BatchNodeDeps) {
-    this.#store = new MonitoredStore(nodeDeps.store, nodeDeps.clock);
+    this.#directStore = new MonitoredStore(nodeDeps.store, nodeDeps.clock);
+    this.#store = nodeDeps.features?.relaysStore
+      ? new MonitoredStore(this.#createRelayedStore(nodeDeps), nodeDeps.clock)
+      : this.#directStore;
     const deps = { ...nodeDeps, store: this.#store };
     this.#deps = deps;
     this.#registry = new WorkerRegistry(deps);
@@ -95,6 +103,12 @@
     });
   }
 
+  #createRelayedStore({ transport, clock, random, log, counters }: BatchNodeDeps): RelayedStore {
+    const peers = () => this.#ownership.peerAddresses();
+    const shared = { transport, clock, random, log, counters };
+    return new RelayedStore({ ...shared, direct: this.#directStore, peers });
+  }
+
   /** Configuration that is active on this node. */
   get config(): BatchConfig | undefined {
     return this.#config;
@@ -161,6 +175,10 @@
 
   /** Answers a call from another node. */
   async #answer(body: unknown): Promise<unknown> {
+    if (isRelayCall(body)) {
+      const answer = await answerRelayCall(body, this.#directStore);
+      if (answer) return answer;
+    }
     const call = decodeNodeCall(body);
     if (call) return this.#directory.answer(call);
     throw new NodeCallError(NodeCallErrorCode.Malformed, 'a call from another node is malformed');
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -179,6 +179,13 @@
       .map(([name]) => name);
   }
 
+  /** Addresses of all other nodes that were alive when the node rows were last read. */
+  peerAddresses(): string[] {
+    return [...this.#nodes]
+      .filter(([name, { isFenced }]) => name !== this.#deps.node && isFenced !== true)
+      .map(([, { address }]) => address);
+  }
+
   /** Whether no other node can have claimed one of this node's services. */
   canStart(): boolean {
     return this.#renewalAgeMs() < START_AUTHORITY_MS;
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -160,6 +160,26 @@
   accounts?: Account[];
 }
 
+/** Optional parts of the batch subsystem that the settings of a deployment enable. */
+export interface Features {
+  /** Learns run times instead of relying on declared estimates, and copies stragglers. */
+  learnsRunTimes: boolean;
+  /** Gives no new tasks to workers that fail or are slow compared with the others of their pool. */
+  judgesWorkers: boolean;
+  /** Sizes pools by the demand that is forecast for the time at which an ordered VM arrives. */
+  forecastsDemand: boolean;
+  /** Reaches the store through other nodes while it does not answer this one. */
+  relaysStore: boolean;
+}
+
+/** Features of a deployment whose settings enable none. */
+export const noFeatures: Features = {
+  learnsRunTimes: false,
+  judgesWorkers: false,
+  forecastsDemand: false,
+  relaysStore: false,
+};
+
 /** A maintenance wave as requested by the operator. */
 export interface WaveSpec {
   id: string;
--- /dev/null
+++ b/src/pools/index.ts
@@ -0,0 +1,1 @@
+export { DemandForecast } from './demandForecast.js';
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth';
 import {
+  noFeatures,
   RunEnd,
   StoreError,
   StoreErrorCode,
@@ -7,6 +8,7 @@
   VmState,
   type AdviceClient,
   type BatchConfig,
+  type Features,
   type JobSpec,
   type ListedVm,
   type Queue,
@@ -55,6 +57,8 @@
   maxAttempts?: number;
   /** Whether the store accepts transactions with rows of several parts. */
   acceptsSeveralParts?: boolean;
+  /** Features of the nodes; none by default. */
+  features?: Partial<Features>;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -87,6 +91,7 @@
   readonly #linkCuts = new Set<string>();
   readonly #vmsDown = new Set<string>();
   readonly #timers;
+  readonly #features: Features;
   readonly #callHandlers = new Map<string, (body: unknown) => Promise<unknown>>();
   readonly #waveReports = new Map<string, boolean>();
   readonly #acceptedMaintenance = new Set<string>();
@@ -100,7 +105,9 @@
     nodes = 3,
     maxAttempts = 3,
     acceptsSeveralParts = false,
+    features = {},
   }: BatchRigOptions = {}) {
+    this.#features = { ...noFeatures, ...features };
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
     this.clock = clock;
@@ -214,6 +221,7 @@
       node: name,
       incarnation: `${name}#${this.nodes.length}`,
       resources: { cores: 1, bandwidthMbps: 1_000 },
+      features: this.#features,
       transport: this.#createTransport(name, rigNode),
     });
     const started: RigNode = Object.assign(rigNode, { node });
