--- a/src/batch/follow.ts
+++ b/src/batch/follow.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'true-myth/result';
+import type { Moment } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -29,12 +30,15 @@
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
-  /** Long-poll duration of one call, in milliseconds. */
-  waitMs: number;
+  /** Long-poll duration of one call in milliseconds, or a function that returns that of the next. */
+  waitMs: number | (() => number);
   /** Pause between calls in milliseconds; bounds the call rate for constantly changing tables. */
   pauseMs: number;
-  /** Called with all items after a full read, otherwise with the changed ones. */
-  apply: (changes: Changes<T>, isFullRead: boolean) => void;
+  /**
+   * Called with all items after a full read, otherwise with the changed ones; `sentAt` is when the
+   * call was sent, so that the items are at least as new.
+   */
+  apply: (changes: Changes<T>, isFullRead: boolean, sentAt: Moment) => void;
 }
 
 const RETRY_MS = 300;
@@ -54,10 +58,10 @@
   let isUnavailable = false;
   while (!signal.aborted) {
     const isFullRead = after === undefined;
+    const waitMs = typeof options.waitMs === 'number' ? options.waitMs : options.waitMs();
+    const sentAt = { monotonicMs: clock.now(), wallMs: clock.wallTime() };
     const res =
-      after === undefined
-        ? await source.readAll()
-        : await source.changes(after, options.waitMs, signal);
+      after === undefined ? await source.readAll() : await source.changes(after, waitMs, signal);
     if (isAborted(signal)) return;
     if (res.isErr) {
       counters.count('follow_failures', res.error.code);
@@ -70,7 +74,7 @@
     }
     if (isUnavailable) log.info('dependency_back', { table: name, version: res.value.version });
     isUnavailable = false;
-    apply(res.value, isFullRead);
+    apply(res.value, isFullRead, sentAt);
     after = res.value.version;
     if (options.pauseMs > 0) await clock.sleep(options.pauseMs, signal);
   }
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -1,12 +1,27 @@
+import type { Result } from 'true-myth/result';
+import {
+  compareOwner,
+  JobOwner,
+  mayAccessJob,
+  RefusalLog,
+  type KeyRefusal,
+  type KeyRegistry,
+} from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { UNSTORABLE_RETRY_MS } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
-import { encodeJob } from './jobCodec.js';
+import {
+  decodeEndedJob,
+  decodeJob,
+  decodeStoredAccount,
+  encodeJob,
+  type EndedJobRow,
+} from './jobCodec.js';
 import { NodeCallKind } from './nodeCalls.js';
 import type { MonitoredStore } from './monitoredStore.js';
-import { StoreErrorCode, type RowKey } from './ports.js';
+import { StoreErrorCode, type Row, type RowKey } from './ports.js';
 import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState, RefusalReason, type BatchConfig, type JobSpec, type Queue } from './types.js';
 
@@ -26,6 +41,8 @@
   RefusalReason.Full,
   RefusalReason.Unstorable,
 ]);
+/** Refusals after which no earlier attempt of the same submission can be accepted either. */
+const DEFINITE_REFUSALS: ReadonlySet<RefusalReason> = new Set([RefusalReason.IdInUse]);
 
 /** Outcome of a caller's request. */
 export enum CallOutcome {
@@ -57,6 +74,7 @@
   counters: Counters;
   config: () => BatchConfig | undefined;
   holders: HolderDirectory;
+  keys: KeyRegistry;
 }
 
 /**
@@ -65,9 +83,39 @@
  */
 export class Gateway {
   readonly #deps: GatewayDeps;
+  readonly #refusalLog: RefusalLog;
 
   constructor(deps: GatewayDeps) {
     this.#deps = deps;
+    this.#refusalLog = new RefusalLog(deps.clock);
+  }
+
+  /**
+   * Checks the key of a request.
+   *
+   * @param key - the key as sent by the caller; undefined if there is none
+   * @returns the account of the caller; undefined if the queue needs no key
+   */
+  authorize(
+    queue: Queue,
+    key: string | Uint8Array | undefined,
+  ): Result<string | undefined, KeyRefusal> {
+    const { keys, counters, log, config } = this.#deps;
+    const res = keys.check(key, queue.isPublic === true);
+    if (res.isOk) return res;
+    const reason = res.error.code;
+    counters.count('unauthorized_requests', reason);
+    const suppressed = this.#refusalLog.record(queue.name, reason);
+    if (suppressed !== undefined) {
+      log.detail('request_unauthorized', {
+        queue: queue.name,
+        reason,
+        config: config()?.version,
+        age_ms: Math.round(keys.ageMs()),
+        others: suppressed > 0 ? suppressed : undefined,
+      });
+    }
+    return res;
   }
 
   /** Finds the queue with the longest matching path prefix on a host, and the rest of the path. */
@@ -92,8 +140,11 @@
     if (this.#deps.store.isSuspect()) {
       const status = { kind: NodeCallKind.Status, service: queue.service, job: spec.id } as const;
       const existing = await holders.call(status, LOOKUP_TIMEOUT_MS);
-      if (existing.isOk && existing.value.state)
+      if (existing.isOk && existing.value.state) {
+        if (!this.#isSameJob(existing.value.account, spec))
+          return this.#reportRefused(spec, RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
         return this.#reportAccepted(spec, 'earlier', clock.now() - startedAt);
+      }
       return this.#reportRefused(spec, RefusalReason.StoreSuspect, UNAVAILABLE_RETRY_MS);
     }
     let mayBeAccepted = false;
@@ -106,7 +157,11 @@
       const submitted = res.isOk ? res.value.submitted : undefined;
       if (submitted?.isAccepted)
         return this.#reportAccepted(spec, 'holder', clock.now() - startedAt);
-      if (submitted?.reason && FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted) {
+      const isFinal =
+        submitted?.reason !== undefined &&
+        (DEFINITE_REFUSALS.has(submitted.reason) ||
+          (FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted));
+      if (isFinal) {
         return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs);
       }
       if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
@@ -115,6 +170,8 @@
       const storeOutcome = await this.#submitThroughStore(queue.service, spec);
       if (storeOutcome === RefusalReason.Unstorable && !mayBeAccepted)
         return this.#reportRefused(spec, storeOutcome, UNSTORABLE_RETRY_MS);
+      if (storeOutcome === RefusalReason.IdInUse)
+        return this.#reportRefused(spec, storeOutcome, UNSTORABLE_RETRY_MS);
       if (storeOutcome === CallOutcome.Ok) {
         counters.count(
           'accepted_through_store',
@@ -137,20 +194,22 @@
   #reportAccepted(spec: JobSpec, through: string, tookMs: number): CallAnswer {
     this.#deps.counters.observe('submit_ms', tookMs);
     const took_ms = Math.round(tookMs);
-    this.#deps.log.detail('submit', { job: spec.id, queue: spec.queue, through, took_ms });
+    const { id: job, queue, account } = spec;
+    this.#deps.log.detail('submit', { job, queue, account, through, took_ms });
     return { outcome: CallOutcome.Ok };
   }
 
   #reportRefused(spec: JobSpec, reason: RefusalReason, retryAfterMs: number): CallAnswer {
     this.#deps.counters.count('refusals', reason);
-    this.#deps.log.warn('submit_refused', { job: spec.id, queue: spec.queue, reason });
+    const { id: job, queue, account } = spec;
+    this.#deps.log.warn('submit_refused', { job, queue, account, reason });
     return { outcome: CallOutcome.Refused, reason, retryAfterMs };
   }
 
   async #submitThroughStore(
     service: string,
     spec: JobSpec,
-  ): Promise<CallOutcome | RefusalReason.Unstorable> {
+  ): Promise<CallOutcome | RefusalReason.Unstorable | RefusalReason.IdInUse> {
     if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
     const inbox = inboxKey(service, spec.id);
     const mustBeAbsent = [inbox, jobKey(service, spec.id), endedKey(service, spec.id)];
@@ -159,21 +218,45 @@
       writes: [{ ...inbox, value: encodeJob(spec) }],
       removes: [],
     });
-    // On a conflict, the job was already accepted.
-    if (res.isOk) return CallOutcome.Ok;
+    if (res.isOk) {
+      const outcome = res.value;
+      // On a conflict, the job was already accepted, or the id is that of another account's job.
+      return outcome.isApplied ? CallOutcome.Ok : this.#checkConflict(spec, outcome.rows);
+    }
     if (res.error.code === StoreErrorCode.Invalid) return RefusalReason.Unstorable;
     // Any other failure, such as an unreadable answer, leaves open whether the job was written.
     return res.error.code === StoreErrorCode.Refused ? CallOutcome.Refused : CallOutcome.Unknown;
   }
 
-  /** Looks up the state of a job, first at the holder and then in the store. */
-  async status(queue: Queue, job: string): Promise<CallAnswer> {
+  /** Determines whether a submission conflicts with its own earlier acceptance. */
+  #checkConflict(spec: JobSpec, [row]: Row[]): CallOutcome | RefusalReason.IdInUse {
+    if (!this.#deps.keys.isInUse) return CallOutcome.Ok;
+    const owner = row && decodeStoredAccount(row);
+    // An unreadable row may be that of the same job.
+    if (!owner?.isOk) return CallOutcome.Unknown;
+    return this.#isSameJob(owner.value, spec) ? CallOutcome.Ok : RefusalReason.IdInUse;
+  }
+
+  #mayAccess(owner: string | undefined, account: string | undefined): boolean {
+    return !this.#deps.keys.isInUse || mayAccessJob(owner, account);
+  }
+
+  #isSameJob(owner: string | undefined, { account }: JobSpec): boolean {
+    return !this.#deps.keys.isInUse || compareOwner(owner, account) === JobOwner.Same;
+  }
+
+  /**
+   * Looks up the state of a job, first at the holder and then in the store.
+   *
+   * @param account - account of the caller; undefined if the queue needs no key
+   */
+  async status(queue: Queue, job: string, account?: string): Promise<CallAnswer> {
     for (const service of this.#servicesFor(queue)) {
       const call = { kind: NodeCallKind.Status, service, job } as const;
       const res = await this.#deps.holders.call(call, HOLDER_TIMEOUT_MS);
-      const state = res.isOk ? res.value.state : undefined;
-      if (state) return { outcome: CallOutcome.Ok, state };
-      const stored = await this.#readStoredState(service, job);
+      const { state, account: owner } = res.isOk ? res.value : {};
+      if (state && this.#mayAccess(owner, account)) return { outcome: CallOutcome.Ok, state };
+      const stored = await this.#readStoredState(service, job, account);
       if (stored.outcome !== CallOutcome.NotFound) return stored;
     }
     this.#deps.log.info('status_not_found', { job, queue: queue.name });
@@ -190,56 +273,90 @@
   }
 
   /** Reads the state of a job from the store. */
-  async #readStoredState(service: string, job: string): Promise<CallAnswer> {
-    const lookups: [key: RowKey, state: (value: string) => JobState | undefined][] = [
-      [endedKey(service, job), (value) => statesByText.get(value)],
-      [progressKey(service, job), () => JobState.Running],
-      [jobKey(service, job), () => JobState.Queued],
-      [inboxKey(service, job), () => JobState.Queued],
-      // The job may have ended between the reads.
-      [endedKey(service, job), (value) => statesByText.get(value)],
-    ];
-    for (const [key, state] of lookups) {
+  async #readStoredState(
+    service: string,
+    job: string,
+    account: string | undefined,
+  ): Promise<CallAnswer> {
+    const ended: Lookup = [endedKey(service, job), ({ value }) => decodeEndedJob(value)];
+    const queued = ({ value }: Row) => {
+      const spec = decodeJob(value);
+      return spec.isOk ? { state: JobState.Queued, account: spec.value.account } : undefined;
+    };
+    const open: Lookup[] = this.#deps.keys.isInUse
+      ? [
+          [inboxKey(service, job), queued],
+          [jobKey(service, job), queued],
+        ]
+      : [
+          [progressKey(service, job), () => ({ state: JobState.Running })],
+          [jobKey(service, job), () => ({ state: JobState.Queued })],
+          [inboxKey(service, job), () => ({ state: JobState.Queued })],
+        ];
+    // The job may have ended between the reads, so the row of an ended job is read again.
+    for (const [key, decode] of [ended, ...open, ended]) {
       const res = await this.#deps.store.readRow(key);
       if (res.isErr) {
         this.#deps.counters.count('unknown_outcomes', 'status');
         return { outcome: CallOutcome.Unknown, reason: res.error.code };
       }
       if (!res.value) continue;
-      const stored = state(res.value.value);
-      if (stored) return { outcome: CallOutcome.Ok, state: stored };
-      return { outcome: CallOutcome.Unknown, reason: RefusalReason.BadRow };
+      const stored = decode(res.value);
+      if (!stored) return { outcome: CallOutcome.Unknown, reason: RefusalReason.BadRow };
+      if (!this.#mayAccess(stored.account, account)) return { outcome: CallOutcome.NotFound };
+      if (stored.state === JobState.Queued && this.#deps.keys.isInUse)
+        return this.#readProgress(service, job);
+      return { outcome: CallOutcome.Ok, state: stored.state };
     }
     return { outcome: CallOutcome.NotFound };
   }
 
-  /** Cancels a job. Resolves once the cancellation is durable. */
-  async cancel(queue: Queue, job: string): Promise<CallAnswer> {
+  /** Reads whether an open job, whose account is known, has made progress. */
+  async #readProgress(service: string, job: string): Promise<CallAnswer> {
+    const res = await this.#deps.store.readRow(progressKey(service, job));
+    if (res.isErr) {
+      this.#deps.counters.count('unknown_outcomes', 'status');
+      return { outcome: CallOutcome.Unknown, reason: res.error.code };
+    }
+    return { outcome: CallOutcome.Ok, state: res.value ? JobState.Running : JobState.Queued };
+  }
+
+  /**
+   * Cancels a job. Resolves once the cancellation is durable.
+   *
+   * @param account - account of the caller; undefined if the queue needs no key
+   */
+  async cancel(queue: Queue, job: string, account?: string): Promise<CallAnswer> {
     const { holders, log } = this.#deps;
     for (const service of this.#servicesFor(queue)) {
-      const call = { kind: NodeCallKind.Cancel, service, job } as const;
+      const caller = account === undefined ? {} : { account };
+      const call = { kind: NodeCallKind.Cancel, service, job, ...caller } as const;
       const res = await holders.call(call, HOLDER_TIMEOUT_MS);
       if (res.isOk && res.value.isCancelled) {
-        log.info('cancel', { job, queue: queue.name, through: 'holder' });
+        log.info('cancel', { job, queue: queue.name, account, through: 'holder' });
         return { outcome: CallOutcome.Ok };
       }
-      const stored = await this.#readStoredState(service, job);
+      const stored = await this.#readStoredState(service, job, account);
       if (stored.outcome === CallOutcome.NotFound) continue;
       if (stored.outcome !== CallOutcome.Ok) return stored;
       if (stored.state !== JobState.Queued && stored.state !== JobState.Running) return stored;
-      return this.#cancelThroughStore(service, job);
+      return this.#cancelThroughStore(service, job, account);
     }
     return { outcome: CallOutcome.NotFound };
   }
 
-  async #cancelThroughStore(service: string, job: string): Promise<CallAnswer> {
+  async #cancelThroughStore(
+    service: string,
+    job: string,
+    account: string | undefined,
+  ): Promise<CallAnswer> {
     const res = await this.#deps.store.transact({
       conditions: [],
-      writes: [{ ...inboxKey(service, cancellationId(job)), value: job }],
+      writes: [{ ...inboxKey(service, cancellationId(job, account)), value: job }],
       removes: [],
     });
     if (res.isErr) return { outcome: CallOutcome.Unknown, reason: res.error.code };
-    this.#deps.log.info('cancel', { job, service, through: 'store' });
+    this.#deps.log.info('cancel', { job, service, account, through: 'store' });
     return { outcome: CallOutcome.Ok };
   }
 
@@ -266,7 +383,5 @@
   }
 }
 
-/** Job states by their value in the row of an ended job. */
-const statesByText = new Map<string, JobState>(
-  Object.values(JobState).map((state) => [state, state]),
-);
+/** A row that a job may have, and how to decode the state and the account of the job from it. */
+type Lookup = [key: RowKey, decode: (row: Row) => EndedJobRow | undefined];
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,3 +1,4 @@
+import { compareOwner, JobOwner, mayAccessJob } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
@@ -18,7 +19,7 @@
 import { delayBeforeRoundMs } from './roundDelay.js';
 import { RunControl } from './runControl.js';
 import { jobKey, endedKey, inboxKey } from './rows.js';
-import { encodeJob } from './jobCodec.js';
+import { decodeStoredAccount, encodeJob, type EndedJobRow } from './jobCodec.js';
 import {
   JobState,
   RefusalReason,
@@ -78,6 +79,8 @@
   canStart: () => boolean;
   /** Whether leases may be extended and tasks without earlier runs may be started. */
   canExtend: () => boolean;
+  /** Whether jobs of different client accounts have to be kept apart. */
+  usesAccounts: () => boolean;
   onLost: (reason: string) => void;
 }
 
@@ -175,7 +178,8 @@
       jobs: this.#jobs,
       place,
       canStart: deps.canStart,
-      cancel: (id) => void this.cancel(id),
+      mayAccess: (job, account) => this.#mayAccess(job, account),
+      cancel: (id, account) => void this.cancel(id, account),
     });
     this.#stateLog = new ServiceStateLog({
       service,
@@ -225,7 +229,9 @@
       return { isAccepted: false, reason: RefusalReason.NotHolder, retryAfterMs: FULL_RETRY_MS };
     }
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
-    if (isKnown) return { isAccepted: true };
+    if (isKnown) return this.#answerKnown(spec);
+    // Another submission with this id started to be written during the wait.
+    if (this.#jobs.isPending(spec.id)) return this.submit(spec);
     if (this.#deps.store.isSuspect()) {
       this.#deps.counters.count('refusals', RefusalReason.StoreSuspect);
       return {
@@ -251,10 +257,41 @@
       };
     }
     // On a conflict, the job was already accepted through another process.
-    if (outcome === EntryOutcome.Applied) this.#openJob(spec);
+    if (outcome !== EntryOutcome.Applied) return this.#answerKnown(spec);
+    this.#openJob(spec);
     return { isAccepted: true };
   }
 
+  /** Answers a submission with the id of an accepted job, which may be another account's. */
+  async #answerKnown(spec: JobSpec): Promise<SubmitOutcome> {
+    if (!this.#deps.usesAccounts()) return { isAccepted: true };
+    const found = this.#jobs.find(spec.id);
+    const owner = found ? compareOwner(found.account, spec.account) : await this.#storedOwner(spec);
+    if (owner === JobOwner.Same) return { isAccepted: true };
+    if (owner === JobOwner.Unknown) {
+      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
+    }
+    this.#deps.counters.count('refusals', RefusalReason.IdInUse);
+    return {
+      isAccepted: false,
+      reason: RefusalReason.IdInUse,
+      retryAfterMs: UNSTORABLE_RETRY_MS,
+    };
+  }
+
+  /** Reads whose job the store has under the id of a submitted one. */
+  async #storedOwner({ id, account }: JobSpec): Promise<JobOwner> {
+    // In the order in which the rows of a job are written, so that none is missed.
+    for (const key of [inboxKey, jobKey, endedKey]) {
+      const res = await this.#deps.store.readRow(key(this.service, id));
+      if (res.isErr) return JobOwner.Unknown;
+      if (!res.value) continue;
+      const owner = decodeStoredAccount(res.value);
+      return owner.isOk ? compareOwner(owner.value, account) : JobOwner.Unknown;
+    }
+    return JobOwner.Unknown;
+  }
+
   #writeJob(spec: JobSpec): Promise<EntryOutcome> {
     const { id } = spec;
     return new Promise((settle) => {
@@ -280,6 +317,7 @@
       job: spec.id,
       queue: spec.queue,
       service: this.service,
+      account: spec.account,
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
       lasting: job.isLasting,
@@ -289,24 +327,30 @@
     this.#requestPlacement();
   }
 
-  /** State of an open or recently ended job; undefined when the holder does not know the job. */
-  state(id: string): JobState | undefined {
-    return this.#jobs.stateOf(id);
+  /** State and account of an open or recently ended job; undefined if the holder knows no such job. */
+  find(id: string): EndedJobRow | undefined {
+    return this.#jobs.find(id);
   }
 
   /**
    * Cancels a job. Resolves once the cancellation is durable.
    *
-   * @returns whether it became durable; undefined when no such job is open
+   * @param account - account of the caller; undefined if its queue needs no key
+   * @returns whether it became durable; undefined when the account has no such open job
    */
-  async cancel(id: string): Promise<boolean | undefined> {
+  async cancel(id: string, account: string | undefined): Promise<boolean | undefined> {
     const job = this.#jobs.get(id);
-    if (!job) return undefined;
+    if (!job || !this.#mayAccess(job, account)) return undefined;
     const isDurable = await this.#jobs.close(job, JobState.Cancelled);
     if (isDurable) this.#runs.stopAll(job, 'cancelled');
     return isDurable;
   }
 
+  /** Whether a caller with this account may cancel a job. */
+  #mayAccess(job: Job, account: string | undefined): boolean {
+    return !this.#deps.usesAccounts() || mayAccessJob(job.spec.account, account);
+  }
+
   /**
    * Number of open jobs of a queue that have not started any task. Unknown while this process may
    * have a successor, or has not seen the jobs that gateways wrote to the store recently.
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -101,9 +101,9 @@
       case NodeCallKind.Submit:
         return { isHolder: true, submitted: await holder.submit(call.spec) };
       case NodeCallKind.Status:
-        return { isHolder: true, state: holder.state(call.job) };
+        return { isHolder: true, ...holder.find(call.job) };
       case NodeCallKind.Cancel:
-        return { isHolder: true, isCancelled: await holder.cancel(call.job) };
+        return { isHolder: true, isCancelled: await holder.cancel(call.job, call.account) };
       case NodeCallKind.Pending:
         return { isHolder: true, pending: holder.pending(call.queue) };
       case NodeCallKind.Vacate:
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -6,6 +6,7 @@
 import type { JobTable } from './jobTable.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Row, RowStore } from './ports.js';
+import { parseCancellation } from './rows.js';
 import { tableSource } from './tableSource.js';
 
 /** Long-poll duration of one feed call; short, so that a stalled connection is detected early. */
@@ -23,7 +24,9 @@
   place: () => void;
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
-  cancel: (id: string) => void;
+  /** Whether a caller with this account may cancel a job. */
+  mayAccess: (job: Job, account: string | undefined) => boolean;
+  cancel: (id: string, account: string | undefined) => void;
 }
 
 /**
@@ -62,11 +65,18 @@
   }
 
   #processRow({ key, value }: Row): void {
-    const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
-    if (key.endsWith('!')) {
-      const id = key.slice(0, -1);
-      jobs.get(id)?.inboxKeys.add(key);
-      cancel(id);
+    const { jobs, clock, log, cancel, mayAccess, place, canStart, service } = this.#deps;
+    const cancellation = parseCancellation(key);
+    if (cancellation) {
+      const { id, account } = cancellation;
+      const job = jobs.get(id);
+      if (!job) return;
+      if (!mayAccess(job, account)) {
+        log.warn('cancellation_ignored', { job: id, service, account });
+        return;
+      }
+      job.inboxKeys.add(key);
+      cancel(id, account);
       return;
     }
     if (jobs.stateOf(key) !== undefined) return;
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -1,5 +1,7 @@
 import { Result } from 'true-myth';
-import { BatchError, BatchErrorCode, type JobSpec, type StepSpec } from './types.js';
+import type { Row } from './ports.js';
+import { ENDED_TABLE } from './rows.js';
+import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
 
 /** Maximum number of tasks in all steps of a job; bounds the memory that a job can use. */
 export const MAX_TASKS_PER_JOB = 5_000;
@@ -72,6 +74,47 @@
   }
 }
 
+/** An ended job, as stored in its row. */
+export interface EndedJobRow {
+  state: JobState;
+  account?: string;
+}
+
+const statesByText = new Map<unknown, JobState>(
+  Object.values(JobState).map((state) => [state, state]),
+);
+
+/** Encodes the row of an ended job; that of a job without an account is its state alone. */
+export function encodeEndedJob({ state, account }: EndedJobRow): string {
+  return account === undefined ? state : JSON.stringify({ state, account });
+}
+
+/** Decodes a value written by {@link encodeEndedJob}; returns undefined if it is malformed. */
+export function decodeEndedJob(text: string): EndedJobRow | undefined {
+  const plainState = statesByText.get(text);
+  if (plainState) return { state: plainState };
+  try {
+    const row = JSON.parse(text) as Partial<Record<keyof EndedJobRow, unknown>> | null;
+    const state = statesByText.get(row?.state);
+    const account = row?.account;
+    return state && typeof account === 'string' ? { state, account } : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Decodes the account of a job from its row, its inbox row or its row as an ended job. */
+export function decodeStoredAccount({
+  table,
+  key,
+  value,
+}: Row): Result<string | undefined, BatchError> {
+  if (table !== ENDED_TABLE) return decodeJob(value).map(({ account }) => account);
+  const ended = decodeEndedJob(value);
+  if (ended) return Result.ok(ended.account);
+  return Result.err(new BatchError(BatchErrorCode.BadRow, `cannot decode ended job ${key}`));
+}
+
 /** Name of a task: `job.occurrence.step.index`. */
 export function taskName(job: string, occurrence: number, step: number, index: number): string {
   return `${job}.${occurrence}.${step}.${index}`;
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { Job } from './job.js';
 import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
+import { encodeEndedJob, type EndedJobRow } from './jobCodec.js';
 import { endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState } from './types.js';
 
@@ -17,8 +18,7 @@
   counters: Counters;
 }
 
-interface EndedJob {
-  state: JobState;
+interface EndedJob extends EndedJobRow {
   endedAt: number;
 }
 
@@ -58,7 +58,20 @@
 
   /** State of an open or recently ended job. */
   stateOf(id: string): JobState | undefined {
-    return this.#open.get(id)?.state ?? this.#ended.get(id)?.state;
+    return this.find(id)?.state;
+  }
+
+  /** State and account of an open or recently ended job. */
+  find(id: string): EndedJobRow | undefined {
+    const job = this.#open.get(id);
+    if (job) return { state: job.state, account: job.spec.account };
+    const ended = this.#ended.get(id);
+    return ended && { state: ended.state, account: ended.account };
+  }
+
+  /** Whether the acceptance of a job is being written. */
+  isPending(id: string): boolean {
+    return this.#pendingAcceptances.has(id);
   }
 
   /** Whether a job has been accepted; waits for a pending acceptance. */
@@ -145,22 +158,22 @@
 
   #closeEntry(job: Job, state: JobState): JournalEntry {
     const { service, clock, log, counters } = this.#deps;
-    const { id, queue } = job.spec;
+    const { id, queue, account } = job.spec;
     const removes = [...job.inboxKeys].map((key) => inboxKey(service, key));
     if (!job.inboxKeys.has(id)) removes.push(jobKey(service, id));
     if (job.hasProgressRow) removes.push(progressKey(service, id));
     return {
       conditions: [],
-      writes: [{ ...endedKey(service, id), value: state }],
+      writes: [{ ...endedKey(service, id), value: encodeEndedJob({ state, account }) }],
       removes,
       settle: (outcome) => {
         const isDurable = outcome === EntryOutcome.Applied;
         if (isDurable) {
           this.#open.delete(id);
-          this.#recordEnded(id, state);
+          this.#recordEnded(id, { state, account });
           counters.count('jobs_ended', state);
           const tookMs = Math.round(clock.now() - job.acceptedAt);
-          log.info('job_ended', { job: id, queue, service, state, took_ms: tookMs });
+          log.info('job_ended', { job: id, queue, service, account, state, took_ms: tookMs });
         }
         for (const resolve of this.#closeWaiters.get(job) ?? []) resolve(isDurable);
         this.#closeWaiters.delete(job);
@@ -168,9 +181,9 @@
     };
   }
 
-  #recordEnded(id: string, state: JobState): void {
+  #recordEnded(id: string, row: EndedJobRow): void {
     const now = this.#deps.clock.now();
-    this.#ended.set(id, { state, endedAt: now });
+    this.#ended.set(id, { ...row, endedAt: now });
     for (const [oldest, { endedAt }] of this.#ended) {
       if (now - endedAt < ENDED_RETENTION_MS) break;
       this.#ended.delete(oldest);
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -1,4 +1,4 @@
-import type { AccountRules } from '../accounts/index.js';
+import { KeyRegistry, type AccountRules, type Moment } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { toError } from '../errors/index.js';
 import {
@@ -27,6 +27,12 @@
 
 /** Long-poll duration of the operator feed; below the 2 s within which changes must take effect. */
 const OPERATOR_FEED_WAIT_MS = 1_000;
+/**
+ * The same where client accounts are used. Without changes, the configuration is known to be the
+ * newest for up to twice this and a response time, which has to stay below the 2 s after which an
+ * unknown key is no longer answered as such.
+ */
+const ACCOUNTS_FEED_WAIT_MS = 700;
 
 /** Maximum time for finishing orders to the vendor before a planned stop. */
 const VM_ORDERS_LIMIT_MS = 1_500;
@@ -71,6 +77,7 @@
   readonly #holders = new Map<string, Holder>();
   readonly #waves = new Map<string, RequestedWave>();
   readonly #registry: WorkerRegistry;
+  readonly #keys: KeyRegistry;
   readonly #holderLifecycles = new Map<string, Lifecycle>();
   #config: BatchConfig | undefined;
   #isLeaving = false;
@@ -80,6 +87,7 @@
     const deps = { ...nodeDeps, store: this.#store };
     this.#deps = deps;
     this.#registry = new WorkerRegistry(deps);
+    this.#keys = new KeyRegistry({ clock: deps.clock, rules: deps.accountRules });
     this.#ownership = new Ownership({
       ...deps,
       address: deps.transport.address,
@@ -92,6 +100,7 @@
       store: this.#store,
       config: () => this.#config,
       holders: this.#directory,
+      keys: this.#keys,
     });
   }
 
@@ -168,7 +177,11 @@
 
   #followOperator(signal: AbortSignal): Promise<void> {
     const { operator: source, clock, log, counters } = this.#deps;
-    const apply = ({ items }: { items: OperatorItem[] }) => {
+    const apply = (
+      { items }: { items: OperatorItem[] },
+      _isFullRead: boolean,
+      sentAt: Moment,
+    ): void => {
       for (const { config, wave } of items) {
         if (config) this.#applyConfig(config);
         if (wave) {
@@ -176,22 +189,26 @@
           this.#waves.set(wave.id, { spec: wave, seenAt });
         }
       }
+      this.#keys.confirm(sentAt);
     };
-    const waits = { waitMs: OPERATOR_FEED_WAIT_MS, pauseMs: 0 };
+    const waitMs = () => (this.#keys.isInUse ? ACCOUNTS_FEED_WAIT_MS : OPERATOR_FEED_WAIT_MS);
+    const waits = { waitMs, pauseMs: 0 };
     return follow({ name: 'operator', source, clock, log, counters, ...waits, apply }, signal);
   }
 
   /** Applies a configuration if it is newer than the active one; others come from delayed reads. */
   #applyConfig(config: BatchConfig): void {
     if (this.#config && config.version <= this.#config.version) return;
-    const { version, queues, services } = config;
+    const { version, queues, services, accounts } = config;
     this.#deps.log.info('config_in_force', {
       version,
       before: this.#config?.version,
       queues: queues.length,
       services: services.length,
+      accounts: accounts?.length,
     });
     this.#config = config;
+    this.#keys.apply(version, accounts);
   }
 
   #startHolder(claim: Claim, supervisor: Supervisor): void {
@@ -215,6 +232,7 @@
         store: this.#store,
         canStart: () => ownership.canStart(),
         canExtend: () => ownership.canExtend(),
+        usesAccounts: () => this.#keys.isInUse,
         onLost: (reason) => {
           ownership.endClaim(claim, reason);
         },
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -29,7 +29,7 @@
 export type NodeCall = { service: string } & (
   | { kind: NodeCallKind.Submit; spec: JobSpec }
   | { kind: NodeCallKind.Status; job: string }
-  | { kind: NodeCallKind.Cancel; job: string }
+  | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
   | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean }
   | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
@@ -42,6 +42,8 @@
   submitted?: SubmitOutcome;
   /** State of the job; undefined when the holder has no such job. */
   state?: JobState;
+  /** Account of the job whose state is reported, if it has one. */
+  account?: string;
   /** Whether the cancellation is durable; undefined when the holder has no such open job. */
   isCancelled?: boolean;
   pending?: PendingCount;
@@ -52,6 +54,7 @@
 const callKinds: ReadonlySet<unknown> = new Set(Object.values(NodeCallKind));
 
 const isText = (value: unknown): value is string => typeof value === 'string';
+const isOptionalText = (value: unknown): boolean => value === undefined || isText(value);
 
 function isObject(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -60,8 +63,9 @@
 function isJobSpec(value: unknown): boolean {
   if (!isObject(value) || !isText(value.id) || !isText(value.queue) || !isText(value.payload))
     return false;
-  const { steps } = value;
+  const { steps, account } = value;
   return (
+    isOptionalText(account) &&
     Array.isArray(steps) &&
     steps.length > 0 &&
     steps.every((step) => isObject(step) && Array.isArray(step.after))
@@ -74,8 +78,9 @@
     case NodeCallKind.Submit:
       return isJobSpec(call.spec);
     case NodeCallKind.Status:
-    case NodeCallKind.Cancel:
       return isText(call.job);
+    case NodeCallKind.Cancel:
+      return isText(call.job) && isOptionalText(call.account);
     case NodeCallKind.Pending:
       return isText(call.queue);
     case NodeCallKind.Vacate:
@@ -97,7 +102,8 @@
 /** Decodes an answer from another node; returns undefined if it is malformed. */
 export function decodeNodeAnswer(body: unknown): NodeAnswer | undefined {
   if (!isObject(body) || typeof body.isHolder !== 'boolean') return undefined;
-  const { submitted, pending, vacating, load } = body;
+  const { submitted, pending, vacating, load, account } = body;
+  if (!isOptionalText(account)) return undefined;
   const parts = [submitted, pending, vacating, load];
   if (!parts.every((part) => part === undefined || part === null || isObject(part)))
     return undefined;
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -6,6 +6,7 @@
 import type { JobTable } from './jobTable.js';
 import type { Claim } from './ownership.js';
 import type { Row, RowStore } from './ports.js';
+import { parseCancellation } from './rows.js';
 import { LEASE_MS } from './runControl.js';
 import { JobState, type WorkerRecord } from './types.js';
 import { createRun, RunPhase, type Worker } from './worker.js';
@@ -105,7 +106,7 @@
 
   #loadJob(row: Row, progressById: ReadonlyMap<string, string>): void {
     const { claim, clock, jobs, log } = this.#deps;
-    if (row.key.endsWith('!')) return;
+    if (parseCancellation(row.key)) return;
     const spec = decodeJob(row.value);
     if (spec.isErr) {
       log.warn('job_row_unreadable', { job: row.key, reason: spec.error.code });
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -14,9 +14,12 @@
   key: id,
 });
 
-/** Key of the row with the state of an ended job. */
+/** Table of the rows of ended jobs. */
+export const ENDED_TABLE = 'ended';
+
+/** Key of the row with the state of an ended job, and with its account if it has one. */
 export const endedKey = (service: string, id: string): RowKey => ({
-  table: 'ended',
+  table: ENDED_TABLE,
   part: service,
   key: id,
 });
@@ -28,8 +31,25 @@
   key: id,
 });
 
-/** Id of the inbox row that requests the cancellation of a job. */
-export const cancellationId = (id: string): string => `${id}!`;
+/** Separates the job from the account in the id of a cancellation; job ids do not contain it. */
+const CANCELLATION_MARK = '!';
+
+/**
+ * Id of the inbox row with which an account requests the cancellation of a job. Bound to the account,
+ * so that a row that is applied late cancels no later job of another account with the same id.
+ */
+export const cancellationId = (id: string, account = ''): string =>
+  `${id}${CANCELLATION_MARK}${account}`;
+
+/** Decodes an id created by {@link cancellationId}; returns undefined for that of a job. */
+export function parseCancellation(
+  key: string,
+): { id: string; account: string | undefined } | undefined {
+  const mark = key.indexOf(CANCELLATION_MARK);
+  if (mark < 0) return undefined;
+  const account = key.slice(mark + 1);
+  return { id: key.slice(0, mark), account: account === '' ? undefined : account };
+}
 
 /** Key of the row with the record of a worker on which runs may have been started. */
 export const rosterKey = (service: string, worker: string): RowKey => ({
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -84,6 +84,8 @@
   HolderUnreachable = 'holder_unreachable',
   /** The stored row of the job cannot be decoded. */
   BadRow = 'bad_row',
+  /** Another account has a job with this id. */
+  IdInUse = 'id_in_use',
 }
 
 /** State of a job as reported to callers. */
