--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -1,4 +1,5 @@
 import { Result } from 'true-myth';
+import type { Account, AccountRules } from '../../accounts/index.js';
 import {
   RunEnd,
   StoreError,
@@ -45,6 +46,8 @@
   isDead: boolean;
   /** Lines that the node wrote to its log. */
   logLines: string[];
+  /** Difference of the node's wall clock from the rig's, in milliseconds. */
+  wallOffsetMs: number;
 }
 
 /** Options for {@link BatchRig}. */
@@ -55,6 +58,10 @@
   maxAttempts?: number;
   /** Whether the store accepts transactions with rows of several parts. */
   acceptsSeveralParts?: boolean;
+  /** Accounts of the first configuration; none if undefined. */
+  accounts?: Account[];
+  /** Rules for accounts in the settings of the nodes. */
+  accountRules?: AccountRules;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -91,6 +98,7 @@
   readonly #waveReports = new Map<string, boolean>();
   readonly #acceptedMaintenance = new Set<string>();
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
+  readonly #accountRules: AccountRules | undefined;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -100,7 +108,10 @@
     nodes = 3,
     maxAttempts = 3,
     acceptsSeveralParts = false,
+    accounts,
+    accountRules,
   }: BatchRigOptions = {}) {
+    this.#accountRules = accountRules;
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
     this.clock = clock;
@@ -116,7 +127,7 @@
         this.addWorker(`${service}-${number}`, service);
       }
     }
-    this.configure({ version: 1, services, maxAttempts });
+    this.configure({ version: 1, services, maxAttempts, accounts });
     for (let number = 0; number < nodes; number++) this.addNode(`node-${number}`);
   }
 
@@ -125,10 +136,15 @@
     version,
     services,
     maxAttempts = 3,
+    accounts,
+    publicQueues = [],
   }: {
     version: number;
     services: string[];
     maxAttempts?: number;
+    accounts?: Account[];
+    /** Names of the queues that need no key. */
+    publicQueues?: string[];
   }): void {
     const queues = services.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
@@ -139,6 +155,7 @@
         pathPrefix: `/${service}/`,
         service,
         advice,
+        isPublic: publicQueues.includes(service),
         ...limits,
       };
     });
@@ -147,6 +164,7 @@
       queues,
       services: services.map((name) => ({ name, hasAdmissionControl: true, isStandby: false })),
       limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 0 },
+      accounts,
     };
     this.#putOperatorRow('config', { config });
   }
@@ -195,9 +213,11 @@
     const logLines: string[] = [];
     const counters = new Counters();
     const sink = { write: (text: string) => logLines.push(text) > 0 };
-    const log = new DecisionLog(sink, this.clock);
     const lifecycle = new Lifecycle(name);
-    const rigNode = { name, counters, lifecycle, isDead: false, logLines };
+    const rigNode = { name, counters, lifecycle, isDead: false, logLines, wallOffsetMs: 0 };
+    const wallTime = () => this.clock.wallTime() + rigNode.wallOffsetMs;
+    const clock: Clock = { ...this.clock, wallTime };
+    const log = new DecisionLog(sink, clock);
     const store = this.#blockWhenDead(this.store.clientOf(name), rigNode);
     const node = new BatchNode({
       store,
@@ -207,7 +227,8 @@
       board: this.#blockWhenDead(this.#createWaveStatusStore(), rigNode),
       operator: tableSource(store, 'operator', '', parseItem),
       registry: tableSource(store, 'registry', '', parseWorker),
-      clock: this.clock,
+      clock,
+      accountRules: this.#accountRules,
       random: createRandom(this.nodes.length + 1),
       log,
       counters,
