--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -178,7 +178,6 @@
       jobs: this.#jobs,
       place,
       canStart: deps.canStart,
-      mayAccess: (job, account) => this.#mayAccess(job, account),
       cancel: (id, account) => void this.cancel(id, account),
     });
     this.#stateLog = new ServiceStateLog({
@@ -340,17 +339,13 @@
    */
   async cancel(id: string, account: string | undefined): Promise<boolean | undefined> {
     const job = this.#jobs.get(id);
-    if (!job || !this.#mayAccess(job, account)) return undefined;
+    if (!job || (this.#deps.usesAccounts() && !mayAccessJob(job.spec.account, account)))
+      return undefined;
     const isDurable = await this.#jobs.close(job, JobState.Cancelled);
     if (isDurable) this.#runs.stopAll(job, 'cancelled');
     return isDurable;
   }
 
-  /** Whether a caller with this account may cancel a job. */
-  #mayAccess(job: Job, account: string | undefined): boolean {
-    return !this.#deps.usesAccounts() || mayAccessJob(job.spec.account, account);
-  }
-
   /**
    * Number of open jobs of a queue that have not started any task. Unknown while this process may
    * have a successor, or has not seen the jobs that gateways wrote to the store recently.
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -24,8 +24,7 @@
   place: () => void;
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
-  /** Whether a caller with this account may cancel a job. */
-  mayAccess: (job: Job, account: string | undefined) => boolean;
+  /** Cancels a job if it belongs to the account. */
   cancel: (id: string, account: string | undefined) => void;
 }
 
@@ -65,17 +64,11 @@
   }
 
   #processRow({ key, value }: Row): void {
-    const { jobs, clock, log, cancel, mayAccess, place, canStart, service } = this.#deps;
+    const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
     const cancellation = parseCancellation(key);
     if (cancellation) {
       const { id, account } = cancellation;
-      const job = jobs.get(id);
-      if (!job) return;
-      if (!mayAccess(job, account)) {
-        log.warn('cancellation_ignored', { job: id, service, account });
-        return;
-      }
-      job.inboxKeys.add(key);
+      jobs.get(id)?.inboxKeys.add(key);
       cancel(id, account);
       return;
     }
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -456,6 +456,11 @@
     this.#linkCuts.add(`${from}>${to}`);
   }
 
+  /** Ends the effect of {@link cutLink}. */
+  restoreLink(from: string, to: string): void {
+    this.#linkCuts.delete(`${from}>${to}`);
+  }
+
   /** The live node that sends orders to the vendor. */
   fleetServiceHolder(): RigNode | undefined {
     return this.nodes.find(({ node, isDead }) => !isDead && node.holdsFleetService);
