--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -6,6 +6,7 @@
 import type { JobTable } from './jobTable.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Row, RowStore } from './ports.js';
+import { parseCancellation } from './rows.js';
 import { tableSource } from './tableSource.js';
 
 /** Long-poll duration of one feed call; short, so that a stalled connection is detected early. */
@@ -23,7 +24,8 @@
   place: () => void;
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
-  cancel: (id: string) => void;
+  /** Cancels a job if it belongs to the account. */
+  cancel: (id: string, account: string | undefined) => void;
 }
 
 /**
@@ -63,10 +65,11 @@
 
   #processRow({ key, value }: Row): void {
     const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
-    if (key.endsWith('!')) {
-      const id = key.slice(0, -1);
+    const cancellation = parseCancellation(key);
+    if (cancellation) {
+      const { id, account } = cancellation;
       jobs.get(id)?.inboxKeys.add(key);
-      cancel(id);
+      cancel(id, account);
       return;
     }
     if (jobs.stateOf(key) !== undefined) return;
