Look queues up by an index of hosts and prefixes

Cause: each request scanned all queues; configurations grow by more than 1,500 of them. Change: src/routing, one look-up for each distinct length of a prefix on the host.

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -7,6 +7,7 @@
   type KeyRefusal,
   type KeyRegistry,
 } from '../accounts/index.js';
+import { QueueIndex, type QueueMatch } from '../routing/index.js';
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -83,6 +84,8 @@
  */
 export class Gateway {
   readonly #deps: GatewayDeps;
+  #indexedConfig: BatchConfig | undefined;
+  #queueIndex = new QueueIndex([]);
   readonly #refusalLog: RefusalLog;
 
   constructor(deps: GatewayDeps) {
@@ -119,13 +122,13 @@
   }
 
   /** Finds the queue with the longest matching path prefix on a host, and the rest of the path. */
-  matchQueue(host: string, path: string): { queue: Queue; rest: string } | undefined {
-    let best: Queue | undefined;
-    for (const queue of this.#deps.config()?.queues ?? []) {
-      if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue;
-      if (!best || queue.pathPrefix.length > best.pathPrefix.length) best = queue;
+  matchQueue(host: string, path: string): QueueMatch | undefined {
+    const config = this.#deps.config();
+    if (config !== this.#indexedConfig) {
+      this.#indexedConfig = config;
+      this.#queueIndex = new QueueIndex(config?.queues ?? []);
     }
-    return best && { queue: best, rest: path.slice(best.pathPrefix.length) };
+    return this.#queueIndex.match(host, path);
   }
 
   /** Submits a job. Reports it as accepted only once it is durable. */
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,1 @@
+export { QueueIndex, type QueueMatch } from './queueIndex.js';
