--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import { UNSTORABLE_RETRY_MS } from './holder.js';
+import { UNSTORABLE_RETRY_MS, type SubmitOutcome } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import { encodeJob } from './jobCodec.js';
 import { NodeCallKind } from './nodeCalls.js';
@@ -25,8 +25,21 @@
 const FINAL_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.Full,
   RefusalReason.Unstorable,
+  RefusalReason.Hopeless,
+  RefusalReason.AccountShare,
 ]);
 
+/** Refusals under load, which depend on the account's work; callers get another status for them. */
+export const LOAD_REFUSALS: ReadonlySet<unknown> = new Set([
+  RefusalReason.Hopeless,
+  RefusalReason.AccountShare,
+]);
+
+/** Longest time after which the store may still apply a write that it did not respond to. */
+const LATE_WRITE_MS = 30_000;
+/** Maximum number of job ids that are kept for that time. */
+const MAX_RECENT_IDS = 1_000;
+
 /** Outcome of a caller's request. */
 export enum CallOutcome {
   /** The request was carried out, or the state of the job is known. */
@@ -65,9 +78,12 @@
  */
 export class Gateway {
   readonly #deps: GatewayDeps;
+  /** Ids of jobs whose write was sent and may still be applied. */
+  readonly #unresolved: RecentIds;
 
   constructor(deps: GatewayDeps) {
     this.#deps = deps;
+    this.#unresolved = new RecentIds(deps.clock);
   }
 
   /** Finds the queue with the longest matching path prefix on a host, and the rest of the path. */
@@ -107,7 +123,9 @@
       if (submitted?.isAccepted)
         return this.#reportAccepted(spec, 'holder', clock.now() - startedAt);
       if (submitted?.reason && FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted) {
-        return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs);
+        const isLoadRefusal = LOAD_REFUSALS.has(submitted.reason);
+        if (!isLoadRefusal || (await this.#isCertainlyUnknown(queue.service, spec.id)))
+          return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs, submitted);
       }
       if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
         mayBeAccepted = true;
@@ -129,6 +147,7 @@
     } while (remainingMs() > ANSWER_RESERVE_MS);
     if (!mayBeAccepted)
       return this.#reportRefused(spec, RefusalReason.StoreUnavailable, UNAVAILABLE_RETRY_MS);
+    this.#unresolved.add(spec.id);
     counters.count('unknown_outcomes', 'submit');
     this.#deps.log.warn('submit_unknown', { job: spec.id, queue: queue.name });
     return { outcome: CallOutcome.Unknown, reason: RefusalReason.StoreUnavailable };
@@ -141,9 +160,37 @@
     return { outcome: CallOutcome.Ok };
   }
 
-  #reportRefused(spec: JobSpec, reason: RefusalReason, retryAfterMs: number): CallAnswer {
+  /**
+   * Whether no row shows that a job was accepted, which its holder may not know yet or no longer. A
+   * refusal under load requires this, because the caller may send the same job again after a timeout.
+   */
+  async #isCertainlyUnknown(service: string, id: string): Promise<boolean> {
+    if (this.#unresolved.has(id)) return false;
+    for (const key of [inboxKey(service, id), endedKey(service, id)]) {
+      const res = await this.#deps.store.readRow(key);
+      if (res.isErr || res.value) return false;
+    }
+    return true;
+  }
+
+  #reportRefused(
+    spec: JobSpec,
+    reason: RefusalReason,
+    retryAfterMs: number,
+    { load }: Pick<SubmitOutcome & { isAccepted: false }, 'load'> = {},
+  ): CallAnswer {
     this.#deps.counters.count('refusals', reason);
-    this.#deps.log.warn('submit_refused', { job: spec.id, queue: spec.queue, reason });
+    this.#deps.log.warn('submit_refused', {
+      job: spec.id,
+      queue: spec.queue,
+      reason,
+      account: spec.account,
+      ...(load && {
+        retry_after_ms: Math.round(retryAfterMs),
+        work_ahead_ms: Math.round(load.workAheadMs),
+        rate: load.ratePerMs.toFixed(3),
+      }),
+    });
     return { outcome: CallOutcome.Refused, reason, retryAfterMs };
   }
 
@@ -270,3 +317,26 @@
 const statesByText = new Map<string, JobState>(
   Object.values(JobState).map((state) => [state, state]),
 );
+
+/** Ids that were added within the last {@link LATE_WRITE_MS}. */
+class RecentIds {
+  readonly #clock: Clock;
+  readonly #addedAt = new Map<string, number>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  add(id: string): void {
+    this.#addedAt.delete(id);
+    this.#addedAt.set(id, this.#clock.now());
+    for (const [oldest] of this.#addedAt) {
+      if (this.#addedAt.size <= MAX_RECENT_IDS && this.has(oldest)) break;
+      this.#addedAt.delete(oldest);
+    }
+  }
+
+  has(id: string): boolean {
+    return this.#clock.now() - (this.#addedAt.get(id) ?? -Infinity) < LATE_WRITE_MS;
+  }
+}
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,16 +1,36 @@
+import {
+  AccountControl,
+  AccountUsage,
+  DEFAULT_RATE_WINDOW_MS,
+  SHARED_FILL,
+  type AccountRules,
+  AdmissionRefusalCode,
+  type AdmissionRefusal,
+  type JobRequest,
+  type QueuedWork,
+} from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import type { Random } from '../random/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator } from './arrivals.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job } from './job.js';
+import { criticalPathMs, Job, type Task } from './job.js';
 import { JobTable } from './jobTable.js';
-import { EntryOutcome, Journal } from './journal.js';
-import { orderWaiting } from './ordering.js';
+import { EntryOutcome, Journal, type JournalEntry } from './journal.js';
+import {
+  byAccount,
+  objectiveMsOf,
+  orderWaiting,
+  OVERDUE_FACTOR,
+  queuedWork,
+  taskWorkMs,
+  type WaitingStep,
+} from './ordering.js';
 import { placeSteps, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
@@ -25,8 +45,10 @@
   type BatchConfig,
   type JobSpec,
   type Queue,
+  type Resources,
   type WorkerRecord,
 } from './types.js';
+import type { Worker } from './worker.js';
 import { Vacating, type VacateStatus } from './vacating.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
@@ -45,6 +67,11 @@
 const MAX_PENDING_AGE_MS = 1_900;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
+/**
+ * Share of its CPU or memory that a pool has in use at least while tasks wait for capacity. Tasks
+ * that fit on no worker wait in an empty pool, too.
+ */
+const SATURATED_SHARE = 0.5;
 
 /** Result of submitting a job. */
 export type SubmitOutcome =
@@ -53,6 +80,8 @@
       isAccepted: false;
       reason: RefusalReason;
       retryAfterMs: number;
+      /** Input of a refusal under load, for logs. */
+      load?: { workAheadMs: number; ratePerMs: number };
     };
 
 /** Number of the jobs of a queue that have not started any task. */
@@ -69,8 +98,11 @@
   workers: WorkerClient;
   advice: AdviceClient;
   clock: Clock;
+  random: Random;
   log: DecisionLog;
   counters: Counters;
+  /** Rules for client accounts; undefined where a deployment has none. */
+  accountRules?: AccountRules;
   config: () => BatchConfig | undefined;
   /** Registered workers of all services. */
   registered: () => Iterable<WorkerRecord>;
@@ -95,6 +127,13 @@
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
+  readonly #accounts: AccountControl;
+  /** Waiting steps, capacity of the pool and usage of accounts in the last placement round. */
+  #waiting: WaitingStep[] = [];
+  #pool: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  #usage: AccountUsage | undefined;
+  /** Waiting work since the last placement round; computed when admission requires it. */
+  #queuedWork: QueuedWork[] | undefined;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -114,6 +153,8 @@
     const place = () => {
       this.#requestPlacement();
     };
+    const rateWindowMs = deps.accountRules?.rateWindowMs ?? DEFAULT_RATE_WINDOW_MS;
+    this.#accounts = new AccountControl({ rateWindowMs, random: deps.random });
     this.#jobs = new JobTable({ service, clock, log, counters });
     this.#journal = new Journal({
       store,
@@ -139,6 +180,10 @@
         this.#advice.discard(step, workerId, ticket);
       },
       lose,
+      onTaskDone: ({ step }) => {
+        if (!this.#accounts.isActive) return;
+        this.#accounts.addEndedWork(taskWorkMs(step.spec, this.#pool), clock.now());
+      },
     });
     this.#jobs.onUnstorable = (job) => {
       this.#runs.stopAll(job, 'unstorable');
@@ -176,6 +221,9 @@
       place,
       canStart: deps.canStart,
       cancel: (id) => void this.cancel(id),
+      countJob: (spec) => {
+        this.#countJob(spec);
+      },
     });
     this.#stateLog = new ServiceStateLog({
       service,
@@ -196,6 +244,7 @@
     });
     const journal = this.#journal.run(signal);
     if (!(await this.#recovery.load(signal))) return;
+    this.#restoreRates();
     await Promise.all([
       journal,
       this.#sessions.run(signal),
@@ -212,6 +261,8 @@
       this.#vacating.proceed();
       this.#requestPlacement();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
+      for (const [account, share] of this.#usage?.shares() ?? [])
+        this.#deps.counters.count('account_share_ms', account, share * TICK_INTERVAL_MS);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
@@ -238,7 +289,17 @@
       this.#deps.counters.count('refusals', 'too_many_open_jobs');
       return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
     }
+    const refusal = this.#refuseUnderLoad(spec);
+    if (refusal) {
+      const { retryAfterMs, workAheadMs, ratePerMs } = refusal;
+      const reason = refusalReasons[refusal.code];
+      this.#deps.counters.count('refusals', reason);
+      this.#deps.counters.count('account_refusals', `${spec.account ?? ''}.${reason}`);
+      return { isAccepted: false, reason, retryAfterMs, load: { workAheadMs, ratePerMs } };
+    }
+    this.#countJob(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
+    if (outcome !== EntryOutcome.Applied) this.#uncountJob(spec);
     if (outcome === EntryOutcome.HolderLost) {
       return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
     }
@@ -265,11 +326,68 @@
         ],
         writes: [{ ...jobKey(this.service, id), value: encodeJob(spec) }],
         removes: [],
+        account: this.#itemAccount(spec),
         settle,
       });
     });
   }
 
+  #itemAccount({ account }: JobSpec): JournalEntry['account'] {
+    if (account === undefined || !this.#accounts.isActive) return undefined;
+    return { name: account, weight: this.#accounts.weightOf(account) };
+  }
+
+  /** Counts a job for its account's rate and records the result in the job. */
+  #countJob(spec: JobSpec): void {
+    const { clock, counters } = this.#deps;
+    this.#queuesByName();
+    if (spec.account === undefined || !this.#accounts.isActive) return;
+    spec.isBeyondRate = this.#accounts.countJob(spec.account, clock.now());
+    if (spec.isBeyondRate) counters.count('jobs_beyond_rate', spec.account);
+  }
+
+  /** Takes back the count of a job that was not accepted. */
+  #uncountJob({ account, isBeyondRate }: JobSpec): void {
+    if (account === undefined || isBeyondRate !== false) return;
+    this.#accounts.giveBack(account, this.#deps.clock.now());
+  }
+
+  /** Counts the jobs that an earlier holder accepted, so that they are ordered the same way. */
+  #restoreRates(): void {
+    this.#queuesByName();
+    if (!this.#accounts.isActive) return;
+    const jobs = [...this.#jobs.open()].flatMap(({ spec, acceptedAt }) =>
+      spec.account === undefined
+        ? []
+        : [{ spec, acceptedAt, account: spec.account, isBeyondRate: spec.isBeyondRate }],
+    );
+    this.#accounts.restore(jobs, ({ spec }, isBeyondRate) => {
+      spec.isBeyondRate = isBeyondRate;
+    });
+  }
+
+  /** Decides whether a job that this holder does not know is refused under load. */
+  #refuseUnderLoad(spec: JobSpec): AdmissionRefusal | undefined {
+    const queue = this.#queuesByName().get(spec.queue);
+    const { account, steps } = spec;
+    if (account === undefined || !this.#accounts.isActive) return undefined;
+    if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
+    const now = this.#deps.clock.now();
+    const job: JobRequest = {
+      account,
+      isBeyondRate: this.#accounts.isBeyondRate(account, now),
+      priority: queue?.priority ?? 0,
+      pathMs: criticalPathMs(steps),
+      valueMs: objectiveMsOf({ spec }, queue) * OVERDUE_FACTOR,
+    };
+    const queued = () => (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool));
+    const hopeless = this.#accounts.refuseHopeless(job, queued, now);
+    if (hopeless || this.#jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
+    const accounts = [...this.#jobs.open()].map((open) => open.spec.account);
+    const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
+    return this.#accounts.refuseAboveShare(job, open, queued, now);
+  }
+
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
@@ -348,6 +466,7 @@
     if (config !== this.#indexedConfig) {
       this.#indexedConfig = config;
       this.#queues = new Map(config?.queues.map((queue) => [queue.name, queue]));
+      this.#accounts.configure(config?.accounts);
     }
     return this.#queues;
   }
@@ -380,17 +499,67 @@
     const now = clock.now();
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
-    const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
-    const steps = waiting
-      .map(({ step }) => step)
-      .filter((step) => this.#advice.isPlaceable(step, queues, this.#sessions));
+    const hasAccounts = this.#accounts.isActive;
+    const queueOf = (name: string) => queues.get(name);
+    const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), hasAccounts).filter(
+      ({ step }) => this.#advice.isPlaceable(step, queues, this.#sessions),
+    );
+    const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
     const round = { steps, workers, now, mayRestart };
+    const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
+    this.#usage = usage;
     const start = ({ task, worker }: Assignment) => {
+      if (usage) addToUsage(usage, task);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
-    this.#unplacedCount = waitingSuspects + placeSteps({ ...round, maxStarts: maxStarts() }, start);
+    const fairSteps = usage ? byAccount(waiting, usage) : steps;
+    const fairRound = { ...round, steps: fairSteps, maxStarts: maxStarts() };
+    this.#unplacedCount = waitingSuspects + placeSteps(fairRound, start);
+    this.#waiting = hasAccounts ? waiting : [];
+    if (!hasAccounts) return;
+    this.#queuedWork = undefined;
+    this.#accounts.updateSaturation(this.#unplacedCount > 0 && isInUse(workers, this.#pool), now);
+  }
+
+  /** Measures the capacity of the pool and what each account holds of it. */
+  #measureUsage(workers: readonly Worker[]): AccountUsage {
+    const pool = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+    for (const { record, isAdmitted, isGone } of workers) {
+      if (!isAdmitted || isGone) continue;
+      pool.cpuMillis += record.capacity.cpuMillis;
+      pool.memoryMb += record.capacity.memoryMb;
+      pool.accelerators += record.capacity.accelerators;
+    }
+    this.#pool = pool;
+    const usage = new AccountUsage(pool, (account) => this.#accounts.weightOf(account));
+    for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
+    return usage;
+  }
+}
+
+/** Reasons of refusals under load. */
+const refusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
+  [AdmissionRefusalCode.Hopeless]: RefusalReason.Hopeless,
+  [AdmissionRefusalCode.AccountShare]: RefusalReason.AccountShare,
+};
+
+function addToUsage(usage: AccountUsage, { step }: Task): void {
+  const { account } = step.job.spec;
+  if (account !== undefined) usage.add(account, step.spec, !step.spec.fillsSpare);
+}
+
+/** Whether much of the pool's CPU or memory is in use. */
+function isInUse(workers: readonly Worker[], pool: Resources): boolean {
+  let cpuMillis = 0;
+  let memoryMb = 0;
+  for (const worker of workers) {
+    cpuMillis += worker.cpuUsed;
+    memoryMb += worker.memoryUsed;
   }
+  return (
+    cpuMillis >= pool.cpuMillis * SATURATED_SHARE || memoryMb >= pool.memoryMb * SATURATED_SHARE
+  );
 }
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -7,6 +7,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { Row, RowStore } from './ports.js';
 import { tableSource } from './tableSource.js';
+import type { JobSpec } from './types.js';
 
 /** Long-poll duration of one feed call; short, so that a stalled connection is detected early. */
 const FEED_WAIT_MS = 1_500;
@@ -24,6 +25,8 @@
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
   cancel: (id: string) => void;
+  /** Counts a job for its account's rate. */
+  countJob: (spec: JobSpec) => void;
 }
 
 /**
@@ -75,6 +78,7 @@
       log.warn('job_row_unreadable', { job: key, reason: spec.error.code });
       return;
     }
+    this.#deps.countJob(spec.value);
     const job = new Job(spec.value, clock.now(), 1);
     job.inboxKeys.add(key);
     // Without certain ownership, a successor may already have taken and started the job.
--- a/src/batch/journal.ts
+++ b/src/batch/journal.ts
@@ -1,3 +1,4 @@
+import { FairBacklog, type ItemAccount } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Counters } from './counters.js';
@@ -34,6 +35,11 @@
   conditions: RowCondition[];
   writes: (RowKey & { value: string })[];
   removes: RowKey[];
+  /**
+   * Account whose job it stores. Entries of different accounts must not concern the same rows,
+   * because they are written in turn by weight.
+   */
+  account?: ItemAccount;
   settle(outcome: EntryOutcome): void;
 }
 
@@ -88,7 +94,7 @@
  */
 export class Journal {
   readonly #deps: JournalDeps;
-  readonly #pending: JournalEntry[] = [];
+  readonly #pending = new FairBacklog<JournalEntry>();
   #barriers: ((isDurable: boolean) => void)[] = [];
   /** Whether an entry was rejected since the last barrier, which is then not reached. */
   #hasRejectedEntry = false;
@@ -115,7 +121,7 @@
       this.#reject(entry, `a row is larger than ${rowBytes} bytes`);
       return;
     }
-    this.#pending.push(entry);
+    this.#pending.push(entry, entry.account);
     this.#wakeWriter();
   }
 
@@ -159,7 +165,7 @@
 
   #failPending(): void {
     this.#isLost = true;
-    for (const entry of this.#pending.splice(0)) entry.settle(EntryOutcome.HolderLost);
+    for (const entry of this.#pending.drain()) entry.settle(EntryOutcome.HolderLost);
     for (const resolve of this.#barriers.splice(0)) resolve(false);
   }
 
@@ -171,7 +177,7 @@
       bytes: limits.transactionBytes - HEAD_VALUE_BYTES,
     };
     const changedRows = new Set<string>();
-    for (let next = this.#pending[0]; next; next = this.#pending[0]) {
+    for (let next = this.#pending.first; next; next = this.#pending.first) {
       const { operations, bytes } = sizeOf(next);
       const fits = operations <= remaining.operations && bytes <= remaining.bytes;
       const ids = [...next.writes, ...next.removes].map(rowId);
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -1,8 +1,15 @@
+import {
+  dominantShare,
+  fairOrder,
+  type AccountUsage,
+  type QueuedWork,
+  type ResourceAmounts,
+} from '../accounts/index.js';
 import { criticalPathMs, isStepReady, remainingPathMs, type Job, type Step } from './job.js';
-import type { Queue } from './types.js';
+import type { JobSpec, Queue, StepSpec } from './types.js';
 
 /** Multiple of the objective beyond which a late job has no value, by the platform's rules. */
-const OVERDUE_FACTOR = 3;
+export const OVERDUE_FACTOR = 3;
 
 /** Classes of waiting steps; a lower value is placed first. */
 export enum Urgency {
@@ -12,8 +19,12 @@
   OnTime = 1,
   /** The job has missed its objective, but completing it still has value. */
   Late = 2,
+  /** Like {@link OnTime}, for a job beyond its account's rate. */
+  OnTimeBeyondRate = 3,
+  /** Like {@link Late}, for a job beyond its account's rate. */
+  LateBeyondRate = 4,
   /** Completing the job no longer has value, but it still has to be done. */
-  Overdue = 3,
+  Overdue = 5,
 }
 
 /** A step with tasks to place, and its sort keys. */
@@ -26,10 +37,17 @@
    * the remaining path of a late one, the negated age of an overdue one.
    */
   sortKeyMs: number;
+  /** Run time of the longest chain of unfinished steps, in milliseconds. */
+  remainingMs: number;
+}
+
+/** Expected run time of one task of a step, in milliseconds. */
+export function taskRunMs(step: StepSpec): number {
+  return step.estimateMs;
 }
 
 /** Time in milliseconds within which a job should complete. */
-export function objectiveMsOf(job: Job, queue: Queue | undefined): number {
+export function objectiveMsOf(job: { spec: JobSpec }, queue: Queue | undefined): number {
   const pathMs = criticalPathMs(job.spec.steps);
   return pathMs * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
 }
@@ -41,18 +59,21 @@
  *
  * @param now - monotonic time in milliseconds
  * @param wallTimeMs - Unix time in milliseconds
+ * @param hasAccounts - whether jobs beyond their account's rate come after the others
  */
 export function orderWaiting(
   jobs: Iterable<Job>,
   queueOf: (name: string) => Queue | undefined,
   now: number,
   wallTimeMs: number,
+  hasAccounts = false,
 ): WaitingStep[] {
   const waiting: WaitingStep[] = [];
   for (const job of jobs) {
     if (job.finalState) continue;
     const queue = queueOf(job.spec.queue);
     const objectiveMs = objectiveMsOf(job, queue);
+    const isBeyondRate = hasAccounts && job.spec.isBeyondRate === true;
     for (const occurrence of job.occurrences.values()) {
       const sinceDueMs = wallTimeMs - (job.spec.firstDueMs + occurrence.number * job.spec.periodMs);
       const ageMs = job.hasSchedule ? sinceDueMs : now - job.acceptedAt;
@@ -62,7 +83,8 @@
         waiting.push({
           step,
           priority: queue?.priority ?? 0,
-          ...urgencyOf(step, objectiveMs, ageMs, remainingMs),
+          remainingMs,
+          ...urgencyOf(step, { objectiveMs, ageMs, remainingMs, isBeyondRate }),
         });
       }
     }
@@ -72,15 +94,22 @@
 
 function urgencyOf(
   step: Step,
-  objectiveMs: number,
-  ageMs: number,
-  remainingMs: number,
+  {
+    objectiveMs,
+    ageMs,
+    remainingMs,
+    isBeyondRate,
+  }: { objectiveMs: number; ageMs: number; remainingMs: number; isBeyondRate: boolean },
 ): { urgency: Urgency; sortKeyMs: number } {
   if (step.spec.isLasting) return { urgency: Urgency.Lasting, sortKeyMs: 0 };
   const slackMs = objectiveMs - ageMs - remainingMs;
-  if (slackMs >= 0) return { urgency: Urgency.OnTime, sortKeyMs: slackMs };
+  if (slackMs >= 0) {
+    const urgency = isBeyondRate ? Urgency.OnTimeBeyondRate : Urgency.OnTime;
+    return { urgency, sortKeyMs: slackMs };
+  }
   if (ageMs + remainingMs <= objectiveMs * OVERDUE_FACTOR) {
-    return { urgency: Urgency.Late, sortKeyMs: remainingMs };
+    const urgency = isBeyondRate ? Urgency.LateBeyondRate : Urgency.Late;
+    return { urgency, sortKeyMs: remainingMs };
   }
   return { urgency: Urgency.Overdue, sortKeyMs: -ageMs };
 }
@@ -88,3 +117,43 @@
 function compareWaiting(a: WaitingStep, b: WaitingStep): number {
   return a.urgency - b.urgency || a.priority - b.priority || a.sortKeyMs - b.sortKeyMs;
 }
+
+/**
+ * Yields ordered steps so that within each urgency and priority the account that holds least capacity
+ * for its weight comes next. What a step is given must be added to the usage before the next step is
+ * requested.
+ *
+ * @param waiting - steps as ordered by {@link orderWaiting}
+ */
+export function* byAccount(waiting: readonly WaitingStep[], usage: AccountUsage): Generator<Step> {
+  const ordered = fairOrder(waiting, {
+    accountOf: ({ step }) => step.job.spec.account,
+    isSameRank: (a, b) => a.urgency === b.urgency && a.priority === b.priority,
+    compare: (a, b) => a.sortKeyMs - b.sortKeyMs,
+    servedPerWeight: (account) => usage.sharePerWeight(account),
+  });
+  for (const { step } of ordered) yield step;
+}
+
+/** Work of one task of a step, in milliseconds of the whole pool. */
+export function taskWorkMs(spec: StepSpec, pool: ResourceAmounts): number {
+  const needs = spec.fillsSpare ? { ...spec, cpuMillis: 0 } : spec;
+  return dominantShare(needs, pool) * taskRunMs(spec);
+}
+
+/** The waiting work that is done before work without value; input for admission. */
+export function queuedWork(waiting: Iterable<WaitingStep>, pool: ResourceAmounts): QueuedWork[] {
+  const queued: QueuedWork[] = [];
+  for (const { step, urgency, priority, remainingMs } of waiting) {
+    if (urgency === Urgency.Lasting || urgency === Urgency.Overdue) continue;
+    queued.push({
+      account: step.job.spec.account,
+      isBeyondRate: urgency >= Urgency.OnTimeBeyondRate,
+      isLate: urgency === Urgency.Late || urgency === Urgency.LateBeyondRate,
+      priority,
+      pathMs: remainingMs,
+      workMs: step.idleCount * taskWorkMs(step.spec, pool),
+    });
+  }
+  return queued;
+}
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -76,6 +76,8 @@
   discardTicket: (step: Step, workerId: string, ticket: string) => void;
   /** Gives up the service, because a worker has seen a higher fencing token. */
   lose: (reason: string) => void;
+  /** Called when a task has succeeded. */
+  onTaskDone: (task: Task) => void;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -341,6 +343,7 @@
     const { step } = task;
     if (step.spec.isLasting) return;
     const { job } = step;
+    if (!task.isDone) this.#deps.onTaskDone(task);
     for (const member of step.spec.isGang ? step.tasks : [task]) {
       job.complete(member);
       if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -62,6 +62,11 @@
   acceptedMs: number;
   /** Name of the client account that submitted it; undefined for a job of a public queue. */
   account?: string;
+  /**
+   * Whether the account had submitted more jobs than its rate allows, as counted by the holder;
+   * undefined if it was not counted.
+   */
+  isBeyondRate?: boolean;
 }
 
 /** Why a job was not accepted, or why it is unknown whether it was. */
@@ -84,6 +89,10 @@
   HolderUnreachable = 'holder_unreachable',
   /** The stored row of the job cannot be decoded. */
   BadRow = 'bad_row',
+  /** The job cannot complete while it has value, because of the work ahead of it. */
+  Hopeless = 'hopeless',
+  /** The account has its part of the open jobs that the holder can keep. */
+  AccountShare = 'account_share',
 }
 
 /** State of a job as reported to callers. */
--- a/src/scheduling/fairQueue.ts
+++ b/src/scheduling/fairQueue.ts
@@ -1,8 +1,6 @@
+import { effectiveWeight, sharedWorkAhead } from '../accounts/index.js';
 import { LinkedList, type ListNode } from './linkedList.js';
 
-/** Lower bound on weights, so that a flow is served after a bounded number of rounds. */
-const MIN_WEIGHT = 0.1;
-
 /** The items of one team, or of all teams if the policy says so, in a {@link FairQueue}. */
 export interface Flow<T> {
   readonly queue: FairQueue<T>;
@@ -64,10 +62,9 @@
    */
   workAheadMs(key: string, weight: number, costMs: number): number {
     const flow = this.#flows.get(key);
-    const flowWeight = Math.max(MIN_WEIGHT, weight);
-    const totalWeight = flow ? this.#totalWeight : this.#totalWeight + flowWeight;
+    const totalWeight = flow ? this.#totalWeight : this.#totalWeight + effectiveWeight(weight);
     const flowMs = (flow?.queuedMs ?? 0) + costMs;
-    return Math.min(this.queuedMs, (flowMs * totalWeight) / flowWeight);
+    return sharedWorkAhead(flowMs, this.queuedMs, weight, totalWeight);
   }
 
   push(key: string, weight: number, value: T, costMs: number): QueueEntry<T> {
@@ -151,7 +148,7 @@
     const flow: Flow<T> = {
       queue: this,
       key,
-      weight: Math.max(MIN_WEIGHT, weight),
+      weight: effectiveWeight(weight),
       deficitMs: 0,
       queuedMs: 0,
       credited: false,
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -23,6 +23,7 @@
 import { BatchNode, type OperatorItem } from '../../batch/node.js';
 import { tableSource } from '../../batch/tableSource.js';
 import type { WaveStatusStore } from '../../batch/upkeep.js';
+import type { Account } from '../../accounts/index.js';
 import type { Clock } from '../../clock/index.js';
 import { InvariantError } from '../../errors/index.js';
 import { Lifecycle } from '../../lifecycle/index.js';
@@ -55,6 +56,8 @@
   maxAttempts?: number;
   /** Whether the store accepts transactions with rows of several parts. */
   acceptsSeveralParts?: boolean;
+  /** Weights of client accounts by name; undefined if there are none. */
+  weights?: Record<string, number>;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -62,6 +65,8 @@
   readonly clock: Clock;
   readonly store: FakeRowStore;
   readonly fleet: FakeExecutors;
+  /** Weights of client accounts by name. */
+  readonly #weights: Record<string, number> | undefined;
   readonly nodes: RigNode[] = [];
   /** Duration of the maintenance of a VM. */
   maintenanceMs = 2_000;
@@ -100,7 +105,9 @@
     nodes = 3,
     maxAttempts = 3,
     acceptsSeveralParts = false,
+    weights,
   }: BatchRigOptions = {}) {
+    this.#weights = weights;
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
     this.clock = clock;
@@ -125,10 +132,12 @@
     version,
     services,
     maxAttempts = 3,
+    weights = this.#weights,
   }: {
     version: number;
     services: string[];
     maxAttempts?: number;
+    weights?: Record<string, number>;
   }): void {
     const queues = services.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
@@ -147,6 +156,7 @@
       queues,
       services: services.map((name) => ({ name, hasAdmissionControl: true, isStandby: false })),
       limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 0 },
+      accounts: weights && createAccounts(weights),
     };
     this.#putOperatorRow('config', { config });
   }
@@ -511,3 +521,8 @@
 
 const parseItem = ({ value }: Row) => JSON.parse(value) as OperatorItem;
 const parseWorker = ({ value }: Row) => JSON.parse(value) as WorkerRecord;
+
+function createAccounts(weights: Record<string, number>): Account[] {
+  const limit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  return Object.entries(weights).map(([name, weight]) => ({ name, weight, limit, keyDigests: [] }));
+}
