--- a/src/accounts/fairOrder.ts
+++ b/src/accounts/fairOrder.ts
@@ -8,6 +8,8 @@
   compare: (a: T, b: T) => number;
   /** What an account was served per unit of weight; read again each time that one is chosen. */
   servedPerWeight: (account: string) => number;
+  /** Whether an item that was yielded last is to be yielded again in its account's next turn. */
+  hasMore: (item: T) => boolean;
 }
 
 /** Items of one account within a rank, served in their given order. */
@@ -37,23 +39,25 @@
 }
 
 function* orderRank<T>(items: readonly T[], rules: FairOrderRules<T>): Generator<T> {
-  const { compare, servedPerWeight } = rules;
+  const { compare, servedPerWeight, hasMore } = rules;
   const { flows, others } = divide(items, rules);
+  // The name decides last, so that a later holder finds the same order.
   const isBefore = (a: Flow<T>, b: Flow<T>) =>
-    a.served < b.served ||
-    (a.served === b.served && compare(a.items[a.next] as T, b.items[b.next] as T) < 0);
+    (a.served - b.served ||
+      compare(a.items[a.next] as T, b.items[b.next] as T) ||
+      (a.account < b.account ? -1 : 1)) < 0;
   for (let index = (flows.length >> 1) - 1; index >= 0; index--) sink(flows, index, isBefore);
   let nextOther = 0;
   for (let flow = flows[0]; flow; flow = flows[0]) {
     const item = flow.items[flow.next] as T;
     const other = others[nextOther];
     if (other !== undefined && compare(other, item) <= 0) {
-      nextOther++;
       yield other;
+      if (!hasMore(other)) nextOther++;
       continue;
     }
-    flow.next++;
     yield item;
+    if (!hasMore(item)) flow.next++;
     if (flow.next < flow.items.length) flow.served = servedPerWeight(flow.account);
     else {
       const last = flows.pop();
@@ -61,7 +65,11 @@
     }
     sink(flows, 0, isBefore);
   }
-  for (; nextOther < others.length; nextOther++) yield others[nextOther] as T;
+  while (nextOther < others.length) {
+    const other = others[nextOther] as T;
+    yield other;
+    if (!hasMore(other)) nextOther++;
+  }
 }
 
 function divide<T>(
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -180,6 +180,8 @@
     { load }: Pick<SubmitOutcome & { isAccepted: false }, 'load'> = {},
   ): CallAnswer {
     this.#deps.counters.count('refusals', reason);
+    if (spec.account !== undefined)
+      this.#deps.counters.count('account_refusals', `${spec.account}.${reason}`);
     this.#deps.log.warn('submit_refused', {
       job: spec.id,
       queue: spec.queue,
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -29,6 +29,7 @@
   OVERDUE_FACTOR,
   queuedWork,
   taskWorkMs,
+  turnSize,
   type WaitingStep,
 } from './ordering.js';
 import { placeSteps, type Assignment } from './placement.js';
@@ -293,8 +294,6 @@
     if (refusal) {
       const { retryAfterMs, workAheadMs, ratePerMs } = refusal;
       const reason = refusalReasons[refusal.code];
-      this.#deps.counters.count('refusals', reason);
-      this.#deps.counters.count('account_refusals', `${spec.account ?? ''}.${reason}`);
       return { isAccepted: false, reason, retryAfterMs, load: { workAheadMs, ratePerMs } };
     }
     this.#countJob(spec);
@@ -515,9 +514,9 @@
     };
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
-    const fairSteps = usage ? byAccount(waiting, usage) : steps;
-    const fairRound = { ...round, steps: fairSteps, maxStarts: maxStarts() };
-    this.#unplacedCount = waitingSuspects + placeSteps(fairRound, start);
+    const fairRound = usage ? { ...round, steps: byAccount(waiting, usage), turnSize } : round;
+    this.#unplacedCount =
+      waitingSuspects + placeSteps({ ...fairRound, maxStarts: maxStarts() }, start);
     this.#waiting = hasAccounts ? waiting : [];
     if (!hasAccounts) return;
     this.#queuedWork = undefined;
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -118,21 +118,38 @@
   return a.urgency - b.urgency || a.priority - b.priority || a.sortKeyMs - b.sortKeyMs;
 }
 
+/** Largest number of turns in which the tasks of a step are placed; bounds the cost of a round. */
+const MAX_TURNS = 64;
+/** Smallest number of tasks in a turn. */
+const MIN_TURN_SIZE = 4;
+
+/** Number of tasks of a step that are placed before it is another account's turn. */
+export function turnSize({ count }: StepSpec): number {
+  return Math.max(MIN_TURN_SIZE, Math.ceil(count / MAX_TURNS));
+}
+
 /**
  * Yields ordered steps so that within each urgency and priority the account that holds least capacity
  * for its weight comes next. What a step is given must be added to the usage before the next step is
- * requested.
+ * requested. A step of which a whole turn was placed comes again, so that a large one does not get
+ * the capacity of all accounts at once.
  *
  * @param waiting - steps as ordered by {@link orderWaiting}
  */
 export function* byAccount(waiting: readonly WaitingStep[], usage: AccountUsage): Generator<Step> {
+  let idleBefore = 0;
   const ordered = fairOrder(waiting, {
     accountOf: ({ step }) => step.job.spec.account,
     isSameRank: (a, b) => a.urgency === b.urgency && a.priority === b.priority,
     compare: (a, b) => a.sortKeyMs - b.sortKeyMs,
     servedPerWeight: (account) => usage.sharePerWeight(account),
+    hasMore: ({ step: { spec, idleCount } }) =>
+      !spec.isGang && idleCount > 0 && idleBefore - idleCount >= turnSize(spec),
   });
-  for (const { step } of ordered) yield step;
+  for (const { step } of ordered) {
+    idleBefore = step.idleCount;
+    yield step;
+  }
 }
 
 /** Work of one task of a step, in milliseconds of the whole pool. */
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -36,6 +36,11 @@
   mayRestart: boolean;
   /** Maximum number of tasks to assign; a gang that begins below it is assigned as a whole. */
   maxStarts?: number;
+  /**
+   * Maximum number of tasks of a step to assign each time it is listed. A step of which that many
+   * were assigned must be listed again while it has others.
+   */
+  turnSize?: (spec: StepSpec) => number;
 }
 
 /**
@@ -46,7 +51,7 @@
  * @returns number of tasks that could not be placed
  */
 export function placeSteps(
-  { steps, workers, now, mayRestart, maxStarts = Infinity }: PlacementRound,
+  { steps, workers, now, mayRestart, maxStarts = Infinity, turnSize }: PlacementRound,
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.acceptsRuns(now));
@@ -72,11 +77,12 @@
     const isPlacedHere = (task: Task) =>
       isStartable(task, { now, mayRestart }) && (spec.isGang || !isCrashSuspect(task));
     const idle = step.tasks.filter(isPlacedHere);
-    const tasks = spec.isGang ? idle : idle.slice(0, startsLeft);
-    unplacedCount += idle.length - tasks.length;
+    const turn = turnSize?.(spec) ?? Infinity;
+    const tasks = spec.isGang ? idle : idle.slice(0, Math.min(startsLeft, turn));
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, place)
       : placeEach(step, tasks, usable, index, place);
+    if (placed < turn) unplacedCount += idle.length - tasks.length;
     if (placed < tasks.length) {
       unplacedCount += tasks.length - placed;
       if (acceptsAnyWorker(step) && !spec.isGang) unplaceableSpecs.push(spec);
