--- a/src/accounts/admission.spec.ts
+++ b/src/accounts/admission.spec.ts
@@ -154,7 +154,11 @@
 });
 
 const openCases: { title: string; open: Partial<OpenJobs>; excess: number }[] = [
-  { title: 'below half of the limit, an account may have all', open: { all: 49, own: 49 }, excess: 0 },
+  {
+    title: 'below half of the limit, an account may have all',
+    open: { all: 49, own: 49 },
+    excess: 0,
+  },
   { title: 'at half, it gets its part', open: { all: 60, own: 29, weight: 1 }, excess: 0 },
   { title: 'above its part, it gets no more', open: { all: 60, own: 40, weight: 1 }, excess: 11 },
   {
--- a/src/accounts/fairOrder.ts
+++ b/src/accounts/fairOrder.ts
@@ -29,7 +29,7 @@
  * @param sorted - items in ascending order of rank, and within a rank by `compare`
  */
 export function* fairOrder<T>(sorted: readonly T[], rules: FairOrderRules<T>): Generator<T> {
-  for (let start = 0; start < sorted.length; ) {
+  for (let start = 0; start < sorted.length;) {
     const first = sorted[start] as T;
     let end = start + 1;
     while (end < sorted.length && rules.isSameRank(first, sorted[end] as T)) end++;
@@ -93,7 +93,7 @@
 
 /** Restores the order of a binary heap below a position. */
 function sink<T>(heap: T[], index: number, isBefore: (a: T, b: T) => boolean): void {
-  for (let parent = index; ; ) {
+  for (let parent = index; ;) {
     let child = 2 * parent + 1;
     if (child >= heap.length) return;
     if (child + 1 < heap.length && isBefore(heap[child + 1] as T, heap[child] as T)) child++;
--- a/src/accounts/jobRates.spec.ts
+++ b/src/accounts/jobRates.spec.ts
@@ -23,9 +23,19 @@
     at: [...repeat(10), 499, 500, 501],
     beyond: [10, 12],
   },
-  { title: 'no more than one window accumulates', weight: 1, at: repeat(7, 60_000), beyond: [5, 6] },
+  {
+    title: 'no more than one window accumulates',
+    weight: 1,
+    at: repeat(7, 60_000),
+    beyond: [5, 6],
+  },
   { title: 'a weight of 0 can still submit', weight: 0, at: [0, 1, 10_001], beyond: [1] },
-  { title: 'a clock that steps back adds nothing', weight: 1, at: [...repeat(5, 9), 0, 9], beyond: [5, 6] },
+  {
+    title: 'a clock that steps back adds nothing',
+    weight: 1,
+    at: [...repeat(5, 9), 0, 9],
+    beyond: [5, 6],
+  },
 ];
 
 for (const { title, weight, at, beyond } of cases) {
@@ -40,7 +50,7 @@
 // before or after others because a later holder counts it differently.
 test('after a takeover, open jobs count with what was stored', (t) => {
   const rates = new JobRates(WINDOW_MS, () => 1);
-  const stored = Array.from({ length: 5 }, () => ({ isBeyondRate: false as boolean | undefined }));
+  const stored = Array.from({ length: 5 }, () => ({ isBeyondRate: false }));
   const jobs = [...stored, { isBeyondRate: true }, { isBeyondRate: undefined }].map(
     (job, index) => ({ ...job, account: 'a', acceptedAt: index }),
   );
--- a/src/accounts/presentOrder.spec.ts
+++ b/src/accounts/presentOrder.spec.ts
@@ -49,9 +49,7 @@
     }
   }
   return waiting
-    .sort(
-      (a, b) => a.urgency - b.urgency || a.priority - b.priority || a.sortKeyMs - b.sortKeyMs,
-    )
+    .sort((a, b) => a.urgency - b.urgency || a.priority - b.priority || a.sortKeyMs - b.sortKeyMs)
     .map(({ step }) => step);
 }
 
--- a/src/accounts/underLoad.spec.ts
+++ b/src/accounts/underLoad.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { CallOutcome, type CallAnswer } from '../batch/gateway.js';
+import { encodeJob } from '../batch/jobCodec.js';
 import { RefusalReason, type JobSpec, type StepSpec } from '../batch/index.js';
 import { BatchRig, required } from '../testing/batchRig/index.js';
 
@@ -176,7 +177,7 @@
 async function runReturn(hasAccounts: boolean): Promise<{ idleFactor: number; startP90: number }> {
   const load = new Load(5, hasAccounts);
   await load.rig.ready();
-  const { a8: _idle, ...others } = equalRates(8);
+  const others = { ...equalRates(8), a8: 0 };
   await load.run(others, 4_000);
   const from = load.rig.clock.now();
   await load.run(others, 1_000);
@@ -223,10 +224,16 @@
   const refused = load.sent.filter(isRefusedAs(RefusalReason.Hopeless));
   t.true(refused.length > 20, `${refused.length} refused`);
   t.deepEqual([...new Set(refused.map(({ account }) => account))], ['loud']);
-  t.true(load.sent.filter(({ account }) => account === 'calm').every(({ answer }) => answer?.outcome === CallOutcome.Ok));
+  t.true(
+    load.sent
+      .filter(({ account }) => account === 'calm')
+      .every(({ answer }) => answer?.outcome === CallOutcome.Ok),
+  );
   const last = required(refused.at(-1));
   const retryAfterMs = required(last.answer?.retryAfterMs);
-  t.log(`${refused.length} of ${load.sent.length} refused, Retry-After ${Math.round(retryAfterMs)} ms`);
+  t.log(
+    `${refused.length} of ${load.sent.length} refused, Retry-After ${Math.round(retryAfterMs)} ms`,
+  );
   const stored = JSON.stringify([...rig.store.rows.values()]);
   for (const { spec } of refused) t.false(stored.includes(spec.id));
   // The caller comes back after exactly the announced time.
@@ -242,7 +249,13 @@
   t.false(rig.fleet.runs().some(({ task }) => refusedIds.has(task.split('.')[0] ?? '')));
   t.deepEqual(rig.violations(), []);
   const lines = rig.nodes.flatMap(({ logLines }) => logLines);
-  t.true(lines.some((line) => /event=submit_refused .*reason=hopeless account=loud retry_after_ms=\d+ work_ahead_ms=\d+ rate=/.test(line)));
+  t.true(
+    lines.some((line) =>
+      /event=submit_refused .*reason=hopeless account=loud retry_after_ms=\d+ work_ahead_ms=\d+ rate=/.test(
+        line,
+      ),
+    ),
+  );
 });
 
 // Guards against refusals where no account exists.
@@ -258,7 +271,9 @@
   const load = await overload();
   const { rig } = load;
   const accepted = required(
-    load.sent.find(({ account, answer }) => account === 'loud' && answer?.outcome === CallOutcome.Ok),
+    load.sent.find(
+      ({ account, answer }) => account === 'loud' && answer?.outcome === CallOutcome.Ok,
+    ),
   );
   const known = load.submit('loud', { id: accepted.spec.id });
   const lasting = load.submit('loud', {
@@ -273,3 +288,72 @@
   t.is(refused.answer?.reason, RefusalReason.Hopeless);
   for (const entry of [known, lasting, ended]) t.is(entry.answer?.outcome, CallOutcome.Ok);
 });
+
+/** Fills the pool for a while, lets jobs wait in it, and returns them in the order of their starts. */
+async function startOrder(killsHolder: boolean): Promise<string[]> {
+  const load = new Load(2, true, HEAVY);
+  // Long enough that no job becomes late while the service has no holder.
+  load.task = { cpuMillis: 2_000, estimateMs: 20_000 };
+  const { rig } = load;
+  const blockers = new Set<string>();
+  rig.fleet.script = (task) => ({ runMs: blockers.has(task.split('.')[0] ?? '') ? 16_000 : 1_000 });
+  await rig.ready();
+  for (let index = 0; index < 4; index++) blockers.add(load.submit('calm').spec.id);
+  await rig.advance(300);
+  const labels = new Map<string, string>();
+  const label = (account: string, index: number, { spec }: { spec: JobSpec }) =>
+    labels.set(spec.id, `${account}${index}`);
+  for (let index = 0; index < 9; index++) {
+    label('loud', index, load.submit('loud'));
+    await rig.advance(50);
+  }
+  // A job that a gateway wrote to the inbox has no stored result of the count.
+  const inboxed = rig.createJob('motions', [load.task], { account: 'loud' });
+  rig.store.put({ table: 'inbox', part: 'motions', key: inboxed.id }, encodeJob(inboxed));
+  label('loud', 9, { spec: inboxed });
+  await rig.advance(50);
+  for (let index = 0; index < 4; index++) {
+    label('calm', index, load.submit('calm'));
+    await rig.advance(50);
+  }
+  const holder = required(rig.holderOf('motions'));
+  if (killsHolder) {
+    holder.isDead = true;
+    await rig.until(() => rig.holderOf('motions') !== undefined);
+  }
+  await rig.until(() => rig.fleet.runs().length === 18, 60_000);
+  return rig.fleet
+    .runs()
+    .flatMap(({ task, startedAt }) => {
+      const name = labels.get(task.split('.')[0] ?? '');
+      return name === undefined ? [] : [{ name, startedAt }];
+    })
+    .sort((a, b) => a.startedAt - b.startedAt || (a.name < b.name ? -1 : 1))
+    .map(({ name }) => name);
+}
+
+// Guards against a later holder that gives each account a new burst, or that orders jobs otherwise
+// than the one that accepted them.
+test('a later holder starts the waiting jobs in the same order', async (t) => {
+  const expected = await startOrder(false);
+  t.log(expected.join(' '));
+  t.is(expected.length, 14);
+  const beyond = ['loud5', 'loud6', 'loud7', 'loud8', 'loud9'];
+  t.deepEqual(new Set(expected.slice(-5)), new Set(beyond));
+  t.deepEqual(await startOrder(true), expected);
+});
+
+// Guards against an account that fills the holder, so that others are refused.
+test('an account above its part of the open jobs is refused, others are not', async (t) => {
+  const load = new Load(2, true, HEAVY);
+  const { rig } = load;
+  await rig.ready();
+  await load.run({ loud: 2_100 }, 1_000);
+  await rig.advance(50);
+  const refused = load.submit('loud');
+  const calm = load.submit('calm');
+  await rig.advance(100);
+  t.is(refused.answer?.reason, RefusalReason.AccountShare);
+  t.true(required(refused.answer?.retryAfterMs) >= 2_000);
+  t.is(calm.answer?.outcome, CallOutcome.Ok);
+});
--- a/src/batch/journal.spec.ts
+++ b/src/batch/journal.spec.ts
@@ -62,3 +62,43 @@
     await task;
   });
 }
+
+// Guards against an account whose acceptances wait for the store behind the burst of another one.
+test('the acceptances of an account do not wait behind the burst of another one', async (t) => {
+  const clock = createVirtualClock();
+  const store = new FakeRowStore(clock);
+  store.put(headKey(SERVICE), initialHeadValue(1));
+  const journal = new Journal({
+    store: store.clientOf('node'),
+    clock,
+    log: new DecisionLog({ write: () => true }, clock),
+    counters: new Counters(),
+    service: SERVICE,
+    epoch: 1,
+    headVersion: 2,
+    takeDirty: () => ({ entries: [], hasMore: false }),
+    onLost: (reason) => {
+      t.fail(reason);
+    },
+  });
+  const settled: string[] = [];
+  const append = (name: string, index: number) => {
+    const key = { table: 'job', part: SERVICE, key: `${name}-${index}` };
+    journal.append({
+      conditions: [{ ...key, version: 0 }],
+      writes: [{ ...key, value: '' }],
+      removes: [],
+      account: { name, weight: 1 },
+      settle: () => void settled.push(name),
+    });
+  };
+  for (let index = 0; index < 400; index++) append('loud', index);
+  append('calm', 0);
+  const controller = new AbortController();
+  const task = journal.run(controller.signal);
+  await clock.advance(1_000);
+  t.is(settled.length, 401);
+  t.true(settled.indexOf('calm') < 50, `calm was written as number ${settled.indexOf('calm')}`);
+  controller.abort();
+  await task;
+});
