--- a/src/accounts/underLoad.spec.ts
+++ b/src/accounts/underLoad.spec.ts
@@ -275,6 +275,8 @@
       ({ account, answer }) => account === 'loud' && answer?.outcome === CallOutcome.Ok,
     ),
   );
+  // Takes the job that its rate may allow again.
+  load.submit('loud');
   const known = load.submit('loud', { id: accepted.spec.id });
   const lasting = load.submit('loud', {
     steps: rig.createJob('motions', [{ ...TASK, isLasting: true }]).steps,
