--- a/src/accounts/presentOrder.spec.ts
+++ b/src/accounts/presentOrder.spec.ts
@@ -137,7 +137,11 @@
 }
 
 /** Places jobs in a pool for 40 tasks; returns the number of tasks given to each account. */
-function place(jobs: readonly Job[], hasAccounts: boolean): Record<string, number> {
+function place(
+  jobs: readonly Job[],
+  hasAccounts: boolean,
+  maxStarts = Infinity,
+): Record<string, number> {
   const capacity = { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 };
   const workers = Array.from({ length: 5 }, (_, index) => {
     const record = { id: `w${index}`, service: 's', capacity, address: '', zone: '' };
@@ -151,7 +155,7 @@
   const steps = hasAccounts ? byAccount(waiting, usage) : waiting.map(({ step }) => step);
   const given: Record<string, number> = {};
   const turnSize = hasAccounts ? () => 4 : undefined;
-  const round = { steps, workers, now: 0, mayRestart: true, turnSize };
+  const round = { steps, workers, now: 0, mayRestart: true, turnSize, maxStarts };
   const unplaced = placeSteps(round, ({ task, worker }) => {
     const run = createRun({ task, worker, number: 1, phase: RunPhase.Starting, startedAt: 0 });
     task.step.job.attach(task, run);
@@ -174,6 +178,13 @@
   t.deepEqual(place(jobs(), false), { wide: 40, unplaced: 190, tasks: 230 });
 });
 
+// Guards against an account that takes all start orders that may wait for their answers.
+test('accounts share the start window', (t) => {
+  const jobs = () => [jobOf('wide', 'wide', 200), ...narrow(30)];
+  t.deepEqual(place(jobs(), true, 16), { wide: 8, narrow: 8, unplaced: 214, tasks: 230 });
+  t.deepEqual(place(jobs(), false, 16), { wide: 16, unplaced: 214, tasks: 230 });
+});
+
 // Guards against capacity that stays free because a turn ended.
 test('a wide job alone gets the whole pool in one round', (t) => {
   t.deepEqual(place([jobOf('wide', 'wide', 200)], true), { wide: 40, unplaced: 160, tasks: 200 });
--- a/src/accounts/underLoad.spec.ts
+++ b/src/accounts/underLoad.spec.ts
@@ -258,6 +258,54 @@
   );
 });
 
+/** Jobs that ended while they had value, counted from their last submission. */
+function endedInTime({ rig, sent }: Load): Set<string> {
+  const ends = new Map(
+    rig.fleet.runs().map(({ task, endedAt = Infinity }) => [task.split('.')[0] ?? '', endedAt]),
+  );
+  const sentAt = new Map(sent.map((entry) => [entry.spec.id, entry.sentAt]));
+  return new Set(
+    [...sentAt].flatMap(([id, at]) => ((ends.get(id) ?? Infinity) - at <= VALUE_MS ? [id] : [])),
+  );
+}
+
+// Guards against a Retry-After that sends callers back too early, so that they run out of retries, and
+// against refusals after which fewer callers are served than without them.
+test('callers that come back when told to are accepted, and more are served', async (t) => {
+  const load = await overload();
+  const { rig } = load;
+  await rig.advance(50);
+  let waiting = load.sent.filter(isRefusedAs(RefusalReason.Hopeless));
+  const refusedIds = new Set(waiting.map(({ spec }) => spec.id));
+  const retries = new Map<string, number>();
+  const end = rig.clock.now() + 40_000;
+  while (waiting.length > 0 && rig.clock.now() < end) {
+    await rig.advance(20);
+    waiting = waiting.flatMap((entry) => {
+      const { answer, answeredAt = Infinity, spec } = entry;
+      if (answer?.outcome === CallOutcome.Ok) return [];
+      if (answer === undefined || rig.clock.now() < answeredAt + required(answer.retryAfterMs))
+        return [entry];
+      retries.set(spec.id, (retries.get(spec.id) ?? 0) + 1);
+      return [load.submit('loud', { id: spec.id })];
+    });
+  }
+  await rig.advance(VALUE_MS);
+  const served = endedInTime(load);
+  const present = await overload(false);
+  await present.rig.advance(40_000);
+  const presentServed = endedInTime(present);
+  const servedAgain = [...refusedIds].filter((id) => served.has(id)).length;
+  t.log(
+    `${refusedIds.size} refused, at most ${Math.max(...retries.values())} retries, ` +
+      `${servedAgain} of them ended while they had value; of all ${served.size}, ` +
+      `in the present order ${presentServed.size} of ${present.sent.length}`,
+  );
+  t.deepEqual(waiting, []);
+  t.true(Math.max(...retries.values()) <= 4);
+  t.true(served.size > presentServed.size);
+});
+
 // Guards against refusals where no account exists.
 test('without accounts the same load is not refused', async (t) => {
   const load = await overload(false);
