--- a/src/accounts/admission.spec.ts
+++ b/src/accounts/admission.spec.ts
@@ -28,6 +28,7 @@
   isBeyondRate: false,
   priority: 0,
   pathMs: 500,
+  objectiveMs: 1_400,
   valueMs: 4_200,
   ...fields,
 });
@@ -104,6 +105,17 @@
     job: beyond,
     retryAfterMs: 3_701,
   },
+  {
+    title: 'a job that late work cannot delay, as it can start in time, is accepted',
+    queued: [work({ ...beyond, isLate: true, workMs: 60_000 }), work({ ...beyond, workMs: 900 })],
+    job: beyond,
+  },
+  {
+    title: 'a job that other work makes late is refused for late work',
+    queued: [work({ ...beyond, isLate: true, workMs: 9_000 }), work({ ...beyond, workMs: 901 })],
+    job: beyond,
+    retryAfterMs: 9_901,
+  },
   {
     title: 'at half the rate, half the work is too much',
     queued: [work({ ...beyond, workMs: 1_900 })],
--- a/src/accounts/admission.ts
+++ b/src/accounts/admission.ts
@@ -59,6 +59,8 @@
   priority: number;
   /** Run time of the longest chain of its steps, in milliseconds. */
   pathMs: number;
+  /** Time after its acceptance within which it should complete, in milliseconds. */
+  objectiveMs: number;
   /** Time after its acceptance at which completing it has no more value, in milliseconds. */
   valueMs: number;
 }
@@ -79,8 +81,17 @@
   all: number;
 }
 
-/** Work that is certainly done before a job, by the order of waiting steps. */
-export function workAheadOf(job: JobRequest, { queued, weightOf }: ServiceBacklog): WorkAhead {
+/**
+ * Work that is certainly done before a job, by the order of waiting steps.
+ *
+ * @param isInTime - whether the job can still meet its objective, so that late work of the same
+ *   standing comes after it
+ */
+export function workAheadOf(
+  job: JobRequest,
+  { queued, weightOf }: ServiceBacklog,
+  isInTime = false,
+): WorkAhead {
   let own = 0;
   let first = 0;
   const others = new Map<string, number>();
@@ -89,8 +100,8 @@
       if (job.isBeyondRate) first += item.workMs;
       continue;
     }
-    // Late jobs are ordered by their path, and a new job is ahead of late ones while it is in time.
-    if (item.isLate && item.pathMs > job.pathMs) continue;
+    // Late jobs are ordered by their path.
+    if (item.isLate && (isInTime || item.pathMs > job.pathMs)) continue;
     if (item.priority > job.priority) continue;
     if (item.account === job.account) own += item.workMs;
     else if (item.priority < job.priority) first += item.workMs;
@@ -107,8 +118,9 @@
 }
 
 /**
- * Refuses a job that certainly cannot end while it has value. A job within its account's rate is
- * refused only for the waiting work of its own account.
+ * Refuses a job that certainly cannot end while it has value: the work ahead of it makes it late, and
+ * then the work ahead of it as a late job takes too long. A job within its account's rate is refused
+ * only for the waiting work of its own account.
  *
  * @returns undefined if the job is accepted
  */
@@ -118,10 +130,12 @@
   random: Random,
 ): AdmissionRefusal | undefined {
   const { ratePerMs } = backlog;
+  const { pathMs, objectiveMs, valueMs, isBeyondRate } = job;
+  const isDoneWithin = (ahead: WorkAhead, limitMs: number) =>
+    (isBeyondRate ? ahead.all : ahead.own) / ratePerMs <= Math.max(0, limitMs - pathMs);
   const ahead = workAheadOf(job, backlog);
-  const decisive = job.isBeyondRate ? ahead.all : ahead.own;
-  const timeLeftMs = Math.max(0, job.valueMs - job.pathMs);
-  if (decisive / ratePerMs <= timeLeftMs) return undefined;
+  if (isDoneWithin(ahead, valueMs)) return undefined;
+  if (isDoneWithin(workAheadOf(job, backlog, true), objectiveMs)) return undefined;
   return new AdmissionRefusal(AdmissionRefusalCode.Hopeless, {
     retryAfterMs: withJitter(ahead.all / ratePerMs, random),
     workAheadMs: ahead.all,
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -372,12 +372,14 @@
     if (account === undefined || !this.#accounts.isActive) return undefined;
     if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
     const now = this.#deps.clock.now();
+    const objectiveMs = objectiveMsOf({ spec }, queue);
     const job: JobRequest = {
       account,
       isBeyondRate: this.#accounts.isBeyondRate(account, now),
       priority: queue?.priority ?? 0,
       pathMs: criticalPathMs(steps),
-      valueMs: objectiveMsOf({ spec }, queue) * OVERDUE_FACTOR,
+      objectiveMs,
+      valueMs: objectiveMs * OVERDUE_FACTOR,
     };
     const queued = () => (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool));
     const hopeless = this.#accounts.refuseHopeless(job, queued, now);
