--- a/src/accounts/gatewayRefusals.spec.ts
+++ b/src/accounts/gatewayRefusals.spec.ts
@@ -67,6 +67,14 @@
     },
     outcomes: [Ok],
   },
+  {
+    title: 'a job that a later holder has accepted is accepted',
+    replies: [hopeless],
+    prepare: ({ store, id, spec }) => {
+      store.put(jobKey(SERVICE, id), spec);
+    },
+    outcomes: [Ok],
+  },
   {
     title: 'a job that ended long ago is accepted',
     replies: [hopeless],
--- a/src/accounts/underLoad.spec.ts
+++ b/src/accounts/underLoad.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { CallOutcome, type CallAnswer } from '../batch/gateway.js';
 import { encodeJob } from '../batch/jobCodec.js';
-import { RefusalReason, type JobSpec, type StepSpec } from '../batch/index.js';
+import { RefusalReason, RunEnd, type JobSpec, type StepSpec } from '../batch/index.js';
 import { BatchRig, required } from '../testing/batchRig/index.js';
 
 const TASK: Partial<StepSpec> = { cpuMillis: 2_000, estimateMs: 500 };
@@ -407,3 +407,26 @@
   t.true(required(refused.answer?.retryAfterMs) >= 2_000);
   t.is(calm.answer?.outcome, CallOutcome.Ok);
 });
+
+// Guards against refusals that go on after a configuration without accounts, and against jobs that
+// lose their place or their runs when weights change in the middle of a peak.
+test('a configuration that changes the accounts in a peak applies at once', async (t) => {
+  const load = await overload();
+  const { rig } = load;
+  const services = ['motions'];
+  rig.configure({ version: 2, services, weights: { loud: 8, calm: 4 } });
+  await rig.advance(1_500);
+  const raised = [load.submit('loud'), load.submit('loud')];
+  await rig.advance(200);
+  t.true(raised.every(({ answer }) => answer?.outcome === CallOutcome.Ok));
+  rig.configure({ version: 3, services, weights: {} });
+  await rig.advance(1_500);
+  const later = Array.from({ length: 40 }, () => load.submit('loud'));
+  await rig.advance(200);
+  t.true(later.every(({ answer }) => answer?.outcome === CallOutcome.Ok));
+  const accepted = load.sent.filter(({ answer }) => answer?.outcome === CallOutcome.Ok);
+  t.true(await rig.until(() => rig.fleet.runs().length >= accepted.length, 60_000));
+  await rig.advance(1_000);
+  t.deepEqual(rig.violations(), []);
+  t.is(rig.fleet.runs().filter(({ end }) => end === RunEnd.Done).length, accepted.length);
+});
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -161,16 +161,15 @@
   }
 
   /**
-   * Whether no row shows that a job was accepted, which its holder may not know yet or no longer. A
-   * refusal under load requires this, because the caller may send the same job again after a timeout.
+   * Whether no row shows that a job was accepted, which its holder may not know yet or no longer, or
+   * which its successor accepted. A refusal under load requires this, because the caller may send the
+   * same job again after a timeout.
    */
   async #isCertainlyUnknown(service: string, id: string): Promise<boolean> {
     if (this.#unresolved.has(id)) return false;
-    for (const key of [inboxKey(service, id), endedKey(service, id)]) {
-      const res = await this.#deps.store.readRow(key);
-      if (res.isErr || res.value) return false;
-    }
-    return true;
+    const keys = [inboxKey, jobKey, endedKey].map((key) => key(service, id));
+    const rows = await Promise.all(keys.map((key) => this.#deps.store.readRow(key)));
+    return rows.every((res) => res.isOk && res.value === undefined);
   }
 
   #reportRefused(
