--- a/src/accounts/underLoad.spec.ts
+++ b/src/accounts/underLoad.spec.ts
@@ -203,8 +203,9 @@
 
 const HEAVY = { loud: 1, calm: 4 };
 
-async function overload(hasAccounts = true): Promise<Load> {
+async function overload(hasAccounts = true, task = TASK): Promise<Load> {
   const load = new Load(2, hasAccounts, HEAVY);
+  load.task = task;
   await load.rig.ready();
   await load.run({ loud: 30, calm: 3 }, 6_000);
   return load;
@@ -306,6 +307,17 @@
   t.true(served.size > presentServed.size);
 });
 
+// Guards against refusals that come too early because the end of a gang counts as that of one task.
+test('the rate counts all tasks of a gang', async (t) => {
+  const { rig } = await overload(true, { ...TASK, cpuMillis: 1_000, count: 4, isGang: true });
+  const rates = rig.nodes
+    .flatMap(({ logLines }) => logLines)
+    .flatMap((line) => /reason=hopeless .*rate=([\d.]+)/.exec(line)?.[1] ?? [])
+    .map(Number);
+  t.true(rates.length > 0);
+  t.true(Math.min(...rates) > 0.7, `${Math.min(...rates)} to ${Math.max(...rates)}`);
+});
+
 // Guards against refusals where no account exists.
 test('without accounts the same load is not refused', async (t) => {
   const load = await overload(false);
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -343,8 +343,8 @@
     const { step } = task;
     if (step.spec.isLasting) return;
     const { job } = step;
-    if (!task.isDone) this.#deps.onTaskDone(task);
     for (const member of step.spec.isGang ? step.tasks : [task]) {
+      if (!member.isDone) this.#deps.onTaskDone(member);
       job.complete(member);
       if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
     }
