--- a/src/accounts/admission.spec.ts
+++ b/src/accounts/admission.spec.ts
@@ -188,16 +188,41 @@
   });
 }
 
+/** A rate to which work of 100 ms was added every 100 ms, in a pool that was saturated meanwhile. */
+function saturatedRate(from: number, to: number): CompletionRate {
+  const rate = new CompletionRate();
+  for (let now = from; now <= to; now += 100) {
+    rate.update(true, now);
+    rate.add(100, now);
+  }
+  return rate;
+}
+
+const isNear = (value: number | undefined, expected: number) =>
+  value !== undefined && Math.abs(value - expected) < 0.1;
+
 // Guards against refusals by the rate of a pool that ended little because little was asked of it.
 test('the rate is known only while the pool was saturated for some time', (t) => {
-  const rate = new CompletionRate();
-  rate.add(400, 900);
-  rate.update(true, 1_000);
-  rate.add(300, 1_200);
-  t.is(rate.perMs(2_000), undefined);
-  rate.add(500, 2_000);
-  rate.add(500, 2_900);
-  t.is(rate.perMs(3_000), 0.65);
-  rate.update(false, 3_100);
-  t.is(rate.perMs(3_200), undefined);
+  t.is(saturatedRate(1_000, 2_400).perMs(2_400), undefined);
+  const rate = saturatedRate(1_000, 2_500);
+  t.true(isNear(rate.perMs(2_500), 1));
+  rate.update(false, 2_600);
+  t.is(rate.perMs(2_600), undefined);
+  rate.update(true, 2_700);
+  t.is(rate.perMs(2_700), undefined);
+});
+
+// Guards against refusals by a holder that stood still, so that ends arrive late.
+test('the rate is unknown after the process did not run for a while', (t) => {
+  const rate = saturatedRate(0, 5_000);
+  rate.update(true, 9_000);
+  rate.add(100, 9_000);
+  t.is(rate.perMs(9_100), undefined);
+});
+
+// Guards against refusals by a holder whose links to workers fail for some seconds.
+test('the rate outlasts a short time without ends', (t) => {
+  const rate = saturatedRate(0, 7_000);
+  for (let now = 7_100; now <= 9_500; now += 100) rate.update(true, now);
+  t.true(isNear(rate.perMs(9_500), 1));
 });
