--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -11,7 +11,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import { UNSTORABLE_RETRY_MS } from './holder.js';
+import { UNSTORABLE_RETRY_MS, type SubmitOutcome } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import {
   decodeEndedJob,
@@ -41,10 +41,23 @@
 const FINAL_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.Full,
   RefusalReason.Unstorable,
+  RefusalReason.Hopeless,
+  RefusalReason.AccountShare,
 ]);
 /** Refusals after which no earlier attempt of the same submission can be accepted either. */
 const DEFINITE_REFUSALS: ReadonlySet<RefusalReason> = new Set([RefusalReason.IdInUse]);
 
+/** Refusals under load, which depend on the account's work; callers get another status for them. */
+export const LOAD_REFUSALS: ReadonlySet<unknown> = new Set([
+  RefusalReason.Hopeless,
+  RefusalReason.AccountShare,
+]);
+
+/** Longest time after which the store may still apply a write that it did not respond to. */
+const LATE_WRITE_MS = 30_000;
+/** Maximum number of job ids that are kept for that time. */
+const MAX_RECENT_IDS = 1_000;
+
 /** Outcome of a caller's request. */
 export enum CallOutcome {
   /** The request was carried out, or the state of the job is known. */
@@ -87,10 +100,13 @@
   #indexedConfig: BatchConfig | undefined;
   #queueIndex = new QueueIndex([]);
   readonly #refusalLog: RefusalLog;
+  /** Ids of jobs whose write was sent and may still be applied. */
+  readonly #unresolved: RecentIds;
 
   constructor(deps: GatewayDeps) {
     this.#deps = deps;
     this.#refusalLog = new RefusalLog(deps.clock);
+    this.#unresolved = new RecentIds(deps.clock);
   }
 
   /**
@@ -165,7 +181,9 @@
         (DEFINITE_REFUSALS.has(submitted.reason) ||
           (FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted));
       if (isFinal) {
-        return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs);
+        const isLoadRefusal = LOAD_REFUSALS.has(submitted.reason);
+        if (!isLoadRefusal || (await this.#isCertainlyUnknown(queue.service, spec.id)))
+          return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs, submitted);
       }
       if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
         mayBeAccepted = true;
@@ -189,6 +207,7 @@
     } while (remainingMs() > ANSWER_RESERVE_MS);
     if (!mayBeAccepted)
       return this.#reportRefused(spec, RefusalReason.StoreUnavailable, UNAVAILABLE_RETRY_MS);
+    this.#unresolved.add(spec.id);
     counters.count('unknown_outcomes', 'submit');
     this.#deps.log.warn('submit_unknown', { job: spec.id, queue: queue.name });
     return { outcome: CallOutcome.Unknown, reason: RefusalReason.StoreUnavailable };
@@ -202,10 +221,38 @@
     return { outcome: CallOutcome.Ok };
   }
 
-  #reportRefused(spec: JobSpec, reason: RefusalReason, retryAfterMs: number): CallAnswer {
+  /**
+   * Whether no row shows that a job was accepted, which its holder may not know yet or no longer, or
+   * which its successor accepted. A refusal under load requires this, because the caller may send the
+   * same job again after a timeout.
+   */
+  async #isCertainlyUnknown(service: string, id: string): Promise<boolean> {
+    if (this.#unresolved.has(id)) return false;
+    const keys = [inboxKey, jobKey, endedKey].map((key) => key(service, id));
+    const rows = await Promise.all(keys.map((key) => this.#deps.store.readRow(key)));
+    return rows.every((res) => res.isOk && res.value === undefined);
+  }
+
+  #reportRefused(
+    spec: JobSpec,
+    reason: RefusalReason,
+    retryAfterMs: number,
+    { load }: Pick<SubmitOutcome & { isAccepted: false }, 'load'> = {},
+  ): CallAnswer {
     this.#deps.counters.count('refusals', reason);
-    const { id: job, queue, account } = spec;
-    this.#deps.log.warn('submit_refused', { job, queue, account, reason });
+    if (spec.account !== undefined)
+      this.#deps.counters.count('account_refusals', `${spec.account}.${reason}`);
+    this.#deps.log.warn('submit_refused', {
+      job: spec.id,
+      queue: spec.queue,
+      reason,
+      account: spec.account,
+      ...(load && {
+        retry_after_ms: Math.round(retryAfterMs),
+        work_ahead_ms: Math.round(load.workAheadMs),
+        rate: load.ratePerMs.toFixed(3),
+      }),
+    });
     return { outcome: CallOutcome.Refused, reason, retryAfterMs };
   }
 
@@ -388,3 +435,26 @@
 
 /** A row that a job may have, and how to decode the state and the account of the job from it. */
 type Lookup = [key: RowKey, decode: (row: Row) => EndedJobRow | undefined];
+
+/** Ids that were added within the last {@link LATE_WRITE_MS}. */
+class RecentIds {
+  readonly #clock: Clock;
+  readonly #addedAt = new Map<string, number>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  add(id: string): void {
+    this.#addedAt.delete(id);
+    this.#addedAt.set(id, this.#clock.now());
+    for (const [oldest] of this.#addedAt) {
+      if (this.#addedAt.size <= MAX_RECENT_IDS && this.has(oldest)) break;
+      this.#addedAt.delete(oldest);
+    }
+  }
+
+  has(id: string): boolean {
+    return this.#clock.now() - (this.#addedAt.get(id) ?? -Infinity) < LATE_WRITE_MS;
+  }
+}
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -44,15 +44,21 @@
   wave?: WaveSpec;
 }
 
+/** Tables that are shared with operators and workers. */
+export interface SharedTables {
+  board: WaveStatusStore;
+  operator: ChangeSource<OperatorItem>;
+  registry: ChangeSource<WorkerRecord>;
+}
+
 /** Dependencies of a {@link BatchNode}. */
 export interface BatchNodeDeps {
   store: RowStore;
   workers: WorkerClient;
   vms: VmClient;
   advice: AdviceClient;
-  board: WaveStatusStore;
-  operator: ChangeSource<OperatorItem>;
-  registry: ChangeSource<WorkerRecord>;
+  /** Creates what the node reads and writes in tables of others, on its path to the store. */
+  tables: (store: RowStore) => SharedTables;
   clock: Clock;
   random: Random;
   log: DecisionLog;
@@ -73,7 +79,7 @@
 /** A batch node: answers callers and holds some of the services. */
 export class BatchNode {
   readonly gateway: Gateway;
-  readonly #deps: BatchNodeDeps;
+  readonly #deps: BatchNodeDeps & SharedTables;
   /** The store by this node's own path. */
   readonly #directStore: MonitoredStore;
   readonly #store: MonitoredStore;
@@ -92,7 +98,7 @@
     this.#store = nodeDeps.features?.relaysStore
       ? new MonitoredStore(this.#createRelayedStore(nodeDeps), nodeDeps.clock)
       : this.#directStore;
-    const deps = { ...nodeDeps, store: this.#store };
+    const deps = { ...nodeDeps, ...nodeDeps.tables(this.#store), store: this.#store };
     this.#deps = deps;
     this.#registry = new WorkerRegistry(deps);
     this.#keys = new KeyRegistry({ clock: deps.clock, rules: deps.accountRules });
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -76,6 +76,8 @@
   discardTicket: (step: Step, workerId: string, ticket: string) => void;
   /** Gives up the service, because a worker has seen a higher fencing token. */
   lose: (reason: string) => void;
+  /** Called when a task has succeeded. */
+  onTaskDone: (task: Task) => void;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -342,6 +344,7 @@
     if (step.spec.isLasting) return;
     const { job } = step;
     for (const member of step.spec.isGang ? step.tasks : [task]) {
+      if (!member.isDone) this.#deps.onTaskDone(member);
       job.complete(member);
       if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
     }
--- a/src/storeRelay/relayedStore.spec.ts
+++ b/src/storeRelay/relayedStore.spec.ts
@@ -79,6 +79,21 @@
       t.is(relayed(holder), before);
     },
   },
+  {
+    // Guards against a holder whose pool grows without its knowledge: the registrations were followed
+    // on the direct path, and 2,300 tasks waited beside idle workers.
+    title: 'a holder that the store does not serve learns of new workers and configurations',
+    run: async (t, rig, holder) => {
+      rig.store.faults.set(holder.name, StoreFault.DropCall);
+      await rig.advance(1_500);
+      rig.addWorker('motions-9', SERVICE);
+      rig.configure({ version: 2, services: [SERVICE] });
+      await rig.advance(3_000);
+      const executor = required(rig.fleet.executors.get('motions-9'));
+      t.true(executor.holdCalls > 0);
+      t.is(holder.node.config?.version, 2);
+    },
+  },
   {
     // Guards against a relay that stays in use after its own path or its process has failed.
     title: 'another peer relays when the first one dies',
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -64,6 +64,8 @@
   features?: Partial<Features>;
   /** Accounts of the first configuration; none if undefined. */
   accounts?: Account[];
+  /** Weights of further accounts of the first configuration, by name. */
+  weights?: Record<string, number>;
   /** Rules for accounts in the settings of the nodes. */
   accountRules?: AccountRules;
 }
@@ -73,6 +75,8 @@
   readonly clock: Clock;
   readonly store: FakeRowStore;
   readonly fleet: FakeExecutors;
+  /** Weights of client accounts by name. */
+  readonly #weights: Record<string, number> | undefined;
   readonly nodes: RigNode[] = [];
   /** Duration of the maintenance of a VM. */
   maintenanceMs = 2_000;
@@ -115,9 +119,11 @@
     acceptsSeveralParts = false,
     features = {},
     accounts,
+    weights,
     accountRules,
   }: BatchRigOptions = {}) {
     this.#features = { ...noFeatures, ...features };
+    this.#weights = weights;
     this.#accountRules = accountRules;
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
@@ -144,12 +150,14 @@
     services,
     maxAttempts = 3,
     accounts,
+    weights = this.#weights,
     publicQueues = [],
   }: {
     version: number;
     services: string[];
     maxAttempts?: number;
     accounts?: Account[];
+    weights?: Record<string, number>;
     /** Names of the queues that need no key. */
     publicQueues?: string[];
   }): void {
@@ -171,7 +179,7 @@
       queues,
       services: services.map((name) => ({ name, hasAdmissionControl: true, isStandby: false })),
       limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 0 },
-      accounts,
+      accounts: accounts ?? (weights && createAccounts(weights)),
     };
     this.#putOperatorRow('config', { config });
   }
@@ -231,9 +239,11 @@
       workers: this.#blockWhenDead(this.fleet.clientOf(name), rigNode),
       vms: this.#blockWhenDead(this.#createVmClient(), rigNode),
       advice: this.#createAdviceClient(),
-      board: this.#blockWhenDead(this.#createWaveStatusStore(), rigNode),
-      operator: tableSource(store, 'operator', '', parseItem),
-      registry: tableSource(store, 'registry', '', parseWorker),
+      tables: (nodeStore) => ({
+        board: this.#blockWhenDead(this.#createWaveStatusStore(), rigNode),
+        operator: tableSource(nodeStore, 'operator', '', parseItem),
+        registry: tableSource(nodeStore, 'registry', '', parseWorker),
+      }),
       clock,
       accountRules: this.#accountRules,
       random: createRandom(this.nodes.length + 1),
@@ -545,3 +555,8 @@
 
 const parseItem = ({ value }: Row) => JSON.parse(value) as OperatorItem;
 const parseWorker = ({ value }: Row) => JSON.parse(value) as WorkerRecord;
+
+function createAccounts(weights: Record<string, number>): Account[] {
+  const limit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  return Object.entries(weights).map(([name, weight]) => ({ name, weight, limit, keyDigests: [] }));
+}
