Set aside workers that fail or slow down runs compared with the others of their pool

A worker was judged by three consecutive failures and by silence, so that one that answers at a fifth of the speed, fails part of its runs or stands still kept its share. Outlier detection (src/workerHealth) compares failures and the ratio of the run time to the expected one with the other workers, and lets a worker return by trial. At most a fifth of the pool, and no more than long-running steps can spare, is set aside. The opinion is passed to the next holder in the table worker_health.

The pause after three consecutive failures now applies only to the only worker of a pool, because it also paused workers for tasks that fail everywhere.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import { OpinionLink, Standing, WorkerHealth, type PoolNeeds } from '../workerHealth/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator } from './arrivals.js';
 import type { Counters } from './counters.js';
@@ -27,6 +28,7 @@
   type Queue,
   type WorkerRecord,
 } from './types.js';
+import { isPoolMember, type Worker } from './worker.js';
 import { Vacating, type VacateStatus } from './vacating.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
@@ -95,6 +97,8 @@
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
+  readonly #health: WorkerHealth;
+  readonly #opinionLink: OpinionLink;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -129,8 +133,28 @@
     this.#jobs.onChange = () => {
       void this.#journal.barrier();
     };
+    this.#health = new WorkerHealth({ service, clock, log, counters });
+    this.#opinionLink = new OpinionLink({
+      service,
+      clock,
+      log,
+      counters,
+      health: this.#health,
+      read: (table) => store.readPart(table, service),
+      write: (rows, settle) => {
+        this.#journal.append({
+          ...rows,
+          conditions: [],
+          settle: (outcome) => {
+            settle(outcome === EntryOutcome.Applied);
+          },
+        });
+      },
+    });
     this.#runs = new RunControl({
       ...deps,
+      health: this.#health,
+      expectedMs: (task) => task.step.spec.estimateMs,
       epoch,
       jobs: this.#jobs,
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
@@ -200,6 +224,7 @@
     await Promise.all([
       journal,
       this.#sessions.run(signal),
+      this.#opinionLink.load(signal),
       this.#inbox.run(signal),
       this.#tick(signal),
     ]);
@@ -211,11 +236,28 @@
       const wallTime = clock.wallTime();
       for (const job of this.#jobs.open()) if (job.hasSchedule) job.createDueOccurrences(wallTime);
       this.#vacating.proceed();
+      this.#judgeWorkers();
       this.#requestPlacement();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
+  /** Judges the workers; must not end the process, because all starts depend on the tick. */
+  #judgeWorkers(): void {
+    const { counters, log } = this.#deps;
+    const pool = () => [...this.#sessions.all()].filter(isPoolMember);
+    try {
+      this.#health.judge(
+        () => pool().map((worker) => this.#runs.judgedWorker(worker)),
+        () => poolNeeds(this.#jobs.open(), pool()),
+      );
+      this.#opinionLink.store();
+    } catch (err) {
+      counters.count('judgement_failures', toError(err).name);
+      log.warn('judgement_failed', { service: this.service, error: messageOf(err) });
+    }
+  }
+
   get isLoaded(): boolean {
     return this.#recovery.isLoaded;
   }
@@ -386,6 +428,7 @@
       .map(({ step }) => step)
       .filter((step) => this.#advice.isPlaceable(step, queues, this.#sessions));
     const workers = [...this.#sessions.all()];
+    for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
     const round = { steps, workers, now, mayRestart };
     const start = ({ task, worker }: Assignment) => {
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
@@ -395,3 +438,37 @@
     this.#unplacedCount = waitingSuspects + placeSteps({ ...round, maxStarts: maxStarts() }, start);
   }
 }
+
+/** What the open jobs need of the workers, so that not too many are set aside. */
+function poolNeeds(jobs: Iterable<Job>, pool: readonly Worker[]): PoolNeeds {
+  const requiredLabels = new Set<string>();
+  let lastingCpu = 0;
+  let maxAway = pool.length - 1;
+  for (const job of jobs) {
+    for (const spec of job.spec.steps) {
+      const { requiredLabel, isLasting, count, maxPerWorker, cpuMillis } = spec;
+      if (requiredLabel !== undefined) requiredLabels.add(requiredLabel);
+      if (!isLasting) continue;
+      lastingCpu += count * cpuMillis;
+      if (maxPerWorker === 0) continue;
+      const eligible = pool.filter(
+        ({ record }) => requiredLabel === undefined || record.labels.includes(requiredLabel),
+      );
+      maxAway = Math.min(maxAway, eligible.length - Math.ceil(count / maxPerWorker));
+    }
+  }
+  const capacities = pool.map(({ record }) => record.capacity.cpuMillis);
+  const largest = Math.max(1, ...capacities);
+  const capacityCpu = capacities.reduce((sum, cpu) => sum + cpu, 0);
+  if (lastingCpu > 0) {
+    maxAway = Math.min(maxAway, Math.floor((capacityCpu - lastingCpu) / largest));
+  }
+  const inUse = pool.filter(({ standing }) => standing === Standing.InUse);
+  const canSpare = (id: string) => {
+    const labels = pool.find(({ record }) => record.id === id)?.record.labels ?? [];
+    const isLast = (label: string) =>
+      !inUse.some(({ record }) => record.id !== id && record.labels.includes(label));
+    return !labels.some((label) => requiredLabels.has(label) && isLast(label));
+  };
+  return { maxAway, canSpare };
+}
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -1,3 +1,4 @@
+import { Standing } from '../workerHealth/index.js';
 import { FAILURE_SCORE, BestFitIndex, usedShare } from './bestFitIndex.js';
 import { isCrashSuspect } from './crashSuspects.js';
 import type { Step, Task } from './job.js';
@@ -209,6 +210,9 @@
   const { labels } = worker.record;
   if (spec.requiredLabel !== undefined && !labels.includes(spec.requiredLabel)) return false;
   if (!worker.hasCapacityFor(spec, spec.fillsSpare)) return false;
+  // A trial ends with the end of one run.
+  const isOnTrial = worker.standing === Standing.OnTrial;
+  if (isOnTrial && (spec.isLasting || spec.isGang)) return false;
   if (spec.maxPerWorker === 0) return true;
   const running = countOnWorker(step.tasks, worker);
   const chosenHere = chosen.filter((other) => other.worker === worker).length;
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -16,7 +16,8 @@
 } from './ports.js';
 import { StartWindow } from './startWindow.js';
 import { JobState, RunEnd } from './types.js';
-import { createRun, RunPhase, type Run, type Worker } from './worker.js';
+import { RunOutcome, type JudgedWorker, type WorkerHealth } from '../workerHealth/index.js';
+import { createRun, isSpeedSample, RunPhase, type Run, type Worker } from './worker.js';
 
 /** Length of the leases granted to workers. Must stay below the platform's maximum of 6 s. */
 export const LEASE_MS = 5_000;
@@ -51,8 +52,8 @@
 const FAILURE_PAUSE_MS = 250;
 const FAILURE_PAUSE_MAX_MS = 4_000;
 /**
- * Consecutive failures after which a worker is paused. Isolated failures are attributed to the
- * tasks themselves.
+ * Consecutive failures after which a worker without others to compare with is paused. Isolated
+ * failures are attributed to the tasks themselves.
  */
 const FAILURES_BEFORE_PAUSE = 3;
 /** Maximum number of tasks in the log line on the crash of a worker. */
@@ -70,6 +71,9 @@
   epoch: number;
   jobs: JobTable;
   maxAttempts: (queue: string) => number;
+  health: WorkerHealth;
+  /** Expected run time of a task in milliseconds; 0 if unknown. */
+  expectedMs: (task: Task) => number;
   /** Requests a placement round. */
   place: () => void;
   /** Discards a ticket that a worker refused. */
@@ -314,7 +318,10 @@
     const { jobs, log, place } = this.#deps;
     const run = worker.runs.get(ended.task);
     const isCurrent = run?.number === ended.run;
-    if (run && isCurrent) this.#detach(run);
+    if (run && isCurrent) {
+      this.#recordHealth(run, ended.end);
+      this.#detach(run);
+    }
     const address = parseTaskName(ended.task);
     const job = address && jobs.get(address.job);
     log.detail('task_end', {
@@ -336,6 +343,39 @@
     place();
   }
 
+  #recordHealth(run: Run, end: RunEnd): void {
+    if (end !== RunEnd.Done && end !== RunEnd.Failed) return;
+    const { worker, task, startedAt } = run;
+    this.#deps.health.recordEnd({
+      worker: worker.record.id,
+      task: task.name,
+      step: stepKey(task),
+      kind: kindOf(task),
+      outcome: end === RunEnd.Done ? RunOutcome.Done : RunOutcome.Failed,
+      startedAt,
+      ratio: isSpeedSample(run) ? this.#ratioOf(run) : undefined,
+      isTrial: worker.trialRun === run,
+    });
+  }
+
+  /** Time since the start of a run, compared with the expected run time. */
+  #ratioOf({ task, startedAt }: Run): number | undefined {
+    const expectedMs = this.#deps.expectedMs(task);
+    return expectedMs > 0 ? (this.#deps.clock.now() - startedAt) / expectedMs : undefined;
+  }
+
+  /** The state of a worker as input for its judgement. */
+  judgedWorker(worker: Worker): JudgedWorker {
+    const openRuns: JudgedWorker['openRuns'] = [];
+    for (const run of worker.runs.values()) {
+      const ratio = run.phase === RunPhase.Running && isSpeedSample(run) ? this.#ratioOf(run) : 0;
+      const { task, startedAt } = run;
+      const isTrial = worker.trialRun === run;
+      openRuns.push({ kind: kindOf(task), startedAt, ratio: ratio ?? 0, isTrial });
+    }
+    return { id: worker.record.id, bornMs: worker.record.bornMs, openRuns };
+  }
+
   #applyDone(worker: Worker, task: Task): void {
     worker.consecutiveFailures = 0;
     const { step } = task;
@@ -353,7 +393,8 @@
     const { clock, jobs, maxAttempts } = this.#deps;
     const now = clock.now();
     worker.consecutiveFailures++;
-    if (worker.consecutiveFailures >= FAILURES_BEFORE_PAUSE) {
+    const canCompare = this.#deps.health.canCompare;
+    if (!canCompare && worker.consecutiveFailures >= FAILURES_BEFORE_PAUSE) {
       const doublings = worker.consecutiveFailures - FAILURES_BEFORE_PAUSE;
       worker.avoidUntil = now + Math.min(FAILURE_PAUSE_MAX_MS, FAILURE_PAUSE_MS * 2 ** doublings);
     }
@@ -529,6 +570,16 @@
   }
 }
 
+/** Name of a step whose tasks are equal. */
+function stepKey({ name }: Task): string {
+  return name.slice(0, name.lastIndexOf('.'));
+}
+
+/** Tasks of the same queue and image behave alike. */
+function kindOf({ step }: Task): string {
+  return `${step.job.spec.queue} ${step.spec.image}`;
+}
+
 /** Whether the last order for a run was carried out before a reading of the worker's clock. */
 function isOlderThan({ lastOrderClockMs }: Run, workerTimeMs: number): boolean {
   return lastOrderClockMs !== undefined && lastOrderClockMs < workerTimeMs;
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -1,3 +1,4 @@
+import { Standing } from '../workerHealth/index.js';
 import type { Task } from './job.js';
 import type { Resources, WorkerRecord } from './types.js';
 
@@ -27,6 +28,8 @@
   lastOrderClockMs?: number;
   /** Monotonic time of the start order or of the adoption, in milliseconds. */
   startedAt: number;
+  /** Whether it resumed a checkpoint, so that it takes less than the whole time. */
+  isResumed: boolean;
   /** Whether an earlier holder started it. */
   isAdopted: boolean;
   /** Start-up progress; 100 once the task is fully operational. */
@@ -53,6 +56,7 @@
     phase,
     startedAt,
     isStopSent: false,
+    isResumed: task.checkpoint !== '',
     isAdopted: false,
     percent: 0,
     measurement: 0,
@@ -91,6 +95,12 @@
   lapsedRuns: Run[] = [];
   /** Consecutive runs that failed here. */
   consecutiveFailures = 0;
+  /** Whether it gets new runs, compared with the other workers of the pool. */
+  standing = Standing.InUse;
+  /** The run by which a worker on trial is judged; it gets no other ones meanwhile. */
+  trialRun?: Run;
+  /** Time of the first answer after calls that were not answered; ends before it came late. */
+  recoveredAt = 0;
   /** Time by which all leases here will have expired unless they are renewed. */
   leasesExpireBy = 0;
   cpuUsed = 0;
@@ -140,7 +150,22 @@
 
   /** Whether new runs may be placed on it. */
   acceptsRuns(now: number): boolean {
-    return this.isUsable(now) && this.isolatedUntil <= now;
+    return (
+      this.isUsable(now) &&
+      this.isolatedUntil <= now &&
+      this.standing !== Standing.SetAside &&
+      !this.#hasTrialRun()
+    );
+  }
+
+  #hasTrialRun(): boolean {
+    return this.standing === Standing.OnTrial && this.trialRun !== undefined;
+  }
+
+  /** Sets whether it gets new runs; a run of an earlier trial no longer counts. */
+  setStanding(standing: Standing): void {
+    if (standing !== Standing.OnTrial) delete this.trialRun;
+    this.standing = standing;
   }
 
   /** Whether it can run tasks and none of its planned work is near. */
@@ -158,6 +183,8 @@
   /** Whether a task with these needs fits in the unreserved resources. */
   hasCapacityFor(needs: Resources, fillsSpare: boolean): boolean {
     const { capacity } = this.record;
+    if (this.#hasTrialRun()) return false;
+    if (this.standing === Standing.OnTrial && fillsSpare) return false;
     return (
       (fillsSpare || this.cpuUsed + needs.cpuMillis <= capacity.cpuMillis) &&
       this.memoryUsed + needs.memoryMb <= capacity.memoryMb &&
@@ -167,6 +194,7 @@
 
   /** Adds a run and reserves its resources. */
   add(run: Run): void {
+    if (this.standing === Standing.OnTrial && !run.isAdopted) this.trialRun = run;
     this.runs.set(run.task.name, run);
     this.#reserve(run, 1);
   }
@@ -175,6 +203,7 @@
   remove(run: Run): void {
     if (this.runs.get(run.task.name) !== run) return;
     this.runs.delete(run.task.name);
+    if (this.trialRun === run) delete this.trialRun;
     this.#reserve(run, -1);
   }
 
@@ -185,3 +214,22 @@
     this.acceleratorsUsed += sign * spec.accelerators;
   }
 }
+
+/**
+ * Whether the run time of a run depends on the speed of its worker only. Long-running and
+ * best-effort tasks, gangs, tasks away from their data or their group, and reports that came late
+ * say nothing about it.
+ */
+export function isSpeedSample({ task, worker, startedAt, isAdopted, isResumed }: Run): boolean {
+  const { spec } = task.step;
+  const isAwayFromData =
+    spec.nearRack !== undefined && !worker.record.labels.includes(spec.nearRack);
+  if (spec.isLasting || spec.fillsSpare || spec.isGang || spec.isColocated) return false;
+  return !isAdopted && !isResumed && !isAwayFromData && startedAt >= worker.recoveredAt;
+}
+
+/** Whether a worker can run tasks now, so that it can be compared with the others. */
+export function isPoolMember(worker: Worker): boolean {
+  const { isAdmitted, isGone, isVacating, unansweredCalls, record } = worker;
+  return isAdmitted && !isGone && !isVacating && unansweredCalls === 0 && !record.isDraining;
+}
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -259,6 +259,7 @@
         unanswered_calls: worker.unansweredCalls,
       });
       worker.unansweredCalls = 0;
+      worker.recoveredAt = clock.now();
       place();
     }
     let hasNewEnds = false;
--- /dev/null
+++ b/src/workerHealth/index.ts
@@ -0,0 +1,17 @@
+export { healthDefaults } from './defaults.js';
+export { decodeOpinion, encodeOpinion, type StoredOpinion } from './opinion.js';
+export { OpinionLink, type OpinionLinkDeps } from './opinionLink.js';
+export {
+  OpinionError,
+  OpinionErrorCode,
+  OutlierReason,
+  ReturnReason,
+  RunOutcome,
+  Standing,
+  type EndedRun,
+  type HealthSettings,
+  type JudgedWorker,
+  type OpenRun,
+  type PoolNeeds,
+} from './types.js';
+export { WorkerHealth, type WorkerHealthDeps } from './workerHealth.js';
