--- a/src/workerHealth/outliers.ts
+++ b/src/workerHealth/outliers.ts
@@ -97,6 +97,27 @@
   };
 }
 
+/**
+ * Whether a worker is so conspicuous that its runs are left out of the norm. Several bad workers would
+ * otherwise make each other look usual.
+ */
+export function isConspicuous(
+  { ended, open }: WorkerSamples,
+  { medianRatio }: Norm,
+  { slowFactor }: HealthSettings,
+): boolean {
+  const isSlow = ({ kind, ratio }: { kind: string; ratio?: number }) =>
+    ratio !== undefined && ratio > (medianRatio(kind) ?? Infinity) * slowFactor;
+  const rated = ended.filter(({ ratio }) => ratio !== undefined).length;
+  const openSlow = open.filter(isSlow).length;
+  const slow = ended.filter(isSlow).length + openSlow;
+  const failed = ended.filter(
+    ({ failure }) => failure !== undefined && failure !== FailureWeight.None,
+  ).length;
+  const isOftenSlow = slow >= 4 && slow > (rated + openSlow) / 2;
+  return isOftenSlow || (failed >= 3 && failed > ended.length / 4);
+}
+
 /**
  * Finds evidence that a worker fails or is slow. Adds the log-likelihood ratio of each run, in the
  * order of the starts, and starts anew where the sum falls below zero (cumulative sum test). Runs in
--- a/src/workerHealth/workerHealth.ts
+++ b/src/workerHealth/workerHealth.ts
@@ -5,6 +5,7 @@
   computeNorm,
   FailureWeight,
   findEvidence,
+  isConspicuous,
   type Norm,
   type Sample,
   type WorkerSamples,
@@ -48,6 +49,8 @@
   hasFailed: boolean;
 }
 
+type SamplesById = readonly [string, WorkerSamples][];
+
 interface FailedTask {
   /** Workers on which it failed. */
   failedOn: Set<string>;
@@ -186,12 +189,13 @@
     this.#dropOld(pool, now);
     const samples = new Map(pool.map((worker) => [worker.id, this.#samplesOf(worker)]));
     const usable = [...samples].filter(([id]) => this.standing(id) === Standing.InUse);
-    this.#norm = computeNorm(new Map(usable).values(), this.#settings);
+    const usual = this.#withoutConspicuous(usable);
+    this.#norm = computeNorm(new Map(usual).values(), this.#settings);
     this.#advanceTrials(pool, now);
     this.#canCompare = pool.length > 1;
     const outliers: [string, Evidence][] = [];
     for (const [id, own] of usable) {
-      const norm = this.#normFor(id, usable);
+      const norm = this.#normFor(id, usable, usual);
       const evidence = findEvidence(own, norm, this.#settings);
       if (evidence) outliers.push([id, evidence]);
     }
@@ -207,10 +211,16 @@
     }
   }
 
-  #normFor(id: string, usable: readonly [string, WorkerSamples][]): Norm {
+  #withoutConspicuous(usable: SamplesById): SamplesById {
+    const norm = computeNorm(new Map(usable).values(), this.#settings);
+    const usual = usable.filter(([, samples]) => !isConspicuous(samples, norm, this.#settings));
+    return usual.length > usable.length / 2 ? usual : usable;
+  }
+
+  #normFor(id: string, usable: SamplesById, usual: SamplesById): Norm {
     const isSmall = usable.length <= MAX_SMALL_POOL;
     if (!isSmall && this.#norm) return this.#norm;
-    const others = usable.filter(([other]) => other !== id).map(([, samples]) => samples);
+    const others = usual.filter(([other]) => other !== id).map(([, samples]) => samples);
     return computeNorm(others, this.#settings);
   }
 
