--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -52,8 +52,8 @@
 const FAILURE_PAUSE_MS = 250;
 const FAILURE_PAUSE_MAX_MS = 4_000;
 /**
- * Consecutive failures after which a worker without others to compare with is paused. Isolated
- * failures are attributed to the tasks themselves.
+ * Consecutive failures of tasks that did not fail elsewhere after which a worker is paused, before
+ * there is enough evidence to set it aside. Isolated failures are attributed to the tasks themselves.
  */
 const FAILURES_BEFORE_PAUSE = 3;
 /** Maximum number of tasks in the log line on the crash of a worker. */
@@ -392,9 +392,9 @@
   #applyFailure(worker: Worker, task: Task, runNumber: number): void {
     const { clock, jobs, maxAttempts } = this.#deps;
     const now = clock.now();
-    worker.consecutiveFailures++;
-    const canCompare = this.#deps.health.canCompare;
-    if (!canCompare && worker.consecutiveFailures >= FAILURES_BEFORE_PAUSE) {
+    const isAttributable = this.#deps.health.isAttributable(worker.record.id, task.name);
+    if (isAttributable) worker.consecutiveFailures++;
+    if (isAttributable && worker.consecutiveFailures >= FAILURES_BEFORE_PAUSE) {
       const doublings = worker.consecutiveFailures - FAILURES_BEFORE_PAUSE;
       worker.avoidUntil = now + Math.min(FAILURE_PAUSE_MAX_MS, FAILURE_PAUSE_MS * 2 ** doublings);
     }
--- a/src/workerHealth/workerHealth.spec.ts
+++ b/src/workerHealth/workerHealth.spec.ts
@@ -322,6 +322,15 @@
   });
 }
 
+// Guards against a pause of healthy workers because of a task that fails wherever it runs.
+test('a failed run is attributed to the worker until its task has failed elsewhere', (t) => {
+  const pool = new Pool(names(3));
+  pool.end('w0', 1, { ...failed, task: 'poison' });
+  t.true(pool.health.isAttributable('w0', 'poison'));
+  pool.end('w1', 1, { ...failed, task: 'poison' });
+  t.false(pool.health.isAttributable('w1', 'poison'));
+});
+
 // Guards against a worker that gets work again at short intervals although it stays bad.
 test('the periods for which a worker is set aside double up to their maximum', (t) => {
   const pool = new Pool(names(6));
--- a/src/workerHealth/workerHealth.ts
+++ b/src/workerHealth/workerHealth.ts
@@ -87,7 +87,6 @@
   readonly #succeededOn = new Map<string, string | null>();
   #judgedAt = -Infinity;
   #norm: Norm | undefined;
-  #canCompare = false;
 
   constructor(deps: WorkerHealthDeps) {
     this.#deps = deps;
@@ -99,9 +98,10 @@
     return this.#records.get(worker)?.standing ?? Standing.InUse;
   }
 
-  /** Whether the pool has other workers that one can be compared with. */
-  get canCompare(): boolean {
-    return this.#canCompare;
+  /** Whether a failed run may be the fault of its worker: the task has not failed elsewhere. */
+  isAttributable(worker: string, task: string): boolean {
+    const failedOn = this.#failedTasks.get(task)?.failedOn ?? new Set();
+    return [...failedOn].every((other) => other === worker);
   }
 
   /** Number of workers that are set aside or on trial. */
@@ -192,7 +192,6 @@
     const usual = this.#withoutConspicuous(usable);
     this.#norm = computeNorm(new Map(usual).values(), this.#settings);
     this.#advanceTrials(pool, now);
-    this.#canCompare = pool.length > 1;
     const outliers: [string, Evidence][] = [];
     for (const [id, own] of usable) {
       const norm = this.#normFor(id, usable, usual);
