--- a/src/workerHealth/opinion.ts
+++ b/src/workerHealth/opinion.ts
@@ -1,32 +1,33 @@
 import { Result } from 'true-myth';
-import { z } from 'zod';
 import { OpinionError, OpinionErrorCode, OutlierReason, type HealthSettings } from './types.js';
 
 /** Longest wall-clock lead of a row that is attributed to clocks that differ. */
 const MAX_CLOCK_LEAD_MS = 10_000;
+/** Workers in a row; about 100 bytes each. */
+const MAX_STORED_WORKERS = 300;
+/** Highest number of periods that is counted. */
+export const MAX_ROUNDS = 1_000;
 
-const opinionSchema = z.object({
-  /** Unix time in milliseconds. */
-  atMs: z.number(),
-  workers: z
-    .array(
-      z.object({
-        id: z.string().min(1),
-        bornMs: z.number(),
-        reason: z.enum(OutlierReason),
-        severity: z.number().min(0).max(1),
-        rounds: z.int().min(1).max(1_000),
-        remainingMs: z.number().min(0),
-      }),
-    )
-    .max(5_000),
-});
+/** The opinion on one worker. */
+export interface WorkerOpinion {
+  id: string;
+  /** Start time of the worker's process; the opinion is on this incarnation only. */
+  bornMs: number;
+  reason: OutlierReason;
+  /** Share of its work that is lost, from 0 to 1. */
+  severity: number;
+  /** How often it was set aside in a row. */
+  rounds: number;
+  /** Time until its next trial; 0 if it is on trial. */
+  remainingMs: number;
+}
 
 /** Workers that are set aside or on trial, as stored for the next holder. */
-export type StoredOpinion = z.infer<typeof opinionSchema>;
-
-/** Workers in a row; about 100 bytes each. */
-const MAX_STORED_WORKERS = 300;
+export interface StoredOpinion {
+  /** Unix time in milliseconds. */
+  atMs: number;
+  workers: WorkerOpinion[];
+}
 
 /** Encodes an opinion for the row of a service; the worst workers if there are too many. */
 export function encodeOpinion({ atMs, workers }: StoredOpinion): string {
@@ -46,14 +47,41 @@
   } catch (err) {
     return Result.err(new OpinionError(OpinionErrorCode.Malformed, 'the row is no JSON', err));
   }
-  const res = opinionSchema.safeParse(parsed);
-  if (!res.success) {
-    return Result.err(new OpinionError(OpinionErrorCode.Malformed, res.error.message));
+  if (!isOpinion(parsed)) {
+    const message = 'the row is no opinion on workers';
+    return Result.err(new OpinionError(OpinionErrorCode.Malformed, message));
   }
-  const ageMs = wallTime - res.data.atMs;
+  const ageMs = wallTime - parsed.atMs;
   if (ageMs > opinionTtlMs || ageMs < -MAX_CLOCK_LEAD_MS) {
     const message = `the opinion is ${ageMs} ms old, expected at most ${opinionTtlMs} ms`;
     return Result.err(new OpinionError(OpinionErrorCode.Expired, message));
   }
-  return Result.ok({ opinion: res.data, ageMs: Math.max(0, ageMs) });
+  return Result.ok({ opinion: parsed, ageMs: Math.max(0, ageMs) });
+}
+
+// Checked by hand, because schema libraries are not loaded on the entry VMs.
+function isOpinion(value: unknown): value is StoredOpinion {
+  if (typeof value !== 'object' || value === null) return false;
+  const { atMs, workers } = value as Partial<Record<keyof StoredOpinion, unknown>>;
+  if (!Array.isArray(workers) || workers.length > MAX_STORED_WORKERS) return false;
+  return isBetween(atMs, 0, Infinity) && workers.every(isWorkerOpinion);
+}
+
+const reasons: ReadonlySet<unknown> = new Set(Object.values(OutlierReason));
+
+function isWorkerOpinion(value: unknown): value is WorkerOpinion {
+  if (typeof value !== 'object' || value === null) return false;
+  const fields = value as Partial<Record<keyof WorkerOpinion, unknown>>;
+  return (
+    typeof fields.id === 'string' &&
+    reasons.has(fields.reason) &&
+    isBetween(fields.bornMs, 0, Infinity) &&
+    isBetween(fields.severity, 0, 1) &&
+    isBetween(fields.rounds, 1, MAX_ROUNDS) &&
+    isBetween(fields.remainingMs, 0, Infinity)
+  );
+}
+
+function isBetween(value: unknown, min: number, max: number): boolean {
+  return typeof value === 'number' && value >= min && value <= max;
 }
--- a/src/workerHealth/workerHealth.spec.ts
+++ b/src/workerHealth/workerHealth.spec.ts
@@ -377,6 +377,37 @@
   t.true(setAside.length <= 1, setAside.join('\n'));
 });
 
+const valid = { id: 'w', bornMs: 1, reason: 'slow', severity: 0.5, rounds: 1, remainingMs: 5 };
+const malformedOpinions: unknown[] = [
+  5,
+  null,
+  [],
+  {},
+  { atMs: 'x', workers: [] },
+  { atMs: 1, workers: {} },
+  { atMs: 1, workers: [null] },
+  { atMs: 1, workers: [{ ...valid, id: 7 }] },
+  { atMs: 1, workers: [{ ...valid, reason: 'other' }] },
+  { atMs: 1, workers: [{ ...valid, severity: 2 }] },
+  { atMs: 1, workers: [{ ...valid, rounds: 0 }] },
+  { atMs: 1, workers: [{ ...valid, rounds: 1e9 }] },
+  { atMs: 1, workers: [{ ...valid, remainingMs: -1 }] },
+  { atMs: 1, workers: Array.from({ length: 5_000 }, () => valid) },
+];
+
+for (const value of malformedOpinions) {
+  // Guards against a row that sets workers aside for ever, or ends the holder that reads it.
+  test(`the opinion ${JSON.stringify(value).slice(0, 100)} is malformed`, (t) => {
+    const res = decodeOpinion(JSON.stringify(value), 1, healthDefaults);
+    t.is(res.isErr ? res.error.code : undefined, OpinionErrorCode.Malformed);
+  });
+}
+
+test('an opinion with all fields is read', (t) => {
+  const value = JSON.stringify({ atMs: 1, workers: [valid] });
+  t.true(decodeOpinion(value, 1, healthDefaults).isOk);
+});
+
 test('the opinion of a successor continues that of the earlier holder', (t) => {
   const pool = new Pool(names(6));
   pool.slowDown('w0');
--- a/src/workerHealth/workerHealth.ts
+++ b/src/workerHealth/workerHealth.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import { healthDefaults } from './defaults.js';
-import type { StoredOpinion } from './opinion.js';
+import { MAX_ROUNDS, type StoredOpinion } from './opinion.js';
 import {
   computeNorm,
   FailureWeight,
@@ -320,7 +320,7 @@
     const { firstPeriodMs, maxPeriodMs, forgetMs } = this.#settings;
     const now = clock.now();
     const isForgotten = record.standing === Standing.InUse && now - record.returnedAt > forgetMs;
-    record.rounds = isForgotten ? 1 : record.rounds + 1;
+    record.rounds = isForgotten ? 1 : Math.min(MAX_ROUNDS, record.rounds + 1);
     const periodMs = Math.min(maxPeriodMs, firstPeriodMs * 2 ** (record.rounds - 1));
     record.standing = Standing.SetAside;
     record.since = now;
