--- a/src/workerHealth/defaults.ts
+++ b/src/workerHealth/defaults.ts
@@ -21,7 +21,8 @@
   // Long, because a worker that nothing is started on is not needed; a peak tries it with one run.
   maxTrialWaitMs: 15_000,
   maxShare: 0.2,
-  judgeIntervalMs: 250,
+  // A judgement of 250 workers takes some milliseconds of a core.
+  judgeIntervalMs: 500,
   storeIntervalMs: 5_000,
   opinionTtlMs: 30_000,
 };
--- a/src/workerHealth/faultyWorkers.spec.ts
+++ b/src/workerHealth/faultyWorkers.spec.ts
@@ -281,6 +281,9 @@
     if (check) t.is(check(outcome), undefined);
     else t.deepEqual(names, setAside);
     if (reason !== undefined) t.regex(outcome.setAside[0] ?? '', new RegExp(`reason=${reason} `));
+    // Guards against a judgement that ends runs.
+    const stopped = outcome.rig.fleet.runs().filter(({ end }) => end === RunEnd.Stopped);
+    if (reason === 'slow') t.deepEqual(stopped, []);
     if (minInTime !== undefined) t.true(share >= minInTime, String(share));
     if (returns === true) {
       t.true(outcome.returned.some((line) => line.includes('reason=trial_succeeded')));
--- a/src/workerHealth/outliers.ts
+++ b/src/workerHealth/outliers.ts
@@ -118,6 +118,22 @@
   return isOftenSlow || (failed >= 3 && failed > ended.length / 4);
 }
 
+/** Whether there can be evidence against a worker; spares the others the whole computation. */
+export function mayBeOutlier(
+  { ended, open }: WorkerSamples,
+  { medianRatio }: Norm,
+  { slowFactor }: HealthSettings,
+): boolean {
+  let suspicious = 0;
+  const isSlow = (kind: string, ratio: number) =>
+    ratio > (medianRatio(kind) ?? Infinity) * slowFactor;
+  for (const { kind, ratio, failure } of ended) {
+    if (failure !== undefined || (ratio !== undefined && isSlow(kind, ratio))) suspicious++;
+  }
+  for (const { kind, ratio } of open) if (isSlow(kind, ratio)) suspicious++;
+  return suspicious > 1;
+}
+
 /**
  * Finds evidence that a worker fails or is slow. Adds the log-likelihood ratio of each run, in the
  * order of the starts, and starts anew where the sum falls below zero (cumulative sum test). Runs in
@@ -213,6 +229,7 @@
 }
 
 function median(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
+  // Typed arrays are sorted by value without a comparison function.
+  const sorted = Float64Array.from(values).sort();
   return sorted[Math.floor((sorted.length - 1) / 2)] ?? 1;
 }
--- a/src/workerHealth/workerHealth.ts
+++ b/src/workerHealth/workerHealth.ts
@@ -6,6 +6,7 @@
   FailureWeight,
   findEvidence,
   isConspicuous,
+  mayBeOutlier,
   type Norm,
   type Sample,
   type WorkerSamples,
@@ -23,7 +24,7 @@
 } from './types.js';
 
 /** Pools up to this size are compared without the judged worker, which could shift the median. */
-const MAX_SMALL_POOL = 16;
+const MAX_SMALL_POOL = 8;
 /** A worse worker takes the place of one that is set aside if its severity is higher by this. */
 const SWAP_MARGIN = 0.15;
 /** Severity of a worker whose evidence is not known any more. */
@@ -189,12 +190,14 @@
     this.#dropOld(pool, now);
     const samples = new Map(pool.map((worker) => [worker.id, this.#samplesOf(worker)]));
     const usable = [...samples].filter(([id]) => this.standing(id) === Standing.InUse);
-    const usual = this.#withoutConspicuous(usable);
-    this.#norm = computeNorm(new Map(usual).values(), this.#settings);
+    const { usual, norm: poolNorm } = this.#findUsual(usable);
+    this.#norm = poolNorm;
     this.#advanceTrials(pool, now);
+    const isSmall = usable.length <= MAX_SMALL_POOL;
     const outliers: [string, Evidence][] = [];
     for (const [id, own] of usable) {
-      const norm = this.#normFor(id, usable, usual);
+      const norm = isSmall ? this.#normOfOthers(id, usual) : poolNorm;
+      if (!mayBeOutlier(own, norm, this.#settings)) continue;
       const evidence = findEvidence(own, norm, this.#settings);
       if (evidence) outliers.push([id, evidence]);
     }
@@ -210,15 +213,16 @@
     }
   }
 
-  #withoutConspicuous(usable: SamplesById): SamplesById {
-    const norm = computeNorm(new Map(usable).values(), this.#settings);
+  #findUsual(usable: SamplesById): { usual: SamplesById; norm: Norm } {
+    const normOf = (workers: SamplesById) => computeNorm(new Map(workers).values(), this.#settings);
+    const norm = normOf(usable);
     const usual = usable.filter(([, samples]) => !isConspicuous(samples, norm, this.#settings));
-    return usual.length > usable.length / 2 ? usual : usable;
+    const isMajority = usual.length > usable.length / 2;
+    if (usual.length === usable.length || !isMajority) return { usual: usable, norm };
+    return { usual, norm: normOf(usual) };
   }
 
-  #normFor(id: string, usable: SamplesById, usual: SamplesById): Norm {
-    const isSmall = usable.length <= MAX_SMALL_POOL;
-    if (!isSmall && this.#norm) return this.#norm;
+  #normOfOthers(id: string, usual: SamplesById): Norm {
     const others = usual.filter(([other]) => other !== id).map(([, samples]) => samples);
     return computeNorm(others, this.#settings);
   }
@@ -243,11 +247,14 @@
 
   #samplesOf({ id, openRuns }: JudgedWorker): WorkerSamples {
     const { samples: ended, since } = this.#records.get(id) ?? { samples: [], since: 0 };
+    const hasFailures = ended.some(({ hasFailed }) => hasFailed);
+    const open = openRuns.filter(({ startedAt }) => startedAt >= since);
+    if (!hasFailures) return { ended, open };
     const samples = ended.map((sample): Sample => {
       const { task, step, hasFailed } = sample;
       return hasFailed ? { ...sample, failure: this.#weightOf(id, task, step) } : sample;
     });
-    return { ended: samples, open: openRuns.filter(({ startedAt }) => startedAt >= since) };
+    return { ended: samples, open };
   }
 
   #weightOf(worker: string, task: string, step: string): FailureWeight {
