--- a/src/workerHealth/faultyWorkers.spec.ts
+++ b/src/workerHealth/faultyWorkers.spec.ts
@@ -124,7 +124,7 @@
     },
     setAside: [BAD],
     reason: 'slow',
-    minInTime: 0.85,
+    minInTime: 0.92,
   },
   {
     // Guards against a comparison with the declared run time instead of the other workers.
@@ -214,6 +214,7 @@
     },
     setAside: [BAD],
     reason: 'slow',
+    minInTime: 0.7,
   },
   {
     title: 'the only worker of a pool is never set aside',
