--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,3 +1,4 @@
+import { BudgetLedger, type AccountRules } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
@@ -7,11 +8,11 @@
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job } from './job.js';
+import { criticalPathMs, Job, type Step } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal } from './journal.js';
 import { orderWaiting } from './ordering.js';
-import { placeSteps, type Assignment } from './placement.js';
+import { canHoldTask, placeSteps, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
@@ -25,12 +26,14 @@
   type BatchConfig,
   type JobSpec,
   type Queue,
+  type Resources,
   type WorkerRecord,
 } from './types.js';
 import { Vacating, type VacateStatus } from './vacating.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
 import type { Claim } from './ownership.js';
+import type { Worker } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
 /** Maximum number of open jobs per holder; bounds its memory use. */
@@ -72,6 +75,8 @@
   log: DecisionLog;
   counters: Counters;
   config: () => BatchConfig | undefined;
+  /** Rules for client accounts; undefined where a deployment has none. */
+  accountRules?: AccountRules;
   /** Registered workers of all services. */
   registered: () => Iterable<WorkerRecord>;
   /** Whether this process is certain to hold the service, so that lost runs may be restarted. */
@@ -95,6 +100,7 @@
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
+  readonly #budget: BudgetLedger;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -129,9 +135,19 @@
     this.#jobs.onChange = () => {
       void this.#journal.barrier();
     };
+    this.#budget = new BudgetLedger({
+      ...deps,
+      service,
+      epoch,
+      maxOverage: deps.accountRules?.maxOverage ?? 0,
+      hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
+      place,
+      lose,
+    });
     this.#runs = new RunControl({
       ...deps,
       epoch,
+      budget: this.#budget,
       jobs: this.#jobs,
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
       place,
@@ -200,6 +216,7 @@
       journal,
       this.#sessions.run(signal),
       this.#inbox.run(signal),
+      this.#budget.run(signal),
       this.#tick(signal),
     ]);
   }
@@ -385,12 +402,35 @@
       .map(({ step }) => step)
       .filter((step) => this.#advice.isPlaceable(step, queues, this.#sessions));
     const workers = [...this.#sessions.all()];
-    const round = { steps, workers, now, mayRestart };
+    const allowedStarts = (step: Step, count: number) => {
+      const { spec, job } = step;
+      const canStart = () =>
+        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
+      const { isGang, fillsSpare } = spec;
+      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
+      return this.#budget.allowedStarts(job.spec.account, tasks);
+    };
+    const round = { steps, workers, now, mayRestart, allowedStarts };
+    this.#budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
     this.#unplacedCount = waitingSuspects + placeSteps({ ...round, maxStarts: maxStarts() }, start);
+    this.#budget.endRound(() => freeResources(workers, now));
+  }
+}
+
+/** Free resources of the workers that accept runs. */
+function freeResources(workers: readonly Worker[], now: number): Resources {
+  const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  for (const worker of workers) {
+    if (!worker.acceptsRuns(now)) continue;
+    const { capacity } = worker.record;
+    free.cpuMillis += Math.max(0, capacity.cpuMillis - worker.cpuUsed);
+    free.memoryMb += Math.max(0, capacity.memoryMb - worker.memoryUsed);
+    free.accelerators += Math.max(0, capacity.accelerators - worker.acceleratorsUsed);
   }
+  return free;
 }
--- a/src/batch/isolation.ts
+++ b/src/batch/isolation.ts
@@ -28,7 +28,8 @@
     if (!step.hasSuspects || step.spec.isGang) continue;
     for (const task of step.tasks) {
       if (!isCrashSuspect(task) || !isStartable(task, round)) continue;
-      const worker = startsLeft > 0 ? prepareWorker(step, task, round) : undefined;
+      const mayStart = startsLeft > 0 && (round.allowedStarts?.(step, 1) ?? 1) > 0;
+      const worker = mayStart ? prepareWorker(step, task, round) : undefined;
       if (!worker) {
         waitingCount++;
         continue;
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -36,6 +36,11 @@
   mayRestart: boolean;
   /** Maximum number of tasks to assign; a gang that begins below it is assigned as a whole. */
   maxStarts?: number;
+  /**
+   * Number of tasks of a step, out of `count` that may start, that the limit of its account allows;
+   * for a gang all or none. Called before each assignment of a step's tasks.
+   */
+  allowedStarts?: (step: Step, count: number) => number;
 }
 
 /**
@@ -46,7 +51,14 @@
  * @returns number of tasks that could not be placed
  */
 export function placeSteps(
-  { steps, workers, now, mayRestart, maxStarts = Infinity }: PlacementRound,
+  {
+    steps,
+    workers,
+    now,
+    mayRestart,
+    maxStarts = Infinity,
+    allowedStarts = (_step, count) => count,
+  }: PlacementRound,
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.acceptsRuns(now));
@@ -72,7 +84,9 @@
     const isPlacedHere = (task: Task) =>
       isStartable(task, { now, mayRestart }) && (spec.isGang || !isCrashSuspect(task));
     const idle = step.tasks.filter(isPlacedHere);
-    const tasks = spec.isGang ? idle : idle.slice(0, startsLeft);
+    const isIncompleteGang = spec.isGang && idle.length < spec.count;
+    const allowed = isIncompleteGang ? 0 : allowedStarts(step, idle.length);
+    const tasks = idle.slice(0, spec.isGang ? allowed : Math.min(allowed, startsLeft));
     unplacedCount += idle.length - tasks.length;
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, place)
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -1,3 +1,4 @@
+import type { BudgetLedger } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import { addCrash, attributeCrash, CrashRole, isGivenUp, mayHaveCrashed } from './crashSuspects.js';
@@ -76,6 +77,8 @@
   discardTicket: (step: Step, workerId: string, ticket: string) => void;
   /** Gives up the service, because a worker has seen a higher fencing token. */
   lose: (reason: string) => void;
+  /** Counts the runs of each account, from the start order until they are certainly over. */
+  budget: Pick<BudgetLedger, 'addRun' | 'removeRun'>;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -108,7 +111,7 @@
     }
     const run = this.#createRun(task, worker, number, RunPhase.Starting);
     job.attach(task, run);
-    worker.add(run);
+    this.#reserve(run);
     this.#storeIfSuspect(run);
     void this.#sendStart(run, ticket);
   }
@@ -249,9 +252,22 @@
     this.#deps.place();
   }
 
+  /** Reserves the resources of a run, on its worker and within the limit of its account. */
+  #reserve(run: Run): void {
+    const { step } = run.task;
+    const { account } = step.job.spec;
+    run.worker.add(run);
+    if (account !== undefined) this.#deps.budget.addRun(account, step.spec, run.isAdopted);
+  }
+
   #detach(run: Run): void {
     const { task, worker } = run;
+    const isReserved = worker.runs.get(task.name) === run;
     worker.remove(run);
+    const { account } = task.step.job.spec;
+    if (isReserved && account !== undefined) {
+      this.#deps.budget.removeRun(account, task.step.spec, run.isAdopted);
+    }
     if (task.run === run) task.step.job.detach(task);
   }
 
@@ -393,6 +409,7 @@
       hasOrphans = true;
       void this.#stopOrphan(worker, entry);
     }
+    worker.hasOrphans = hasOrphans;
     // The resources that orphans use are unknown, so nothing new is started next to them.
     if (hasOrphans) worker.avoidUntil = this.#deps.clock.now() + STOP_RETRY_MS * 2;
     this.#applyPaces(worker);
@@ -416,7 +433,7 @@
     run.lastOrderClockMs = workerTimeMs;
     run.isAdopted = true;
     job.attach(task, run);
-    worker.add(run);
+    this.#reserve(run);
     job.state = JobState.Running;
     this.#updateRun(run, entry, workerTimeMs);
     this.#deps.counters.count('runs_adopted', 'takeover');
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -87,6 +87,8 @@
   isolatedFor?: Task;
   /** Runs whose leases expired while it was silent; it may have crashed under them. */
   lapsedRuns: Run[] = [];
+  /** Whether its last list had runs that this holder does not track, and that are being stopped. */
+  hasOrphans = false;
   /** Consecutive runs that failed here. */
   consecutiveFailures = 0;
   /** Time by which all leases here will have expired unless they are renewed. */
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -85,6 +85,17 @@
     return this.#sessions.get(id)?.worker;
   }
 
+  /** Whether some worker may still run tasks that this holder does not track. */
+  hasOrphans(): boolean {
+    const now = this.#deps.clock.now();
+    for (const worker of this.all()) {
+      const { hasOrphans, isGone, unansweredCalls, leasesExpireBy } = worker;
+      const isLive = unansweredCalls === 0 || now <= leasesExpireBy + LEASE_EXPIRY_SLACK_MS;
+      if (hasOrphans && !isGone && isLive) return true;
+    }
+    return false;
+  }
+
   /** Runs the sessions until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
