--- a/model/index.ts
+++ b/model/index.ts
@@ -1,4 +1,5 @@
 import { explore } from './explore.js';
+import { budgetSpecification } from './specifications/budget.js';
 import { configurationSpecification } from './specifications/configuration.js';
 import { moveSpecification, stopSpecification } from './specifications/drain.js';
 import { holderSpecification } from './specifications/holder.js';
@@ -9,6 +10,7 @@
 export { explore } from './explore.js';
 export type { Exploration, FaultyVariant, Invariant, Specification, Step } from './types.js';
 export {
+  budgetSpecification,
   configurationSpecification,
   holderSpecification,
   moveSpecification,
@@ -45,4 +47,5 @@
   createEntry(requestSpecification),
   createEntry(holderSpecification),
   createEntry(sessionSpecification),
+  createEntry(budgetSpecification),
 ];
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -1,4 +1,5 @@
 import { Result } from 'true-myth';
+import type { Account } from '../../accounts/index.js';
 import {
   RunEnd,
   StoreError,
@@ -10,6 +11,7 @@
   type JobSpec,
   type ListedVm,
   type Queue,
+  type Resources,
   type Row,
   type StepSpec,
   type VmClient,
@@ -36,6 +38,11 @@
 /** Latency of a call between nodes. */
 const LINK_LATENCY_MS = 1;
 
+function createAccount(name: string, limit: Partial<Resources>): Account {
+  const noLimit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  return { name, keyDigests: [], weight: 1, limit: { ...noLimit, ...limit } };
+}
+
 /** A node under test with its collaborators and state. */
 export interface RigNode {
   name: string;
@@ -55,6 +62,10 @@
   maxAttempts?: number;
   /** Whether the store accepts transactions with rows of several parts. */
   acceptsSeveralParts?: boolean;
+  /** Limits of client accounts by name; the configuration has no accounts if undefined. */
+  limits?: Record<string, Partial<Resources>>;
+  /** Share of its limit by which an account may exceed it. */
+  maxOverage?: number;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -91,6 +102,7 @@
   readonly #waveReports = new Map<string, boolean>();
   readonly #acceptedMaintenance = new Set<string>();
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
+  readonly #maxOverage: number;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -100,6 +112,8 @@
     nodes = 3,
     maxAttempts = 3,
     acceptsSeveralParts = false,
+    limits,
+    maxOverage = 0,
   }: BatchRigOptions = {}) {
     const { timers, clock } = createFakeTimers();
     this.#timers = timers;
@@ -116,7 +130,8 @@
         this.addWorker(`${service}-${number}`, service);
       }
     }
-    this.configure({ version: 1, services, maxAttempts });
+    this.#maxOverage = maxOverage;
+    this.configure({ version: 1, services, maxAttempts, limits });
     for (let number = 0; number < nodes; number++) this.addNode(`node-${number}`);
   }
 
@@ -125,10 +140,12 @@
     version,
     services,
     maxAttempts = 3,
+    limits,
   }: {
     version: number;
     services: string[];
     maxAttempts?: number;
+    limits?: Record<string, Partial<Resources>>;
   }): void {
     const queues = services.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
@@ -147,6 +164,7 @@
       queues,
       services: services.map((name) => ({ name, hasAdmissionControl: true, isStandby: false })),
       limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 0 },
+      accounts: limits && Object.entries(limits).map(([name, limit]) => createAccount(name, limit)),
     };
     this.#putOperatorRow('config', { config });
   }
@@ -214,6 +232,13 @@
       node: name,
       incarnation: `${name}#${this.nodes.length}`,
       resources: { cores: 1, bandwidthMbps: 1_000 },
+      accountRules: {
+        areKeysRequired: false,
+        isRevocationStrict: false,
+        revocationMs: 5_000,
+        maxOverage: this.#maxOverage,
+        rateWindowMs: 5_000,
+      },
       transport: this.#createTransport(name, rigNode),
     });
     const started: RigNode = Object.assign(rigNode, { node });
