--- a/src/accounts/budgetLedger.ts
+++ b/src/accounts/budgetLedger.ts
@@ -161,6 +161,7 @@
   #isLoaded = false;
   #isViewComplete = false;
   #isSuperseded = false;
+  #signal: AbortSignal | undefined;
   #isWriting = false;
   #isWriteScheduled = false;
   #mayWriteAt = -Infinity;
@@ -178,16 +179,8 @@
 
   /** Follows the budget rows once an account has a limit, until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.#activate = resolve;
-      signal.addEventListener('abort', () => {
-        resolve();
-      });
-      if (this.#isActive || signal.aborted) resolve();
-    });
-    signal.addEventListener('abort', () => {
-      this.#isSuperseded = true;
-    });
+    this.#signal = signal;
+    if (!(await this.#whenActive(signal))) return;
     const { store, clock, log, counters } = this.#deps;
     const source = tableSource(store, BUDGET_TABLE, BUDGET_PART, (row: Row) => row);
     await follow(
@@ -212,6 +205,26 @@
     );
   }
 
+  /** Waits until the ledger is active; returns false if the signal is aborted first. */
+  async #whenActive(signal: AbortSignal): Promise<boolean> {
+    if (!this.#isActive && !signal.aborted) {
+      await new Promise<void>((resolve) => {
+        const finish = () => {
+          signal.removeEventListener('abort', finish);
+          resolve();
+        };
+        this.#activate = finish;
+        signal.addEventListener('abort', finish);
+      });
+    }
+    return !signal.aborted;
+  }
+
+  /** Whether this holder no longer writes its shares. */
+  get #hasEnded(): boolean {
+    return this.#isSuperseded || this.#signal?.aborted === true;
+  }
+
   /** Counts a run from its start order or its adoption. */
   addRun(account: string, needs: Readonly<Resources>, isAdopted: boolean): void {
     const entry = this.#entry(account);
@@ -426,6 +439,8 @@
       return;
     }
     if (entry.isOwn) entry.lastGrant = share.granted;
+    // A return whose answer was lost may have been applied.
+    entry.returning = smallest(entry.returning, share.granted);
   }
 
   #applyLoss(account: string): void {
@@ -456,7 +471,7 @@
 
   /** Requests a write if some share has to change. */
   #evaluate(): void {
-    if (!this.#isLoaded || this.#isSuperseded || this.#isWriting) return;
+    if (!this.#isLoaded || this.#hasEnded || this.#isWriting) return;
     this.#isViewComplete ||= this.#deps.hasCompleteView();
     for (const entry of this.#entries.values()) {
       if (!this.#plan(entry)) continue;
@@ -481,7 +496,7 @@
 
   /** Writes all shares that have to change; they are in one partition. Returns whether any were. */
   async #write(): Promise<boolean> {
-    if (this.#isSuperseded || this.#isWriting || !this.#isLoaded) return false;
+    if (this.#hasEnded || this.#isWriting || !this.#isLoaded) return false;
     const { store, clock, counters, log } = this.#deps;
     const planned = this.#planAll();
     if (planned.length === 0) return false;
@@ -578,6 +593,7 @@
     const known = largest(this.#grantOf(entry), used);
     const division = this.#divide(entry, { cap, granted: known, used, mayRaise: !missing.length });
     entry.fairShare = division.fairShare;
+    if (isEqual(division.fairShare, UNCONTESTED)) entry.returning = NO_RESOURCES;
     const isTakeover = !entry.isOwn && entry.demand.length > 0;
     const isLimitChanged = row !== undefined && !isEqual(row.limit, limit.limit);
     const hasChanged =
