--- a/src/accounts/budgetDivision.spec.ts
+++ b/src/accounts/budgetDivision.spec.ts
@@ -7,7 +7,11 @@
 
 const cpu = (cpuMillis: number): Resources => ({ ...NO_RESOURCES, cpuMillis });
 const share = (granted: number, wanted = 0) => ({ granted: cpu(granted), wanted: cpu(wanted) });
-const tasks = (count: number, needs = 1_000, isGang = false) => ({ needs: cpu(needs), count, isGang });
+const tasks = (count: number, needs = 1_000, isGang = false) => ({
+  needs: cpu(needs),
+  count,
+  isGang,
+});
 
 const initial: DivisionInput = {
   cap: capOf(cpu(10_000), 0),
@@ -87,14 +91,24 @@
   // Guards against a service that takes all of the limit as its runs end and start again.
   {
     title: 'a holder above its share returns what it does not use although tasks wait',
-    input: { granted: cpu(8_000), used: cpu(7_000), others: [share(2_000, 6_000)], demand: [tasks(4)] },
+    input: {
+      granted: cpu(8_000),
+      used: cpu(7_000),
+      others: [share(2_000, 6_000)],
+      demand: [tasks(4)],
+    },
     granted: 7_000,
     wanted: 4_000,
     fairShare: 5_000,
   },
   {
     title: 'a holder below its share keeps what its waiting tasks can use',
-    input: { granted: cpu(4_000), used: cpu(2_000), others: [share(6_000, 1_000)], demand: [tasks(4)] },
+    input: {
+      granted: cpu(4_000),
+      used: cpu(2_000),
+      others: [share(6_000, 1_000)],
+      demand: [tasks(4)],
+    },
     granted: 4_000,
     wanted: 2_000,
   },
@@ -156,7 +170,10 @@
   });
   const list = [held(2, true), held(3, false), held(9, true, true), held(9, true)];
   const demand = startableDemand(list, cpu(5_500)).get('a');
-  t.deepEqual(demand?.map(({ count }) => count), [2, 3]);
+  t.deepEqual(
+    demand?.map(({ count }) => count),
+    [2, 3],
+  );
 });
 
 const amountArbitrary = fc.record({
@@ -166,11 +183,17 @@
 });
 const inputArbitrary: fc.Arbitrary<DivisionInput> = fc.record({
   cap: amountArbitrary.map((limit) => capOf(limit, 0)),
-  others: fc.array(fc.record({ granted: amountArbitrary, wanted: amountArbitrary }), { maxLength: 3 }),
+  others: fc.array(fc.record({ granted: amountArbitrary, wanted: amountArbitrary }), {
+    maxLength: 3,
+  }),
   granted: amountArbitrary,
   used: fc.constant(NO_RESOURCES),
   demand: fc.array(
-    fc.record({ needs: amountArbitrary, count: fc.integer({ min: 1, max: 6 }), isGang: fc.boolean() }),
+    fc.record({
+      needs: amountArbitrary,
+      count: fc.integer({ min: 1, max: 6 }),
+      isGang: fc.boolean(),
+    }),
     { maxLength: 3 },
   ),
   hasOverrun: fc.boolean(),
@@ -180,24 +203,28 @@
 
 // Guards against a raise beyond the limit for some combination of resources and other shares.
 test('no raise lets the sum of grants exceed the limit by more than one task', (t) => {
-  const property = fc.property(inputArbitrary, fc.double({ min: 0, max: 1, noNaN: true }), (input, part) => {
-    const used = {
-      cpuMillis: Math.floor(input.granted.cpuMillis * part),
-      memoryMb: Math.floor(input.granted.memoryMb * part),
-      accelerators: Math.floor(input.granted.accelerators * part),
-    };
-    const { granted, wanted } = divide({ ...input, used });
-    const others = sumOf(input.others.map((each) => each.granted));
-    if (!isWithin(used, granted)) return false;
-    if (!isWithin(NO_RESOURCES, wanted)) return false;
-    if (isWithin(granted, input.granted)) return true;
-    if (!input.mayRaise || !isWithin(plus(others, input.granted), input.cap)) return false;
-    const sum = plus(others, granted);
-    return (
-      isWithin(sum, input.cap) ||
-      input.demand.some(({ needs }) => isWithin(sum, plus(input.cap, needs)))
-    );
-  });
+  const property = fc.property(
+    inputArbitrary,
+    fc.double({ min: 0, max: 1, noNaN: true }),
+    (input, part) => {
+      const used = {
+        cpuMillis: Math.floor(input.granted.cpuMillis * part),
+        memoryMb: Math.floor(input.granted.memoryMb * part),
+        accelerators: Math.floor(input.granted.accelerators * part),
+      };
+      const { granted, wanted } = divide({ ...input, used });
+      const others = sumOf(input.others.map((each) => each.granted));
+      if (!isWithin(used, granted)) return false;
+      if (!isWithin(NO_RESOURCES, wanted)) return false;
+      if (isWithin(granted, input.granted)) return true;
+      if (!input.mayRaise || !isWithin(plus(others, input.granted), input.cap)) return false;
+      const sum = plus(others, granted);
+      return (
+        isWithin(sum, input.cap) ||
+        input.demand.some(({ needs }) => isWithin(sum, plus(input.cap, needs)))
+      );
+    },
+  );
   fc.assert(property, { seed: 20261204, numRuns: 3_000 });
   t.pass();
 });
--- a/src/accounts/budgetHistory.spec.ts
+++ b/src/accounts/budgetHistory.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { Counters } from '../batch/counters.js';
 import { DecisionLog } from '../batch/decisionLog.js';
-import type { RowStore } from '../batch/ports.js';
+import type { RowStore, Transaction } from '../batch/ports.js';
 import type { Resources } from '../batch/types.js';
 import { FakeRowStore, StoreFault } from '../testing/batchRig/index.js';
 import { createFakeTimers } from '../testing/virtualClock.js';
@@ -43,6 +43,12 @@
   | { type: 'submit'; service: number; count: number; millis: number; runMs: number }
   | { type: 'fault'; service: number; fault: StoreFault }
   | { type: 'clearFaults' }
+  /** Waiting tasks are cancelled. */
+  | { type: 'withdraw'; service: number }
+  /** Keeps the next transactions of a holder in transit. */
+  | { type: 'delay'; service: number }
+  /** Lets the store receive the transactions in transit. */
+  | { type: 'deliver' }
   | { type: 'kill'; service: number }
   | { type: 'freeze'; service: number }
   | { type: 'wait'; ms: number };
@@ -67,11 +73,17 @@
       },
     ],
   };
+  readonly #delayed: Transaction[] = [];
+  #delayedNode: string | undefined;
   #orderCount = 0;
   startCount = 0;
   mostMillis = 0;
 
-  constructor() {
+  /** @param hasLateOrders - whether every fifth order is carried out late */
+  constructor(private readonly hasLateOrders = true) {
+    this.#store.onTransaction = (node, tx) => {
+      if (node === this.#delayedNode) this.#delayed.push(tx);
+    };
     for (const service of SERVICES) this.#addHolder(service, 1);
   }
 
@@ -140,8 +152,8 @@
     const run: Run = { service, needs, isRunning: false, epoch };
     holder.runs.add(run);
     ledger.addRun(ACCOUNT, needs, false);
-    // Every fifth order is carried out late.
-    const delayMs = ++this.#orderCount % 5 === 0 ? 2_500 : 2;
+    const isLate = this.hasLateOrders && ++this.#orderCount % 5 === 0;
+    const delayMs = isLate ? 2_500 : 2;
     this.#clock.setTimer(delayMs, () => {
       const current = this.#holders.get(service);
       const isRejected = current !== holder && current?.isViewComplete === true;
@@ -207,6 +219,22 @@
       case 'clearFaults':
         this.#store.faults.clear();
         return;
+      case 'withdraw': {
+        const kept = this.#waiting.filter((task) => task.service !== SERVICES[action.service]);
+        this.#waiting.splice(0, Infinity, ...kept);
+        return;
+      }
+      case 'delay': {
+        const holder = this.#holders.get(SERVICES[action.service] ?? '');
+        if (!holder) return;
+        this.#delayedNode = holder.node;
+        this.#store.faults.set(holder.node, StoreFault.DropCall);
+        return;
+      }
+      case 'deliver':
+        this.#delayedNode = undefined;
+        for (const tx of this.#delayed.splice(0)) void this.#store.clientOf('network').transact(tx);
+        return;
       case 'kill':
       case 'freeze': {
         const holder = this.#holders.get(SERVICES[action.service] ?? '');
@@ -261,6 +289,102 @@
   };
 }
 
+function submitTo(service: number, count: number, runMs = 15_000): Action {
+  return { type: 'submit', service, count, millis: 1_000, runMs };
+}
+const wait = (ms: number): Action => ({ type: 'wait', ms });
+
+interface History {
+  title: string;
+  actions: Action[];
+  /** Smallest number of tasks that must have started. */
+  starts: number;
+}
+
+const histories: History[] = [
+  {
+    // Guards against starts within a grant whose return may still be applied.
+    title: 'a holder whose return may be applied late does not use what it returns',
+    actions: [
+      submitTo(1, 5, 500),
+      wait(1_000),
+      { type: 'fault', service: 1, fault: StoreFault.ApplyLate },
+      submitTo(0, 5),
+      wait(1_000),
+      submitTo(1, 5),
+      wait(4_000),
+      { type: 'clearFaults' },
+      wait(9_000),
+    ],
+    starts: 10,
+  },
+  {
+    // Guards against a grant that shrinks by a late write of the earlier holder while it is in use.
+    title: 'a late return by an earlier holder is not applied once its successor uses the grant',
+    actions: [
+      submitTo(1, 5, 500),
+      wait(1_000),
+      { type: 'delay', service: 1 },
+      submitTo(0, 1),
+      submitTo(0, 5),
+      wait(600),
+      { type: 'withdraw', service: 0 },
+      { type: 'kill', service: 1 },
+      wait(9_200),
+      submitTo(1, 4),
+      wait(400),
+      { type: 'deliver' },
+      submitTo(0, 4),
+      wait(3_000),
+    ],
+    starts: 9,
+  },
+  {
+    // Guards against tasks that wait although the grant covers them.
+    title: 'a return that was never applied does not hold back starts for good',
+    actions: [
+      submitTo(1, 5, 500),
+      wait(1_000),
+      { type: 'fault', service: 1, fault: StoreFault.DropCall },
+      submitTo(0, 5),
+      wait(300),
+      { type: 'withdraw', service: 0 },
+      wait(100),
+      { type: 'clearFaults' },
+      wait(1_000),
+      submitTo(1, 5, 300),
+      wait(3_000),
+    ],
+    starts: 10,
+  },
+  {
+    // Guards against a second use of the inherited grant.
+    title: 'a successor does not use the inherited grant before it knows all runs',
+    actions: [
+      submitTo(1, 5, 30_000),
+      wait(1_000),
+      { type: 'kill', service: 1 },
+      wait(6_100),
+      submitTo(1, 5, 30_000),
+      wait(6_000),
+    ],
+    starts: 5,
+  },
+];
+
+for (const { title, actions, starts } of histories) {
+  test(title, async (t) => {
+    const simulation = new Simulation(false);
+    for (const action of actions) {
+      simulation.apply(action);
+      if (action.type === 'wait') await simulation.advance(action.ms);
+    }
+    simulation.close();
+    t.true(simulation.mostMillis <= LIMIT_MILLIS + 1_000, String(simulation.mostMillis));
+    t.true(simulation.startCount >= starts, String(simulation.startCount));
+  });
+}
+
 const service = fc.nat(SERVICES.length - 1);
 const actionArbitrary: fc.Arbitrary<Action> = fc.oneof(
   {
--- a/src/accounts/budgetLedger.spec.ts
+++ b/src/accounts/budgetLedger.spec.ts
@@ -140,8 +140,12 @@
     run: async (t, rig) => {
       await rig.ready(SERVICES);
       rig.fleet.script = () => ({ runMs: 400 });
+      // The surplus of the first job is returned although nobody wants it.
+      await submit(rig, 'sightings', {});
+      await rig.until(() => granted(rig, 'sightings') > 0, 1_000);
+      t.true(await rig.until(() => granted(rig, 'sightings') === 0, 5_000));
       await submit(rig, 'motions', { count: 4 });
-      await rig.until(() => rig.fleet.runs().filter(({ endedAt }) => endedAt).length === 4);
+      await rig.until(() => rig.fleet.runs().filter(({ endedAt }) => endedAt).length === 5);
       t.true(granted(rig, 'motions') >= 4_000);
       const spec = await submit(rig, 'sightings', { count: 4 });
       t.true(await rig.until(() => running(rig, spec.id) === 4, 1_000));
@@ -211,15 +215,25 @@
       rig.fleet.script = () => ({ runMs: Infinity });
       await submit(rig, 'motions', { count: 4 });
       await rig.until(() => running(rig) === 4);
-      const other = rig.nodes.filter((node) => node !== holder);
-      const busy = [...rig.fleet.executors.values()].filter(({ running: tasks }) => tasks.length > 0);
-      // The successor does not reach the workers of these runs, which go on until their leases end.
+      const others = rig.nodes.filter((node) => node !== holder);
+      const busy = [...rig.fleet.executors.values()].filter(
+        ({ running: tasks }) => tasks.length > 0,
+      );
+      // The successor does not reach the workers of these runs, whose leases still last.
       for (const { record } of busy) {
-        for (const { name } of other) rig.fleet.cuts.add(`${name}>${record.id}`);
+        for (const { name } of others) rig.fleet.cuts.add(`${name}>${record.id}`);
       }
-      required(holder).isDead = true;
-      await submit(rig, 'motions', { count: 4 });
-      t.true((await mostRunning(rig, 15_000)) <= 5);
+      rig.store.faults.set(required(holder).name, StoreFault.DropCall);
+      const successor = () => others.find(({ node }) => node.hasLoadedService('motions'));
+      t.true(await rig.until(() => successor() !== undefined, 10_000));
+      t.is(running(rig), 4);
+      const spec = rig.createJob('motions', [{ count: 4 }], { account: ACCOUNT });
+      const { gateway } = required(successor()).node;
+      t.is(
+        (await rig.settle(gateway.submit(rig.queue('motions'), spec, 3_000))).outcome,
+        CallOutcome.Ok,
+      );
+      t.true((await mostRunning(rig, 15_000)) <= 4);
       t.true(running(rig) >= 4);
     },
   },
@@ -302,11 +316,19 @@
       rig.fleet.script = () => ({ runMs: 400 });
       for (const service of SERVICES) await submit(rig, service, { count: 150 });
       await rig.advance(1_000);
-      rig.configure({ version: 2, services: SERVICES, limits: { [ACCOUNT]: { cpuMillis: 2_000 } } });
+      rig.configure({
+        version: 2,
+        services: SERVICES,
+        limits: { [ACCOUNT]: { cpuMillis: 2_000 } },
+      });
       await rig.advance(3_000);
       t.true((await mostRunning(rig, 3_000)) <= 3);
       t.true((await mostRunning(rig, 1_000)) >= 2);
-      rig.configure({ version: 3, services: SERVICES, limits: { [ACCOUNT]: { cpuMillis: 8_000 } } });
+      rig.configure({
+        version: 3,
+        services: SERVICES,
+        limits: { [ACCOUNT]: { cpuMillis: 8_000 } },
+      });
       await rig.advance(2_000);
       const most = await mostRunning(rig, 3_000);
       t.true(most >= 7 && most <= 9, String(most));
@@ -343,6 +365,24 @@
       t.is(granted(rig, 'motions') + granted(rig, 'sightings'), 6_000);
     },
   },
+  {
+    // Guards against starts before the other holders have entered what they run.
+    title:
+      'nothing is raised after a limit was introduced until every service has entered its runs',
+    rig: { ...twoServices, limits: { [ACCOUNT]: {}, egrets: { cpuMillis: 1_000 } } },
+    run: async (t, rig) => {
+      const [, other] = await separateHolders(rig);
+      rig.fleet.script = () => ({ runMs: Infinity });
+      await submit(rig, 'sightings', { count: 4, ...lasting });
+      await rig.until(() => running(rig) === 4);
+      rig.store.delays.set(`${required(other).name} ${BUDGET_TABLE}`, 2_000);
+      await rig.advance(1_500);
+      rig.configure({ version: 2, services: SERVICES, limits: LIMIT });
+      await rig.advance(1_100);
+      await submit(rig, 'motions', { count: 4, ...lasting });
+      t.is(await mostRunning(rig, 6_000), 4);
+    },
+  },
   {
     // Guards against a task that waits forever, and against a second one beside it.
     title: 'a task larger than the limit runs alone',
@@ -394,7 +434,10 @@
   {
     // Guards against store costs that grow with the number of tasks.
     title: 'a holder sends at most 4 transactions a second at a peak and none when nothing changes',
-    rig: { ...twoServices, limits: { [ACCOUNT]: { cpuMillis: 9_000 }, egrets: { cpuMillis: 5_000 } } },
+    rig: {
+      ...twoServices,
+      limits: { [ACCOUNT]: { cpuMillis: 9_000 }, egrets: { cpuMillis: 5_000 } },
+    },
     run: async (t, rig) => {
       await rig.ready(SERVICES);
       rig.fleet.script = (task) => ({ runMs: 150 + (Number(task.split('.')[3]) % 7) * 90 });
@@ -405,7 +448,8 @@
         await submit(rig, service, { count: 5 }, { account: 'egrets' });
         await rig.advance(150);
       }
-      for (const list of times.values()) t.true(mostPerSecond(list) <= 4, String(mostPerSecond(list)));
+      for (const list of times.values())
+        t.true(mostPerSecond(list) <= 4, String(mostPerSecond(list)));
       t.true(times.size > 0);
       await rig.advance(12_000);
       t.is(running(rig), 0);
--- a/src/accounts/budgetLedger.ts
+++ b/src/accounts/budgetLedger.ts
@@ -523,7 +523,8 @@
         if (mayBeApplied) entry.pending.isUnresolved = true;
         else if (!entry.pending.isUnresolved) delete entry.pending;
       }
-      if (code === StoreErrorCode.Invalid) log.warn('budget_write_invalid', { rows: planned.length });
+      if (code === StoreErrorCode.Invalid)
+        log.warn('budget_write_invalid', { rows: planned.length });
       this.#mayWriteAt = clock.now() + budgetDefaults.retryMs;
       return false;
     }
--- a/src/accounts/budgetRow.spec.ts
+++ b/src/accounts/budgetRow.spec.ts
@@ -21,7 +21,11 @@
   ['an empty value', '', BudgetErrorCode.NotJson],
   ['a list', '[]', BudgetErrorCode.BadField],
   ['no version', JSON.stringify({ ...row, version: undefined }), BudgetErrorCode.BadField],
-  ['a limit without memory', JSON.stringify({ ...row, limit: { cpuMillis: 1 } }), BudgetErrorCode.BadField],
+  [
+    'a limit without memory',
+    JSON.stringify({ ...row, limit: { cpuMillis: 1 } }),
+    BudgetErrorCode.BadField,
+  ],
   ['shares that are null', JSON.stringify({ ...row, shares: null }), BudgetErrorCode.BadField],
   [
     'a negative grant',
@@ -33,7 +37,11 @@
     JSON.stringify({ ...row, shares: { a: { ...share, epoch: '4' } } }),
     BudgetErrorCode.BadField,
   ],
-  ['missing that holds numbers', JSON.stringify({ ...row, missing: [1] }), BudgetErrorCode.BadField],
+  [
+    'missing that holds numbers',
+    JSON.stringify({ ...row, missing: [1] }),
+    BudgetErrorCode.BadField,
+  ],
 ];
 
 for (const [title, value, code] of malformed) {
--- a/src/accounts/resourceMath.ts
+++ b/src/accounts/resourceMath.ts
@@ -52,9 +52,7 @@
 
 /** Whether `a` is at most `b` in each kind. */
 export function isWithin(a: Readonly<Resources>, b: Readonly<Resources>): boolean {
-  return (
-    a.cpuMillis <= b.cpuMillis && a.memoryMb <= b.memoryMb && a.accelerators <= b.accelerators
-  );
+  return a.cpuMillis <= b.cpuMillis && a.memoryMb <= b.memoryMb && a.accelerators <= b.accelerators;
 }
 
 export function isNone({ cpuMillis, memoryMb, accelerators }: Readonly<Resources>): boolean {
