--- a/model/specifications/budget.ts
+++ b/model/specifications/budget.ts
@@ -72,7 +72,7 @@
 
 /** Grant that is certain whatever becomes of a write without an answer. */
 function sureGrant(process: number, { known, pending }: Process): number {
-  const granted = known.granted[shareOf(process)] ?? 0;
+  const granted = known.granted[shareOf(process)];
   return pending ? Math.min(granted, pending.granted) : granted;
 }
 
@@ -103,7 +103,7 @@
     if (!own.isActive) continue;
     if (own.known.version !== row.version) all.push({ type: 'read', process });
     if (messages.length >= MAX_MESSAGES || row.version >= MAX_ROW_VERSION) continue;
-    const granted = own.known.granted[shareOf(process)] ?? 0;
+    const granted = own.known.granted[shareOf(process)];
     const sum = own.known.granted[0] + own.known.granted[1];
     if (!own.isOwn) all.push({ type: 'takeOver', process });
     if (sum < LIMIT) all.push({ type: 'raise', process });
@@ -119,7 +119,7 @@
 
 function send(state: BudgetState, process: number, change: number): void {
   const own = at(state.processes, process);
-  const before = own.known.granted[shareOf(process)] ?? 0;
+  const before = own.known.granted[shareOf(process)];
   const granted = before + change;
   const { version } = own.known;
   const lowest = own.pending ? Math.min(own.pending.granted, granted) : granted;
@@ -136,7 +136,7 @@
   const { row } = state;
   const own = at(state.processes, process);
   const isApplied = row.version === version || variant === 'grantsWithoutCondition';
-  const before = row.granted[shareOf(process)] ?? 0;
+  const before = row.granted[shareOf(process)];
   if (isApplied) {
     row.version++;
     row.granted[shareOf(process)] = granted;
