--- a/src/accounts/budgetHistory.spec.ts
+++ b/src/accounts/budgetHistory.spec.ts
@@ -43,8 +43,6 @@
   | { type: 'submit'; service: number; count: number; millis: number; runMs: number }
   | { type: 'fault'; service: number; fault: StoreFault }
   | { type: 'clearFaults' }
-  /** Waiting tasks are cancelled. */
-  | { type: 'withdraw'; service: number }
   /** Keeps the next transactions of a holder in transit. */
   | { type: 'delay'; service: number }
   /** Lets the store receive the transactions in transit. */
@@ -219,11 +217,6 @@
       case 'clearFaults':
         this.#store.faults.clear();
         return;
-      case 'withdraw': {
-        const kept = this.#waiting.filter((task) => task.service !== SERVICES[action.service]);
-        this.#waiting.splice(0, Infinity, ...kept);
-        return;
-      }
       case 'delay': {
         const holder = this.#holders.get(SERVICES[action.service] ?? '');
         if (!holder) return;
@@ -323,16 +316,14 @@
     title: 'a late return by an earlier holder is not applied once its successor uses the grant',
     actions: [
       submitTo(1, 5, 500),
-      wait(1_000),
+      wait(2_000),
       { type: 'delay', service: 1 },
-      submitTo(0, 1),
-      submitTo(0, 5),
-      wait(600),
-      { type: 'withdraw', service: 0 },
+      wait(2_500),
       { type: 'kill', service: 1 },
       wait(9_200),
       submitTo(1, 4),
       wait(400),
+      { type: 'fault', service: 1, fault: StoreFault.Refuse },
       { type: 'deliver' },
       submitTo(0, 4),
       wait(3_000),
@@ -344,14 +335,10 @@
     title: 'a return that was never applied does not hold back starts for good',
     actions: [
       submitTo(1, 5, 500),
-      wait(1_000),
+      wait(2_000),
       { type: 'fault', service: 1, fault: StoreFault.DropCall },
-      submitTo(0, 5),
-      wait(300),
-      { type: 'withdraw', service: 0 },
-      wait(100),
+      wait(2_500),
       { type: 'clearFaults' },
-      wait(1_000),
       submitTo(1, 5, 300),
       wait(3_000),
     ],
--- a/src/accounts/budgetLedger.spec.ts
+++ b/src/accounts/budgetLedger.spec.ts
@@ -375,12 +375,14 @@
       rig.fleet.script = () => ({ runMs: Infinity });
       await submit(rig, 'sightings', { count: 4, ...lasting });
       await rig.until(() => running(rig) === 4);
-      rig.store.delays.set(`${required(other).name} ${BUDGET_TABLE}`, 2_000);
-      await rig.advance(1_500);
+      rig.store.faults.set(required(other).name, StoreFault.Refuse);
       rig.configure({ version: 2, services: SERVICES, limits: LIMIT });
       await rig.advance(1_100);
       await submit(rig, 'motions', { count: 4, ...lasting });
-      t.is(await mostRunning(rig, 6_000), 4);
+      t.is(await mostRunning(rig, 1_200), 4);
+      rig.store.faults.clear();
+      t.is(await mostRunning(rig, 5_000), 4);
+      t.deepEqual(Object.keys(budget(rig)?.shares ?? {}).sort(), SERVICES);
     },
   },
   {
