--- a/src/accounts/budgetHistory.spec.ts
+++ b/src/accounts/budgetHistory.spec.ts
@@ -4,6 +4,7 @@
 import { DecisionLog } from '../batch/decisionLog.js';
 import type { RowStore, Transaction } from '../batch/ports.js';
 import type { Resources } from '../batch/types.js';
+import type { Clock } from '../clock/index.js';
 import { FakeRowStore, StoreFault } from '../testing/batchRig/index.js';
 import { createFakeTimers } from '../testing/virtualClock.js';
 import { BudgetLedger } from './budgetLedger.js';
@@ -75,6 +76,8 @@
   #delayedNode: string | undefined;
   #orderCount = 0;
   startCount = 0;
+  /** Holders that gave up their service because of a later epoch in a row. */
+  readonly lostServices: string[] = [];
   mostMillis = 0;
 
   /** @param hasLateOrders - whether every fifth order is carried out late */
@@ -106,7 +109,7 @@
       ledger: new BudgetLedger({
         service,
         epoch,
-        store: pausable(this.#store.clientOf(node), state),
+        store: pausable(this.#store.clientOf(node), state, this.#clock),
         clock: this.#clock,
         log: new DecisionLog(sink, this.#clock),
         counters: new Counters(),
@@ -115,6 +118,7 @@
         hasCompleteView: () => holder.isViewComplete,
         place: () => undefined,
         lose: () => {
+          this.lostServices.push(node);
           holder.mayStart = false;
         },
       }),
@@ -267,11 +271,12 @@
   }
 }
 
-/** Wraps a store so that answers arrive only while the process is not frozen. */
-function pausable(store: RowStore, state: { isFrozen: boolean }): RowStore {
+/** Wraps a store so that a process learns no answers while it is frozen, and all of them later. */
+function pausable(store: RowStore, state: { isFrozen: boolean }, clock: Clock): RowStore {
   const unlessFrozen = async <T>(call: Promise<T>): Promise<T> => {
     const result = await call;
-    return state.isFrozen ? new Promise<never>(() => undefined) : result;
+    while (state.isFrozen) await clock.sleep(20);
+    return result;
   };
   return {
     limits: store.limits,
@@ -292,6 +297,8 @@
   actions: Action[];
   /** Smallest number of tasks that must have started. */
   starts: number;
+  /** Holders that have to give up their service. */
+  lost?: string[];
 }
 
 const histories: History[] = [
@@ -357,9 +364,26 @@
     ],
     starts: 5,
   },
+  {
+    // Guards against a holder that changes the share of its successor after it was frozen.
+    title: 'a frozen holder that resumes finds the epoch of its successor and writes nothing',
+    actions: [
+      submitTo(1, 5, 500),
+      wait(300),
+      { type: 'freeze', service: 1 },
+      submitTo(0, 3),
+      submitTo(1, 2, 30_000),
+      wait(9_400),
+      submitTo(1, 3, 30_000),
+      submitTo(0, 3),
+      wait(4_000),
+    ],
+    starts: 9,
+    lost: ['sightings-1'],
+  },
 ];
 
-for (const { title, actions, starts } of histories) {
+for (const { title, actions, starts, lost = [] } of histories) {
   test(title, async (t) => {
     const simulation = new Simulation(false);
     for (const action of actions) {
@@ -369,6 +393,7 @@
     simulation.close();
     t.true(simulation.mostMillis <= LIMIT_MILLIS + 1_000, String(simulation.mostMillis));
     t.true(simulation.startCount >= starts, String(simulation.startCount));
+    t.deepEqual(simulation.lostServices, lost);
   });
 }
 
