--- a/src/accounts/budgetLedger.ts
+++ b/src/accounts/budgetLedger.ts
@@ -117,6 +117,8 @@
   raisePausedUntil: number;
   surplusSince?: number;
   unwantedSince?: number;
+  /** Needs for which the grant has no room in this placement round. */
+  blocked?: Resources;
   /** Held tasks of the last placement round by reason. */
   held: Map<HeldReason, number>;
   loggedState: string;
@@ -250,7 +252,10 @@
   beginRound(): void {
     this.#update();
     this.#heldTasks = [];
-    for (const { held } of this.#entries.values()) held.clear();
+    for (const entry of this.#entries.values()) {
+      entry.held.clear();
+      delete entry.blocked;
+    }
   }
 
   /**
@@ -266,12 +271,18 @@
     const entry = this.#entry(account);
     const limit = this.#limitOf(entry);
     if (limit === undefined ? this.#isLoaded : isNone(limit.limit)) return count;
-    const fitting = limit ? Math.min(count, this.#countStartable(entry, limit, needs)) : 0;
+    const { blocked } = entry;
+    const isBlocked = blocked !== undefined && isWithin(blocked, needs);
+    const startable = limit && !isBlocked ? this.#countStartable(entry, limit, needs) : 0;
+    const fitting = Math.min(count, startable);
+    // Grants do not grow within a round, so larger tasks need no further check.
+    if (fitting === 0 && !isBlocked) entry.blocked = needs;
     const allowed = isGang && fitting < count ? 0 : fitting;
     if (allowed < count) {
       const reason = this.#heldReason(entry, limit, tasks);
       entry.held.set(reason, (entry.held.get(reason) ?? 0) + count - allowed);
-      this.#deps.counters.count('account_starts_held', reason);
+      this.#deps.counters.count('account_starts_held', reason, count - allowed);
+      this.#deps.counters.count('account_starts_held_by_account', account, count - allowed);
       this.#heldTasks.push({ ...tasks, account, count: count - allowed });
     }
     return allowed;
@@ -584,6 +595,7 @@
     if (!limit) return undefined;
     if (isNone(limit.limit)) return this.#planWithoutLimit(entry, limit);
     if (entry.isLost) return this.#planRepair(entry, limit);
+    if (this.#isIdle(entry, limit)) return undefined;
     const { row } = entry;
     const cap = capOf(limit.limit, this.#deps.maxOverage);
     if (!isSame(cap, entry.cap)) Object.assign(entry, { cap, hasOverrun: false });
@@ -608,6 +620,21 @@
     return this.#plannedWrite(entry, limit, division, missing, row?.shares ?? {});
   }
 
+  /** Whether an account has nothing here, and nothing to record; most accounts of a large fleet. */
+  #isIdle(entry: Entry, { limit }: VersionedLimit): boolean {
+    const { row, started, adopted, demand, pending } = entry;
+    const share = this.#shareOf(entry);
+    return (
+      demand.length === 0 &&
+      !pending &&
+      isNone(started) &&
+      isNone(adopted) &&
+      isNone(this.#grantOf(entry)) &&
+      (!share || isNone(share.wanted)) &&
+      (!row || (!row.missing && isEqual(row.limit, limit)))
+    );
+  }
+
   #plannedWrite(
     entry: Entry,
     { version, limit }: VersionedLimit,
