--- a/src/accounts/budgetLedger.spec.ts
+++ b/src/accounts/budgetLedger.spec.ts
@@ -106,6 +106,14 @@
       t.true((await mostRunning(rig, 1_000)) >= 4);
       await rig.until(() => rig.fleet.runs().filter(({ endedAt }) => endedAt).length === 16);
       t.is(rig.fleet.runs().length, 16);
+      // Operators see who uses the limit and why tasks wait, at most once a second for each holder.
+      const { logLines } = holderOf(rig, 'motions');
+      const lines = logLines.filter((line) => line.includes('event=account_state'));
+      t.regex(
+        lines.join(''),
+        /account=herons service=motions limit=4000\/0\/0 .*reasons=no_grant:\d/,
+      );
+      t.true(lines.length <= (rig.clock.now() / 1_000 + 1) * SERVICES.length);
     },
   },
   {
