Test that a grant stays while runs of a cancelled job are being stopped

A fake worker no longer delays the end of a run when its stop order is repeated; the run otherwise never ended under a holder that lists it more often than stopMs.

--- a/src/accounts/budgetLedger.spec.ts
+++ b/src/accounts/budgetLedger.spec.ts
@@ -260,6 +260,29 @@
       t.true((await mostRunning(rig, 3_000)) <= 5);
     },
   },
+  {
+    // Guards against a grant that is returned while runs of a job that is no longer known end.
+    title: 'a successor keeps the grant while runs of a cancelled job are being stopped',
+    rig: twoServices,
+    run: async (t, rig) => {
+      const [holder] = await separateHolders(rig);
+      rig.fleet.script = () => ({ runMs: Infinity });
+      rig.fleet.stopMs = 1_500;
+      const cancelled = await submit(rig, 'motions', { count: 4 });
+      await rig.until(() => running(rig) === 4);
+      // The predecessor sends no stop orders, so that the runs end only under the successor.
+      const { name, node } = required(holder);
+      for (const id of rig.fleet.executors.keys()) rig.fleet.cuts.add(`${name}>${id}`);
+      await rig.settle(node.gateway.cancel(rig.queue('motions'), cancelled.id));
+      void node.leave(1_000);
+      const isTaken = () =>
+        rig.nodes.some((other) => other !== holder && other.node.hasLoadedService('motions'));
+      t.true(await rig.until(isTaken));
+      const spec = await submit(rig, 'sightings', { count: 4 });
+      t.true((await mostRunning(rig, 4_000)) <= 5);
+      t.true(await rig.until(() => running(rig, spec.id) === 4, 8_000));
+    },
+  },
   {
     // Guards against a holder that starts without a grant, or stops starting, without the store.
     title: 'a holder that is cut off from the store starts only within its grant',
--- a/src/testing/batchRig/fakeExecutors.ts
+++ b/src/testing/batchRig/fakeExecutors.ts
@@ -32,6 +32,8 @@
   run: number;
   startedAt: number;
   timer?: Timer;
+  /** Whether a stop order has arrived; repeated orders do not delay its end. */
+  isStopping?: boolean;
 }
 
 /** A run that a worker started, as recorded for the checks. */
@@ -199,7 +201,8 @@
     this.#maxFencingToken = fencingToken;
     const active = this.#runs.get(task);
     if (active?.run === run && this.#fleet.stopMs === 0) this.#end(active, RunEnd.Stopped);
-    else if (active?.run === run) {
+    else if (active?.run === run && active.isStopping !== true) {
+      active.isStopping = true;
       active.timer?.cancel();
       active.timer = this.#fleet.clock.setTimer(this.#fleet.stopMs, () => {
         if (this.#runs.get(task) === active) this.#end(active, RunEnd.Stopped);
