Merge the limits of client accounts over all holders

Steps are offered to the ledger in the turns of the fair order; the rest of a step that is held is offered, too, so that the ledger requests a grant for all of it.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -3,6 +3,7 @@
   AccountUsage,
   accountRuleDefaults,
   AdmissionRefusalCode,
+  BudgetLedger,
   compareOwner,
   JobOwner,
   mayAccessJob,
@@ -23,7 +24,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job, type Task } from './job.js';
+import { criticalPathMs, Job, type Step, type Task } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal, type JournalEntry } from './journal.js';
 import {
@@ -36,7 +37,7 @@
   turnSize,
   type WaitingStep,
 } from './ordering.js';
-import { placeSteps, type Assignment } from './placement.js';
+import { canHoldTask, placeSteps, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
@@ -108,9 +109,9 @@
   random: Random;
   log: DecisionLog;
   counters: Counters;
+  config: () => BatchConfig | undefined;
   /** Rules for client accounts; undefined where a deployment has none. */
   accountRules?: AccountRules;
-  config: () => BatchConfig | undefined;
   /** Registered workers of all services. */
   registered: () => Iterable<WorkerRecord>;
   /** Whether this process is certain to hold the service, so that lost runs may be restarted. */
@@ -148,6 +149,7 @@
   readonly #features: Features;
   readonly #health: WorkerHealth;
   readonly #opinionLink: OpinionLink;
+  readonly #budget: BudgetLedger;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -203,11 +205,21 @@
         });
       },
     });
+    this.#budget = new BudgetLedger({
+      ...deps,
+      service,
+      epoch,
+      maxOverage: deps.accountRules?.maxOverage ?? 0,
+      hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
+      place,
+      lose,
+    });
     this.#runs = new RunControl({
       ...deps,
       health: this.#features.judgesWorkers ? this.#health : undefined,
       expectedMs: (task) => task.step.spec.estimateMs,
       epoch,
+      budget: this.#budget,
       jobs: this.#jobs,
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
       place,
@@ -286,6 +298,7 @@
       this.#sessions.run(signal),
       ...(this.#features.judgesWorkers ? [this.#opinionLink.load(signal)] : []),
       this.#inbox.run(signal),
+      this.#budget.run(signal),
       this.#tick(signal),
     ]);
   }
@@ -598,9 +611,18 @@
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
     for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
-    const round = { steps, workers, now, mayRestart };
     const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
     this.#usage = usage;
+    const allowedStarts = (step: Step, count: number) => {
+      const { spec, job } = step;
+      const canStart = () =>
+        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
+      const { isGang, fillsSpare } = spec;
+      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
+      return this.#budget.allowedStarts(job.spec.account, tasks);
+    };
+    const round = { steps, workers, now, mayRestart, allowedStarts };
+    this.#budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
       if (usage) addToUsage(usage, task);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
@@ -610,6 +632,7 @@
     const fairRound = usage ? { ...round, steps: byAccount(waiting, usage), turnSize } : round;
     this.#unplacedCount =
       waitingSuspects + placeSteps({ ...fairRound, maxStarts: maxStarts() }, start);
+    this.#budget.endRound(() => freeResources(workers, now));
     this.#waiting = hasAccounts ? waiting : [];
     if (!hasAccounts) return;
     this.#queuedWork = undefined;
@@ -689,3 +712,16 @@
   };
   return { maxAway, canSpare };
 }
+
+/** Free resources of the workers that accept runs. */
+function freeResources(workers: readonly Worker[], now: number): Resources {
+  const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  for (const worker of workers) {
+    if (!worker.acceptsRuns(now)) continue;
+    const { capacity } = worker.record;
+    free.cpuMillis += Math.max(0, capacity.cpuMillis - worker.cpuUsed);
+    free.memoryMb += Math.max(0, capacity.memoryMb - worker.memoryUsed);
+    free.accelerators += Math.max(0, capacity.accelerators - worker.acceleratorsUsed);
+  }
+  return free;
+}
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -42,6 +42,11 @@
    * were assigned must be listed again while it has others.
    */
   turnSize?: (spec: StepSpec) => number;
+  /**
+   * Number of tasks of a step, out of `count` that may start, that the limit of its account allows;
+   * for a gang all or none. Called before each assignment of a step's tasks.
+   */
+  allowedStarts?: (step: Step, count: number) => number;
 }
 
 /**
@@ -52,7 +57,15 @@
  * @returns number of tasks that could not be placed
  */
 export function placeSteps(
-  { steps, workers, now, mayRestart, maxStarts = Infinity, turnSize }: PlacementRound,
+  {
+    steps,
+    workers,
+    now,
+    mayRestart,
+    maxStarts = Infinity,
+    turnSize,
+    allowedStarts = (_step, count) => count,
+  }: PlacementRound,
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.acceptsRuns(now));
@@ -78,8 +91,13 @@
     const isPlacedHere = (task: Task) =>
       isStartable(task, { now, mayRestart }) && (spec.isGang || !isCrashSuspect(task));
     const idle = step.tasks.filter(isPlacedHere);
-    const turn = turnSize?.(spec) ?? Infinity;
-    const tasks = spec.isGang ? idle : idle.slice(0, Math.min(startsLeft, turn));
+    const turn = spec.isGang ? Infinity : (turnSize?.(spec) ?? Infinity);
+    const isIncompleteGang = spec.isGang && idle.length < spec.count;
+    const offered = Math.min(idle.length, turn);
+    const allowed = isIncompleteGang ? 0 : allowedStarts(step, offered);
+    // The step is not listed again in this round, so the limit has to know of its other tasks, too.
+    if (allowed < offered && offered < idle.length) allowedStarts(step, idle.length - offered);
+    const tasks = idle.slice(0, spec.isGang ? allowed : Math.min(allowed, startsLeft));
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, place)
       : placeEach(step, tasks, usable, index, place);
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -1,5 +1,5 @@
 import { Result } from 'true-myth';
-import type { Account, AccountRules } from '../../accounts/index.js';
+import { accountRuleDefaults, type Account, type AccountRules } from '../../accounts/index.js';
 import {
   noFeatures,
   RunEnd,
@@ -13,6 +13,7 @@
   type JobSpec,
   type ListedVm,
   type Queue,
+  type Resources,
   type Row,
   type StepSpec,
   type VmClient,
@@ -68,6 +69,10 @@
   weights?: Record<string, number>;
   /** Rules for accounts in the settings of the nodes. */
   accountRules?: AccountRules;
+  /** Limits of client accounts by name; the configuration has no accounts if undefined. */
+  limits?: Record<string, Partial<Resources>>;
+  /** Share of its limit by which an account may exceed it. */
+  maxOverage?: number;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -108,6 +113,7 @@
   readonly #acceptedMaintenance = new Set<string>();
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
   readonly #accountRules: AccountRules | undefined;
+  readonly #maxOverage: number;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -121,6 +127,8 @@
     accounts,
     weights,
     accountRules,
+    limits,
+    maxOverage = 0,
   }: BatchRigOptions = {}) {
     this.#features = { ...noFeatures, ...features };
     this.#weights = weights;
@@ -140,7 +148,8 @@
         this.addWorker(`${service}-${number}`, service);
       }
     }
-    this.configure({ version: 1, services, maxAttempts, accounts });
+    this.#maxOverage = maxOverage;
+    this.configure({ version: 1, services, maxAttempts, accounts, limits });
     for (let number = 0; number < nodes; number++) this.addNode(`node-${number}`);
   }
 
@@ -152,6 +161,7 @@
     accounts,
     weights = this.#weights,
     publicQueues = [],
+    limits,
   }: {
     version: number;
     services: string[];
@@ -160,6 +170,7 @@
     weights?: Record<string, number>;
     /** Names of the queues that need no key. */
     publicQueues?: string[];
+    limits?: Record<string, Partial<Resources>>;
   }): void {
     const queues = services.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
@@ -179,7 +190,7 @@
       queues,
       services: services.map((name) => ({ name, hasAdmissionControl: true, isStandby: false })),
       limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 0 },
-      accounts: accounts ?? (weights && createAccounts(weights)),
+      accounts: accounts ?? createAccounts(weights, limits),
     };
     this.#putOperatorRow('config', { config });
   }
@@ -245,7 +256,7 @@
         registry: tableSource(nodeStore, 'registry', '', parseWorker),
       }),
       clock,
-      accountRules: this.#accountRules,
+      accountRules: this.#accountRules ?? { ...accountRuleDefaults, maxOverage: this.#maxOverage },
       random: createRandom(this.nodes.length + 1),
       log,
       counters,
@@ -556,7 +567,16 @@
 const parseItem = ({ value }: Row) => JSON.parse(value) as OperatorItem;
 const parseWorker = ({ value }: Row) => JSON.parse(value) as WorkerRecord;
 
-function createAccounts(weights: Record<string, number>): Account[] {
-  const limit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  return Object.entries(weights).map(([name, weight]) => ({ name, weight, limit, keyDigests: [] }));
+/** Creates accounts by name; undefined if there are none. */
+function createAccounts(
+  weights: Record<string, number> = {},
+  limits: Record<string, Partial<Resources>> = {},
+): Account[] | undefined {
+  const names = [...new Set([...Object.keys(weights), ...Object.keys(limits)])];
+  if (names.length === 0) return undefined;
+  const noLimit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  return names.map((name) => {
+    const limit = { ...noLimit, ...limits[name] };
+    return { name, weight: weights[name] ?? 1, limit, keyDigests: [] };
+  });
 }
