--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -209,7 +209,8 @@
       ...deps,
       service,
       epoch,
-      maxOverage: deps.accountRules?.maxOverage ?? 0,
+      // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
+      maxOverage: 0,
       hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
       place,
       lose,
