--- a/src/batch/arrivals.spec.ts
+++ b/src/batch/arrivals.spec.ts
@@ -42,13 +42,14 @@
 for (const { title, arrivalTimes, now, expected } of cases) {
   test(title, (t) => {
     const arrivals = new ArrivalRateEstimator();
-    for (const time of arrivalTimes) arrivals.add([step], time);
+    for (const time of arrivalTimes) arrivals.add({ steps: [step], queue: 'q' }, time);
     t.is(arrivals.expectedCpu(now), expected);
   });
 }
 
 test('long-running tasks do not count towards the rate', (t) => {
   const arrivals = new ArrivalRateEstimator();
-  for (const at of [0, 1, 2, 3]) arrivals.add([{ ...step, isLasting: true }], at);
+  for (const at of [0, 1, 2, 3])
+    arrivals.add({ steps: [{ ...step, isLasting: true }], queue: 'q' }, at);
   t.is(arrivals.expectedCpu(4), 0);
 });
--- a/src/batch/arrivals.ts
+++ b/src/batch/arrivals.ts
@@ -1,4 +1,5 @@
-import type { StepSpec } from './types.js';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
+import type { JobSpec } from './types.js';
 
 /** Time over which arrivals are counted. Short compared with demand phases of several seconds. */
 const WINDOW_MS = 1_200;
@@ -21,10 +22,14 @@
   #recent: Arrival[] = [];
 
   /** Records a job; long-running and best-effort tasks do not count towards the rate. */
-  add(steps: readonly StepSpec[], now: number): void {
+  add(
+    { steps, queue }: Pick<JobSpec, 'steps' | 'queue'>,
+    now: number,
+    predictMs: PredictMs = declaredMs,
+  ): void {
     const work = steps
       .filter(({ isLasting, fillsSpare }) => !isLasting && !fillsSpare)
-      .reduce((sum, { count, cpuMillis, estimateMs }) => sum + count * cpuMillis * estimateMs, 0);
+      .reduce((sum, step) => sum + step.count * step.cpuMillis * predictMs(step, queue), 0);
     if (work > 0) this.#recent.push({ at: now, work });
   }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import { RunTimes, SnapshotKeeper, SnapshotWrite, type PredictMs } from '../runTimes/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator } from './arrivals.js';
 import type { Counters } from './counters.js';
@@ -17,7 +18,7 @@
 import { Recovery } from './recovery.js';
 import { delayBeforeRoundMs } from './roundDelay.js';
 import { RunControl } from './runControl.js';
-import { jobKey, endedKey, inboxKey } from './rows.js';
+import { jobKey, endedKey, inboxKey, runTimesKey } from './rows.js';
 import { encodeJob } from './jobCodec.js';
 import {
   JobState,
@@ -92,6 +93,9 @@
   readonly #recovery: Recovery;
   readonly #vacating: Vacating;
   readonly #arrivals = new ArrivalRateEstimator();
+  readonly #runTimes = new RunTimes();
+  readonly #predictMs: PredictMs = (step, queue) => this.#runTimes.predictMs(step, queue);
+  readonly #runTimesSnapshot: SnapshotKeeper;
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
@@ -139,6 +143,17 @@
         this.#advice.discard(step, workerId, ticket);
       },
       lose,
+      runTimes: this.#runTimes,
+    });
+    this.#runTimesSnapshot = new SnapshotKeeper({
+      service,
+      clock,
+      log,
+      counters,
+      runTimes: this.#runTimes,
+      rowBytes: store.limits.rowBytes,
+      read: async () => (await store.readRow(runTimesKey(service))).map((row) => row?.value),
+      write: (value) => this.#writeRunTimes(value),
     });
     this.#jobs.onUnstorable = (job) => {
       this.#runs.stopAll(job, 'unstorable');
@@ -195,6 +210,7 @@
       this.#isClosed = true;
     });
     const journal = this.#journal.run(signal);
+    void this.#runTimesSnapshot.load(signal);
     if (!(await this.#recovery.load(signal))) return;
     await Promise.all([
       journal,
@@ -211,6 +227,7 @@
       for (const job of this.#jobs.open()) if (job.hasSchedule) job.createDueOccurrences(wallTime);
       this.#vacating.proceed();
       this.#requestPlacement();
+      this.#runTimesSnapshot.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
@@ -270,11 +287,26 @@
     });
   }
 
+  #writeRunTimes(value: string): Promise<SnapshotWrite> {
+    return new Promise((resolve) => {
+      this.#journal.append({
+        conditions: [],
+        writes: [{ ...runTimesKey(this.service), value }],
+        removes: [],
+        settle: (outcome) => {
+          if (outcome === EntryOutcome.Applied) resolve(SnapshotWrite.Written);
+          else if (outcome === EntryOutcome.HolderLost) resolve(SnapshotWrite.HolderLost);
+          else resolve(SnapshotWrite.Rejected);
+        },
+      });
+    });
+  }
+
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
     job.createDueOccurrences(clock.wallTime());
-    this.#arrivals.add(spec.steps, clock.now());
+    this.#arrivals.add(spec, clock.now(), this.#predictMs);
     this.#jobs.add(job);
     log.info('job_accepted', {
       job: spec.id,
@@ -283,7 +315,7 @@
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
       lasting: job.isLasting,
-      path_ms: criticalPathMs(spec.steps),
+      path_ms: Math.round(criticalPathMs(spec, this.#predictMs)),
       config: config()?.version,
     });
     this.#requestPlacement();
@@ -339,7 +371,7 @@
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
     const expectedCpu = this.#arrivals.expectedCpu(this.#deps.clock.now());
-    return this.#sessions.load([...this.#jobs.open()], expectedCpu);
+    return this.#sessions.load([...this.#jobs.open()], expectedCpu, this.#predictMs);
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
@@ -380,7 +412,13 @@
     const now = clock.now();
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
-    const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
+    const waiting = orderWaiting(
+      jobs,
+      (name) => queues.get(name),
+      now,
+      clock.wallTime(),
+      this.#predictMs,
+    );
     const steps = waiting
       .map(({ step }) => step)
       .filter((step) => this.#advice.isPlaceable(step, queues, this.#sessions));
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -1,4 +1,5 @@
 import { Result } from 'true-myth';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import { isCrashSuspect, mayHaveCrashed, type CrashRole } from './crashSuspects.js';
 import { taskName } from './jobCodec.js';
 import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
@@ -294,21 +295,25 @@
   });
 }
 
-/** Estimated run time in milliseconds of the longest chain of unfinished steps. */
-export function remainingPathMs(occurrence: Occurrence): number {
+/** Predicted run time in milliseconds of the longest chain of unfinished steps. */
+export function remainingPathMs(occurrence: Occurrence, predictMs: PredictMs = declaredMs): number {
   const ends: number[] = [];
-  for (const { spec, doneCount } of occurrence.steps) {
+  for (const { spec, doneCount, job } of occurrence.steps) {
     const start = Math.max(0, ...spec.after.map((number) => ends[number] ?? 0));
-    ends.push(start + (doneCount === spec.count ? 0 : spec.estimateMs));
+    ends.push(start + (doneCount === spec.count ? 0 : predictMs(spec, job.spec.queue)));
   }
   return Math.max(0, ...ends);
 }
 
-/** Estimated run time in milliseconds of the longest chain of steps. */
-export function criticalPathMs(steps: readonly StepSpec[]): number {
+/** Predicted run time in milliseconds of the longest chain of steps of a job. */
+export function criticalPathMs(
+  { steps, queue }: Pick<JobSpec, 'steps' | 'queue'>,
+  predictMs: PredictMs = declaredMs,
+): number {
   const ends: number[] = [];
-  for (const { after, estimateMs } of steps) {
-    ends.push(Math.max(0, ...after.map((number) => ends[number] ?? 0)) + estimateMs);
+  for (const step of steps) {
+    const start = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
+    ends.push(start + predictMs(step, queue));
   }
   return Math.max(0, ...ends);
 }
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -39,6 +39,11 @@
     this.#deps = deps;
   }
 
+  /** Name of the service. */
+  get service(): string {
+    return this.#deps.service;
+  }
+
   get size(): number {
     return this.#open.size;
   }
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -1,4 +1,5 @@
 import { criticalPathMs, isStepReady, remainingPathMs, type Job, type Step } from './job.js';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import type { Queue } from './types.js';
 
 /** Multiple of the objective beyond which a late job has no value, by the platform's rules. */
@@ -29,8 +30,12 @@
 }
 
 /** Time in milliseconds within which a job should complete. */
-export function objectiveMsOf(job: Job, queue: Queue | undefined): number {
-  const pathMs = criticalPathMs(job.spec.steps);
+export function objectiveMsOf(
+  job: Job,
+  queue: Queue | undefined,
+  predictMs: PredictMs = declaredMs,
+): number {
+  const pathMs = criticalPathMs(job.spec, predictMs);
   return pathMs * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
 }
 
@@ -41,24 +46,26 @@
  *
  * @param now - monotonic time in milliseconds
  * @param wallTimeMs - Unix time in milliseconds
+ * @param predictMs - run times by which objectives and remaining paths are computed
  */
 export function orderWaiting(
   jobs: Iterable<Job>,
   queueOf: (name: string) => Queue | undefined,
   now: number,
   wallTimeMs: number,
+  predictMs: PredictMs = declaredMs,
 ): WaitingStep[] {
   const waiting: WaitingStep[] = [];
   for (const job of jobs) {
     if (job.finalState) continue;
     const queue = queueOf(job.spec.queue);
-    const objectiveMs = objectiveMsOf(job, queue);
+    const objectiveMs = objectiveMsOf(job, queue, predictMs);
     for (const occurrence of job.occurrences.values()) {
       const sinceDueMs = wallTimeMs - (job.spec.firstDueMs + occurrence.number * job.spec.periodMs);
       const ageMs = job.hasSchedule ? sinceDueMs : now - job.acceptedAt;
       for (const step of occurrence.steps) {
         if (step.idleCount === 0 || !isStepReady(step)) continue;
-        const remainingMs = remainingPathMs(occurrence);
+        const remainingMs = remainingPathMs(occurrence, predictMs);
         waiting.push({
           step,
           priority: queue?.priority ?? 0,
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -31,6 +31,13 @@
 /** Id of the inbox row that requests the cancellation of a job. */
 export const cancellationId = (id: string): string => `${id}!`;
 
+/** Key of the row with what the holder has learned about run times. */
+export const runTimesKey = (service: string): RowKey => ({
+  table: 'run_times',
+  part: service,
+  key: 'snapshot',
+});
+
 /** Key of the row with the record of a worker on which runs may have been started. */
 export const rosterKey = (service: string, worker: string): RowKey => ({
   table: 'roster',
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.js';
+import type { RunTimes } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import { addCrash, attributeCrash, CrashRole, isGivenUp, mayHaveCrashed } from './crashSuspects.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -76,6 +77,7 @@
   discardTicket: (step: Step, workerId: string, ticket: string) => void;
   /** Gives up the service, because a worker has seen a higher fencing token. */
   lose: (reason: string) => void;
+  runTimes: RunTimes;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -107,6 +109,7 @@
       number = step.gangRun;
     }
     const run = this.#createRun(task, worker, number, RunPhase.Starting);
+    run.isTimed = isRepresentative(task, worker);
     job.attach(task, run);
     worker.add(run);
     this.#storeIfSuspect(run);
@@ -121,7 +124,11 @@
 
   /** Handles the first call that a worker did not answer. */
   handleSilence(worker: Worker): void {
-    for (const run of worker.runs.values()) this.#storeIfSuspect(run);
+    for (const run of worker.runs.values()) {
+      // Its end will be listed late.
+      run.isTimed = false;
+      this.#storeIfSuspect(run);
+    }
   }
 
   #createRun(task: Task, worker: Worker, number: number, phase: RunPhase): Run {
@@ -314,7 +321,10 @@
     const { jobs, log, place } = this.#deps;
     const run = worker.runs.get(ended.task);
     const isCurrent = run?.number === ended.run;
-    if (run && isCurrent) this.#detach(run);
+    if (run && isCurrent) {
+      this.#detach(run);
+      if (ended.end === RunEnd.Done) this.#recordRunTime(run);
+    }
     const address = parseTaskName(ended.task);
     const job = address && jobs.get(address.job);
     log.detail('task_end', {
@@ -336,6 +346,24 @@
     place();
   }
 
+  /** Learns from a run that ended well, in one piece and at full speed. */
+  #recordRunTime({ task, startedAt, phase, isTimed }: Run): void {
+    const { clock, runTimes, counters, jobs } = this.#deps;
+    if (!isTimed || (phase !== RunPhase.Running && phase !== RunPhase.Starting)) return;
+    const { spec, job } = task.step;
+    const { queue } = job.spec;
+    const ranMs = clock.now() - startedAt;
+    // Sums by service; their quotients compare declared and predicted with measured times.
+    counters.count('run_times_declared_ms', jobs.service, Math.round(spec.estimateMs));
+    counters.count(
+      'run_times_predicted_ms',
+      jobs.service,
+      Math.round(runTimes.predictMs(spec, queue)),
+    );
+    counters.count('run_times_measured_ms', jobs.service, Math.round(ranMs));
+    runTimes.observe(spec, queue, ranMs);
+  }
+
   #applyDone(worker: Worker, task: Task): void {
     worker.consecutiveFailures = 0;
     const { step } = task;
@@ -443,6 +471,7 @@
         percent,
       });
       run.pace = percent;
+      run.isTimed = false;
       const order = { task: task.name, run: number, percent, fencingToken: epoch };
       void workers.pace(worker.record, order).then((reply) => {
         if (reply.answer === OrderAnswer.Fenced) this.handleFenced(worker);
@@ -529,6 +558,14 @@
   }
 }
 
+/** Whether a run in one piece will tell how long such tasks take on a healthy worker. */
+function isRepresentative({ step, checkpoint }: Task, { record }: Worker): boolean {
+  const { isLasting, nearRack } = step.spec;
+  // Away from their data, tasks take a multiple of their time.
+  const isNear = nearRack === undefined || record.labels.includes(nearRack);
+  return isNear && !isLasting && checkpoint === '';
+}
+
 /** Whether the last order for a run was carried out before a reading of the worker's clock. */
 function isOlderThan({ lastOrderClockMs }: Run, workerTimeMs: number): boolean {
   return lastOrderClockMs !== undefined && lastOrderClockMs < workerTimeMs;
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -35,6 +35,8 @@
   measurement: number;
   /** Pace that it was last set to, in percent of its full speed. */
   pace: number;
+  /** Whether its run time tells how long such tasks take. */
+  isTimed: boolean;
 }
 
 /** Creates the record of a run that is being started or adopted. */
@@ -57,6 +59,7 @@
     percent: 0,
     measurement: 0,
     pace: 100,
+    isTimed: false,
   };
 }
 
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.js';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { isAborted } from './follow.js';
@@ -311,7 +312,7 @@
   }
 
   /** Load of the service, for pool balancing and maintenance. */
-  load(jobs: readonly Job[], expectedCpu: number): ServiceLoad {
+  load(jobs: readonly Job[], expectedCpu: number, predictMs: PredictMs = declaredMs): ServiceLoad {
     let waitingCpu = 0;
     let backlogCpu = 0;
     let spreadNeed = 0;
@@ -325,8 +326,10 @@
           if (spec.fillsSpare || !isStepReady(step)) continue;
           const waiting = step.idleCount * spec.cpuMillis;
           waitingCpu += waiting;
-          const isShort = !spec.isLasting && spec.estimateMs < BACKLOG_TARGET_MS;
-          backlogCpu += isShort ? (waiting * spec.estimateMs) / BACKLOG_TARGET_MS : waiting;
+          if (waiting === 0) continue;
+          const runMs = predictMs(spec, job.spec.queue);
+          const isShort = !spec.isLasting && runMs < BACKLOG_TARGET_MS;
+          backlogCpu += isShort ? (waiting * runMs) / BACKLOG_TARGET_MS : waiting;
         }
       }
     }
--- /dev/null
+++ b/src/runTimes/index.ts
@@ -0,0 +1,10 @@
+export { runTimesDefaults } from './defaults.js';
+export { RunTimes } from './runTimes.js';
+export { SnapshotKeeper, SnapshotWrite, type SnapshotKeeperDeps } from './snapshotKeeper.js';
+export {
+  declaredMs,
+  RunTimesError,
+  RunTimesErrorCode,
+  type PredictMs,
+  type TimedStep,
+} from './types.js';
