Start copies of stragglers where steps allow them

A task may have a second run on another worker. Its first end counts, the other run is stopped, and the end is not acknowledged while a start order of the other run is open, because no start may follow an acknowledged end later than 1 s. A successor adopts both runs.

--- a/bench/peakOrder.ts
+++ b/bench/peakOrder.ts
@@ -64,7 +64,7 @@
       runningTasks.splice(runningTasks.indexOf(finished), 1);
       freeCpuMillis += finished.cpuMillis;
       const { job } = finished.task.step;
-      job.detach(finished.task);
+      if (finished.task.run) job.detach(finished.task, finished.task.run);
       job.complete(finished.task);
       const simulated = unfinished.get(job);
       if (!simulated || !job.isComplete) continue;
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
+import { copiesDefaults, findStragglers, placeCopies } from '../copies/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { RunTimes, SnapshotKeeper, SnapshotWrite, type PredictMs } from '../runTimes/index.js';
 import { AdviceCache } from './adviceCache.js';
@@ -8,10 +9,10 @@
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job } from './job.js';
+import { criticalPathMs, Job, type Step } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal } from './journal.js';
-import { orderWaiting } from './ordering.js';
+import { orderWaiting, Urgency } from './ordering.js';
 import { placeSteps, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
@@ -32,6 +33,7 @@
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
 import type { Claim } from './ownership.js';
+import type { Worker } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
 /** Maximum number of open jobs per holder; bounds its memory use. */
@@ -107,6 +109,7 @@
   /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
   #roundMs = 0;
   #roundEndedAt = -Infinity;
+  #stragglersSoughtAt = -Infinity;
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
@@ -144,6 +147,7 @@
       },
       lose,
       runTimes: this.#runTimes,
+      mayHaveUnknownRuns: (job) => !this.#recovery.mayStartTasks(job),
     });
     this.#runTimesSnapshot = new SnapshotKeeper({
       service,
@@ -430,5 +434,47 @@
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
     this.#unplacedCount = waitingSuspects + placeSteps({ ...round, maxStarts: maxStarts() }, start);
+    const isRoomIdle = !waiting.some(
+      ({ step, urgency }) => urgency <= Urgency.OnTime && step.idleCount > 0,
+    );
+    // Another holder may have started a copy already.
+    if (mayRestart) this.#startCopies(jobs, workers, isRoomIdle);
+  }
+
+  /** Finds stragglers and starts copies of them while no task that can be in time waits. */
+  #startCopies(jobs: readonly Job[], workers: readonly Worker[], isRoomIdle: boolean): void {
+    const { clock, log, counters } = this.#deps;
+    const now = clock.now();
+    if (now - this.#stragglersSoughtAt < copiesDefaults.searchIntervalMs) return;
+    this.#stragglersSoughtAt = now;
+    const stragglers = findStragglers(jobs, now, this.#runTimes);
+    for (const { task, run, elapsedMs, limitMs, remainderMs } of stragglers) {
+      if (run.isStraggler) continue;
+      run.isStraggler = true;
+      counters.count('stragglers', this.service);
+      log.detail('straggler_found', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: run.number,
+        worker: run.worker.record.id,
+        elapsed_ms: Math.round(elapsedMs),
+        limit_ms: Math.round(limitMs),
+        remainder_ms: Math.round(remainderMs),
+      });
+    }
+    if (!isRoomIdle) return;
+    const queues = this.#queuesByName();
+    const isPlaceable = (step: Step) => this.#advice.isPlaceable(step, queues, this.#sessions);
+    const round = { workers, now, maxStarts: this.#runs.freeStarts, isPlaceable };
+    placeCopies(stragglers, round, ({ task, worker }) => {
+      this.#runs.startCopy(task, worker, this.#advice.ticketOf(task.step, worker));
+      log.detail('copy_started', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: task.copy?.number,
+        worker: worker.record.id,
+        beside: task.run?.worker.record.id,
+      });
+    });
   }
 }
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -5,7 +5,7 @@
 import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
 import type { Run } from './worker.js';
 
-/** One task of a step, with at most one current run. */
+/** One task of a step, with at most one current run and, where its step allows it, a copy. */
 export interface Task {
   step: Step;
   index: number;
@@ -19,6 +19,10 @@
   /** Checkpoint to resume from; empty if there is none. */
   checkpoint: string;
   run?: Run;
+  /** Second run on another worker; only while there is a first. */
+  copy?: Run;
+  /** Whether the first run has had a copy; it gets no further one. */
+  hadCopy: boolean;
   /** Monotonic time in milliseconds before which the task must not start. */
   notBefore: number;
   /**
@@ -161,6 +165,7 @@
           checkpoint: '',
           notBefore: 0,
           hasLostRun: false,
+          hadCopy: false,
         });
       }
       occurrence.steps.push(step);
@@ -173,14 +178,25 @@
   attach(task: Task, run: Run): void {
     if (!task.run && !task.isDone) task.step.idleCount--;
     task.run = run;
+    task.hadCopy = false;
     task.nextRun = Math.max(task.nextRun, run.number + 1);
   }
 
-  /** Removes the current run of a task. */
-  detach(task: Task): void {
-    if (!task.run) return;
+  /** Makes a run the second run of a task beside its current one. */
+  attachCopy(task: Task, run: Run): void {
+    task.copy = run;
+    task.nextRun = Math.max(task.nextRun, run.number + 1);
+  }
+
+  /** Removes a run of a task. If the current run is removed, the copy takes its place. */
+  detach(task: Task, run: Run): void {
+    const { copy } = task;
+    if (run === copy) delete task.copy;
+    if (run !== task.run) return;
     delete task.run;
-    if (!task.isDone) task.step.idleCount++;
+    delete task.copy;
+    if (copy) task.run = copy;
+    else if (!task.isDone) task.step.idleCount++;
   }
 
   /** Finds a task by its numbers; undefined if there is none or its occurrence is not open. */
@@ -224,7 +240,7 @@
   encodeProgress(): string {
     const stored: StoredProgress = { done: {}, failures: {}, ended: this.#endedOccurrences };
     for (const task of this.tasks()) {
-      const { step, run } = task;
+      const { step } = task;
       const stepKey = `${step.occurrence.number}.${step.number}`;
       if (task.isDone) (stored.done[stepKey] ??= []).push(task.index);
       else if (task.failedRuns.size > 0) {
@@ -232,7 +248,8 @@
       }
       if (task.isDone) continue;
       if (task.crashes) (stored.crashes ??= {})[`${stepKey}.${task.index}`] = [...task.crashes];
-      if (!run || !mayHaveCrashed(run)) continue;
+      const run = runsOf(task).find(mayHaveCrashed);
+      if (!run) continue;
       const { id: worker, bornMs } = run.worker.record;
       const suspectRun = { run: run.number, worker, bornMs };
       (stored.suspectRuns ??= {})[`${stepKey}.${task.index}`] = suspectRun;
@@ -287,6 +304,12 @@
   }
 }
 
+/** The current run of a task and its copy, as far as it has them. */
+export function runsOf({ run, copy }: Task): Run[] {
+  if (!run) return [];
+  return copy ? [run, copy] : [run];
+}
+
 /** Whether all steps that a step depends on have succeeded. */
 export function isStepReady(step: Step): boolean {
   return step.spec.after.every((number) => {
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -174,7 +174,8 @@
   return worker.hasCapacityFor(needs, spec.fillsSpare);
 }
 
-function chooseWorker(
+/** Chooses the worker on which a task of a step should run; undefined if it fits on none. */
+export function chooseWorker(
   step: Step,
   task: Task,
   workers: readonly Worker[],
@@ -218,7 +219,9 @@
 /** Number of tasks that run, or may run, on a worker. */
 export function countOnWorker(tasks: readonly Task[], worker: Worker): number {
   let count = 0;
-  for (const { run } of tasks) if (run?.worker === worker) count++;
+  for (const { run, copy } of tasks) {
+    if (run?.worker === worker || copy?.worker === worker) count++;
+  }
   return count;
 }
 
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '../clock/index.js';
+import { CopyEnd, mayHaveCopies } from '../copies/index.js';
 import type { RunTimes } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import { addCrash, attributeCrash, CrashRole, isGivenUp, mayHaveCrashed } from './crashSuspects.js';
 import type { DecisionLog } from './decisionLog.js';
-import type { Job, Step, Task } from './job.js';
+import { runsOf, type Job, type Step, type Task } from './job.js';
 import { parseTaskName } from './jobCodec.js';
 import type { JobTable } from './jobTable.js';
 import { choosePaces } from './pacing.js';
@@ -21,6 +22,8 @@
 
 /** Length of the leases granted to workers. Must stay below the platform's maximum of 6 s. */
 export const LEASE_MS = 5_000;
+/** Time after which a worker rejects a start order, because the lease in it is over on its clock. */
+const START_ORDER_LIFE_MS = LEASE_MS * 1.03 + 300;
 /** Delay before a stop order that was not confirmed is sent again. */
 const STOP_RETRY_MS = 200;
 /** How long a worker gets no new runs after it rejected one for lack of free resources. */
@@ -78,6 +81,8 @@
   /** Gives up the service, because a worker has seen a higher fencing token. */
   lose: (reason: string) => void;
   runTimes: RunTimes;
+  /** Whether a job's tasks may have runs of an earlier holder that are not known yet. */
+  mayHaveUnknownRuns: (job: Job) => boolean;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -116,6 +121,18 @@
     void this.#sendStart(run, ticket);
   }
 
+  /** Starts a second run of a task on another worker than that of the first. */
+  startCopy(task: Task, worker: Worker, ticket?: string): void {
+    const run = this.#createRun(task, worker, task.nextRun, RunPhase.Starting);
+    run.isTimed = isRepresentative(task, worker);
+    run.isCopy = true;
+    task.step.job.attachCopy(task, run);
+    worker.add(run);
+    this.#storeIfSuspect(run);
+    this.#deps.counters.count('copies', 'started');
+    void this.#sendStart(run, ticket);
+  }
+
   /** Lets a later holder learn of a run, in case this one ends before the crash is certain. */
   #storeIfSuspect(run: Run): void {
     const { job } = run.task.step;
@@ -166,7 +183,7 @@
   #handleStartReply(run: Run, reply: OrderReply, ticket: string | undefined): void {
     const { clock, log, counters } = this.#deps;
     const { task, worker, number } = run;
-    if (task.run !== run) return;
+    if (!runsOf(task).includes(run)) return;
     const { job } = task.step;
     const now = clock.now();
     if (reply.workerTimeMs !== undefined) worker.recordClock(reply.workerTimeMs, now);
@@ -183,6 +200,7 @@
       case OrderAnswer.Done:
         run.lastOrderClockMs = reply.workerTimeMs;
         task.tooOldRejections = 0;
+        if (run.isCopy) task.hadCopy = true;
         if (job.state === JobState.Queued) {
           job.state = JobState.Running;
           counters.observe('job_start_wait_ms', now - job.acceptedAt);
@@ -251,7 +269,8 @@
     this.#requeue(run);
   }
 
-  #requeue(run: Run): void {
+  #requeue(run: Run, copyEnd = CopyEnd.NotStarted): void {
+    if (run.isCopy) this.#recordCopyEnd(run, copyEnd);
     this.#detach(run);
     this.#deps.place();
   }
@@ -259,7 +278,7 @@
   #detach(run: Run): void {
     const { task, worker } = run;
     worker.remove(run);
-    if (task.run === run) task.step.job.detach(task);
+    task.step.job.detach(task, run);
   }
 
   /** Handles a worker's rejection of an order because it has seen a higher fencing token. */
@@ -288,7 +307,7 @@
 
   /** Stops all runs of a job. */
   stopAll(job: Job, reason: string): void {
-    for (const { run } of job.tasks()) if (run) this.stop(run, reason);
+    for (const task of job.tasks()) for (const run of runsOf(task)) this.stop(run, reason);
   }
 
   async #sendStop(run: Run): Promise<void> {
@@ -322,7 +341,9 @@
     const run = worker.runs.get(ended.task);
     const isCurrent = run?.number === ended.run;
     if (run && isCurrent) {
+      if (run.isCopy) this.#recordCopyEnd(run, copyEndOf(run, ended.end));
       this.#detach(run);
+      if (run.task.step.job.finalState) this.#holdAcknowledgement(worker, run.task);
       if (ended.end === RunEnd.Done) this.#recordRunTime(run);
     }
     const address = parseTaskName(ended.task);
@@ -340,7 +361,8 @@
     const task = job.task(address.occurrence, address.step, address.index);
     if (!task) return;
     task.nextRun = Math.max(task.nextRun, ended.run + 1);
-    if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    const isBehind = run?.isCopy === true && task.run !== undefined;
+    if (ended.checkpoint !== '' && !isBehind) task.checkpoint = ended.checkpoint;
     if (ended.end === RunEnd.Done) this.#applyDone(worker, task);
     if (ended.end === RunEnd.Failed) this.#applyFailure(worker, task, ended.run);
     place();
@@ -371,10 +393,53 @@
     const { job } = step;
     for (const member of step.spec.isGang ? step.tasks : [task]) {
       job.complete(member);
-      if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
+      if (step.spec.isGang) continue;
+      for (const run of runsOf(member)) this.stop(run, 'done_elsewhere');
     }
     if (job.isComplete) void this.#deps.jobs.close(job, JobState.Succeeded);
     else this.#deps.jobs.markDirty(job);
+    this.#holdAcknowledgement(worker, task);
+  }
+
+  /** Lets the ends on a worker wait while a run of a task that is over may still start elsewhere. */
+  #holdAcknowledgement(worker: Worker, task: Task): void {
+    if (this.#mayStillStart(task)) worker.unsettledTasks.push(task);
+  }
+
+  /** Whether a run of a task may still start because of an order that was sent before. */
+  #mayStillStart(task: Task): boolean {
+    const { spec, job } = task.step;
+    if (!mayHaveCopies(spec)) return false;
+    const now = this.#deps.clock.now();
+    const isOpen = ({ lastOrderClockMs, startedAt }: Run) =>
+      lastOrderClockMs === undefined && now - startedAt < START_ORDER_LIFE_MS;
+    return runsOf(task).some(isOpen) || this.#deps.mayHaveUnknownRuns(job);
+  }
+
+  /**
+   * Whether the ends on a worker may be acknowledged. After the end of a task was acknowledged, none
+   * of its runs may start, so an open start order of its other run must have been settled.
+   */
+  mayAcknowledge(worker: Worker): boolean {
+    worker.unsettledTasks = worker.unsettledTasks.filter((task) => this.#mayStillStart(task));
+    return worker.unsettledTasks.length === 0;
+  }
+
+  #recordCopyEnd({ task, worker, number, startedAt }: Run, end: CopyEnd): void {
+    const { clock, counters, log, jobs } = this.#deps;
+    const ranMs = clock.now() - startedAt;
+    const { spec, job } = task.step;
+    if (end !== CopyEnd.NotStarted) task.hadCopy = true;
+    counters.count('copies', end);
+    counters.count('copy_cpu_ms', jobs.service, Math.round((spec.cpuMillis / 1_000) * ranMs));
+    log.detail(end === CopyEnd.Won ? 'copy_won' : 'copy_ended', {
+      job: job.spec.id,
+      task: task.name,
+      run: number,
+      worker: worker.record.id,
+      end,
+      ran_ms: Math.round(ranMs),
+    });
   }
 
   #applyFailure(worker: Worker, task: Task, runNumber: number): void {
@@ -391,7 +456,8 @@
       task.notBefore = now + LASTING_RETRY_MS;
       return;
     }
-    if (task.failedRuns.has(runNumber)) return;
+    // The other run of the task may have ended `done` before.
+    if (task.isDone || task.failedRuns.has(runNumber)) return;
     task.failedRuns.add(runNumber);
     const members = step.spec.isGang ? step.tasks : [task];
     // The tasks of a gang share run numbers, so one failed attempt is counted once.
@@ -429,7 +495,8 @@
   #updateRun(run: Run, entry: ListedRun, workerTimeMs: number): void {
     run.percent = entry.percent;
     run.measurement = entry.measurement;
-    if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
+    // The copy of a run may be behind it.
+    if (entry.checkpoint !== '' && run !== run.task.copy) run.task.checkpoint = entry.checkpoint;
     if (run.phase === RunPhase.Running) run.lastOrderClockMs ??= workerTimeMs;
   }
 
@@ -439,11 +506,15 @@
     const job = address && this.#deps.jobs.get(address.job);
     if (!job || job.finalState) return false;
     const task = job.task(address.occurrence, address.step, address.index);
-    if (!task || task.isDone || task.run || worker.runs.has(entry.task)) return false;
+    if (!task || task.isDone || worker.runs.has(entry.task)) return false;
+    if (task.run && !mayAdoptSecond(task)) return false;
     const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
     run.lastOrderClockMs = workerTimeMs;
     run.isAdopted = true;
-    job.attach(task, run);
+    run.isCopy = task.run !== undefined;
+    task.hadCopy ||= run.isCopy;
+    if (run.isCopy) job.attachCopy(task, run);
+    else job.attach(task, run);
     worker.add(run);
     job.state = JobState.Running;
     this.#updateRun(run, entry, workerTimeMs);
@@ -491,7 +562,7 @@
       reason,
     });
     run.task.hasLostRun = true;
-    this.#requeue(run);
+    this.#requeue(run, CopyEnd.WorkerLost);
   }
 
   /** Requeues all runs of a worker on which they are known to have ended. */
@@ -558,6 +629,18 @@
   }
 }
 
+/** Whether the second run of a task that an earlier holder started may go on. */
+function mayAdoptSecond({ step, run, copy }: Task): boolean {
+  // Beside a run of this holder, the other one is what it took for lost.
+  return mayHaveCopies(step.spec) && run?.isAdopted === true && !copy;
+}
+
+function copyEndOf({ task }: Run, end: RunEnd): CopyEnd {
+  if (task.isDone) return CopyEnd.Lost;
+  if (end === RunEnd.Done) return CopyEnd.Won;
+  return end === RunEnd.Failed ? CopyEnd.Failed : CopyEnd.Stopped;
+}
+
 /** Whether a run in one piece will tell how long such tasks take on a healthy worker. */
 function isRepresentative({ step, checkpoint }: Task, { record }: Worker): boolean {
   const { isLasting, nearRack } = step.spec;
--- a/src/batch/serviceStateLog.ts
+++ b/src/batch/serviceStateLog.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import type { DecisionLog } from './decisionLog.js';
-import { isStepReady, type Job } from './job.js';
+import { isStepReady, runsOf, type Job } from './job.js';
 import { RunPhase, type Worker } from './worker.js';
 
 /** Interval between two lines for one service. */
@@ -67,7 +67,7 @@
       for (const { steps } of job.occurrences.values()) {
         for (const step of steps) {
           if (!job.finalState && isStepReady(step)) waiting += step.idleCount;
-          taskRuns += step.tasks.filter(({ run }) => run).length;
+          for (const task of step.tasks) taskRuns += runsOf(task).length;
         }
       }
     }
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -35,6 +35,10 @@
   measurement: number;
   /** Pace that it was last set to, in percent of its full speed. */
   pace: number;
+  /** Whether it was started, or adopted, as a second run beside the first. */
+  isCopy: boolean;
+  /** Whether it was found to take longer than nearly all tasks like its own. */
+  isStraggler: boolean;
   /** Whether its run time tells how long such tasks take. */
   isTimed: boolean;
 }
@@ -59,6 +63,8 @@
     percent: 0,
     measurement: 0,
     pace: 100,
+    isCopy: false,
+    isStraggler: false,
     isTimed: false,
   };
 }
@@ -90,6 +96,11 @@
   isolatedFor?: Task;
   /** Runs whose leases expired while it was silent; it may have crashed under them. */
   lapsedRuns: Run[] = [];
+  /**
+   * Tasks that ended `done` here while the start order of their other run was open; their ends are
+   * acknowledged once it is certain that this run no longer starts.
+   */
+  unsettledTasks: Task[] = [];
   /** Consecutive runs that failed here. */
   consecutiveFailures = 0;
   /** Time by which all leases here will have expired unless they are renewed. */
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -270,7 +270,10 @@
     if (hasNewEnds) {
       const processed = worker.processedUpto;
       const { bornMs } = worker.record;
-      const durable = this.#deps.journal.barrier().then((isDurable) => {
+      const durable = this.#deps.journal.barrier().then(async (isDurable) => {
+        while (isDurable && !runs.mayAcknowledge(worker)) {
+          if (!(await clock.sleep(RETRY_MS, signal))) return;
+        }
         if (isDurable && worker.record.bornMs === bornMs) {
           worker.durableUpto = Math.max(worker.durableUpto, processed);
         }
--- /dev/null
+++ b/src/copies/index.ts
@@ -0,0 +1,4 @@
+export { copiesDefaults } from './defaults.js';
+export { copyCpu, placeCopies, type CopyRound } from './placeCopies.js';
+export { findStragglers, mayHaveCopies } from './stragglers.js';
+export { CopyEnd, type LearnedTimes, type Straggler } from './types.js';
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -33,6 +33,8 @@
 
 /** Time that the advice service takes to answer. */
 const ADVICE_DELAY_MS = 10;
+/** Time after the acknowledgement of an end within which another run of the task may start. */
+const MAX_START_DELAY_MS = 1_000;
 /** Latency of a call between nodes. */
 const LINK_LATENCY_MS = 1;
 
@@ -90,6 +92,8 @@
   readonly #callHandlers = new Map<string, (body: unknown) => Promise<unknown>>();
   readonly #waveReports = new Map<string, boolean>();
   readonly #acceptedMaintenance = new Set<string>();
+  /** Steps whose tasks may have two runs, as `JOB STEP`. */
+  readonly #copySteps = new Set<string>();
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
   #nextReplacement = 0;
   #nextJob = 0;
@@ -376,6 +380,7 @@
     const completed = steps.map((step) => withStepDefaults({ ...needs, ...step }));
     for (const [step, spec] of completed.entries()) {
       if (spec.isLasting) this.#lastingSteps.push({ job: id, step, spec });
+      if (spec.allowsCopies) this.#copySteps.add(`${fields.id ?? id} ${step}`);
     }
     const times = { occurrences: 0, firstDueMs: 0, periodMs: 0 };
     const acceptedMs = this.clock.wallTime();
@@ -471,7 +476,10 @@
     return found;
   }
 
-  /** Lists overlapping runs, runs started after the task was done and violations of `maxAway`. */
+  /**
+   * Lists overlapping runs, runs started after the task was done and violations of `maxAway`. Where
+   * copies are allowed, two runs may overlap, and one may start up to 1 s after the acknowledgement.
+   */
   violations(): string[] {
     const byTask = new Map<string, ObservedRun[]>();
     for (const run of this.fleet.runs()) {
@@ -479,6 +487,11 @@
     }
     const found = [...this.vendorViolations];
     for (const [task, runs] of byTask) {
+      const [job = '', , step = ''] = task.split('.');
+      if (this.#copySteps.has(`${job} ${step}`)) {
+        found.push(...copyViolations(task, runs));
+        continue;
+      }
       for (const [index, run] of runs.entries()) {
         for (const other of runs.slice(index + 1)) {
           if (overlap(run, other)) found.push(`${task}: runs ${run.run} and ${other.run} overlap`);
@@ -505,6 +518,23 @@
   return value;
 }
 
+/** Lists third runs of a task, and starts later than 1 s after its end was acknowledged. */
+function copyViolations(task: string, runs: readonly ObservedRun[]): string[] {
+  const found: string[] = [];
+  for (const run of runs) {
+    const others = runs.filter((other) => other !== run);
+    const atStart = others.filter(
+      ({ startedAt, endedAt = Infinity }) => startedAt <= run.startedAt && endedAt > run.startedAt,
+    );
+    if (atStart.length > 1) found.push(`${task}: run ${run.run} is the third at a time`);
+    const isLate = ({ end, acknowledgedAt = Infinity }: ObservedRun) =>
+      end === RunEnd.Done && run.startedAt > acknowledgedAt + MAX_START_DELAY_MS;
+    if (others.some(isLate))
+      found.push(`${task}: run ${run.run} started after an acknowledged end`);
+  }
+  return found;
+}
+
 function overlap(a: ObservedRun, b: ObservedRun): boolean {
   return a.startedAt < (b.endedAt ?? Infinity) && b.startedAt < (a.endedAt ?? Infinity);
 }
--- a/src/testing/batchRig/fakeExecutors.ts
+++ b/src/testing/batchRig/fakeExecutors.ts
@@ -42,6 +42,8 @@
   startedAt: number;
   endedAt?: number;
   end?: RunEnd;
+  /** When the holder acknowledged its end. */
+  acknowledgedAt?: number;
 }
 
 /** Options for {@link FakeExecutor}. */
@@ -214,6 +216,11 @@
     if (order.fencingToken < this.#maxFencingToken)
       return { isListed: false, answer: OrderAnswer.Fenced };
     this.#maxFencingToken = order.fencingToken;
+    for (const { number, task, run } of this.#unacknowledgedEnds) {
+      if (number > order.lastAcknowledgedEnd) continue;
+      const seen = this.observedRuns.find((entry) => entry.task === task && entry.run === run);
+      if (seen) seen.acknowledgedAt = this.#fleet.clock.now();
+    }
     this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(
       ({ number }) => number > order.lastAcknowledgedEnd,
     );
