Resume checkpointed stragglers elsewhere where this pays

Where copies are not allowed, a straggler on a worker that was found slow is stopped and resumed from its checkpoint on another, if the remaining work is worth more than the cost of resuming and the lost work. Worker.slowdown is 1 until the judgement of workers sets it, so nothing is resumed yet.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,6 +1,12 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
-import { copiesDefaults, findStragglers, placeCopies } from '../copies/index.js';
+import {
+  copiesDefaults,
+  findResumable,
+  findStragglers,
+  placeCopies,
+  type Straggler,
+} from '../copies/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { RunTimes, SnapshotKeeper, SnapshotWrite, type PredictMs } from '../runTimes/index.js';
 import { AdviceCache } from './adviceCache.js';
@@ -82,6 +88,8 @@
   /** Whether leases may be extended and tasks without earlier runs may be started. */
   canExtend: () => boolean;
   onLost: (reason: string) => void;
+  /** Time in milliseconds that a task needs to resume from a checkpoint; undefined if unknown. */
+  resumeCostMs?: number;
 }
 
 /** Manages one service: its open jobs, the runs on its workers, and its journal. */
@@ -438,11 +446,11 @@
       ({ step, urgency }) => urgency <= Urgency.OnTime && step.idleCount > 0,
     );
     // Another holder may have started a copy already.
-    if (mayRestart) this.#startCopies(jobs, workers, isRoomIdle);
+    if (mayRestart) this.#handleStragglers(jobs, workers, isRoomIdle);
   }
 
-  /** Finds stragglers and starts copies of them while no task that can be in time waits. */
-  #startCopies(jobs: readonly Job[], workers: readonly Worker[], isRoomIdle: boolean): void {
+  /** Finds stragglers, and helps them while no task that can be in time waits. */
+  #handleStragglers(jobs: readonly Job[], workers: readonly Worker[], isRoomIdle: boolean): void {
     const { clock, log, counters } = this.#deps;
     const now = clock.now();
     if (now - this.#stragglersSoughtAt < copiesDefaults.searchIntervalMs) return;
@@ -463,6 +471,31 @@
       });
     }
     if (!isRoomIdle) return;
+    this.#resumeElsewhere(stragglers, workers);
+    this.#startCopies(stragglers, workers);
+  }
+
+  /** Stops stragglers on slow workers where resuming them on another from a checkpoint pays. */
+  #resumeElsewhere(stragglers: readonly Straggler[], workers: readonly Worker[]): void {
+    const { clock, log, resumeCostMs } = this.#deps;
+    if (resumeCostMs === undefined) return;
+    const round = { workers, now: clock.now(), times: this.#runTimes, resumeCostMs };
+    for (const { task, run } of findResumable(stragglers, round)) {
+      task.avoid = run.worker.record.id;
+      this.#runs.stop(run, 'resumed_elsewhere');
+      log.detail('straggler_resumed', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: run.number,
+        worker: run.worker.record.id,
+        slowdown: run.worker.slowdown,
+      });
+    }
+  }
+
+  #startCopies(stragglers: readonly Straggler[], workers: readonly Worker[]): void {
+    const { clock, log } = this.#deps;
+    const now = clock.now();
     const queues = this.#queuesByName();
     const isPlaceable = (step: Step) => this.#advice.isPlaceable(step, queues, this.#sessions);
     const round = { workers, now, maxStarts: this.#runs.freeStarts, isPlaceable };
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -58,6 +58,8 @@
   accountRules?: AccountRules;
   /** Factor by which a task runs longer away from its data or its group; 1 if undefined. */
   remoteSlowdown?: number;
+  /** Time in milliseconds that a task needs to resume from a checkpoint; undefined if unknown. */
+  resumeCostMs?: number;
   transport: NodeTransport;
 }
 
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -496,7 +496,10 @@
     run.percent = entry.percent;
     run.measurement = entry.measurement;
     // The copy of a run may be behind it.
-    if (entry.checkpoint !== '' && run !== run.task.copy) run.task.checkpoint = entry.checkpoint;
+    if (entry.checkpoint !== '' && run !== run.task.copy) {
+      if (entry.checkpoint !== run.task.checkpoint) run.checkpointAt = this.#deps.clock.now();
+      run.task.checkpoint = entry.checkpoint;
+    }
     if (run.phase === RunPhase.Running) run.lastOrderClockMs ??= workerTimeMs;
   }
 
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -39,6 +39,8 @@
   isCopy: boolean;
   /** Whether it was found to take longer than nearly all tasks like its own. */
   isStraggler: boolean;
+  /** Monotonic time of its last checkpoint known here, in milliseconds. */
+  checkpointAt?: number;
   /** Whether its run time tells how long such tasks take. */
   isTimed: boolean;
 }
@@ -101,6 +103,8 @@
    * acknowledged once it is certain that this run no longer starts.
    */
   unsettledTasks: Task[] = [];
+  /** Factor by which runs here were found to take longer than elsewhere; 1 if they were not. */
+  slowdown = 1;
   /** Consecutive runs that failed here. */
   consecutiveFailures = 0;
   /** Time by which all leases here will have expired unless they are renewed. */
--- a/src/copies/placeCopies.ts
+++ b/src/copies/placeCopies.ts
@@ -3,6 +3,7 @@
 import { chooseWorker, type Assignment } from '../batch/placement.js';
 import type { Run, Worker } from '../batch/worker.js';
 import { copiesDefaults } from './defaults.js';
+import { mayHaveCopies } from './stragglers.js';
 import type { Straggler } from './types.js';
 
 /** Input of {@link placeCopies}. */
@@ -48,6 +49,7 @@
 
 function isWorthwhile(straggler: Straggler): boolean {
   const { task } = straggler;
+  if (!mayHaveCopies(task.step.spec)) return false;
   // A task that may crash its worker must not take a second one with it.
   return gainOf(straggler) > 0 && !task.hadCopy && !isCrashSuspect(task);
 }
--- a/src/copies/stragglers.ts
+++ b/src/copies/stragglers.ts
@@ -10,9 +10,15 @@
   return allowsCopies && !isGang && !isLasting && !fillsSpare;
 }
 
+/** Whether the tasks of a step that may have no copies can be stopped and resumed elsewhere. */
+export function mayBeResumed(spec: StepSpec): boolean {
+  const { savesProgress, isGang, isLasting, fillsSpare } = spec;
+  return savesProgress && !isGang && !isLasting && !fillsSpare && !mayHaveCopies(spec);
+}
+
 /**
  * Lists the runs that take longer than nearly all tasks like their own, in steps that may have
- * copies and of which another task has ended: if none has, the step itself may be longer than
+ * copies, or whose tasks can be resumed elsewhere, and of which another task has ended: if none has, the step itself may be longer than
  * predicted.
  *
  * @param now - monotonic time in milliseconds
@@ -20,7 +26,7 @@
 export function findStragglers(jobs: Iterable<Job>, now: number, times: LearnedTimes): Straggler[] {
   const found: Straggler[] = [];
   for (const job of jobs) {
-    if (job.finalState || !job.spec.steps.some(mayHaveCopies)) continue;
+    if (job.finalState || !job.spec.steps.some(canBeHelped)) continue;
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps) if (canHaveStragglers(step)) addStragglers(step, now, times, found);
     }
@@ -28,9 +34,14 @@
   return found;
 }
 
+/** Whether anything can be done about a straggler of a step. */
+function canBeHelped(spec: StepSpec): boolean {
+  return mayHaveCopies(spec) || mayBeResumed(spec);
+}
+
 function canHaveStragglers({ spec, doneCount, idleCount }: Step): boolean {
   const runningCount = spec.count - doneCount - idleCount;
-  return mayHaveCopies(spec) && runningCount > 0 && (doneCount > 0 || spec.count === 1);
+  return canBeHelped(spec) && runningCount > 0 && (doneCount > 0 || spec.count === 1);
 }
 
 function addStragglers(step: Step, now: number, times: LearnedTimes, found: Straggler[]): void {
--- a/src/testing/batchRig/index.ts
+++ b/src/testing/batchRig/index.ts
@@ -6,3 +6,4 @@
   type TaskScript,
 } from './fakeExecutors.js';
 export { fakeStoreLimits, FakeRowStore, StoreFault } from './fakeRowStore.js';
+export { RunControlRig } from './runControlRig.js';
