--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -21,6 +21,8 @@
   run?: Run;
   /** Second run on another worker; only while there is a first. */
   copy?: Run;
+  /** Monotonic time in milliseconds until which the start order of a lost run may be carried out. */
+  openOrderUntil: number;
   /** Whether the first run has had a copy; it gets no further one. */
   hadCopy: boolean;
   /** Monotonic time in milliseconds before which the task must not start. */
@@ -166,6 +168,7 @@
           notBefore: 0,
           hasLostRun: false,
           hadCopy: false,
+          openOrderUntil: 0,
         });
       }
       occurrence.steps.push(step);
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -413,7 +413,8 @@
     const now = this.#deps.clock.now();
     const isOpen = ({ lastOrderClockMs, startedAt }: Run) =>
       lastOrderClockMs === undefined && now - startedAt < START_ORDER_LIFE_MS;
-    return runsOf(task).some(isOpen) || this.#deps.mayHaveUnknownRuns(job);
+    const isOrderOpen = now < task.openOrderUntil || runsOf(task).some(isOpen);
+    return isOrderOpen || this.#deps.mayHaveUnknownRuns(job);
   }
 
   /**
@@ -565,6 +566,10 @@
       reason,
     });
     run.task.hasLostRun = true;
+    // A restarted worker may still get an order that was sent to its predecessor.
+    if (run.lastOrderClockMs === undefined) {
+      run.task.openOrderUntil = run.startedAt + START_ORDER_LIFE_MS;
+    }
     this.#requeue(run, CopyEnd.WorkerLost);
   }
 
--- a/src/copies/copies.spec.ts
+++ b/src/copies/copies.spec.ts
@@ -324,6 +324,29 @@
       await scene.check(t, JobState.Succeeded, 2);
     },
   },
+  {
+    title:
+      'an order for a copy that a restarted worker carries out starts before the acknowledgement',
+    // Keeps the job open.
+    next: { estimateMs: 6_000, image: 'next' },
+    run: async (t, scene) => {
+      const { rig, holder } = scene;
+      rig.restartMs = 300;
+      scene.script = (run) => ({ runMs: run === 1 ? 1_500 : RUN_MS });
+      await scene.submit(scene.job);
+      await rig.until(() => scene.runs().length === 1);
+      scene.delayOrders(4_000);
+      const copyStarted = () => holder.logLines.find((line) => line.includes('event=copy_started'));
+      await rig.until(() => copyStarted() !== undefined);
+      const worker = / worker=(\S+)/.exec(required(copyStarted()))?.[1];
+      await rig.advance(100);
+      rig.fleet.crash(required(rig.fleet.executors.get(required(worker))));
+      await rig.until(() => scene.runs().length === 2, 6_000);
+      t.is(scene.runs().length, 2);
+      scene.delayOrders(0);
+      await scene.check(t, JobState.Succeeded, 2);
+    },
+  },
   {
     title: 'a holder that may have a successor starts no copy',
     run: async (t, scene) => {
