Merge learned run times and speculative copies

Enabled by Features.learnsRunTimes; without it, declared estimates are used and no copy is started. Copies are counted within the limit of their account. Pools are sized by the forecast of demand where Features.forecastsDemand is set.

--- a/bench/placementWall.ts
+++ b/bench/placementWall.ts
@@ -72,7 +72,7 @@
 ): { ms: number; placed: number } {
   let placed = 0;
   const startedAt = performance.now();
-  const waiting = orderWaiting(jobs, () => undefined, 0, 0, hasAccounts);
+  const waiting = orderWaiting(jobs, () => undefined, 0, 0, { hasAccounts });
   const usage = hasAccounts ? measureUsage(workers) : undefined;
   const steps = usage ? byAccount(waiting, usage) : waiting.map(({ step }) => step);
   const round = { steps, workers, now: 0, mayRestart: true };
@@ -104,7 +104,7 @@
   const [otherJobs, otherWorkers] = [createJobs(), createWorkers()];
   emptyWithAccountsMs.push(placeWaitingTasks(otherJobs, otherWorkers, true).ms);
   fullWithAccountsMs.push(placeWaitingTasks(otherJobs, otherWorkers, true).ms);
-  const waiting = orderWaiting(otherJobs, () => undefined, 0, 0, true);
+  const waiting = orderWaiting(otherJobs, () => undefined, 0, 0, { hasAccounts: true });
   const startedAt = performance.now();
   queuedWork(waiting, POOL);
   queuedWorkMs.push(performance.now() - startedAt);
--- a/src/accounts/presentOrder.spec.ts
+++ b/src/accounts/presentOrder.spec.ts
@@ -32,7 +32,7 @@
     if (job.finalState) continue;
     const queue = queueOf(job.spec.queue);
     const objectiveMs =
-      criticalPathMs(job.spec.steps) * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
+      criticalPathMs(job.spec) * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
     for (const occurrence of job.occurrences.values()) {
       const sinceDueMs = wallTimeMs - (job.spec.firstDueMs + occurrence.number * job.spec.periodMs);
       const ageMs = job.hasSchedule ? sinceDueMs : now - job.acceptedAt;
@@ -115,7 +115,7 @@
     fc.property(jobsArbitrary, fc.nat(12_000), (fields, now) => {
       const jobs = fields.map((job) => ({ ...job, isBeyondRate: undefined })).map(createJob);
       const usage = new AccountUsage({ cpuMillis: 1, memoryMb: 1, accelerators: 1 }, () => 1);
-      const waiting = orderWaiting(jobs, queueOf, now, now, true);
+      const waiting = orderWaiting(jobs, queueOf, now, now, { hasAccounts: true });
       const ofNone = (step: Step) => step.job.spec.account === undefined;
       const ordered = [...byAccount(waiting, usage)].filter(ofNone);
       t.deepEqual(names(ordered), names(presentOrder(jobs, now, now).filter(ofNone)));
@@ -151,7 +151,7 @@
   });
   const pool = { cpuMillis: 20_000, memoryMb: 40_000, accelerators: 0 };
   const usage = new AccountUsage(pool, () => 1);
-  const waiting = orderWaiting(jobs, queueOf, 0, 0, hasAccounts);
+  const waiting = orderWaiting(jobs, queueOf, 0, 0, { hasAccounts });
   const steps = hasAccounts ? byAccount(waiting, usage) : waiting.map(({ step }) => step);
   const given: Record<string, number> = {};
   const turnSize = hasAccounts ? () => 4 : undefined;
@@ -207,7 +207,7 @@
     at('within', 10_000, false),
   ];
   const order = (hasAccounts: boolean) =>
-    orderWaiting(jobs, queueOf, 10_000, 0, hasAccounts).map(
+    orderWaiting(jobs, queueOf, 10_000, 0, { hasAccounts }).map(
       ({ step, urgency }) => `${step.job.spec.id}:${urgency}`,
     );
   t.deepEqual(order(true), [
--- a/src/batch/arrivals.ts
+++ b/src/batch/arrivals.ts
@@ -1,4 +1,5 @@
-import type { StepSpec } from './types.js';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
+import type { JobSpec } from './types.js';
 
 /** Time over which arrivals are counted. Short compared with demand phases of several seconds. */
 const WINDOW_MS = 1_200;
@@ -13,6 +14,19 @@
   work: number;
 }
 
+/**
+ * Work of the tasks of a job that are neither long-running nor best-effort, in thousandths of a core
+ * times milliseconds.
+ */
+export function workOf(
+  { steps, queue }: Pick<JobSpec, 'steps' | 'queue'>,
+  predictMs: PredictMs,
+): number {
+  return steps
+    .filter(({ isLasting, fillsSpare }) => !isLasting && !fillsSpare)
+    .reduce((sum, step) => sum + step.count * step.cpuMillis * predictMs(step, queue), 0);
+}
+
 /**
  * Estimates the CPU needed to keep up with the current arrival rate. It detects a change of demand
  * before a backlog builds up, and does not mistake a backlog for sustained demand.
@@ -21,10 +35,8 @@
   #recent: Arrival[] = [];
 
   /** Records a job; long-running and best-effort tasks do not count towards the rate. */
-  add(steps: readonly StepSpec[], now: number): void {
-    const work = steps
-      .filter(({ isLasting, fillsSpare }) => !isLasting && !fillsSpare)
-      .reduce((sum, { count, cpuMillis, estimateMs }) => sum + count * cpuMillis * estimateMs, 0);
+  add(job: Pick<JobSpec, 'steps' | 'queue'>, now: number, predictMs: PredictMs = declaredMs): void {
+    const work = workOf(job, predictMs);
     if (work > 0) this.#recent.push({ at: now, work });
   }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -15,11 +15,26 @@
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
+import {
+  copiesDefaults,
+  findResumable,
+  findStragglers,
+  placeCopies,
+  type Straggler,
+} from '../copies/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import type { Random } from '../random/index.js';
 import { OpinionLink, Standing, WorkerHealth, type PoolNeeds } from '../workerHealth/index.js';
+import {
+  declaredMs,
+  RunTimes,
+  SnapshotKeeper,
+  SnapshotWrite,
+  type PredictMs,
+} from '../runTimes/index.js';
 import { AdviceCache } from './adviceCache.js';
-import { ArrivalRateEstimator } from './arrivals.js';
+import { ArrivalRateEstimator, workOf } from './arrivals.js';
+import { DemandForecast } from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
@@ -35,15 +50,16 @@
   queuedWork,
   taskWorkMs,
   turnSize,
+  Urgency,
   type WaitingStep,
 } from './ordering.js';
-import { canHoldTask, placeSteps, type Assignment } from './placement.js';
+import { canHoldTask, placeSteps, type AllowedStarts, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
 import { delayBeforeRoundMs } from './roundDelay.js';
 import { RunControl } from './runControl.js';
-import { jobKey, endedKey, inboxKey } from './rows.js';
+import { jobKey, endedKey, inboxKey, runTimesKey } from './rows.js';
 import { decodeStoredAccount, encodeJob, type EndedJobRow } from './jobCodec.js';
 import {
   JobState,
@@ -123,6 +139,8 @@
   onLost: (reason: string) => void;
   /** Features that the settings of the deployment enable; none if undefined. */
   features?: Features;
+  /** Time in milliseconds that a task needs to resume from a checkpoint; undefined if unknown. */
+  resumeCostMs?: number;
 }
 
 /** Manages one service: its open jobs, the runs on its workers, and its journal. */
@@ -136,6 +154,10 @@
   readonly #recovery: Recovery;
   readonly #vacating: Vacating;
   readonly #arrivals = new ArrivalRateEstimator();
+  readonly #forecast = new DemandForecast();
+  readonly #runTimes = new RunTimes();
+  readonly #predictMs: PredictMs;
+  readonly #runTimesSnapshot: SnapshotKeeper;
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
@@ -158,6 +180,7 @@
   /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
   #roundMs = 0;
   #roundEndedAt = -Infinity;
+  #stragglersSoughtAt = -Infinity;
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
@@ -166,6 +189,9 @@
     this.service = service;
     this.#deps = deps;
     this.#features = deps.features ?? noFeatures;
+    this.#predictMs = this.#features.learnsRunTimes
+      ? (step, queue) => this.#runTimes.predictMs(step, queue)
+      : declaredMs;
     const lose = deps.onLost;
     const place = () => {
       this.#requestPlacement();
@@ -218,7 +244,7 @@
     this.#runs = new RunControl({
       ...deps,
       health: this.#features.judgesWorkers ? this.#health : undefined,
-      expectedMs: (task) => task.step.spec.estimateMs,
+      expectedMs: ({ step }) => this.#predictMs(step.spec, step.job.spec.queue),
       epoch,
       budget: this.#budget,
       jobs: this.#jobs,
@@ -230,8 +256,21 @@
       lose,
       onTaskDone: ({ step }) => {
         if (!this.#accounts.isActive) return;
-        this.#accounts.addEndedWork(taskWorkMs(step.spec, this.#pool), clock.now());
+        this.#accounts.addEndedWork(taskWorkMs(step, this.#pool, this.#predictMs), clock.now());
       },
+      runTimes: this.#runTimes,
+      mayHaveUnknownRuns: (job) =>
+        this.#features.learnsRunTimes && !this.#recovery.mayStartTasks(job),
+    });
+    this.#runTimesSnapshot = new SnapshotKeeper({
+      service,
+      clock,
+      log,
+      counters,
+      runTimes: this.#runTimes,
+      rowBytes: store.limits.rowBytes,
+      read: async () => (await store.readRow(runTimesKey(service))).map((row) => row?.value),
+      write: (value) => this.#writeRunTimes(value),
     });
     this.#jobs.onUnstorable = (job) => {
       this.#runs.stopAll(job, 'unstorable');
@@ -292,6 +331,7 @@
       this.#isClosed = true;
     });
     const journal = this.#journal.run(signal);
+    if (this.#features.learnsRunTimes) void this.#runTimesSnapshot.load(signal);
     if (!(await this.#recovery.load(signal))) return;
     this.#restoreRates();
     await Promise.all([
@@ -312,6 +352,7 @@
       this.#vacating.proceed();
       this.#judgeWorkers();
       this.#requestPlacement();
+      if (this.#features.learnsRunTimes) this.#runTimesSnapshot.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
       for (const [account, share] of this.#usage?.shares() ?? [])
         this.#deps.counters.count('account_share_ms', account, share * TICK_INTERVAL_MS);
@@ -473,16 +514,17 @@
     if (account === undefined || !this.#accounts.isActive) return undefined;
     if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
     const now = this.#deps.clock.now();
-    const objectiveMs = objectiveMsOf({ spec }, queue);
+    const objectiveMs = objectiveMsOf({ spec }, queue, this.#predictMs);
     const job: JobRequest = {
       account,
       isBeyondRate: this.#accounts.isBeyondRate(account, now),
       priority: queue?.priority ?? 0,
-      pathMs: criticalPathMs(steps),
+      pathMs: criticalPathMs(spec, this.#predictMs),
       objectiveMs,
       valueMs: objectiveMs * OVERDUE_FACTOR,
     };
-    const queued = () => (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool));
+    const queued = () =>
+      (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool, this.#predictMs));
     const hopeless = this.#accounts.refuseHopeless(job, queued, now);
     if (hopeless || this.#jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
     const accounts = [...this.#jobs.open()].map((open) => open.spec.account);
@@ -490,11 +532,26 @@
     return this.#accounts.refuseAboveShare(job, open, queued, now);
   }
 
+  #writeRunTimes(value: string): Promise<SnapshotWrite> {
+    return new Promise((resolve) => {
+      this.#journal.append({
+        conditions: [],
+        writes: [{ ...runTimesKey(this.service), value }],
+        removes: [],
+        settle: (outcome) => {
+          if (outcome === EntryOutcome.Applied) resolve(SnapshotWrite.Written);
+          else if (outcome === EntryOutcome.HolderLost) resolve(SnapshotWrite.HolderLost);
+          else resolve(SnapshotWrite.Rejected);
+        },
+      });
+    });
+  }
+
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
     job.createDueOccurrences(clock.wallTime());
-    this.#arrivals.add(spec.steps, clock.now());
+    this.#recordDemand(spec);
     this.#jobs.add(job);
     log.info('job_accepted', {
       job: spec.id,
@@ -504,12 +561,20 @@
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
       lasting: job.isLasting,
-      path_ms: criticalPathMs(spec.steps),
+      path_ms: Math.round(criticalPathMs(spec, this.#predictMs)),
       config: config()?.version,
     });
     this.#requestPlacement();
   }
 
+  #recordDemand(spec: JobSpec): void {
+    const now = this.#deps.clock.now();
+    this.#arrivals.add(spec, now, this.#predictMs);
+    if (this.#features.forecastsDemand) {
+      this.#forecast.add(spec.queue, workOf(spec, this.#predictMs), now);
+    }
+  }
+
   /** State and account of an open or recently ended job; undefined if the holder knows no such job. */
   find(id: string): EndedJobRow | undefined {
     return this.#jobs.find(id);
@@ -561,8 +626,9 @@
 
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
-    const expectedCpu = this.#arrivals.expectedCpu(this.#deps.clock.now());
-    return this.#sessions.load([...this.#jobs.open()], expectedCpu);
+    const demand = this.#features.forecastsDemand ? this.#forecast : this.#arrivals;
+    const expectedCpu = demand.expectedCpu(this.#deps.clock.now());
+    return this.#sessions.load([...this.#jobs.open()], expectedCpu, this.#predictMs);
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
@@ -606,15 +672,16 @@
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
     const hasAccounts = this.#accounts.isActive;
     const queueOf = (name: string) => queues.get(name);
-    const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), hasAccounts).filter(
-      ({ step }) => this.#advice.isPlaceable(step, queues, this.#sessions),
+    const rules = { hasAccounts, predictMs: this.#predictMs };
+    const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
+      this.#advice.isPlaceable(step, queues, this.#sessions),
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
     for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
     const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
     this.#usage = usage;
-    const allowedStarts = (step: Step, count: number) => {
+    const allowedStarts: AllowedStarts = (step, count) => {
       const { spec, job } = step;
       const canStart = () =>
         workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
@@ -633,6 +700,13 @@
     const fairRound = usage ? { ...round, steps: byAccount(waiting, usage), turnSize } : round;
     this.#unplacedCount =
       waitingSuspects + placeSteps({ ...fairRound, maxStarts: maxStarts() }, start);
+    const isRoomIdle = !waiting.some(
+      ({ step, urgency }) => urgency <= Urgency.OnTime && step.idleCount > 0,
+    );
+    // Another holder may have started a copy already.
+    if (mayRestart && this.#features.learnsRunTimes) {
+      this.#handleStragglers(jobs, workers, { isRoomIdle, allowedStarts });
+    }
     this.#budget.endRound(() => freeResources(workers, now));
     this.#waiting = hasAccounts ? waiting : [];
     if (!hasAccounts) return;
@@ -654,6 +728,77 @@
     for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
     return usage;
   }
+
+  /** Finds stragglers, and helps them while no task that can be in time waits. */
+  #handleStragglers(
+    jobs: readonly Job[],
+    workers: readonly Worker[],
+    { isRoomIdle, allowedStarts }: { isRoomIdle: boolean; allowedStarts: AllowedStarts },
+  ): void {
+    const { clock, log, counters } = this.#deps;
+    const now = clock.now();
+    if (now - this.#stragglersSoughtAt < copiesDefaults.searchIntervalMs) return;
+    this.#stragglersSoughtAt = now;
+    const stragglers = findStragglers(jobs, now, this.#runTimes);
+    for (const { task, run, elapsedMs, limitMs, remainderMs } of stragglers) {
+      if (run.isStraggler) continue;
+      run.isStraggler = true;
+      counters.count('stragglers', this.service);
+      log.detail('straggler_found', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: run.number,
+        worker: run.worker.record.id,
+        elapsed_ms: Math.round(elapsedMs),
+        limit_ms: Math.round(limitMs),
+        remainder_ms: Math.round(remainderMs),
+      });
+    }
+    if (!isRoomIdle) return;
+    this.#resumeElsewhere(stragglers, workers);
+    this.#startCopies(stragglers, workers, allowedStarts);
+  }
+
+  /** Stops stragglers on slow workers where resuming them on another from a checkpoint pays. */
+  #resumeElsewhere(stragglers: readonly Straggler[], workers: readonly Worker[]): void {
+    const { clock, log, resumeCostMs } = this.#deps;
+    if (resumeCostMs === undefined) return;
+    const round = { workers, now: clock.now(), times: this.#runTimes, resumeCostMs };
+    for (const { task, run } of findResumable(stragglers, round)) {
+      task.avoid = run.worker.record.id;
+      this.#runs.stop(run, 'resumed_elsewhere');
+      log.detail('straggler_resumed', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: run.number,
+        worker: run.worker.record.id,
+        slowdown: run.worker.slowdown,
+      });
+    }
+  }
+
+  #startCopies(
+    stragglers: readonly Straggler[],
+    workers: readonly Worker[],
+    allowedStarts: AllowedStarts,
+  ): void {
+    const { clock, log } = this.#deps;
+    const now = clock.now();
+    const queues = this.#queuesByName();
+    const isPlaceable = (step: Step) =>
+      this.#advice.isPlaceable(step, queues, this.#sessions) && allowedStarts(step, 1) === 1;
+    const round = { workers, now, maxStarts: this.#runs.freeStarts, isPlaceable };
+    placeCopies(stragglers, round, ({ task, worker }) => {
+      this.#runs.startCopy(task, worker, this.#advice.ticketOf(task.step, worker));
+      log.detail('copy_started', {
+        job: task.step.job.spec.id,
+        task: task.name,
+        run: task.copy?.number,
+        worker: worker.record.id,
+        beside: task.run?.worker.record.id,
+      });
+    });
+  }
 }
 
 /** Reasons of refusals under load. */
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -1,10 +1,11 @@
 import { Result } from 'true-myth';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import { isCrashSuspect, mayHaveCrashed, type CrashRole } from './crashSuspects.js';
 import { taskName } from './jobCodec.js';
 import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
 import type { Run } from './worker.js';
 
-/** One task of a step, with at most one current run. */
+/** One task of a step, with at most one current run and, where its step allows it, a copy. */
 export interface Task {
   step: Step;
   index: number;
@@ -18,6 +19,12 @@
   /** Checkpoint to resume from; empty if there is none. */
   checkpoint: string;
   run?: Run;
+  /** Second run on another worker; only while there is a first. */
+  copy?: Run;
+  /** Monotonic time in milliseconds until which the start order of a lost run may be carried out. */
+  openOrderUntil: number;
+  /** Whether the first run has had a copy; it gets no further one. */
+  hadCopy: boolean;
   /** Monotonic time in milliseconds before which the task must not start. */
   notBefore: number;
   /**
@@ -160,6 +167,8 @@
           checkpoint: '',
           notBefore: 0,
           hasLostRun: false,
+          hadCopy: false,
+          openOrderUntil: 0,
         });
       }
       occurrence.steps.push(step);
@@ -172,14 +181,25 @@
   attach(task: Task, run: Run): void {
     if (!task.run && !task.isDone) task.step.idleCount--;
     task.run = run;
+    task.hadCopy = false;
     task.nextRun = Math.max(task.nextRun, run.number + 1);
   }
 
-  /** Removes the current run of a task. */
-  detach(task: Task): void {
-    if (!task.run) return;
+  /** Makes a run the second run of a task beside its current one. */
+  attachCopy(task: Task, run: Run): void {
+    task.copy = run;
+    task.nextRun = Math.max(task.nextRun, run.number + 1);
+  }
+
+  /** Removes a run of a task. If the current run is removed, the copy takes its place. */
+  detach(task: Task, run: Run): void {
+    const { copy } = task;
+    if (run === copy) delete task.copy;
+    if (run !== task.run) return;
     delete task.run;
-    if (!task.isDone) task.step.idleCount++;
+    delete task.copy;
+    if (copy) task.run = copy;
+    else if (!task.isDone) task.step.idleCount++;
   }
 
   /** Finds a task by its numbers; undefined if there is none or its occurrence is not open. */
@@ -223,7 +243,7 @@
   encodeProgress(): string {
     const stored: StoredProgress = { done: {}, failures: {}, ended: this.#endedOccurrences };
     for (const task of this.tasks()) {
-      const { step, run } = task;
+      const { step } = task;
       const stepKey = `${step.occurrence.number}.${step.number}`;
       if (task.isDone) (stored.done[stepKey] ??= []).push(task.index);
       else if (task.failedRuns.size > 0) {
@@ -231,7 +251,8 @@
       }
       if (task.isDone) continue;
       if (task.crashes) (stored.crashes ??= {})[`${stepKey}.${task.index}`] = [...task.crashes];
-      if (!run || !mayHaveCrashed(run)) continue;
+      const run = runsOf(task).find(mayHaveCrashed);
+      if (!run) continue;
       const { id: worker, bornMs } = run.worker.record;
       const suspectRun = { run: run.number, worker, bornMs };
       (stored.suspectRuns ??= {})[`${stepKey}.${task.index}`] = suspectRun;
@@ -286,6 +307,12 @@
   }
 }
 
+/** The current run of a task and its copy, as far as it has them. */
+export function runsOf({ run, copy }: Task): Run[] {
+  if (!run) return [];
+  return copy ? [run, copy] : [run];
+}
+
 /** Whether all steps that a step depends on have succeeded. */
 export function isStepReady(step: Step): boolean {
   return step.spec.after.every((number) => {
@@ -294,21 +321,25 @@
   });
 }
 
-/** Estimated run time in milliseconds of the longest chain of unfinished steps. */
-export function remainingPathMs(occurrence: Occurrence): number {
+/** Predicted run time in milliseconds of the longest chain of unfinished steps. */
+export function remainingPathMs(occurrence: Occurrence, predictMs: PredictMs = declaredMs): number {
   const ends: number[] = [];
-  for (const { spec, doneCount } of occurrence.steps) {
+  for (const { spec, doneCount, job } of occurrence.steps) {
     const start = Math.max(0, ...spec.after.map((number) => ends[number] ?? 0));
-    ends.push(start + (doneCount === spec.count ? 0 : spec.estimateMs));
+    ends.push(start + (doneCount === spec.count ? 0 : predictMs(spec, job.spec.queue)));
   }
   return Math.max(0, ...ends);
 }
 
-/** Estimated run time in milliseconds of the longest chain of steps. */
-export function criticalPathMs(steps: readonly StepSpec[]): number {
+/** Predicted run time in milliseconds of the longest chain of steps of a job. */
+export function criticalPathMs(
+  { steps, queue }: Pick<JobSpec, 'steps' | 'queue'>,
+  predictMs: PredictMs = declaredMs,
+): number {
   const ends: number[] = [];
-  for (const { after, estimateMs } of steps) {
-    ends.push(Math.max(0, ...after.map((number) => ends[number] ?? 0)) + estimateMs);
+  for (const step of steps) {
+    const start = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
+    ends.push(start + predictMs(step, queue));
   }
   return Math.max(0, ...ends);
 }
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -73,6 +73,8 @@
   remoteSlowdown?: number;
   /** Features that the settings of the deployment enable; none if undefined. */
   features?: Features;
+  /** Time in milliseconds that a task needs to resume from a checkpoint; undefined if unknown. */
+  resumeCostMs?: number;
   transport: NodeTransport;
 }
 
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -6,6 +6,7 @@
   type ResourceAmounts,
 } from '../accounts/index.js';
 import { criticalPathMs, isStepReady, remainingPathMs, type Job, type Step } from './job.js';
+import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import type { JobSpec, Queue, StepSpec } from './types.js';
 
 /** Multiple of the objective beyond which a late job has no value, by the platform's rules. */
@@ -41,14 +42,21 @@
   remainingMs: number;
 }
 
-/** Expected run time of one task of a step, in milliseconds. */
-export function taskRunMs(step: StepSpec): number {
-  return step.estimateMs;
+/** How {@link orderWaiting} compares jobs. */
+export interface OrderRules {
+  /** Whether jobs beyond their account's rate come after the others; they do not by default. */
+  hasAccounts?: boolean;
+  /** Run times by which objectives and remaining paths are computed; the declared ones by default. */
+  predictMs?: PredictMs;
 }
 
 /** Time in milliseconds within which a job should complete. */
-export function objectiveMsOf(job: { spec: JobSpec }, queue: Queue | undefined): number {
-  const pathMs = criticalPathMs(job.spec.steps);
+export function objectiveMsOf(
+  job: { spec: JobSpec },
+  queue: Queue | undefined,
+  predictMs: PredictMs = declaredMs,
+): number {
+  const pathMs = criticalPathMs(job.spec, predictMs);
   return pathMs * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
 }
 
@@ -59,27 +67,27 @@
  *
  * @param now - monotonic time in milliseconds
  * @param wallTimeMs - Unix time in milliseconds
- * @param hasAccounts - whether jobs beyond their account's rate come after the others
+ * @param rules - how jobs are compared
  */
 export function orderWaiting(
   jobs: Iterable<Job>,
   queueOf: (name: string) => Queue | undefined,
   now: number,
   wallTimeMs: number,
-  hasAccounts = false,
+  { hasAccounts = false, predictMs = declaredMs }: OrderRules = {},
 ): WaitingStep[] {
   const waiting: WaitingStep[] = [];
   for (const job of jobs) {
     if (job.finalState) continue;
     const queue = queueOf(job.spec.queue);
-    const objectiveMs = objectiveMsOf(job, queue);
+    const objectiveMs = objectiveMsOf(job, queue, predictMs);
     const isBeyondRate = hasAccounts && job.spec.isBeyondRate === true;
     for (const occurrence of job.occurrences.values()) {
       const sinceDueMs = wallTimeMs - (job.spec.firstDueMs + occurrence.number * job.spec.periodMs);
       const ageMs = job.hasSchedule ? sinceDueMs : now - job.acceptedAt;
       for (const step of occurrence.steps) {
         if (step.idleCount === 0 || !isStepReady(step)) continue;
-        const remainingMs = remainingPathMs(occurrence);
+        const remainingMs = remainingPathMs(occurrence, predictMs);
         waiting.push({
           step,
           priority: queue?.priority ?? 0,
@@ -153,13 +161,21 @@
 }
 
 /** Work of one task of a step, in milliseconds of the whole pool. */
-export function taskWorkMs(spec: StepSpec, pool: ResourceAmounts): number {
+export function taskWorkMs(
+  { spec, job }: Pick<Step, 'spec' | 'job'>,
+  pool: ResourceAmounts,
+  predictMs: PredictMs = declaredMs,
+): number {
   const needs = spec.fillsSpare ? { ...spec, cpuMillis: 0 } : spec;
-  return dominantShare(needs, pool) * taskRunMs(spec);
+  return dominantShare(needs, pool) * predictMs(spec, job.spec.queue);
 }
 
 /** The waiting work that is done before work without value; input for admission. */
-export function queuedWork(waiting: Iterable<WaitingStep>, pool: ResourceAmounts): QueuedWork[] {
+export function queuedWork(
+  waiting: Iterable<WaitingStep>,
+  pool: ResourceAmounts,
+  predictMs: PredictMs = declaredMs,
+): QueuedWork[] {
   const queued: QueuedWork[] = [];
   for (const { step, urgency, priority, remainingMs } of waiting) {
     if (urgency === Urgency.Lasting || urgency === Urgency.Overdue) continue;
@@ -169,7 +185,7 @@
       isLate: urgency === Urgency.Late || urgency === Urgency.LateBeyondRate,
       priority,
       pathMs: remainingMs,
-      workMs: step.idleCount * taskWorkMs(step.spec, pool),
+      workMs: step.idleCount * taskWorkMs(step, pool, predictMs),
     });
   }
   return queued;
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -42,13 +42,16 @@
    * were assigned must be listed again while it has others.
    */
   turnSize?: (spec: StepSpec) => number;
-  /**
-   * Number of tasks of a step, out of `count` that may start, that the limit of its account allows;
-   * for a gang all or none. Called before each assignment of a step's tasks.
-   */
-  allowedStarts?: (step: Step, count: number) => number;
+  /** Called before each assignment of a step's tasks. */
+  allowedStarts?: AllowedStarts;
 }
 
+/**
+ * Number of tasks of a step, out of `count` that may start, that the limit of its account allows; for
+ * a gang all or none.
+ */
+export type AllowedStarts = (step: Step, count: number) => number;
+
 /**
  * Assigns the idle tasks of the steps to workers, in the given order of steps. Tasks that may have
  * crashed a worker are left to `placeSuspects`.
@@ -199,7 +202,8 @@
   return worker.hasCapacityFor(needs, spec.fillsSpare);
 }
 
-function chooseWorker(
+/** Chooses the worker on which a task of a step should run; undefined if it fits on none. */
+export function chooseWorker(
   step: Step,
   task: Task,
   workers: readonly Worker[],
@@ -246,7 +250,9 @@
 /** Number of tasks that run, or may run, on a worker. */
 export function countOnWorker(tasks: readonly Task[], worker: Worker): number {
   let count = 0;
-  for (const { run } of tasks) if (run?.worker === worker) count++;
+  for (const { run, copy } of tasks) {
+    if (run?.worker === worker || copy?.worker === worker) count++;
+  }
   return count;
 }
 
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -51,6 +51,13 @@
   return { id: key.slice(0, mark), account: account === '' ? undefined : account };
 }
 
+/** Key of the row with what the holder has learned about run times. */
+export const runTimesKey = (service: string): RowKey => ({
+  table: 'run_times',
+  part: service,
+  key: 'snapshot',
+});
+
 /** Key of the row with the record of a worker on which runs may have been started. */
 export const rosterKey = (service: string, worker: string): RowKey => ({
   table: 'roster',
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -1,9 +1,11 @@
 import type { BudgetLedger } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
+import { CopyEnd, mayHaveCopies } from '../copies/index.js';
+import type { RunTimes } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import { addCrash, attributeCrash, CrashRole, isGivenUp, mayHaveCrashed } from './crashSuspects.js';
 import type { DecisionLog } from './decisionLog.js';
-import type { Job, Step, Task } from './job.js';
+import { runsOf, type Job, type Step, type Task } from './job.js';
 import { parseTaskName } from './jobCodec.js';
 import type { JobTable } from './jobTable.js';
 import { choosePaces } from './pacing.js';
@@ -22,6 +24,8 @@
 
 /** Length of the leases granted to workers. Must stay below the platform's maximum of 6 s. */
 export const LEASE_MS = 5_000;
+/** Time after which a worker rejects a start order, because the lease in it is over on its clock. */
+const START_ORDER_LIFE_MS = LEASE_MS * 1.03 + 300;
 /** Delay before a stop order that was not confirmed is sent again. */
 const STOP_RETRY_MS = 200;
 /** How long a worker gets no new runs after it rejected one for lack of free resources. */
@@ -86,6 +90,9 @@
   onTaskDone: (task: Task) => void;
   /** Counts the runs of each account, from the start order until they are certainly over. */
   budget: Pick<BudgetLedger, 'addRun' | 'removeRun'>;
+  runTimes: RunTimes;
+  /** Whether a job's tasks may have runs of an earlier holder that are not known yet. */
+  mayHaveUnknownRuns: (job: Job) => boolean;
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
@@ -117,12 +124,25 @@
       number = step.gangRun;
     }
     const run = this.#createRun(task, worker, number, RunPhase.Starting);
+    run.isTimed = isRepresentative(task, worker);
     job.attach(task, run);
     this.#reserve(run);
     this.#storeIfSuspect(run);
     void this.#sendStart(run, ticket);
   }
 
+  /** Starts a second run of a task on another worker than that of the first. */
+  startCopy(task: Task, worker: Worker, ticket?: string): void {
+    const run = this.#createRun(task, worker, task.nextRun, RunPhase.Starting);
+    run.isTimed = isRepresentative(task, worker);
+    run.isCopy = true;
+    task.step.job.attachCopy(task, run);
+    this.#reserve(run);
+    this.#storeIfSuspect(run);
+    this.#deps.counters.count('copies', 'started');
+    void this.#sendStart(run, ticket);
+  }
+
   /** Lets a later holder learn of a run, in case this one ends before the crash is certain. */
   #storeIfSuspect(run: Run): void {
     const { job } = run.task.step;
@@ -131,7 +151,11 @@
 
   /** Handles the first call that a worker did not answer. */
   handleSilence(worker: Worker): void {
-    for (const run of worker.runs.values()) this.#storeIfSuspect(run);
+    for (const run of worker.runs.values()) {
+      // Its end will be listed late.
+      run.isTimed = false;
+      this.#storeIfSuspect(run);
+    }
   }
 
   #createRun(task: Task, worker: Worker, number: number, phase: RunPhase): Run {
@@ -169,7 +193,7 @@
   #handleStartReply(run: Run, reply: OrderReply, ticket: string | undefined): void {
     const { clock, log, counters } = this.#deps;
     const { task, worker, number } = run;
-    if (task.run !== run) return;
+    if (!runsOf(task).includes(run)) return;
     const { job } = task.step;
     const now = clock.now();
     if (reply.workerTimeMs !== undefined) worker.recordClock(reply.workerTimeMs, now);
@@ -186,6 +210,7 @@
       case OrderAnswer.Done:
         run.lastOrderClockMs = reply.workerTimeMs;
         task.tooOldRejections = 0;
+        if (run.isCopy) task.hadCopy = true;
         if (job.state === JobState.Queued) {
           job.state = JobState.Running;
           counters.observe('job_start_wait_ms', now - job.acceptedAt);
@@ -254,7 +279,8 @@
     this.#requeue(run);
   }
 
-  #requeue(run: Run): void {
+  #requeue(run: Run, copyEnd = CopyEnd.NotStarted): void {
+    if (run.isCopy) this.#recordCopyEnd(run, copyEnd);
     this.#detach(run);
     this.#deps.place();
   }
@@ -275,7 +301,7 @@
     if (isReserved && account !== undefined) {
       this.#deps.budget.removeRun(account, task.step.spec, run.isAdopted);
     }
-    if (task.run === run) task.step.job.detach(task);
+    task.step.job.detach(task, run);
   }
 
   /** Handles a worker's rejection of an order because it has seen a higher fencing token. */
@@ -304,7 +330,7 @@
 
   /** Stops all runs of a job. */
   stopAll(job: Job, reason: string): void {
-    for (const { run } of job.tasks()) if (run) this.stop(run, reason);
+    for (const task of job.tasks()) for (const run of runsOf(task)) this.stop(run, reason);
   }
 
   async #sendStop(run: Run): Promise<void> {
@@ -339,7 +365,10 @@
     const isCurrent = run?.number === ended.run;
     if (run && isCurrent) {
       this.#recordHealth(run, ended.end);
+      if (run.isCopy) this.#recordCopyEnd(run, copyEndOf(run, ended.end));
       this.#detach(run);
+      if (run.task.step.job.finalState) this.#holdAcknowledgement(worker, run.task);
+      if (ended.end === RunEnd.Done) this.#recordRunTime(run);
     }
     const address = parseTaskName(ended.task);
     const job = address && jobs.get(address.job);
@@ -356,7 +385,8 @@
     const task = job.task(address.occurrence, address.step, address.index);
     if (!task) return;
     task.nextRun = Math.max(task.nextRun, ended.run + 1);
-    if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    const isBehind = run?.isCopy === true && task.run !== undefined;
+    if (ended.checkpoint !== '' && !isBehind) task.checkpoint = ended.checkpoint;
     if (ended.end === RunEnd.Done) this.#applyDone(worker, task);
     if (ended.end === RunEnd.Failed) this.#applyFailure(worker, task, ended.run);
     place();
@@ -395,6 +425,24 @@
     return { id: worker.record.id, bornMs: worker.record.bornMs, openRuns };
   }
 
+  /** Learns from a run that ended well, in one piece and at full speed. */
+  #recordRunTime({ task, startedAt, phase, isTimed }: Run): void {
+    const { clock, runTimes, counters, jobs } = this.#deps;
+    if (!isTimed || (phase !== RunPhase.Running && phase !== RunPhase.Starting)) return;
+    const { spec, job } = task.step;
+    const { queue } = job.spec;
+    const ranMs = clock.now() - startedAt;
+    // Sums by service; their quotients compare declared and predicted with measured times.
+    counters.count('run_times_declared_ms', jobs.service, Math.round(spec.estimateMs));
+    counters.count(
+      'run_times_predicted_ms',
+      jobs.service,
+      Math.round(runTimes.predictMs(spec, queue)),
+    );
+    counters.count('run_times_measured_ms', jobs.service, Math.round(ranMs));
+    runTimes.observe(spec, queue, ranMs);
+  }
+
   #applyDone(worker: Worker, task: Task): void {
     worker.consecutiveFailures = 0;
     const { step } = task;
@@ -403,10 +451,54 @@
     for (const member of step.spec.isGang ? step.tasks : [task]) {
       if (!member.isDone) this.#deps.onTaskDone(member);
       job.complete(member);
-      if (member.run && !step.spec.isGang) this.stop(member.run, 'done_elsewhere');
+      if (step.spec.isGang) continue;
+      for (const run of runsOf(member)) this.stop(run, 'done_elsewhere');
     }
     if (job.isComplete) void this.#deps.jobs.close(job, JobState.Succeeded);
     else this.#deps.jobs.markDirty(job);
+    this.#holdAcknowledgement(worker, task);
+  }
+
+  /** Lets the ends on a worker wait while a run of a task that is over may still start elsewhere. */
+  #holdAcknowledgement(worker: Worker, task: Task): void {
+    if (this.#mayStillStart(task)) worker.unsettledTasks.push(task);
+  }
+
+  /** Whether a run of a task may still start because of an order that was sent before. */
+  #mayStillStart(task: Task): boolean {
+    const { spec, job } = task.step;
+    if (!mayHaveCopies(spec)) return false;
+    const now = this.#deps.clock.now();
+    const isOpen = ({ lastOrderClockMs, startedAt }: Run) =>
+      lastOrderClockMs === undefined && now - startedAt < START_ORDER_LIFE_MS;
+    const isOrderOpen = now < task.openOrderUntil || runsOf(task).some(isOpen);
+    return isOrderOpen || this.#deps.mayHaveUnknownRuns(job);
+  }
+
+  /**
+   * Whether the ends on a worker may be acknowledged. After the end of a task was acknowledged, none
+   * of its runs may start, so an open start order of its other run must have been settled.
+   */
+  mayAcknowledge(worker: Worker): boolean {
+    worker.unsettledTasks = worker.unsettledTasks.filter((task) => this.#mayStillStart(task));
+    return worker.unsettledTasks.length === 0;
+  }
+
+  #recordCopyEnd({ task, worker, number, startedAt }: Run, end: CopyEnd): void {
+    const { clock, counters, log, jobs } = this.#deps;
+    const ranMs = clock.now() - startedAt;
+    const { spec, job } = task.step;
+    if (end !== CopyEnd.NotStarted) task.hadCopy = true;
+    counters.count('copies', end);
+    counters.count('copy_cpu_ms', jobs.service, Math.round((spec.cpuMillis / 1_000) * ranMs));
+    log.detail(end === CopyEnd.Won ? 'copy_won' : 'copy_ended', {
+      job: job.spec.id,
+      task: task.name,
+      run: number,
+      worker: worker.record.id,
+      end,
+      ran_ms: Math.round(ranMs),
+    });
   }
 
   #applyFailure(worker: Worker, task: Task, runNumber: number): void {
@@ -424,7 +516,8 @@
       task.notBefore = now + LASTING_RETRY_MS;
       return;
     }
-    if (task.failedRuns.has(runNumber)) return;
+    // The other run of the task may have ended `done` before.
+    if (task.isDone || task.failedRuns.has(runNumber)) return;
     task.failedRuns.add(runNumber);
     const members = step.spec.isGang ? step.tasks : [task];
     // The tasks of a gang share run numbers, so one failed attempt is counted once.
@@ -463,7 +556,11 @@
   #updateRun(run: Run, entry: ListedRun, workerTimeMs: number): void {
     run.percent = entry.percent;
     run.measurement = entry.measurement;
-    if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
+    // The copy of a run may be behind it.
+    if (entry.checkpoint !== '' && run !== run.task.copy) {
+      if (entry.checkpoint !== run.task.checkpoint) run.checkpointAt = this.#deps.clock.now();
+      run.task.checkpoint = entry.checkpoint;
+    }
     if (run.phase === RunPhase.Running) run.lastOrderClockMs ??= workerTimeMs;
   }
 
@@ -473,11 +570,15 @@
     const job = address && this.#deps.jobs.get(address.job);
     if (!job || job.finalState) return false;
     const task = job.task(address.occurrence, address.step, address.index);
-    if (!task || task.isDone || task.run || worker.runs.has(entry.task)) return false;
+    if (!task || task.isDone || worker.runs.has(entry.task)) return false;
+    if (task.run && !mayAdoptSecond(task)) return false;
     const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
     run.lastOrderClockMs = workerTimeMs;
     run.isAdopted = true;
-    job.attach(task, run);
+    run.isCopy = task.run !== undefined;
+    task.hadCopy ||= run.isCopy;
+    if (run.isCopy) job.attachCopy(task, run);
+    else job.attach(task, run);
     this.#reserve(run);
     job.state = JobState.Running;
     this.#updateRun(run, entry, workerTimeMs);
@@ -505,6 +606,7 @@
         percent,
       });
       run.pace = percent;
+      run.isTimed = false;
       const order = { task: task.name, run: number, percent, fencingToken: epoch };
       void workers.pace(worker.record, order).then((reply) => {
         if (reply.answer === OrderAnswer.Fenced) this.handleFenced(worker);
@@ -524,7 +626,11 @@
       reason,
     });
     run.task.hasLostRun = true;
-    this.#requeue(run);
+    // A restarted worker may still get an order that was sent to its predecessor.
+    if (run.lastOrderClockMs === undefined) {
+      run.task.openOrderUntil = run.startedAt + START_ORDER_LIFE_MS;
+    }
+    this.#requeue(run, CopyEnd.WorkerLost);
   }
 
   /** Requeues all runs of a worker on which they are known to have ended. */
@@ -601,6 +707,26 @@
   return `${step.job.spec.queue} ${step.spec.image}`;
 }
 
+/** Whether the second run of a task that an earlier holder started may go on. */
+function mayAdoptSecond({ step, run, copy }: Task): boolean {
+  // Beside a run of this holder, the other one is what it took for lost.
+  return mayHaveCopies(step.spec) && run?.isAdopted === true && !copy;
+}
+
+function copyEndOf({ task }: Run, end: RunEnd): CopyEnd {
+  if (task.isDone) return CopyEnd.Lost;
+  if (end === RunEnd.Done) return CopyEnd.Won;
+  return end === RunEnd.Failed ? CopyEnd.Failed : CopyEnd.Stopped;
+}
+
+/** Whether a run in one piece will tell how long such tasks take on a healthy worker. */
+function isRepresentative({ step, checkpoint }: Task, { record }: Worker): boolean {
+  const { isLasting, nearRack } = step.spec;
+  // Away from their data, tasks take a multiple of their time.
+  const isNear = nearRack === undefined || record.labels.includes(nearRack);
+  return isNear && !isLasting && checkpoint === '';
+}
+
 /** Whether the last order for a run was carried out before a reading of the worker's clock. */
 function isOlderThan({ lastOrderClockMs }: Run, workerTimeMs: number): boolean {
   return lastOrderClockMs !== undefined && lastOrderClockMs < workerTimeMs;
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -38,6 +38,14 @@
   measurement: number;
   /** Pace that it was last set to, in percent of its full speed. */
   pace: number;
+  /** Whether it was started, or adopted, as a second run beside the first. */
+  isCopy: boolean;
+  /** Whether it was found to take longer than nearly all tasks like its own. */
+  isStraggler: boolean;
+  /** Monotonic time of its last checkpoint known here, in milliseconds. */
+  checkpointAt?: number;
+  /** Whether its run time tells how long such tasks take. */
+  isTimed: boolean;
 }
 
 /** Creates the record of a run that is being started or adopted. */
@@ -61,6 +69,9 @@
     percent: 0,
     measurement: 0,
     pace: 100,
+    isCopy: false,
+    isStraggler: false,
+    isTimed: false,
   };
 }
 
@@ -95,6 +106,13 @@
   lapsedRuns: Run[] = [];
   /** Whether its last list had runs that this holder does not track, and that are being stopped. */
   hasOrphans = false;
+  /**
+   * Tasks that ended `done` here while the start order of their other run was open; their ends are
+   * acknowledged once it is certain that this run no longer starts.
+   */
+  unsettledTasks: Task[] = [];
+  /** Factor by which runs here were found to take longer than elsewhere; 1 if they were not. */
+  slowdown = 1;
   /** Consecutive runs that failed here. */
   consecutiveFailures = 0;
   /** Whether it gets new runs, compared with the other workers of the pool. */
--- a/src/pools/demandForecast.spec.ts
+++ b/src/pools/demandForecast.spec.ts
@@ -103,7 +103,8 @@
   const step = withStepDefaults({ count: 1, cpuMillis: 1_000 });
   return {
     add: (work, now) => {
-      estimator.add([{ ...step, estimateMs: work * 1_000 }], now);
+      const steps = [{ ...step, estimateMs: work * 1_000 }];
+      estimator.add({ steps, queue: 'draws' }, now);
     },
     cpu: (now) => estimator.expectedCpu(now),
   };
