--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import { PlaceWaits } from '../places/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator } from './arrivals.js';
 import type { Counters } from './counters.js';
@@ -11,8 +12,8 @@
 import { criticalPathMs, Job } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal } from './journal.js';
-import { orderWaiting } from './ordering.js';
-import { placeSteps, type Assignment } from './placement.js';
+import { orderWaiting, slackMsOf } from './ordering.js';
+import { mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
@@ -81,6 +82,8 @@
   canExtend: () => boolean;
   /** Whether jobs of different client accounts have to be kept apart. */
   usesAccounts: () => boolean;
+  /** Factor by which a task runs longer off its rack; 1 if undefined. */
+  remoteSlowdown?: number;
   onLost: (reason: string) => void;
 }
 
@@ -98,6 +101,7 @@
   readonly #advice: AdviceCache;
   readonly #inbox: Inbox;
   readonly #stateLog: ServiceStateLog;
+  readonly #placeWaits: PlaceWaits;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -180,6 +184,11 @@
       canStart: deps.canStart,
       cancel: (id, account) => void this.cancel(id, account),
     });
+    this.#placeWaits = new PlaceWaits({
+      ...deps,
+      service,
+      runMsOf: ({ spec }) => spec.estimateMs,
+    });
     this.#stateLog = new ServiceStateLog({
       service,
       epoch,
@@ -420,12 +429,16 @@
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
     const waiting = orderWaiting(jobs, (name) => queues.get(name), now, clock.wallTime());
-    const steps = waiting
-      .map(({ step }) => step)
-      .filter((step) => this.#advice.isPlaceable(step, queues, this.#sessions));
+    const placeable = waiting.filter(({ step }) =>
+      this.#advice.isPlaceable(step, queues, this.#sessions),
+    );
+    const steps = placeable.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
-    const round = { steps, workers, now, mayRestart };
+    const candidates = placeable.map((each) => ({ step: each.step, slackMs: slackMsOf(each) }));
+    const places = this.#placeWaits.plan(candidates, jobs, { workers, mayUse: mayUseWorker });
+    const round = { steps, workers, now, mayRestart, places };
     const start = ({ task, worker }: Assignment) => {
+      this.#placeWaits.handleStart(task, worker, places);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
     const maxStarts = () => this.#runs.freeStarts;
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -88,3 +88,9 @@
 function compareWaiting(a: WaitingStep, b: WaitingStep): number {
   return a.urgency - b.urgency || a.priority - b.priority || a.sortKeyMs - b.sortKeyMs;
 }
+
+/** Time in milliseconds that the job of a waiting step can lose; negative if it is late. */
+export function slackMsOf({ urgency, sortKeyMs }: WaitingStep): number {
+  if (urgency === Urgency.Lasting) return Infinity;
+  return urgency === Urgency.OnTime ? sortKeyMs : -1;
+}
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -1,3 +1,4 @@
+import { PlaceAction, rackOf, type PlaceDecision, type ReportedPlaces } from '../places/index.js';
 import { FAILURE_SCORE, BestFitIndex, usedShare } from './bestFitIndex.js';
 import { isCrashSuspect } from './crashSuspects.js';
 import type { Step, Task } from './job.js';
@@ -22,6 +23,12 @@
  */
 const SAME_STEP_SCORE = -4;
 
+/**
+ * Score for a worker on a rack that waiting tasks run faster on, for tasks that do not; outweighs
+ * any difference in utilization.
+ */
+const WANTED_RACK_SCORE = -2;
+
 /** Input of a placement round. */
 export interface PlacementRound {
   /** Steps that may start, most urgent first. */
@@ -36,6 +43,8 @@
   mayRestart: boolean;
   /** Maximum number of tasks to assign; a gang that begins below it is assigned as a whole. */
   maxStarts?: number;
+  /** Decisions on racks; undefined where tasks do not wait for a rack. */
+  places?: ReportedPlaces;
 }
 
 /**
@@ -46,16 +55,20 @@
  * @returns number of tasks that could not be placed
  */
 export function placeSteps(
-  { steps, workers, now, mayRestart, maxStarts = Infinity }: PlacementRound,
+  { steps, workers, now, mayRestart, maxStarts = Infinity, places }: PlacementRound,
   assign: (assignment: Assignment) => void,
 ): number {
   const usable = workers.filter((worker) => worker.acceptsRuns(now));
   const index = new BestFitIndex(usable);
+  const unwantedIndex =
+    places && new BestFitIndex(usable.filter((worker) => !places.isWanted(worker)));
+  const finder = { find: (spec: StepSpec) => unwantedIndex?.find(spec) ?? index.find(spec) };
   let startsLeft = maxStarts;
   const place = (assignment: Assignment) => {
     startsLeft--;
     assign(assignment);
     index.update(assignment.worker);
+    unwantedIndex?.update(assignment.worker);
   };
   const unplaceableSpecs: StepSpec[] = [];
   let unplacedCount = 0;
@@ -74,9 +87,16 @@
     const idle = step.tasks.filter(isPlacedHere);
     const tasks = spec.isGang ? idle : idle.slice(0, startsLeft);
     unplacedCount += idle.length - tasks.length;
+    const decisions = places?.decisionsOf(step);
+    if (places && decisions) {
+      const { placed, isFull } = placeDecided(step, tasks, usable, decisions, places, place);
+      unplacedCount += tasks.length - placed;
+      if (isFull && acceptsAnyWorker(step) && !spec.isGang) unplaceableSpecs.push(spec);
+      continue;
+    }
     const placed = spec.isGang
       ? placeGang(step, tasks, usable, place)
-      : placeEach(step, tasks, usable, index, place);
+      : placeEach(step, tasks, usable, finder, place, places);
     if (placed < tasks.length) {
       unplacedCount += tasks.length - placed;
       if (acceptsAnyWorker(step) && !spec.isGang) unplaceableSpecs.push(spec);
@@ -121,8 +141,9 @@
   step: Step,
   tasks: readonly Task[],
   workers: readonly Worker[],
-  index: BestFitIndex,
+  index: Pick<BestFitIndex, 'find'>,
   assign: (assignment: Assignment) => void,
+  places?: ReportedPlaces,
 ): number {
   let placed = 0;
   const canUseIndex = hasNoPreference(step);
@@ -130,7 +151,7 @@
     const worker =
       canUseIndex && task.avoid === undefined
         ? index.find(step.spec)
-        : chooseWorker(step, task, workers);
+        : chooseWorker(step, task, workers, [], places);
     if (!worker) {
       if (task.avoid === undefined) break;
       continue;
@@ -141,12 +162,59 @@
   return placed;
 }
 
+/**
+ * Places the tasks of a step by the decisions on its rack.
+ *
+ * @returns number of tasks placed, and whether no worker had capacity for another one
+ */
+function placeDecided(
+  step: Step,
+  tasks: readonly Task[],
+  workers: readonly Worker[],
+  decisions: readonly PlaceDecision[],
+  places: ReportedPlaces,
+  assign: (assignment: Assignment) => void,
+): { placed: number; isFull: boolean } {
+  const placeAmong = (some: readonly Task[], candidates: readonly Worker[]) => {
+    if (step.spec.isGang) return placeGang(step, some, candidates, assign, places);
+    const finder = { find: () => undefined };
+    return placeEach(step, some, candidates, finder, assign, places);
+  };
+  let placed = 0;
+  let isFull = false;
+  let next = 0;
+  for (const [position, decision] of decisions.entries()) {
+    const isLast = position === decisions.length - 1;
+    const own = tasks.slice(next, isLast ? undefined : next + decision.tasks);
+    next += own.length;
+    const isHere = decision.action === PlaceAction.StartHere;
+    if (isHere) placed += placeAmong(own, workersOnRack(workers, decision.rack));
+    const left = own.filter(({ run }) => !run);
+    if (left.length === 0) continue;
+    // More urgent steps of this round may have taken the capacity of the rack.
+    const mayWait = decision.action === PlaceAction.Wait || (isHere && decision.maxWaitMs > 0);
+    if (!mayWait) {
+      const count = placeAmong(left, workers);
+      placed += count;
+      isFull ||= count < left.length;
+    } else if (workers.some((worker) => isAllowed(step, worker, []))) {
+      for (const task of left) places.handleWait(task, decision);
+    } else isFull = true;
+  }
+  return { placed, isFull };
+}
+
+function workersOnRack(workers: readonly Worker[], rack: string | undefined): Worker[] {
+  return workers.filter((worker) => rackOf(worker) === rack);
+}
+
 /** Places all tasks of a gang or none. */
 function placeGang(
   step: Step,
   tasks: readonly Task[],
   workers: readonly Worker[],
   assign: (assignment: Assignment) => void,
+  places?: ReportedPlaces,
 ): number {
   if (tasks.length < step.spec.count) return 0;
   const chosen: Assignment[] = [];
@@ -155,7 +223,7 @@
       const chosenHere = chosen.filter((other) => other.worker === worker).length;
       return hasCapacityBeside(step, worker, chosenHere);
     };
-    const worker = chooseWorker(step, task, workers.filter(fits), chosen);
+    const worker = chooseWorker(step, task, workers.filter(fits), chosen, places);
     if (!worker) return 0;
     chosen.push({ task, worker });
   }
@@ -179,12 +247,13 @@
   task: Task,
   workers: readonly Worker[],
   chosen: readonly Assignment[] = [],
+  places?: ReportedPlaces,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestScore = -Infinity;
   for (const worker of workers) {
     if (!isAllowed(step, worker, chosen)) continue;
-    const score = scoreOf(step, task, worker, chosen);
+    const score = scoreOf(step, task, worker, chosen, places);
     if (score <= bestScore) continue;
     best = worker;
     bestScore = score;
@@ -199,6 +268,12 @@
   return canHoldTask(step, worker, chosen);
 }
 
+/** Whether a step may run on a worker that has free resources. */
+export function mayUseWorker({ spec, allowedWorkers }: Step, { record }: Worker): boolean {
+  if (allowedWorkers && !allowedWorkers.has(record.id)) return false;
+  return spec.requiredLabel === undefined || record.labels.includes(spec.requiredLabel);
+}
+
 /** Whether a worker can run another task of the step now, apart from an approval that it needs. */
 export function canHoldTask(
   step: Step,
@@ -226,13 +301,23 @@
  * Prefers the most utilized worker (best fit), so that others stay empty for large tasks and for
  * planned work. Tasks of long-running steps go to the least utilized worker instead.
  */
-function scoreOf(step: Step, task: Task, worker: Worker, chosen: readonly Assignment[]): number {
+function scoreOf(
+  step: Step,
+  task: Task,
+  worker: Worker,
+  chosen: readonly Assignment[],
+  places: ReportedPlaces | undefined,
+): number {
   const { spec } = step;
   const { labels } = worker.record;
   const share = usedShare(worker);
   let score = spec.isLasting ? -share : share;
-  if (spec.nearRack !== undefined && labels.includes(spec.nearRack)) score += RACK_AFFINITY_SCORE;
-  if (spec.isColocated && sharesRack(step, worker, chosen)) score += RACK_AFFINITY_SCORE;
+  if (places?.isWanted(worker)) score += WANTED_RACK_SCORE;
+  // Decisions on racks restrict the workers instead, and lasting tasks have none.
+  if (!places || spec.isLasting) {
+    if (spec.nearRack !== undefined && labels.includes(spec.nearRack)) score += RACK_AFFINITY_SCORE;
+    if (spec.isColocated && sharesRack(step, worker, chosen)) score += RACK_AFFINITY_SCORE;
+  }
   if (task.avoid === worker.record.id) score += FAILURE_SCORE;
   if (worker.consecutiveFailures > 1) score += FAILURE_SCORE;
   if (spec.isLasting) score += SAME_STEP_SCORE * countOnWorker(step.tasks, worker);
--- /dev/null
+++ b/src/places/defaults.ts
@@ -0,0 +1,12 @@
+/**
+ * Longest wait for a rack, in milliseconds. The limit is 2 s; the remainder covers the interval
+ * between two placement rounds.
+ */
+export const MAX_WAIT_MS = 1_900;
+/**
+ * Share of its elapsed time that a run which has exceeded its predicted run time is expected to
+ * take on top. A run that is several times overdue is not expected to end soon.
+ */
+export const OVERRUN_SHARE = 0.2;
+/** Runs that are forecast on one rack in a round; bounds the duration of a round. */
+export const MAX_CLAIMS_PER_RACK = 128;
--- /dev/null
+++ b/src/places/rackForecast.ts
@@ -0,0 +1,93 @@
+import { MAX_CLAIMS_PER_RACK, MAX_WAIT_MS } from './defaults.js';
+import type { RackSnapshot, WaitingStepSnapshot } from './types.js';
+import { WorkerTimeline } from './workerTimeline.js';
+
+/** What a forecast needs to know of a step. */
+export type ForecastStep = Pick<WaitingStepSnapshot<unknown>, 'needs' | 'runMs' | 'roomOn'>;
+
+/** Forecasts when the workers of a rack can hold tasks, given the tasks that claimed it before. */
+export class RackForecast {
+  readonly name: string;
+  readonly #timelines: WorkerTimeline[];
+  #claimsLeft = MAX_CLAIMS_PER_RACK;
+
+  constructor({ name, workers }: RackSnapshot) {
+    this.name = name;
+    this.#timelines = workers.map((worker) => new WorkerTimeline(worker, MAX_WAIT_MS));
+  }
+
+  /** Whether any run on the rack is expected to end within the longest wait. */
+  get hasReleases(): boolean {
+    return this.#timelines.some((timeline) => timeline.releaseTimes().length > 0);
+  }
+
+  /** Whether the rack, with all its workers empty, could hold a number of tasks. */
+  couldHold({ needs, roomOn }: ForecastStep, tasks: number): boolean {
+    let room = 0;
+    for (const timeline of this.#timelines) {
+      room += Math.min(timeline.maxTasks(needs), roomOn(timeline.id));
+    }
+    return room >= tasks;
+  }
+
+  /**
+   * Claims the earliest place for one task within `maxWaitMs`.
+   *
+   * @param claimed - tasks of the step that were claimed before, by worker
+   * @returns time until it is free in milliseconds; infinite if there is none
+   */
+  claimOne(
+    { needs, runMs, roomOn }: ForecastStep,
+    claimed: Map<string, number>,
+    maxWaitMs: number,
+  ): number {
+    if (this.#claimsLeft <= 0) return Infinity;
+    let best: WorkerTimeline | undefined;
+    let bestMs = Infinity;
+    for (const timeline of this.#timelines) {
+      if ((claimed.get(timeline.id) ?? 0) >= roomOn(timeline.id)) continue;
+      const atMs = timeline.earliest(needs, runMs, Math.min(maxWaitMs, bestMs));
+      if (atMs >= bestMs) continue;
+      best = timeline;
+      bestMs = atMs;
+      if (atMs === 0) break;
+    }
+    if (!best) return Infinity;
+    this.#claimsLeft--;
+    best.claim(needs, bestMs, runMs);
+    claimed.set(best.id, (claimed.get(best.id) ?? 0) + 1);
+    return bestMs;
+  }
+
+  /**
+   * Earliest time up to `latestMs` at which the rack can hold a number of tasks together; infinite if
+   * there is none.
+   */
+  earliestTogether(step: ForecastStep, tasks: number, latestMs: number): number {
+    if (this.#claimsLeft < tasks) return Infinity;
+    const times = new Set([0, ...this.#timelines.flatMap((timeline) => timeline.releaseTimes())]);
+    for (const atMs of [...times].sort((a, b) => a - b)) {
+      if (atMs > latestMs) break;
+      let room = 0;
+      for (const timeline of this.#timelines) room += roomAt(timeline, step, atMs);
+      if (room >= tasks) return atMs;
+    }
+    return Infinity;
+  }
+
+  /** Claims places for a number of tasks together at a time from {@link earliestTogether}. */
+  claimTogether(step: ForecastStep, tasks: number, atMs: number): void {
+    let left = tasks;
+    for (const timeline of this.#timelines) {
+      const count = Math.min(left, roomAt(timeline, step, atMs));
+      for (let index = 0; index < count; index++) timeline.claim(step.needs, atMs, step.runMs);
+      left -= count;
+    }
+    this.#claimsLeft -= tasks;
+  }
+}
+
+function roomAt(timeline: WorkerTimeline, { needs, runMs, roomOn }: ForecastStep, atMs: number) {
+  const room = roomOn(timeline.id);
+  return room <= 0 ? 0 : Math.min(room, timeline.tasksAt(needs, atMs, runMs));
+}
