--- a/src/places/decidePlaces.ts
+++ b/src/places/decidePlaces.ts
@@ -1,4 +1,4 @@
-import { MAX_WAIT_MS } from './defaults.js';
+import { MAX_WAIT_MS, SCARCE_SHARE } from './defaults.js';
 import { RackForecast } from './rackForecast.js';
 import {
   PlaceAction,
@@ -29,16 +29,29 @@
   rules: PlaceRules,
 ): Map<K, PlaceDecision[]> {
   const forecasts = new Map(racks.map((rack) => [rack.name, new RackForecast(rack)]));
+  const isScarce = isCapacityScarce(racks);
   const decisions = new Map<K, PlaceDecision[]>();
   for (const step of [...steps].sort((a, b) => compareLoss(a, b, rules))) {
     const decided = step.isGroup
       ? [decideGroup(step, forecasts, rules)]
-      : decideEach(step, forecasts, rules);
+      : decideEach(step, forecasts, isScarce, rules);
     decisions.set(step.key, decided);
   }
   return decisions;
 }
 
+function isCapacityScarce(racks: readonly RackSnapshot[]): boolean {
+  let freeCpu = 0;
+  let cpu = 0;
+  for (const { workers } of racks) {
+    for (const { free, capacity } of workers) {
+      freeCpu += free.cpuMillis;
+      cpu += capacity.cpuMillis;
+    }
+  }
+  return freeCpu < cpu * SCARCE_SHARE;
+}
+
 /**
  * Orders the steps that lose most elsewhere first: jobs that meet their objective only on their
  * rack, by slack; then jobs that meet it anywhere, by the time they lose; then late jobs.
@@ -84,6 +97,7 @@
 function decideEach<K>(
   step: Step<K>,
   forecasts: ReadonlyMap<string, RackForecast>,
+  isScarce: boolean,
   rules: PlaceRules,
 ): PlaceDecision[] {
   const { nearRack = '', tasks } = step;
@@ -94,6 +108,11 @@
   const claimed = new Map<string, number>();
   for (let left = tasks; left > 0; left--) {
     const waitMs = forecast.claimOne(step, claimed, bound.maxWaitMs);
+    if (waitMs === Infinity && isScarce && bound.maxWaitMs > 0 && forecast.hasReleases) {
+      const wait = onRack(nearRack, left, bound.maxWaitMs, bound.maxWaitMs);
+      decisions.push({ ...wait, reason: PlaceReason.CapacityScarce });
+      break;
+    }
     if (waitMs === Infinity) {
       decisions.push(elsewhere(left, reasonOf(bound.reason, [forecast])));
       break;
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -68,6 +68,8 @@
   RackFree = 'rack_free',
   /** Runs on the rack end before the wait costs more than it gains. */
   FreedSoon = 'freed_soon',
+  /** The rack is freed too late, but other tasks need the little capacity that is left elsewhere. */
+  CapacityScarce = 'capacity_scarce',
   /** The rack has capacity only after the wait has cost more than it gains. */
   FreedLate = 'freed_late',
   /** No run on the rack is expected to end within the longest wait. */
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -66,6 +66,8 @@
   accounts?: Account[];
   /** Rules for accounts in the settings of the nodes. */
   accountRules?: AccountRules;
+  /** Factor by which tasks run longer off their rack, as the nodes know it. */
+  remoteSlowdown?: number;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -104,6 +106,7 @@
   readonly #acceptedMaintenance = new Set<string>();
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
   readonly #accountRules: AccountRules | undefined;
+  readonly #remoteSlowdown: number | undefined;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -116,7 +119,9 @@
     features = {},
     accounts,
     accountRules,
+    remoteSlowdown,
   }: BatchRigOptions = {}) {
+    this.#remoteSlowdown = remoteSlowdown;
     this.#features = { ...noFeatures, ...features };
     this.#accountRules = accountRules;
     const { timers, clock } = createFakeTimers();
@@ -236,6 +241,7 @@
       registry: tableSource(store, 'registry', '', parseWorker),
       clock,
       accountRules: this.#accountRules,
+      remoteSlowdown: this.#remoteSlowdown,
       random: createRandom(this.nodes.length + 1),
       log,
       counters,
