--- a/src/places/decidePlaces.spec.ts
+++ b/src/places/decidePlaces.spec.ts
@@ -197,6 +197,21 @@
       late: [`${ELSEWHERE} ${PlaceReason.JobLate} 1@ 0`],
     },
   },
+  {
+    // Guards against rounds that take long, and against idle racks of which only a part is used.
+    title:
+      'the number of tasks that wait for a rack is limited, but not the number that start there',
+    steps: [step('a', { tasks: 300 })],
+    racks: [rack('r1-1', ...Array.from({ length: 50 }, () => [500])), idle],
+    slowdown: 3,
+    expected: {
+      a: [
+        `${HERE} 150@r1-1 0`,
+        `${WAIT} 64@r1-1 1000`,
+        `${ELSEWHERE} ${PlaceReason.FreedLate} 86@ 0`,
+      ],
+    },
+  },
   {
     title: 'a higher slowdown makes a longer wait worthwhile',
     steps: [step('a')],
--- a/src/places/defaults.ts
+++ b/src/places/defaults.ts
@@ -8,8 +8,8 @@
  * take on top. A run that is several times overdue is not expected to end soon.
  */
 export const OVERRUN_SHARE = 0.2;
-/** Runs that are forecast on one rack in a round; bounds the duration of a round. */
-export const MAX_CLAIMS_PER_RACK = 128;
+/** Tasks that may wait for one rack in a round; bounds the duration of a round. */
+export const MAX_WAITS_PER_RACK = 64;
 /**
  * Free share of the CPU on all racks below which capacity is scarce. A task that starts elsewhere then
  * takes the capacity of tasks that would run there at full speed, which start elsewhere in turn.
--- a/src/places/placeWaits.spec.ts
+++ b/src/places/placeWaits.spec.ts
@@ -163,6 +163,16 @@
       t.is(zone.counters.value('place_wait_ms', 'saved'), 0);
     },
   },
+  {
+    // Guards against waits for workers that the step may not run on.
+    title: 'no wait for a rack whose workers do not have the required label',
+    run: (t) => {
+      const { zone } = busyZone();
+      zone.addWorker('big', ['big', 'r1-3']);
+      zone.addStep({ count: 1, nearRack: 'r1-1', requiredLabel: 'big' });
+      t.deepEqual(zone.round(), ['job0.0@big']);
+    },
+  },
   {
     // Guards against waits for stragglers, which are overdue by a multiple of their run times.
     title: 'no wait for runs that are overdue by far',
--- a/src/places/rackForecast.ts
+++ b/src/places/rackForecast.ts
@@ -1,5 +1,5 @@
-import { MAX_CLAIMS_PER_RACK, MAX_WAIT_MS } from './defaults.js';
-import type { RackSnapshot, WaitingStepSnapshot } from './types.js';
+import { MAX_WAITS_PER_RACK, MAX_WAIT_MS } from './defaults.js';
+import type { PlaceResources, RackSnapshot, WaitingStepSnapshot } from './types.js';
 import { WorkerTimeline } from './workerTimeline.js';
 
 /** What a forecast needs to know of a step. */
@@ -9,7 +9,13 @@
 export class RackForecast {
   readonly name: string;
   readonly #timelines: WorkerTimeline[];
-  #claimsLeft = MAX_CLAIMS_PER_RACK;
+  #waitsLeft = MAX_WAITS_PER_RACK;
+  /**
+   * Needs that found no place on any worker, with their waits. Free capacity only shrinks with claims,
+   * so larger needs and shorter waits find none either; in an overloaded pool these are most tasks.
+   * Gaps before a claim, which a shorter task may fit in, are left out.
+   */
+  readonly #failed: { needs: PlaceResources; latestMs: number }[] = [];
 
   constructor({ name, workers }: RackSnapshot) {
     this.name = name;
@@ -41,19 +47,30 @@
     claimed: Map<string, number>,
     maxWaitMs: number,
   ): number {
-    if (this.#claimsLeft <= 0) return Infinity;
+    const latestMs = this.#waitsLeft > 0 ? maxWaitMs : 0;
+    const isHopeless = this.#failed.some(
+      (failed) => latestMs <= failed.latestMs && needsAtLeast(needs, failed.needs),
+    );
+    if (isHopeless) return Infinity;
+    let hasSkipped = false;
     let best: WorkerTimeline | undefined;
     let bestMs = Infinity;
     for (const timeline of this.#timelines) {
-      if ((claimed.get(timeline.id) ?? 0) >= roomOn(timeline.id)) continue;
-      const atMs = timeline.earliest(needs, runMs, Math.min(maxWaitMs, bestMs));
+      if ((claimed.get(timeline.id) ?? 0) >= roomOn(timeline.id)) {
+        hasSkipped = true;
+        continue;
+      }
+      const atMs = timeline.earliest(needs, runMs, Math.min(latestMs, bestMs));
       if (atMs >= bestMs) continue;
       best = timeline;
       bestMs = atMs;
       if (atMs === 0) break;
     }
-    if (!best) return Infinity;
-    this.#claimsLeft--;
+    if (!best) {
+      if (!hasSkipped) this.#failed.push({ needs, latestMs });
+      return Infinity;
+    }
+    if (bestMs > 0) this.#waitsLeft--;
     best.claim(needs, bestMs, runMs);
     claimed.set(best.id, (claimed.get(best.id) ?? 0) + 1);
     return bestMs;
@@ -64,10 +81,9 @@
    * there is none.
    */
   earliestTogether(step: ForecastStep, tasks: number, latestMs: number): number {
-    if (this.#claimsLeft < tasks) return Infinity;
     const times = new Set([0, ...this.#timelines.flatMap((timeline) => timeline.releaseTimes())]);
     for (const atMs of [...times].sort((a, b) => a - b)) {
-      if (atMs > latestMs) break;
+      if (atMs > latestMs || (atMs > 0 && this.#waitsLeft < tasks)) break;
       let room = 0;
       for (const timeline of this.#timelines) room += roomAt(timeline, step, atMs);
       if (room >= tasks) return atMs;
@@ -83,10 +99,18 @@
       for (let index = 0; index < count; index++) timeline.claim(step.needs, atMs, step.runMs);
       left -= count;
     }
-    this.#claimsLeft -= tasks;
+    if (atMs > 0) this.#waitsLeft -= tasks;
   }
 }
 
+function needsAtLeast(needs: PlaceResources, other: PlaceResources): boolean {
+  return (
+    needs.cpuMillis >= other.cpuMillis &&
+    needs.memoryMb >= other.memoryMb &&
+    needs.accelerators >= other.accelerators
+  );
+}
+
 function roomAt(timeline: WorkerTimeline, { needs, runMs, roomOn }: ForecastStep, atMs: number) {
   const room = roomOn(timeline.id);
   return room <= 0 ? 0 : Math.min(room, timeline.tasksAt(needs, atMs, runMs));
--- a/src/places/roundPlaces.ts
+++ b/src/places/roundPlaces.ts
@@ -87,12 +87,7 @@
   { runMsOf, mayUse }: RoundState,
 ): WaitingStepSnapshot<Step> {
   const { spec } = step;
-  const runningOn = new Map<string, number>();
-  for (const { run } of step.tasks) {
-    if (!run) continue;
-    const { id } = run.worker.record;
-    runningOn.set(id, (runningOn.get(id) ?? 0) + 1);
-  }
+  const isGroup = spec.isColocated || spec.isGang;
   return {
     key: step,
     needs: needsOf(spec),
@@ -101,13 +96,14 @@
     slackMs,
     readyAgeMs,
     nearRack: spec.nearRack,
-    isGroup: spec.isColocated || spec.isGang,
-    runningRacks: racksOfRuns(step),
+    isGroup,
+    runningRacks: isGroup ? racksOfRuns(step) : [],
     roomOn: (workerId) => {
       const worker = workers.get(workerId);
       if (!worker || !mayUse(step, worker)) return 0;
       if (spec.maxPerWorker === 0) return Infinity;
-      return Math.max(0, spec.maxPerWorker - (runningOn.get(workerId) ?? 0));
+      const running = step.tasks.filter(({ run }) => run?.worker === worker).length;
+      return Math.max(0, spec.maxPerWorker - running);
     },
   };
 }
