--- a/src/places/decidePlaces.spec.ts
+++ b/src/places/decidePlaces.spec.ts
@@ -212,6 +212,16 @@
       ],
     },
   },
+  {
+    // Guards against jobs that would be in time elsewhere and are late after the wait.
+    title: 'while capacity is scarce, a job waits only as long as it remains in time elsewhere',
+    steps: [step('some', { slackMs: 1_400 }), step('none', { slackMs: 1_050 })],
+    racks: [rack('r1-1', full(1_100)), rack('r1-2', full())],
+    expected: {
+      some: [`${PlaceAction.Wait} ${PlaceReason.CapacityScarce} 1@r1-1 300`],
+      none: [`${ELSEWHERE} ${PlaceReason.FreedLate} 1@ 0`],
+    },
+  },
   {
     title: 'a higher slowdown makes a longer wait worthwhile',
     steps: [step('a')],
--- a/src/places/decidePlaces.ts
+++ b/src/places/decidePlaces.ts
@@ -1,4 +1,4 @@
-import { MAX_WAIT_MS, SCARCE_SHARE } from './defaults.js';
+import { MAX_WAIT_MS, ROUND_INTERVAL_MS, SCARCE_SHARE } from './defaults.js';
 import { RackForecast } from './rackForecast.js';
 import {
   PlaceAction,
@@ -108,8 +108,9 @@
   const claimed = new Map<string, number>();
   for (let left = tasks; left > 0; left--) {
     const waitMs = forecast.claimOne(step, claimed, bound.maxWaitMs);
-    if (waitMs === Infinity && isScarce && bound.maxWaitMs > 0 && forecast.hasReleases) {
-      const wait = onRack(nearRack, left, bound.maxWaitMs, bound.maxWaitMs);
+    const scarceWaitMs = isScarce ? scarceWaitMsOf(step, bound.maxWaitMs, rules) : 0;
+    if (waitMs === Infinity && scarceWaitMs > 0 && forecast.hasReleases) {
+      const wait = onRack(nearRack, left, scarceWaitMs, scarceWaitMs);
       decisions.push({ ...wait, reason: PlaceReason.CapacityScarce });
       break;
     }
@@ -127,6 +128,17 @@
   return decisions;
 }
 
+/**
+ * Longest wait of a step whose rack is freed too late while capacity is scarce, in milliseconds. As it
+ * is expected to start elsewhere afterwards, a job that is in time there has to remain so.
+ */
+function scarceWaitMsOf<K>(step: Step<K>, maxWaitMs: number, rules: PlaceRules): number {
+  const spareMs = step.slackMs - gainMsOf(step, rules);
+  // A job that is late elsewhere can only gain by waiting.
+  if (spareMs < 0) return maxWaitMs;
+  return Math.min(maxWaitMs, spareMs - ROUND_INTERVAL_MS);
+}
+
 /** Chooses one rack for all tasks of a step: the one on which they end soonest. */
 function decideGroup<K>(
   step: Step<K>,
--- a/src/places/defaults.ts
+++ b/src/places/defaults.ts
@@ -1,8 +1,10 @@
+/** Longest interval between two placement rounds of a holder that is not overloaded, in ms. */
+export const ROUND_INTERVAL_MS = 100;
 /**
  * Longest wait for a rack, in milliseconds. The limit is 2 s; the remainder covers the interval
  * between two placement rounds.
  */
-export const MAX_WAIT_MS = 1_900;
+export const MAX_WAIT_MS = 2_000 - ROUND_INTERVAL_MS;
 /**
  * Share of its elapsed time that a run which has exceeded its predicted run time is expected to
  * take on top. A run that is several times overdue is not expected to end soon.
