Merge waits for a better rack

Enabled where the settings have the health contract and a slowdown above 1; elsewhere tasks are placed as before. Run times come from the learned ones.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -32,6 +32,7 @@
   SnapshotWrite,
   type PredictMs,
 } from '../runTimes/index.js';
+import { PlaceWaits } from '../places/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator, workOf } from './arrivals.js';
 import { DemandForecast } from '../pools/index.js';
@@ -48,12 +49,19 @@
   orderWaiting,
   OVERDUE_FACTOR,
   queuedWork,
+  slackMsOf,
   taskWorkMs,
   turnSize,
   Urgency,
   type WaitingStep,
 } from './ordering.js';
-import { canHoldTask, placeSteps, type AllowedStarts, type Assignment } from './placement.js';
+import {
+  canHoldTask,
+  mayUseWorker,
+  placeSteps,
+  type AllowedStarts,
+  type Assignment,
+} from './placement.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
@@ -136,6 +144,8 @@
   canExtend: () => boolean;
   /** Whether jobs of different client accounts have to be kept apart. */
   usesAccounts: () => boolean;
+  /** Factor by which a task runs longer off its rack; 1 if undefined. */
+  remoteSlowdown?: number;
   onLost: (reason: string) => void;
   /** Features that the settings of the deployment enable; none if undefined. */
   features?: Features;
@@ -172,6 +182,7 @@
   readonly #health: WorkerHealth;
   readonly #opinionLink: OpinionLink;
   readonly #budget: BudgetLedger;
+  readonly #placeWaits: PlaceWaits;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -313,6 +324,11 @@
         this.#countJob(spec);
       },
     });
+    this.#placeWaits = new PlaceWaits({
+      ...deps,
+      service,
+      runMsOf: ({ spec, job }) => this.#predictMs(spec, job.spec.queue),
+    });
     this.#stateLog = new ServiceStateLog({
       service,
       epoch,
@@ -689,10 +705,13 @@
       const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
       return this.#budget.allowedStarts(job.spec.account, tasks);
     };
-    const round = { steps, workers, now, mayRestart, allowedStarts };
+    const candidates = waiting.map((each) => ({ step: each.step, slackMs: slackMsOf(each) }));
+    const places = this.#placeWaits.plan(candidates, jobs, { workers, mayUse: mayUseWorker });
+    const round = { steps, workers, now, mayRestart, allowedStarts, places };
     this.#budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
       if (usage) addToUsage(usage, task);
+      this.#placeWaits.handleStart(task, worker, places);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
     const maxStarts = () => this.#runs.freeStarts;
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -190,3 +190,10 @@
   }
   return queued;
 }
+
+/** Time in milliseconds that the job of a waiting step can lose; negative if it is late. */
+export function slackMsOf({ urgency, sortKeyMs }: WaitingStep): number {
+  if (urgency === Urgency.Lasting) return Infinity;
+  const isOnTime = urgency === Urgency.OnTime || urgency === Urgency.OnTimeBeyondRate;
+  return isOnTime ? sortKeyMs : -1;
+}
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -75,6 +75,8 @@
   limits?: Record<string, Partial<Resources>>;
   /** Share of its limit by which an account may exceed it. */
   maxOverage?: number;
+  /** Factor by which tasks run longer off their rack, as the nodes know it. */
+  remoteSlowdown?: number;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -118,6 +120,7 @@
   readonly #lastingSteps: { job: string; step: number; spec: StepSpec }[] = [];
   readonly #accountRules: AccountRules | undefined;
   readonly #maxOverage: number;
+  readonly #remoteSlowdown: number | undefined;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -133,7 +136,9 @@
     accountRules,
     limits,
     maxOverage = 0,
+    remoteSlowdown,
   }: BatchRigOptions = {}) {
+    this.#remoteSlowdown = remoteSlowdown;
     this.#features = { ...noFeatures, ...features };
     this.#weights = weights;
     this.#accountRules = accountRules;
@@ -261,6 +266,7 @@
       }),
       clock,
       accountRules: this.#accountRules ?? { ...accountRuleDefaults, maxOverage: this.#maxOverage },
+      remoteSlowdown: this.#remoteSlowdown,
       random: createRandom(this.nodes.length + 1),
       log,
       counters,
