Empty VMs with runs for a service that is short of VMs

Cause: only empty VMs left a pool. Change: where Features.relocatesRuns is set, VMs beyond the need of their pool and without long-running tasks are emptied, those with the fewest runs first. They get no new tasks; tasks with checkpoints are stopped and resumed on other workers of the pool, the others finish. A move that is not ready within 3 s is cancelled.

--- a/src/batch/balance.ts
+++ b/src/batch/balance.ts
@@ -25,6 +25,8 @@
 export interface BalancedVm extends ListedVm {
   /** How long it has had no runs, in milliseconds; undefined if it has runs or this is unknown. */
   emptyForMs?: number;
+  /** Number of its runs if they can be moved to other workers of the pool; otherwise undefined. */
+  movableRuns?: number;
 }
 
 /** A move of a VM between pools that is to be carried out. */
@@ -33,6 +35,8 @@
   from: string;
   to: string;
   worker?: string;
+  /** Whether its worker has runs that must end or be moved first. */
+  hasRuns: boolean;
 }
 
 /** Number of workers that a service needs for its running, waiting and expected tasks. */
@@ -75,7 +79,12 @@
     const empty = own
       .filter(({ state, emptyForMs }) => state === VmState.Up && emptyForMs !== undefined)
       .sort((a, b) => (b.emptyForMs ?? 0) - (a.emptyForMs ?? 0));
-    surplusByService.set(name, empty.slice(0, Math.max(0, available - wanted)));
+    // At the end of a turn, each VM still has some runs; those with the fewest are emptied for the next.
+    const occupied = own
+      .filter(({ state, movableRuns }) => state === VmState.Up && movableRuns !== undefined)
+      .sort((a, b) => (a.movableRuns ?? 0) - (b.movableRuns ?? 0));
+    const surplus = [...empty, ...occupied].slice(0, Math.max(0, available - wanted));
+    surplusByService.set(name, surplus);
   }
   const moves: PlannedMove[] = [];
   deficits.sort((a, b) => b.missing - a.missing);
@@ -94,11 +103,11 @@
   return moves;
 }
 
-function toMove({ vm, pool, worker }: ListedVm, to: string): PlannedMove {
-  return { vm, from: pool, to, worker };
+function toMove({ vm, pool, worker, movableRuns }: BalancedVm, to: string): PlannedMove {
+  return { vm, from: pool, to, worker, hasRuns: movableRuns !== undefined };
 }
 
-/** Takes an empty VM from the service with the largest surplus. */
+/** Takes a VM from the service with the largest surplus, an empty one if it has any. */
 function takeFromLargest(surplus: ReadonlyMap<string, BalancedVm[]>): BalancedVm | undefined {
   const lists = [...surplus.values()].sort((a, b) => b.length - a.length);
   return lists[0]?.shift();
--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -25,6 +25,8 @@
   clock: Clock;
   services: () => readonly Service[];
   waves: () => Iterable<RequestedWave>;
+  /** Whether VMs with runs may be taken from a pool that has more than it needs. */
+  relocatesRuns: boolean;
   /** Whether orders may be sent to the vendor. */
   canStart: () => boolean;
 }
--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -4,7 +4,7 @@
 import type { HolderDirectory } from './holderDirectory.js';
 import { NodeCallKind } from './nodeCalls.js';
 import type { ListedVm, VmClient } from './ports.js';
-import type { ServiceLoad } from './serviceLoad.js';
+import type { ServiceLoad, WorkerLoad } from './serviceLoad.js';
 
 /** Timeout of calls to the holder of a service. */
 const CALL_TIMEOUT_MS = 400;
@@ -24,8 +24,8 @@
   #byName: ReadonlyMap<string, ListedVm> = new Map();
   #listedAt = -Infinity;
   #loads = new Map<string, ServiceLoad>();
-  /** Number of runs by worker id, for each service. */
-  #runs = new Map<string, ReadonlyMap<string, number>>();
+  /** Load of the workers by id, for each service. */
+  #workers = new Map<string, ReadonlyMap<string, WorkerLoad>>();
 
   constructor(deps: FleetViewDeps) {
     this.#deps = deps;
@@ -49,7 +49,13 @@
   /** Number of runs on the worker of a VM; undefined if unknown. */
   runsOn({ pool, worker }: ListedVm): number | undefined {
     if (worker === undefined) return 0;
-    return this.#runs.get(pool)?.get(worker);
+    return this.#workers.get(pool)?.get(worker)?.runs;
+  }
+
+  /** Number of runs on the worker of a VM if none is long-running; undefined if unknown. */
+  movableRunsOn({ pool, worker }: ListedVm): number | undefined {
+    const load = worker === undefined ? undefined : this.#workers.get(pool)?.get(worker);
+    return load?.lastingRuns === 0 && load.runs > 0 ? load.runs : undefined;
   }
 
   /** Refreshes the list if it is `maxAgeMs` old or older; returns false if that fails. */
@@ -78,8 +84,7 @@
     };
     await Promise.all(services.map(requestLoad));
     this.#loads = loads;
-    const runsById = ({ workers }: ServiceLoad) =>
-      new Map(workers.map(({ id, runs }) => [id, runs]));
-    this.#runs = new Map([...loads].map(([service, load]) => [service, runsById(load)]));
+    const byId = ({ workers }: ServiceLoad) => new Map(workers.map((load) => [load.id, load]));
+    this.#workers = new Map([...loads].map(([service, load]) => [service, byId(load)]));
   }
 }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -81,7 +81,7 @@
   type WorkerRecord,
 } from './types.js';
 import { isPoolMember, type Worker } from './worker.js';
-import { Vacating, type VacateStatus } from './vacating.js';
+import { Vacating, type VacateOptions, type VacateStatus } from './vacating.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
 import type { Claim } from './ownership.js';
@@ -626,8 +626,8 @@
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
-  vacate(workerId: string, isUrgent: boolean): VacateStatus {
-    return this.#vacating.request(workerId, isUrgent);
+  vacate(workerId: string, how: VacateOptions): VacateStatus {
+    return this.#vacating.request(workerId, how);
   }
 
   /** Makes a worker available for new tasks again. */
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -4,7 +4,7 @@
 import { LinkErrorCode, type NodeTransport } from './links.js';
 import { decodeNodeAnswer, NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
-import type { VacateStatus } from './vacating.js';
+import type { VacateOptions, VacateStatus } from './vacating.js';
 
 /** Codes of {@link HolderCallError}. */
 export enum HolderCallErrorCode {
@@ -59,15 +59,17 @@
   /**
    * Asks the holder of a service to drain a worker for planned work.
    *
+   * @param how - whether short tasks may be ended, and whether those with a checkpoint are resumed on
+   *   other workers
    * @returns progress of the drain; undefined when the holder did not answer
    */
   async vacate(
     service: string,
     worker: string,
-    isUrgent: boolean,
+    how: VacateOptions,
     timeoutMs: number,
   ): Promise<VacateStatus | undefined> {
-    const call = { kind: NodeCallKind.Vacate, service, worker, isUrgent } as const;
+    const call = { kind: NodeCallKind.Vacate, service, worker, ...how } as const;
     const res = await this.call(call, timeoutMs);
     return res.isOk ? res.value.vacating : undefined;
   }
@@ -107,7 +109,7 @@
       case NodeCallKind.Pending:
         return { isHolder: true, pending: holder.pending(call.queue) };
       case NodeCallKind.Vacate:
-        return { isHolder: true, vacating: holder.vacate(call.worker, call.isUrgent) };
+        return { isHolder: true, vacating: holder.vacate(call.worker, call) };
       case NodeCallKind.Readmit:
         holder.readmit(call.worker);
         return { isHolder: true };
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -278,6 +278,7 @@
       holders: this.#directory,
       waves: () => this.#waves.values(),
       services: () => this.#config?.services ?? [],
+      relocatesRuns: this.#deps.features?.relocatesRuns ?? false,
       canStart: () => this.#ownership.canStart() && this.#ownership.holds(FLEET_SERVICE),
     });
     return (lifecycle) => controller.run(lifecycle.signal);
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -31,7 +31,7 @@
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
-  | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean }
+  | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean; relocatesRuns?: boolean }
   | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
   | { kind: NodeCallKind.Load }
 );
--- a/src/batch/serviceLoad.ts
+++ b/src/batch/serviceLoad.ts
@@ -2,6 +2,8 @@
 export interface WorkerLoad {
   id: string;
   runs: number;
+  /** Number of long-running tasks among the runs; undefined if an earlier version reports the load. */
+  lastingRuns?: number;
 }
 
 /** Load of a service. */
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -179,6 +179,8 @@
   judgesWorkers: boolean;
   /** Sizes pools by the demand that is forecast for the time at which an ordered VM arrives. */
   forecastsDemand: boolean;
+  /** Empties VMs of a pool that has more than it needs when another one is short of VMs. */
+  relocatesRuns: boolean;
   /** Reaches the store through other nodes while it does not answer this one. */
   relaysStore: boolean;
 }
@@ -188,6 +190,7 @@
   learnsRunTimes: false,
   judgesWorkers: false,
   forecastsDemand: false,
+  relocatesRuns: false,
   relaysStore: false,
 };
 
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -348,7 +348,7 @@
 
   async #isEmptied({ pool, worker }: VmMaintenance, isUrgent: boolean): Promise<boolean> {
     if (worker === undefined) return true;
-    const status = await this.#deps.holders.vacate(pool, worker, isUrgent, CALL_TIMEOUT_MS);
+    const status = await this.#deps.holders.vacate(pool, worker, { isUrgent }, CALL_TIMEOUT_MS);
     return status?.isReady === true;
   }
 
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -12,6 +12,17 @@
 /** Maximum time from a stop order to the end of its run; the platform's `stopMs`. */
 const MAX_STOP_MS = 1_500;
 
+/** Progress in percent from which a task is left to finish, as ending and resuming it takes longer. */
+const NEARLY_DONE_PERCENT = 75;
+
+/** How a worker is emptied. */
+export interface VacateOptions {
+  /** Whether short tasks may be ended by the planned work. */
+  isUrgent: boolean;
+  /** Whether short tasks with checkpoints are stopped and resumed on other workers. */
+  relocatesRuns?: boolean;
+}
+
 /** Progress of emptying a worker. */
 export interface VacateStatus {
   /** Whether planned work may interrupt what still runs there. */
@@ -37,8 +48,8 @@
  */
 export class Vacating {
   readonly #deps: VacatingDeps;
-  /** Monotonic time of the last request by worker id, in milliseconds. */
-  readonly #requests = new Map<string, number>();
+  /** Last request by worker id, with its monotonic time in milliseconds. */
+  readonly #requests = new Map<string, { at: number; relocatesRuns: boolean }>();
   /** Workers reported as ready, whose runs planned work may end at any moment. */
   readonly #readyWorkers = new Set<Worker>();
 
@@ -47,11 +58,11 @@
   }
 
   /** Requests that a worker be emptied. With `isUrgent`, it does not wait for short tasks. */
-  request(workerId: string, isUrgent: boolean): VacateStatus {
+  request(workerId: string, { isUrgent, relocatesRuns = false }: VacateOptions): VacateStatus {
     const worker = this.#deps.sessions.get(workerId);
     if (!worker) return { isReady: this.#deps.hasSeenAllRuns(), runs: 0 };
     worker.isVacating = true;
-    this.#requests.set(workerId, this.#deps.clock.now());
+    this.#requests.set(workerId, { at: this.#deps.clock.now(), relocatesRuns });
     this.proceed();
     const runs = [...worker.runs.values()];
     const mayHaveUnseenRuns = !worker.isAdmitted && !this.#deps.hasSeenAllRuns();
@@ -87,9 +98,10 @@
   /** Expires old requests and stops long-running tasks where allowed; called periodically. */
   proceed(): void {
     const now = this.#deps.clock.now();
-    for (const [id, at] of this.#requests) if (now - at > REQUEST_TTL_MS) this.cancel(id);
+    for (const [id, { at }] of this.#requests) if (now - at > REQUEST_TTL_MS) this.cancel(id);
     for (const worker of this.#deps.sessions.all()) {
       if (worker.isVacating || worker.record.isDraining) this.#stopLastingRuns(worker);
+      if (this.#requests.get(worker.record.id)?.relocatesRuns) this.#relocateShortRuns(worker);
     }
   }
 
@@ -102,6 +114,17 @@
     }
   }
 
+  /** Stops short tasks that can be resumed from a checkpoint on another worker. */
+  #relocateShortRuns(worker: Worker): void {
+    for (const run of worker.runs.values()) {
+      const { savesProgress, isGang } = run.task.step.spec;
+      const canResume = savesProgress && !isGang && !isLasting(run);
+      if (!canResume || run.phase !== RunPhase.Running) continue;
+      if (run.percent >= NEARLY_DONE_PERCENT || !this.#fitsElsewhere(run)) continue;
+      this.#deps.runs.stop(run, 'relocated');
+    }
+  }
+
   /** Whether stopping a run keeps its step within `maxAway`. */
   #mayStop({ task }: Run): boolean {
     const { maxAway } = task.step.spec;
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -12,6 +12,8 @@
 const CALL_TIMEOUT_MS = 400;
 /** Time after which a move is cancelled if the VM's worker has not become empty. */
 const VACATE_TIMEOUT_MS = 800;
+/** The same for a worker that had runs when the move was planned; most short tasks end within it. */
+const RELOCATE_TIMEOUT_MS = 3_000;
 /** Time after which a move is dropped if the VM has not arrived in its new pool. */
 const ARRIVAL_TIMEOUT_MS = 6_000;
 /** How long a VM is excluded from further moves after one was cancelled or refused. */
@@ -40,6 +42,8 @@
   log: DecisionLog;
   counters: Counters;
   services: () => readonly Service[];
+  /** Whether VMs with runs may be taken from a pool that has more than it needs. */
+  relocatesRuns: boolean;
   /** Whether orders may be sent to the vendor. */
   canStart: () => boolean;
 }
@@ -82,7 +86,7 @@
   }
 
   #plan(excluded: ReadonlySet<string>): PlannedMove[] {
-    const { view, services, clock } = this.#deps;
+    const { view, services, clock, relocatesRuns } = this.#deps;
     const now = clock.now();
     const vms: BalancedVm[] = [];
     for (const vm of view.byName().values()) {
@@ -92,7 +96,12 @@
       if (excluded.has(vm.vm) || this.#moves.has(vm.vm)) continue;
       const isPaused = (this.#pausedUntil.get(vm.vm) ?? 0) > now;
       const since = isPaused ? undefined : this.#emptySince.get(vm.vm);
-      vms.push({ ...vm, emptyForMs: since === undefined ? undefined : now - since });
+      const mayRelocate = relocatesRuns && !isPaused;
+      vms.push({
+        ...vm,
+        emptyForMs: since === undefined ? undefined : now - since,
+        movableRuns: mayRelocate ? view.movableRunsOn(vm) : undefined,
+      });
     }
     const arriving = (name: string) =>
       [...this.#moves.values()].filter(({ to }) => to === name).length;
@@ -155,7 +164,8 @@
       return;
     }
     if (move.orderedAt === undefined && !(await this.#isEmptied(move))) {
-      if (clock.now() - move.startedAt > VACATE_TIMEOUT_MS) await this.#giveUp(move, 'not_empty');
+      const limitMs = move.hasRuns ? RELOCATE_TIMEOUT_MS : VACATE_TIMEOUT_MS;
+      if (clock.now() - move.startedAt > limitMs) await this.#giveUp(move, 'not_empty');
       return;
     }
     if (!canStart()) return;
@@ -180,9 +190,10 @@
     await this.#notifyHolder(move, NodeCallKind.Readmit);
   }
 
-  async #isEmptied({ from, worker }: Move): Promise<boolean> {
+  async #isEmptied({ from, worker, hasRuns }: Move): Promise<boolean> {
     if (worker === undefined || this.#isStandby(from)) return true;
-    const status = await this.#deps.holders.vacate(from, worker, false, CALL_TIMEOUT_MS);
+    const how = { isUrgent: false, relocatesRuns: hasRuns };
+    const status = await this.#deps.holders.vacate(from, worker, how, CALL_TIMEOUT_MS);
     return status?.isReady === true && status.runs === 0;
   }
 
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -366,7 +366,11 @@
       capacityCpu: workers
         .filter(({ isAdmitted, isVacating }) => isAdmitted && !isVacating)
         .reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0),
-      workers: workers.map(({ record, runs }) => ({ id: record.id, runs: runs.size })),
+      workers: workers.map(({ record, runs }) => ({
+        id: record.id,
+        runs: runs.size,
+        lastingRuns: [...runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
+      })),
     };
   }
 }
