Explain where a job would go now and why

The holder runs the decisions of a placement round on a copy of its jobs and workers. Functions that reserve, count or record get variants without effect; obstacles of workers and tasks are named where they are decided.

--- a/src/accounts/accountControl.ts
+++ b/src/accounts/accountControl.ts
@@ -48,6 +48,11 @@
     return !this.#rates.hasRoom(account, now);
   }
 
+  /** Like {@link isBeyondRate}, for a job that is not submitted. */
+  wouldBeBeyondRate(account: string, now: number): boolean {
+    return !this.#rates.peekRoom(account, now);
+  }
+
   /** Counts a job; returns whether it is beyond its account's rate. */
   countJob(account: string, now: number): boolean {
     return !this.#rates.take(account, now);
@@ -80,16 +85,18 @@
    * Refuses a job that certainly cannot end while it has value.
    *
    * @param queued - called only if the rate at which work ends is known
+   * @param random - source of the jitter of the Retry-After
    */
   refuseHopeless(
     job: JobRequest,
     queued: () => Iterable<QueuedWork>,
     now: number,
+    random: Pick<Random, 'next'> = this.#random,
   ): AdmissionRefusal | undefined {
     const ratePerMs = this.#completion.perMs(now);
     if (ratePerMs === undefined) return undefined;
     const weightOf = (account: string) => this.weightOf(account);
-    return refuseHopeless(job, { queued: queued(), ratePerMs, weightOf }, this.#random);
+    return refuseHopeless(job, { queued: queued(), ratePerMs, weightOf }, random);
   }
 
   /**
@@ -103,6 +110,7 @@
     open: { accounts: readonly (string | undefined)[]; limit: number; defaultRetryMs: number },
     queued: () => Iterable<QueuedWork>,
     now: number,
+    random: Pick<Random, 'next'> = this.#random,
   ): AdmissionRefusal | undefined {
     const counts = new Map<string, number>([[job.account, 0]]);
     for (const name of open.accounts)
@@ -124,7 +132,7 @@
     // The account may have another job once as many have ended as it has too many.
     const waitMs = ratePerMs > 0 ? (ahead.all / ratePerMs) * (excess / own) : defaultRetryMs;
     return new AdmissionRefusal(AdmissionRefusalCode.AccountShare, {
-      retryAfterMs: withJitter(waitMs, this.#random),
+      retryAfterMs: withJitter(waitMs, random),
       workAheadMs: ahead.all,
       ratePerMs,
     });
--- a/src/accounts/accountUsage.ts
+++ b/src/accounts/accountUsage.ts
@@ -2,12 +2,13 @@
 
 /** Capacity of a pool that each account holds, including what it was given in this round. */
 export class AccountUsage {
-  readonly #pool: ResourceAmounts;
+  /** Capacity of the pool. */
+  readonly pool: ResourceAmounts;
   readonly #weightOf: (account: string) => number;
   readonly #held = new Map<string, ResourceAmounts>();
 
   constructor(pool: ResourceAmounts, weightOf: (account: string) => number) {
-    this.#pool = pool;
+    this.pool = pool;
     this.#weightOf = weightOf;
   }
 
@@ -23,7 +24,7 @@
   /** Dominant share of the pool that an account holds, from 0 to 1. */
   shareOf(account: string): number {
     const held = this.#held.get(account);
-    return held ? dominantShare(held, this.#pool) : 0;
+    return held ? dominantShare(held, this.pool) : 0;
   }
 
   /** Dominant share per unit of weight; the account with the lowest value is served next. */
--- a/src/accounts/admission.ts
+++ b/src/accounts/admission.ts
@@ -127,7 +127,7 @@
 export function refuseHopeless(
   job: JobRequest,
   backlog: ServiceBacklog,
-  random: Random,
+  random: Pick<Random, 'next'>,
 ): AdmissionRefusal | undefined {
   const { ratePerMs } = backlog;
   const { pathMs, objectiveMs, valueMs, isBeyondRate } = job;
@@ -164,6 +164,6 @@
 }
 
 /** Adds up to a quarter at random and bounds the result, in milliseconds. */
-export function withJitter(ms: number, random: Random): number {
+export function withJitter(ms: number, random: Pick<Random, 'next'>): number {
   return Math.min(MAX_RETRY_AFTER_MS, ms * (1 + random.next() * MAX_JITTER));
 }
--- a/src/accounts/budgetLedger.ts
+++ b/src/accounts/budgetLedger.ts
@@ -54,6 +54,19 @@
   GangTooLarge = 'gang_too_large',
 }
 
+/** How many tasks may start, and why not all of them. */
+export interface StartDecision {
+  allowed: number;
+  reason?: HeldReason;
+}
+
+/** Decisions on starts that have no effect on the ledger. */
+export interface BudgetPreview {
+  allowedStarts(account: string | undefined, tasks: Omit<HeldTasks, 'account'>): StartDecision;
+  /** Counts a run against the grant of its account, in this preview only. */
+  addRun(account: string, needs: Readonly<Resources>): void;
+}
+
 /** Dependencies of a {@link BudgetLedger}. */
 export interface BudgetLedgerDeps {
   service: string;
@@ -265,12 +278,53 @@
    * @param account - undefined for a job of a public queue, which has no limit
    */
   allowedStarts(account: string | undefined, tasks: Omit<HeldTasks, 'account'>): number {
-    const { needs, count, isGang } = tasks;
+    const { count } = tasks;
     if (account === undefined) return count;
     if (!this.#isActive && !this.#isLimitUnknown(account)) return count;
     const entry = this.#entry(account);
+    const { allowed, reason } = this.#decideStarts(entry, tasks);
+    if (reason !== undefined) {
+      entry.held.set(reason, (entry.held.get(reason) ?? 0) + count - allowed);
+      this.#deps.counters.count('account_starts_held', reason, count - allowed);
+      this.#deps.counters.count('account_starts_held_by_account', account, count - allowed);
+      this.#heldTasks.push({ ...tasks, account, count: count - allowed });
+    }
+    return allowed;
+  }
+
+  /**
+   * Decides as {@link allowedStarts} does in a round that begins now, without recording, counting or
+   * requesting anything. Starts that are reported to it count against the grants in this preview only.
+   */
+  preview(): BudgetPreview {
+    const entries = new Map<string, Entry>();
+    const copyOf = (account: string) => {
+      let entry = entries.get(account);
+      if (!entry) {
+        entry = { ...(this.#entries.get(account) ?? createEntry(account)), held: new Map() };
+        delete entry.blocked;
+        entries.set(account, entry);
+      }
+      return entry;
+    };
+    return {
+      allowedStarts: (account, tasks) => {
+        if (account === undefined) return { allowed: tasks.count };
+        if (!this.#isActive && !this.#lacksLimit(account)) return { allowed: tasks.count };
+        return this.#decideStarts(copyOf(account), tasks);
+      },
+      addRun: (account, needs) => {
+        const entry = copyOf(account);
+        entry.started = plus(entry.started, needs);
+      },
+    };
+  }
+
+  /** Decides how many tasks may start; the reason is given if it is not all of them. */
+  #decideStarts(entry: Entry, tasks: Omit<HeldTasks, 'account'>): StartDecision {
+    const { needs, count, isGang } = tasks;
     const limit = this.#limitOf(entry);
-    if (limit === undefined ? this.#isLoaded : isNone(limit.limit)) return count;
+    if (limit === undefined ? this.#isLoaded : isNone(limit.limit)) return { allowed: count };
     const { blocked } = entry;
     const isBlocked = blocked !== undefined && isWithin(blocked, needs);
     const startable = limit && !isBlocked ? this.#countStartable(entry, limit, needs) : 0;
@@ -278,14 +332,8 @@
     // Grants do not grow within a round, so larger tasks need no further check.
     if (fitting === 0 && !isBlocked) entry.blocked = needs;
     const allowed = isGang && fitting < count ? 0 : fitting;
-    if (allowed < count) {
-      const reason = this.#heldReason(entry, limit, tasks);
-      entry.held.set(reason, (entry.held.get(reason) ?? 0) + count - allowed);
-      this.#deps.counters.count('account_starts_held', reason, count - allowed);
-      this.#deps.counters.count('account_starts_held_by_account', account, count - allowed);
-      this.#heldTasks.push({ ...tasks, account, count: count - allowed });
-    }
-    return allowed;
+    if (allowed === count) return { allowed };
+    return { allowed, reason: this.#heldReason(entry, limit, tasks) };
   }
 
   /**
@@ -317,11 +365,15 @@
   /** Whether only the budget row can tell the limit, because the account left the configuration. */
   #isLimitUnknown(account: string): boolean {
     this.#update();
-    if (this.#limits.has(account) || !this.#indexedConfig) return false;
+    if (!this.#lacksLimit(account)) return false;
     this.#start();
     return true;
   }
 
+  #lacksLimit(account: string): boolean {
+    return !this.#limits.has(account) && this.#indexedConfig !== undefined;
+  }
+
   /** Follows changes of the configuration. */
   #update(): void {
     const config = this.#deps.config();
@@ -343,23 +395,7 @@
   #entry(account: string): Entry {
     let entry = this.#entries.get(account);
     if (!entry) {
-      entry = {
-        account,
-        version: 0,
-        isLost: false,
-        isOwn: false,
-        lastGrant: NO_RESOURCES,
-        inherited: NO_RESOURCES,
-        started: NO_RESOURCES,
-        adopted: NO_RESOURCES,
-        returning: NO_RESOURCES,
-        hasOverrun: false,
-        fairShare: UNCONTESTED,
-        demand: [],
-        raisePausedUntil: -Infinity,
-        held: new Map(),
-        loggedState: '',
-      };
+      entry = createEntry(account);
       this.#entries.set(account, entry);
     }
     return entry;
@@ -770,6 +806,26 @@
   }
 }
 
+function createEntry(account: string): Entry {
+  return {
+    account,
+    version: 0,
+    isLost: false,
+    isOwn: false,
+    lastGrant: NO_RESOURCES,
+    inherited: NO_RESOURCES,
+    started: NO_RESOURCES,
+    adopted: NO_RESOURCES,
+    returning: NO_RESOURCES,
+    hasOverrun: false,
+    fairShare: UNCONTESTED,
+    demand: [],
+    raisePausedUntil: -Infinity,
+    held: new Map(),
+    loggedState: '',
+  };
+}
+
 /** Removes the kinds without a limit, for which the grant does not matter. */
 function limitedTo(amount: Readonly<Resources>, cap: Readonly<Resources>): Resources {
   const result: Resources = { ...amount };
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -41,7 +41,13 @@
   type Division,
   type DivisionInput,
 } from './budgetDivision.js';
-export { BudgetLedger, HeldReason, type BudgetLedgerDeps } from './budgetLedger.js';
+export {
+  BudgetLedger,
+  HeldReason,
+  type BudgetLedgerDeps,
+  type BudgetPreview,
+  type StartDecision,
+} from './budgetLedger.js';
 export {
   BudgetError,
   BudgetErrorCode,
--- a/src/accounts/jobRates.ts
+++ b/src/accounts/jobRates.ts
@@ -46,6 +46,11 @@
     return this.#refilled(account, now).tokens >= 1;
   }
 
+  /** Like {@link hasRoom}, but leaves the bucket as it is, so that no later refill changes. */
+  peekRoom(account: string, now: number): boolean {
+    return this.#bucketAt(account, now).tokens >= 1;
+  }
+
   /** Takes back the count of a job that was not accepted. */
   giveBack(account: string, now: number): void {
     const bucket = this.#refilled(account, now);
@@ -77,17 +82,20 @@
   }
 
   #refilled(account: string, now: number): Bucket {
+    const bucket = this.#bucketAt(account, now);
+    this.#buckets.set(account, bucket);
+    return bucket;
+  }
+
+  #bucketAt(account: string, now: number): Bucket {
     const burst = this.#burst(account);
     const bucket = this.#buckets.get(account);
-    if (!bucket) {
-      const full = { tokens: burst, refilledAt: now };
-      this.#buckets.set(account, full);
-      return full;
-    }
+    if (!bucket) return { tokens: burst, refilledAt: now };
     const elapsedMs = Math.max(0, now - bucket.refilledAt);
     const added = (elapsedMs * effectiveWeight(this.#weightOf(account))) / 1_000;
-    bucket.tokens = Math.min(burst, bucket.tokens + added);
-    bucket.refilledAt = Math.max(bucket.refilledAt, now);
-    return bucket;
+    return {
+      tokens: Math.min(burst, bucket.tokens + added),
+      refilledAt: Math.max(bucket.refilledAt, now),
+    };
   }
 }
--- a/src/batch/adviceCache.ts
+++ b/src/batch/adviceCache.ts
@@ -59,13 +59,12 @@
     if (!policy) return true;
     const now = this.#deps.clock.now();
     const advice = this.#adviceByStep.get(step);
-    const isUsable = advice !== undefined && advice.usableUntil > now;
+    const isUsable = this.hasTickets(step, queues);
     if (this.#pendingSteps.has(step) || (this.#nextChecks.get(step) ?? 0) > now) return isUsable;
     this.#nextChecks.set(step, now + CHECK_INTERVAL_MS);
     const usable = [...workers.all()].filter((worker) => worker.acceptsRuns(now));
-    const candidates = isUsable
-      ? furtherCandidates(step, usable, advice)
-      : firstCandidates(step, usable);
+    const candidates =
+      isUsable && advice ? furtherCandidates(step, usable, advice) : firstCandidates(step, usable);
     if (candidates.length > 0) {
       this.#pendingSteps.add(step);
       const asked = candidates.slice(0, WORKERS_PER_CALL);
@@ -74,6 +73,13 @@
     return isUsable;
   }
 
+  /** Whether a step needs no tickets, or has usable ones; requests none. */
+  hasTickets(step: Step, queues: ReadonlyMap<string, Queue>): boolean {
+    if (!queues.get(step.job.spec.queue)?.advice) return true;
+    const advice = this.#adviceByStep.get(step);
+    return advice !== undefined && advice.usableUntil > this.#deps.clock.now();
+  }
+
   /** Ticket for running a step on a worker; undefined if there is none. */
   ticketOf(step: Step, worker: Worker): string | undefined {
     return this.#adviceByStep.get(step)?.tickets.get(worker.record.id);
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -147,16 +147,29 @@
     return this.#queueIndex.match(host, path);
   }
 
+  /**
+   * Why this node refuses a job that it does not know before its holder is asked; undefined if it does
+   * not.
+   */
+  refusalOf(spec: JobSpec): { reason: RefusalReason; retryAfterMs: number } | undefined {
+    if (Buffer.byteLength(encodeJob(spec)) > this.#deps.store.limits.rowBytes)
+      return { reason: RefusalReason.Unstorable, retryAfterMs: UNSTORABLE_RETRY_MS };
+    if (this.#deps.store.isSuspect())
+      return { reason: RefusalReason.StoreSuspect, retryAfterMs: UNAVAILABLE_RETRY_MS };
+    return undefined;
+  }
+
   /** Submits a job. Reports it as accepted only once it is durable. */
   async submit(queue: Queue, spec: JobSpec, timeoutMs: number): Promise<CallAnswer> {
     const { clock, holders, counters } = this.#deps;
     const startedAt = clock.now();
     const remainingMs = () => timeoutMs - (clock.now() - startedAt);
-    if (Buffer.byteLength(encodeJob(spec)) > this.#deps.store.limits.rowBytes)
-      return this.#reportRefused(spec, RefusalReason.Unstorable, UNSTORABLE_RETRY_MS);
+    const refusal = this.refusalOf(spec);
+    if (refusal?.reason === RefusalReason.Unstorable)
+      return this.#reportRefused(spec, refusal.reason, refusal.retryAfterMs);
     // A node that cannot reach the store probably cannot reach the holder either. Nothing has been
     // sent yet, so the caller can safely be told to retry, and then reaches another node.
-    if (this.#deps.store.isSuspect()) {
+    if (refusal) {
       const status = { kind: NodeCallKind.Status, service: queue.service, job: spec.id } as const;
       const existing = await holders.call(status, LOOKUP_TIMEOUT_MS);
       if (existing.isOk && existing.value.state) {
@@ -164,7 +177,7 @@
           return this.#reportRefused(spec, RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
         return this.#reportAccepted(spec, 'earlier', clock.now() - startedAt);
       }
-      return this.#reportRefused(spec, RefusalReason.StoreSuspect, UNAVAILABLE_RETRY_MS);
+      return this.#reportRefused(spec, refusal.reason, refusal.retryAfterMs);
     }
     let mayBeAccepted = false;
     do {
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -32,6 +32,7 @@
   SnapshotWrite,
   type PredictMs,
 } from '../runTimes/index.js';
+import { explainJob, type HolderExplanation } from '../explain/index.js';
 import { PlaceWaits } from '../places/index.js';
 import { AdviceCache } from './adviceCache.js';
 import { ArrivalRateEstimator, workOf } from './arrivals.js';
@@ -105,16 +106,17 @@
  */
 const SATURATED_SHARE = 0.5;
 
+/** A job was not accepted. */
+export interface RefusedSubmission {
+  isAccepted: false;
+  reason: RefusalReason;
+  retryAfterMs: number;
+  /** Input of a refusal under load, for logs. */
+  load?: { workAheadMs: number; ratePerMs: number };
+}
+
 /** Result of submitting a job. */
-export type SubmitOutcome =
-  | { isAccepted: true }
-  | {
-      isAccepted: false;
-      reason: RefusalReason;
-      retryAfterMs: number;
-      /** Input of a refusal under load, for logs. */
-      load?: { workAheadMs: number; ratePerMs: number };
-    };
+export type SubmitOutcome = { isAccepted: true } | RefusedSubmission;
 
 /** Number of the jobs of a queue that have not started any task. */
 export interface PendingCount {
@@ -405,23 +407,11 @@
     if (isKnown) return this.#answerKnown(spec);
     // Another submission with this id started to be written during the wait.
     if (this.#jobs.isPending(spec.id)) return this.submit(spec);
-    if (this.#deps.store.isSuspect()) {
-      this.#deps.counters.count('refusals', RefusalReason.StoreSuspect);
-      return {
-        isAccepted: false,
-        reason: RefusalReason.StoreSuspect,
-        retryAfterMs: STORE_RETRY_MS,
-      };
-    }
-    if (this.#jobs.size >= MAX_OPEN_JOBS) {
-      this.#deps.counters.count('refusals', 'too_many_open_jobs');
-      return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
-    }
-    const refusal = this.#refuseUnderLoad(spec);
-    if (refusal) {
-      const { retryAfterMs, workAheadMs, ratePerMs } = refusal;
-      const reason = refusalReasons[refusal.code];
-      return { isAccepted: false, reason, retryAfterMs, load: { workAheadMs, ratePerMs } };
+    const refused = this.#findRefusal(spec);
+    if (refused) {
+      const name = countedRefusals.get(refused.reason);
+      if (name !== undefined) this.#deps.counters.count('refusals', name);
+      return refused;
     }
     this.#countJob(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
@@ -443,6 +433,64 @@
     return { isAccepted: true };
   }
 
+  /**
+   * Decides whether a job that this holder does not know is refused.
+   *
+   * @param preview - given if nothing may be kept of the decision
+   */
+  #findRefusal(
+    spec: JobSpec,
+    preview?: { random: Pick<Random, 'next'> },
+  ): RefusedSubmission | undefined {
+    if (this.#deps.store.isSuspect()) {
+      const reason = RefusalReason.StoreSuspect;
+      return { isAccepted: false, reason, retryAfterMs: STORE_RETRY_MS };
+    }
+    if (this.#jobs.size >= MAX_OPEN_JOBS)
+      return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
+    const refusal = this.#refuseUnderLoad(spec, preview);
+    if (!refusal) return undefined;
+    const { code, retryAfterMs, workAheadMs, ratePerMs } = refusal;
+    const load = { workAheadMs, ratePerMs };
+    return { isAccepted: false, reason: refusalReasons[code], retryAfterMs, load };
+  }
+
+  /** Explains what would be done with a job now; nothing is kept, counted or sent. */
+  explain(spec: JobSpec): HolderExplanation {
+    const { clock, config, canStart, canExtend } = this.#deps;
+    const now = clock.now();
+    const queues = this.#queuesByName();
+    const hasAccounts = this.#accounts.isActive;
+    const isBeyondRate =
+      hasAccounts && spec.account !== undefined
+        ? { isBeyondRate: this.#accounts.wouldBeBeyondRate(spec.account, now) }
+        : {};
+    return explainJob({
+      spec: { ...spec, ...isBeyondRate },
+      service: this.service,
+      now,
+      wallTimeMs: clock.wallTime(),
+      configVersion: config()?.version,
+      refusal: this.#findRefusal(spec, { random: { next: () => 0 } }),
+      jobs: [...this.#jobs.open()],
+      isHeld: (job) => this.#recovery.isHeld(job),
+      workers: [...this.#sessions.all()],
+      standingOf: (id) => this.#health.standing(id),
+      queues,
+      rules: { hasAccounts, predictMs: this.#predictMs },
+      hasTickets: (step) => this.#advice.hasTickets(step, queues),
+      budget: this.#budget.preview(),
+      previewPlaces: (candidates, state) => this.#placeWaits.preview(candidates, state),
+      measureUsage: (workers) => this.#measureUsage(workers),
+      addToUsage,
+      mayRestart: canStart(),
+      mayStart: canExtend(),
+      maxStarts: this.#runs.freeStarts,
+      inboxAgeMs: this.#inbox.ageMs(),
+      roundAgeMs: now - this.#roundEndedAt,
+    });
+  }
+
   /** Answers a submission with the id of an accepted job, which may be another account's. */
   async #answerKnown(spec: JobSpec): Promise<SubmitOutcome> {
     if (!this.#deps.usesAccounts()) return { isAccepted: true };
@@ -524,7 +572,10 @@
   }
 
   /** Decides whether a job that this holder does not know is refused under load. */
-  #refuseUnderLoad(spec: JobSpec): AdmissionRefusal | undefined {
+  #refuseUnderLoad(
+    spec: JobSpec,
+    preview?: { random: Pick<Random, 'next'> },
+  ): AdmissionRefusal | undefined {
     const queue = this.#queuesByName().get(spec.queue);
     const { account, steps } = spec;
     if (account === undefined || !this.#accounts.isActive) return undefined;
@@ -533,19 +584,22 @@
     const objectiveMs = objectiveMsOf({ spec }, queue, this.#predictMs);
     const job: JobRequest = {
       account,
-      isBeyondRate: this.#accounts.isBeyondRate(account, now),
+      isBeyondRate: preview
+        ? this.#accounts.wouldBeBeyondRate(account, now)
+        : this.#accounts.isBeyondRate(account, now),
       priority: queue?.priority ?? 0,
       pathMs: criticalPathMs(spec, this.#predictMs),
       objectiveMs,
       valueMs: objectiveMs * OVERDUE_FACTOR,
     };
+    const measure = () => queuedWork(this.#waiting, this.#pool, this.#predictMs);
     const queued = () =>
-      (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool, this.#predictMs));
-    const hopeless = this.#accounts.refuseHopeless(job, queued, now);
+      preview ? (this.#queuedWork ?? measure()) : (this.#queuedWork ??= measure());
+    const hopeless = this.#accounts.refuseHopeless(job, queued, now, preview?.random);
     if (hopeless || this.#jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
     const accounts = [...this.#jobs.open()].map((open) => open.spec.account);
     const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
-    return this.#accounts.refuseAboveShare(job, open, queued, now);
+    return this.#accounts.refuseAboveShare(job, open, queued, now, preview?.random);
   }
 
   #writeRunTimes(value: string): Promise<SnapshotWrite> {
@@ -697,6 +751,7 @@
     for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
     const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
     this.#usage = usage;
+    if (usage) this.#pool = usage.pool;
     const allowedStarts: AllowedStarts = (step, count) => {
       const { spec, job } = step;
       const canStart = () =>
@@ -742,7 +797,6 @@
       pool.memoryMb += record.capacity.memoryMb;
       pool.accelerators += record.capacity.accelerators;
     }
-    this.#pool = pool;
     const usage = new AccountUsage(pool, (account) => this.#accounts.weightOf(account));
     for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
     return usage;
@@ -820,6 +874,12 @@
   }
 }
 
+/** Names under which the holder counts refusals; others are counted where they are answered. */
+const countedRefusals: ReadonlyMap<RefusalReason, string> = new Map([
+  [RefusalReason.StoreSuspect, RefusalReason.StoreSuspect],
+  [RefusalReason.Full, 'too_many_open_jobs'],
+]);
+
 /** Reasons of refusals under load. */
 const refusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
   [AdmissionRefusalCode.Hopeless]: RefusalReason.Hopeless,
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -38,6 +38,11 @@
     this.#holders = holders;
   }
 
+  /** Address of the node that holds a service, as far as this node knows. */
+  addressOf(service: string): string | undefined {
+    return this.#ownership.ownerOf(service)?.address;
+  }
+
   /** Calls the holder of a service, directly if it is on this node, else over the transport. */
   async call(call: NodeCall, timeoutMs: number): Promise<Result<NodeAnswer, HolderCallError>> {
     const { service } = call;
@@ -116,6 +121,8 @@
         return { isHolder: true };
       case NodeCallKind.Load:
         return { isHolder: true, load: holder.load() };
+      case NodeCallKind.Explain:
+        return { isHolder: true, explained: holder.explain(call.spec) };
     }
   }
 }
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -1,6 +1,7 @@
 import { KeyRegistry, type AccountRules, type Moment } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { toError } from '../errors/index.js';
+import { JobExplainer, type ExplainRequest, type JobExplanation } from '../explain/index.js';
 import {
   Supervisor,
   RestartPolicy,
@@ -91,6 +92,7 @@
   readonly #waves = new Map<string, RequestedWave>();
   readonly #registry: WorkerRegistry;
   readonly #keys: KeyRegistry;
+  readonly #explainer: JobExplainer;
   readonly #holderLifecycles = new Map<string, Lifecycle>();
   #config: BatchConfig | undefined;
   #isLeaving = false;
@@ -118,6 +120,19 @@
       holders: this.#directory,
       keys: this.#keys,
     });
+    this.#explainer = new JobExplainer({
+      clock: deps.clock,
+      node: deps.node,
+      config: () => this.#config,
+      gateway: this.gateway,
+      holders: this.#directory,
+      keys: this.#keys,
+    });
+  }
+
+  /** Explains what would be done with a job now, without submitting it. */
+  explain(request: ExplainRequest): Promise<JobExplanation> {
+    return this.#explainer.explain(request);
   }
 
   #createRelayedStore({ transport, clock, random, log, counters }: BatchNodeDeps): RelayedStore {
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -1,4 +1,5 @@
 import { BaseError } from '../errors/index.js';
+import type { HolderExplanation } from '../explain/index.js';
 import type { PendingCount, SubmitOutcome } from './holder.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import type { JobSpec, JobState } from './types.js';
@@ -23,11 +24,13 @@
   /** Planned work has ended all runs on a worker. */
   RunsEnded = 'ended',
   Load = 'load',
+  /** What would be done with a job, without submitting it. */
+  Explain = 'explain',
 }
 
 /** A call to the holder of a service. */
 export type NodeCall = { service: string } & (
-  | { kind: NodeCallKind.Submit; spec: JobSpec }
+  | { kind: NodeCallKind.Submit | NodeCallKind.Explain; spec: JobSpec }
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
@@ -49,6 +52,7 @@
   pending?: PendingCount;
   vacating?: VacateStatus;
   load?: ServiceLoad;
+  explained?: HolderExplanation;
 }
 
 const callKinds: ReadonlySet<unknown> = new Set(Object.values(NodeCallKind));
@@ -76,6 +80,7 @@
 function hasFieldsOfKind(call: Record<string, unknown>): boolean {
   switch (call.kind as NodeCallKind) {
     case NodeCallKind.Submit:
+    case NodeCallKind.Explain:
       return isJobSpec(call.spec);
     case NodeCallKind.Status:
       return isText(call.job);
@@ -102,9 +107,9 @@
 /** Decodes an answer from another node; returns undefined if it is malformed. */
 export function decodeNodeAnswer(body: unknown): NodeAnswer | undefined {
   if (!isObject(body) || typeof body.isHolder !== 'boolean') return undefined;
-  const { submitted, pending, vacating, load, account } = body;
+  const { submitted, pending, vacating, load, explained, account } = body;
   if (!isOptionalText(account)) return undefined;
-  const parts = [submitted, pending, vacating, load];
+  const parts = [submitted, pending, vacating, load, explained];
   if (!parts.every((part) => part === undefined || part === null || isObject(part)))
     return undefined;
   return body as unknown as NodeAnswer;
--- a/src/batch/placement.ts
+++ b/src/batch/placement.ts
@@ -294,34 +294,63 @@
 
 /** Whether a task of the step may run on a worker and fits there. */
 export function isAllowed(step: Step, worker: Worker, chosen: readonly Assignment[]): boolean {
-  const { allowedWorkers } = step;
-  if (allowedWorkers && !allowedWorkers.has(worker.record.id)) return false;
-  return canHoldTask(step, worker, chosen);
+  return isApproved(step, worker) && canHoldTask(step, worker, chosen);
 }
 
 /** Whether a step may run on a worker that has free resources. */
-export function mayUseWorker({ spec, allowedWorkers }: Step, { record }: Worker): boolean {
-  if (allowedWorkers && !allowedWorkers.has(record.id)) return false;
+export function mayUseWorker(step: Step, worker: Worker): boolean {
+  return isApproved(step, worker) && hasRequiredLabel(step, worker);
+}
+
+/** Whether a step needs no approval for a worker, or has it. */
+function isApproved({ allowedWorkers }: Step, { record }: Worker): boolean {
+  return !allowedWorkers || allowedWorkers.has(record.id);
+}
+
+function hasRequiredLabel({ spec }: Step, { record }: Worker): boolean {
   return spec.requiredLabel === undefined || record.labels.includes(spec.requiredLabel);
 }
 
+/** Why a worker that accepts runs cannot run another task of a step. */
+export enum TaskObstacle {
+  NotApproved = 'not_approved',
+  NoLabel = 'no_label',
+  NoCapacity = 'no_capacity',
+  /** It is on trial, which long-running tasks and gangs are not used for. */
+  OnTrial = 'on_trial_only',
+  /** It runs as many tasks of the step as one worker may. */
+  MaxPerWorker = 'max_per_worker',
+}
+
+/** Why a task of the step may not run on a worker; undefined if it may. */
+export function obstacleToTask(step: Step, worker: Worker): TaskObstacle | undefined {
+  return isApproved(step, worker) ? obstacleToHolding(step, worker, []) : TaskObstacle.NotApproved;
+}
+
 /** Whether a worker can run another task of the step now, apart from an approval that it needs. */
 export function canHoldTask(
   step: Step,
   worker: Worker,
   chosen: readonly Assignment[] = [],
 ): boolean {
+  return obstacleToHolding(step, worker, chosen) === undefined;
+}
+
+function obstacleToHolding(
+  step: Step,
+  worker: Worker,
+  chosen: readonly Assignment[],
+): TaskObstacle | undefined {
   const { spec } = step;
-  const { labels } = worker.record;
-  if (spec.requiredLabel !== undefined && !labels.includes(spec.requiredLabel)) return false;
-  if (!worker.hasCapacityFor(spec, spec.fillsSpare)) return false;
+  if (!hasRequiredLabel(step, worker)) return TaskObstacle.NoLabel;
+  if (!worker.hasCapacityFor(spec, spec.fillsSpare)) return TaskObstacle.NoCapacity;
   // A trial ends with the end of one run.
   const isOnTrial = worker.standing === Standing.OnTrial;
-  if (isOnTrial && (spec.isLasting || spec.isGang)) return false;
-  if (spec.maxPerWorker === 0) return true;
+  if (isOnTrial && (spec.isLasting || spec.isGang)) return TaskObstacle.OnTrial;
+  if (spec.maxPerWorker === 0) return undefined;
   const running = countOnWorker(step.tasks, worker);
   const chosenHere = chosen.filter((other) => other.worker === worker).length;
-  return running + chosenHere < spec.maxPerWorker;
+  return running + chosenHere < spec.maxPerWorker ? undefined : TaskObstacle.MaxPerWorker;
 }
 
 /** Number of tasks that run, or may run, on a worker. */
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -278,6 +278,11 @@
     return this.#inheritedJobIds.size;
   }
 
+  /** Whether the tasks of a job may not start, as of the last call of {@link mayStartTasks}. */
+  isHeld(job: Job): boolean {
+    return this.#inheritedJobIds.has(job.spec.id);
+  }
+
   /** Whether no task of a job can still have a run that this holder does not know of. */
   mayStartTasks(job: Job): boolean {
     if (this.#inheritedJobIds.size === 0 || !this.#inheritedJobIds.has(job.spec.id)) return true;
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -75,6 +75,25 @@
   };
 }
 
+/** Why a worker gets no new runs. */
+export enum WorkerObstacle {
+  /** It has not responded to this holder yet, or is not in the stored roster. */
+  NotAdmitted = 'not_admitted',
+  Gone = 'gone',
+  Vacating = 'vacating',
+  Draining = 'draining',
+  /** It did not respond to the last call. */
+  Silent = 'silent',
+  /** Runs failed on it in a row. */
+  Paused = 'paused',
+  /** A task that may crash its workers runs or is to run on it. */
+  Isolated = 'isolated',
+  /** It fails or slows down runs compared with the others of the pool. */
+  SetAside = 'set_aside',
+  /** It has the one run by which it is judged. */
+  OnTrial = 'on_trial',
+}
+
 /** Maximum rate by which a worker's clock may run slow; set by the platform's protocol. */
 const MAX_CLOCK_DRIFT = 0.02;
 
@@ -170,12 +189,16 @@
 
   /** Whether new runs may be placed on it. */
   acceptsRuns(now: number): boolean {
-    return (
-      this.isUsable(now) &&
-      this.isolatedUntil <= now &&
-      this.standing !== Standing.SetAside &&
-      !this.#hasTrialRun()
-    );
+    return this.obstacleToRuns(now) === undefined;
+  }
+
+  /** Why no new runs may be placed on it; undefined if they may. */
+  obstacleToRuns(now: number): WorkerObstacle | undefined {
+    const obstacle = this.#obstacleToUse(now);
+    if (obstacle !== undefined) return obstacle;
+    if (this.isolatedUntil > now) return WorkerObstacle.Isolated;
+    if (this.standing === Standing.SetAside) return WorkerObstacle.SetAside;
+    return this.#hasTrialRun() ? WorkerObstacle.OnTrial : undefined;
   }
 
   #hasTrialRun(): boolean {
@@ -190,14 +213,16 @@
 
   /** Whether it can run tasks and none of its planned work is near. */
   isUsable(now: number): boolean {
-    return (
-      this.isAdmitted &&
-      !this.isGone &&
-      !this.isVacating &&
-      !this.record.isDraining &&
-      this.unansweredCalls === 0 &&
-      this.avoidUntil <= now
-    );
+    return this.#obstacleToUse(now) === undefined;
+  }
+
+  #obstacleToUse(now: number): WorkerObstacle | undefined {
+    if (!this.isAdmitted) return WorkerObstacle.NotAdmitted;
+    if (this.isGone) return WorkerObstacle.Gone;
+    if (this.isVacating) return WorkerObstacle.Vacating;
+    if (this.record.isDraining) return WorkerObstacle.Draining;
+    if (this.unansweredCalls !== 0) return WorkerObstacle.Silent;
+    return this.avoidUntil <= now ? undefined : WorkerObstacle.Paused;
   }
 
   /** Whether a task with these needs fits in the unreserved resources. */
--- a/src/places/placeWaits.ts
+++ b/src/places/placeWaits.ts
@@ -86,6 +86,25 @@
     };
   }
 
+  /**
+   * Decides as {@link plan} does, and records nothing.
+   *
+   * @param candidates - with the step of the holder in `recorded` where `step` is a copy of it
+   */
+  preview(
+    candidates: readonly (WaitCandidate & { recorded: Step })[],
+    { workers, mayUse }: Pick<RoundState, 'workers' | 'mayUse'>,
+  ): RoundPlaces | undefined {
+    if (!this.isEnabled) return undefined;
+    const { clock, runMsOf } = this.#deps;
+    const now = clock.now();
+    const wallTimeMs = clock.wallTime();
+    const waiting = candidates.map(({ step, slackMs, recorded }) => {
+      return { step, slackMs, readyAgeMs: this.#readyTimes.peekAgeMs(recorded, now, wallTimeMs) };
+    });
+    return planRound({ waiting, workers, now, slowdown: this.#slowdown, runMsOf, mayUse });
+  }
+
   /** Records the start of a task. */
   handleStart(task: Task, worker: Worker, places: RoundPlaces | undefined): void {
     const reason = places?.decisionsOf(task.step)?.at(-1)?.reason;
--- a/src/places/readyTimes.ts
+++ b/src/places/readyTimes.ts
@@ -18,17 +18,26 @@
    * @param wallTimeMs - Unix time in milliseconds
    */
   ageMs(step: Step, now: number, wallTimeMs: number): number {
+    const since = this.#sinceOf(step, now, wallTimeMs);
+    this.#readySince.set(step, since);
+    return Math.max(0, now - since);
+  }
+
+  /** Like {@link ageMs}, but records nothing. */
+  peekAgeMs(step: Step, now: number, wallTimeMs: number): number {
+    return Math.max(0, now - this.#sinceOf(step, now, wallTimeMs));
+  }
+
+  #sinceOf(step: Step, now: number, wallTimeMs: number): number {
     const { job, occurrence, spec } = step;
+    const known = this.#readySince.get(step);
+    if (known !== undefined) return known;
+    if (spec.after.length > 0 && this.#knownJobs.has(job)) return now;
     const { firstDueMs, periodMs } = job.spec;
     const sinceStartMs = job.hasSchedule
       ? wallTimeMs - (firstDueMs + occurrence.number * periodMs)
       : now - job.acceptedAt;
-    if (spec.after.length === 0 || !this.#knownJobs.has(job)) {
-      if (!this.#readySince.has(step)) this.#readySince.set(step, now - sinceStartMs);
-    }
-    const since = this.#readySince.get(step) ?? now;
-    this.#readySince.set(step, since);
-    return Math.max(0, now - since);
+    return now - sinceStartMs;
   }
 
   /** Records the open jobs; to be called at the end of each round. */
