--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -2,6 +2,7 @@
 import { applyCommand } from './apply.js';
 import { checkCommand } from './check.js';
 import { entryCommand } from './entry.js';
+import { explainCommand } from './explain.js';
 import { configCommand, jobsCommand, poolsCommand, statusCommand, vmsCommand } from './listings.js';
 import { maintenanceCommand } from './maintenance.js';
 
@@ -15,6 +16,7 @@
   maintenanceCommand,
   jobsCommand,
   configCommand,
+  explainCommand,
 ];
 
 /** All commands by id. */
--- a/src/cli/runCli.spec.ts
+++ b/src/cli/runCli.spec.ts
@@ -39,6 +39,30 @@
     exitCode: ExitCode.NotFound,
     text: /no answer from the operator listener/,
   },
+  {
+    title: 'explain without a queue',
+    argv: ['explain', '127.0.0.1', 'package.json'],
+    exitCode: ExitCode.Usage,
+    text: /--host and --path/,
+  },
+  {
+    title: 'explain with a job that does not exist',
+    argv: ['explain', '127.0.0.1:1', 'missing.json', '--host', 'h', '--path', '/p/'],
+    exitCode: ExitCode.Usage,
+    text: /missing\.json/,
+  },
+  {
+    title: 'explain with an unknown format',
+    argv: ['explain', '127.0.0.1:1', 'x', '--host', 'h', '--path', '/p/', '--output', 'xml'],
+    exitCode: ExitCode.Usage,
+    text: /expected table or json/,
+  },
+  {
+    title: 'explain of a node that cannot be reached',
+    argv: ['explain', '127.0.0.1:1', 'package.json', '--host', 'h', '--path', '/p/'],
+    exitCode: ExitCode.NotFound,
+    text: /no answer from the node at 127\.0\.0\.1:1/,
+  },
   {
     title: 'an unknown maintenance action',
     argv: ['maintenance', 'stop', '--operator', UNREACHABLE_URL],
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -53,6 +53,10 @@
       zone: { type: 'string', isMultiple: true },
       vm: { type: 'string', isMultiple: true },
       limit: { type: 'number', default: 50 },
+      host: { type: 'string' },
+      path: { type: 'string' },
+      keyFile: { type: 'string' },
+      output: { type: 'string' },
     },
   });
   const [id, ...args] = cli.input;
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -30,6 +30,11 @@
   zone?: string[];
   vm?: string[];
   limit: number;
+  host?: string;
+  path?: string;
+  keyFile?: string;
+  /** Format of the output: `table` or `json`. */
+  output?: string;
 }
 
 /** Output of a command; injected so that tests can capture it. */
