--- a/src/places/readyTimes.spec.ts
+++ b/src/places/readyTimes.spec.ts
@@ -53,6 +53,17 @@
   },
 ];
 
+// Guards against a preview that makes a later step ready before its preceding step was found done.
+test('a preview has the same age and records nothing', (t) => {
+  const times = new ReadyTimes();
+  const { job, first, second } = createJob(4_200);
+  t.is(times.peekAgeMs(first, 5_000, 10_000), 800);
+  times.recordJobs([job]);
+  t.is(times.peekAgeMs(second, 4_900, 9_900), 0);
+  t.is(at(times, second), 0);
+  t.is(times.peekAgeMs(second, 5_100, 10_100), 100);
+});
+
 for (const { title, ageMs, expected } of cases) {
   test(title, (t) => {
     t.is(ageMs(new ReadyTimes()), expected);
