--- a/src/accounts/gatewayRefusals.spec.ts
+++ b/src/accounts/gatewayRefusals.spec.ts
@@ -47,7 +47,7 @@
   replies: HolderReply[];
   prepare?: (setup: Setup) => void | Promise<void>;
   /** Fault of the store until the given time in milliseconds. */
-  fault?: { kind: StoreFault; untilMs: number };
+  fault?: { kind: StoreFault; endsAtMs: number };
   outcomes: CallOutcome[];
 }
 
@@ -96,19 +96,19 @@
   {
     title: 'a job whose write to the store may have been applied is not refused',
     replies: [noAnswer, hopeless],
-    fault: { kind: StoreFault.ApplyLate, untilMs: 60_000 },
+    fault: { kind: StoreFault.ApplyLate, endsAtMs: 60_000 },
     outcomes: [Ok, Unknown],
   },
   {
     title: 'a job whose write may still be applied is not refused, whatever the holder says',
     replies: [noAnswer, hopeless],
-    fault: { kind: StoreFault.DropCall, untilMs: 60_000 },
+    fault: { kind: StoreFault.DropCall, endsAtMs: 60_000 },
     outcomes: [Unknown],
   },
   {
     title: 'a job that was sent again after its outcome was unknown is not refused',
     replies: [noAnswer, noAnswer, noAnswer, hopeless],
-    fault: { kind: StoreFault.DropCall, untilMs: 60_000 },
+    fault: { kind: StoreFault.DropCall, endsAtMs: 60_000 },
     prepare: async ({ submit, restoreStore }) => {
       await submit();
       await restoreStore();
@@ -149,7 +149,7 @@
         store.faults.clear();
       });
     };
-    if (fault) failFor(fault.kind, fault.untilMs);
+    if (fault) failFor(fault.kind, fault.endsAtMs);
     const submit = async (): Promise<CallAnswer> => {
       let answer: CallAnswer | undefined;
       const pending = gateway.submit(queue, spec, 3_000).then((its) => (answer = its));
