Move the sizing of pools to src/pools

The holder records demand through ExpectedDemand. Only the estimator that is read records jobs: while demand was forecast, the arrival rate kept every job and never removed one, because only reading it removes old arrivals.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -34,8 +34,7 @@
 } from '../runTimes/index.js';
 import { PlaceWaits } from '../places/index.js';
 import { AdviceCache } from './adviceCache.js';
-import { ArrivalRateEstimator, workOf } from './arrivals.js';
-import { DemandForecast } from '../pools/index.js';
+import { ExpectedDemand } from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
@@ -163,8 +162,7 @@
   readonly #sessions: WorkerSessions;
   readonly #recovery: Recovery;
   readonly #vacating: Vacating;
-  readonly #arrivals = new ArrivalRateEstimator();
-  readonly #forecast = new DemandForecast();
+  readonly #demand: ExpectedDemand;
   readonly #runTimes = new RunTimes();
   readonly #predictMs: PredictMs;
   readonly #runTimesSnapshot: SnapshotKeeper;
@@ -203,6 +201,11 @@
     this.#predictMs = this.#features.learnsRunTimes
       ? (step, queue) => this.#runTimes.predictMs(step, queue)
       : declaredMs;
+    this.#demand = new ExpectedDemand({
+      clock,
+      predictMs: this.#predictMs,
+      isForecast: this.#features.forecastsDemand,
+    });
     const lose = deps.onLost;
     const place = () => {
       this.#requestPlacement();
@@ -567,7 +570,7 @@
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
     job.createDueOccurrences(clock.wallTime());
-    this.#recordDemand(spec);
+    this.#demand.add(spec);
     this.#jobs.add(job);
     log.info('job_accepted', {
       job: spec.id,
@@ -583,14 +586,6 @@
     this.#requestPlacement();
   }
 
-  #recordDemand(spec: JobSpec): void {
-    const now = this.#deps.clock.now();
-    this.#arrivals.add(spec, now, this.#predictMs);
-    if (this.#features.forecastsDemand) {
-      this.#forecast.add(spec.queue, workOf(spec, this.#predictMs), now);
-    }
-  }
-
   /** State and account of an open or recently ended job; undefined if the holder knows no such job. */
   find(id: string): EndedJobRow | undefined {
     return this.#jobs.find(id);
@@ -642,9 +637,7 @@
 
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
-    const demand = this.#features.forecastsDemand ? this.#forecast : this.#arrivals;
-    const expectedCpu = demand.expectedCpu(this.#deps.clock.now());
-    return this.#sessions.load([...this.#jobs.open()], expectedCpu, this.#predictMs);
+    return this.#sessions.load([...this.#jobs.open()], this.#demand.cpu(), this.#predictMs);
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -1,5 +1,10 @@
 import type { Clock } from '../clock/index.js';
-import { planMoves, type BalancedService, type BalancedVm, type PlannedMove } from './balance.js';
+import {
+  planMoves,
+  type BalancedService,
+  type BalancedVm,
+  type PlannedMove,
+} from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { FleetView } from './fleetView.js';
--- a/src/batch/arrivals.spec.ts
+++ b/src/pools/arrivals.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { ArrivalRateEstimator } from './arrivals.js';
-import { withStepDefaults } from './jobCodec.js';
+import { withStepDefaults } from '../batch/jobCodec.js';
 
 const step = withStepDefaults({ count: 6, cpuMillis: 1_000, estimateMs: 500 });
 
--- a/src/batch/arrivals.ts
+++ b/src/pools/arrivals.ts
@@ -1,5 +1,5 @@
 import { declaredMs, type PredictMs } from '../runTimes/index.js';
-import type { JobSpec } from './types.js';
+import type { JobSpec } from '../batch/types.js';
 
 /** Time over which arrivals are counted. Short compared with demand phases of several seconds. */
 const WINDOW_MS = 1_200;
--- a/src/batch/balance.spec.ts
+++ b/src/pools/balance.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { planMoves, wantedWorkers, type BalancedService, type BalancedVm } from './balance.js';
-import { VmState } from './ports.js';
-import type { ServiceLoad } from './serviceLoad.js';
+import { VmState } from '../batch/ports.js';
+import type { ServiceLoad } from '../batch/serviceLoad.js';
 
 const CPU = 64_000;
 
--- a/src/batch/balance.ts
+++ b/src/pools/balance.ts
@@ -1,5 +1,5 @@
-import { VmState, type ListedVm } from './ports.js';
-import type { ServiceLoad } from './serviceLoad.js';
+import { VmState, type ListedVm } from '../batch/ports.js';
+import type { ServiceLoad } from '../batch/serviceLoad.js';
 
 /** Factor on the required CPU, so that the next tasks find free capacity. */
 const HEADROOM_FACTOR = 1.15;
--- a/src/pools/demandForecast.spec.ts
+++ b/src/pools/demandForecast.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { ArrivalRateEstimator } from '../batch/arrivals.js';
+import { ArrivalRateEstimator } from './arrivals.js';
 import { withStepDefaults } from '../batch/jobCodec.js';
 import { createRandom } from '../random/index.js';
 import { DemandForecast } from './demandForecast.js';
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,1 +1,10 @@
+export { ArrivalRateEstimator, workOf } from './arrivals.js';
+export {
+  planMoves,
+  wantedWorkers,
+  type BalancedService,
+  type BalancedVm,
+  type PlannedMove,
+} from './balance.js';
 export { DemandForecast } from './demandForecast.js';
+export { ExpectedDemand, type ExpectedDemandDeps } from './expectedDemand.js';
