--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -3,6 +3,7 @@
 export { AccountError, AccountErrorCode, KeyRefusal, KeyRefusalReason } from './errors.js';
 export { digestOfKey } from './keyDigest.js';
 export { KeyRegistry, type KeyRegistryDeps } from './keyRegistry.js';
+export { RecentIds } from './recentIds.js';
 export { RefusalLog } from './refusalLog.js';
 export type { Account, AccountRules, Moment } from './types.js';
 export { AccountUsage } from './accountUsage.js';
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -3,6 +3,7 @@
   compareOwner,
   JobOwner,
   mayAccessJob,
+  RecentIds,
   RefusalLog,
   type KeyRefusal,
   type KeyRegistry,
@@ -53,11 +54,6 @@
   RefusalReason.AccountShare,
 ]);
 
-/** Longest time after which the store may still apply a write that it did not respond to. */
-const LATE_WRITE_MS = 30_000;
-/** Maximum number of job ids that are kept for that time. */
-const MAX_RECENT_IDS = 1_000;
-
 /** Outcome of a caller's request. */
 export enum CallOutcome {
   /** The request was carried out, or the state of the job is known. */
@@ -435,26 +431,3 @@
 
 /** A row that a job may have, and how to decode the state and the account of the job from it. */
 type Lookup = [key: RowKey, decode: (row: Row) => EndedJobRow | undefined];
-
-/** Ids that were added within the last {@link LATE_WRITE_MS}. */
-class RecentIds {
-  readonly #clock: Clock;
-  readonly #addedAt = new Map<string, number>();
-
-  constructor(clock: Clock) {
-    this.#clock = clock;
-  }
-
-  add(id: string): void {
-    this.#addedAt.delete(id);
-    this.#addedAt.set(id, this.#clock.now());
-    for (const [oldest] of this.#addedAt) {
-      if (this.#addedAt.size <= MAX_RECENT_IDS && this.has(oldest)) break;
-      this.#addedAt.delete(oldest);
-    }
-  }
-
-  has(id: string): boolean {
-    return this.#clock.now() - (this.#addedAt.get(id) ?? -Infinity) < LATE_WRITE_MS;
-  }
-}
