--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -15,21 +15,15 @@
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
-import {
-  copiesDefaults,
-  findResumable,
-  findStragglers,
-  placeCopies,
-  type Straggler,
-} from '../copies/index.js';
+import { StragglerHelp } from '../copies/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import type { Random } from '../random/index.js';
-import { OpinionLink, Standing, WorkerHealth, type PoolNeeds } from '../workerHealth/index.js';
+import { Judgement } from '../workerHealth/index.js';
 import {
+  createSnapshotRow,
   declaredMs,
   RunTimes,
   SnapshotKeeper,
-  SnapshotWrite,
   type PredictMs,
 } from '../runTimes/index.js';
 import { PlaceWaits } from '../places/index.js';
@@ -39,7 +33,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job, type Step, type Task } from './job.js';
+import { criticalPathMs, Job, type Task } from './job.js';
 import { JobTable } from './jobTable.js';
 import { EntryOutcome, Journal, type JournalEntry } from './journal.js';
 import {
@@ -66,7 +60,7 @@
 import { Recovery } from './recovery.js';
 import { delayBeforeRoundMs } from './roundDelay.js';
 import { RunControl } from './runControl.js';
-import { jobKey, endedKey, inboxKey, runTimesKey } from './rows.js';
+import { jobKey, endedKey, inboxKey } from './rows.js';
 import { decodeStoredAccount, encodeJob, type EndedJobRow } from './jobCodec.js';
 import {
   JobState,
@@ -177,10 +171,10 @@
   /** Waiting work since the last placement round; computed when admission requires it. */
   #queuedWork: QueuedWork[] | undefined;
   readonly #features: Features;
-  readonly #health: WorkerHealth;
-  readonly #opinionLink: OpinionLink;
+  readonly #judgement: Judgement;
   readonly #budget: BudgetLedger;
   readonly #placeWaits: PlaceWaits;
+  readonly #stragglerHelp: StragglerHelp;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
   #indexedConfig: BatchConfig | undefined;
@@ -189,7 +183,6 @@
   /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
   #roundMs = 0;
   #roundEndedAt = -Infinity;
-  #stragglersSoughtAt = -Infinity;
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
@@ -227,13 +220,15 @@
     this.#jobs.onChange = () => {
       void this.#journal.barrier();
     };
-    this.#health = new WorkerHealth({ service, clock, log, counters });
-    this.#opinionLink = new OpinionLink({
+    this.#judgement = new Judgement({
       service,
       clock,
       log,
       counters,
-      health: this.#health,
+      isEnabled: this.#features.judgesWorkers,
+      jobs: () => this.#jobs.open(),
+      pool: () => [...this.#sessions.all()].filter(isPoolMember),
+      judgedWorker: (worker) => this.#runs.judgedWorker(worker),
       read: (table) => store.readPart(table, service),
       write: (rows, settle) => {
         this.#journal.append({
@@ -257,7 +252,7 @@
     });
     this.#runs = new RunControl({
       ...deps,
-      health: this.#features.judgesWorkers ? this.#health : undefined,
+      health: this.#features.judgesWorkers ? this.#judgement.health : undefined,
       expectedMs: ({ step }) => this.#predictMs(step.spec, step.job.spec.queue),
       epoch,
       budget: this.#budget,
@@ -283,8 +278,7 @@
       counters,
       runTimes: this.#runTimes,
       rowBytes: store.limits.rowBytes,
-      read: async () => (await store.readRow(runTimesKey(service))).map((row) => row?.value),
-      write: (value) => this.#writeRunTimes(value),
+      ...createSnapshotRow(service, store, this.#journal),
     });
     this.#jobs.onUnstorable = (job) => {
       this.#runs.stopAll(job, 'unstorable');
@@ -313,6 +307,14 @@
       hasSeenAllRuns: () => this.#recovery.hasCompleteView(),
     });
     this.#advice = new AdviceCache({ ...deps, place });
+    this.#stragglerHelp = new StragglerHelp({
+      ...deps,
+      service,
+      runTimes: this.#runTimes,
+      runs: this.#runs,
+      isPlaceable: (step) => this.#advice.isPlaceable(step, this.#queuesByName(), this.#sessions),
+      ticketOf: (step, worker) => this.#advice.ticketOf(step, worker),
+    });
     this.#inbox = new Inbox({
       store,
       clock,
@@ -356,7 +358,7 @@
     await Promise.all([
       journal,
       this.#sessions.run(signal),
-      ...(this.#features.judgesWorkers ? [this.#opinionLink.load(signal)] : []),
+      this.#judgement.load(signal),
       this.#inbox.run(signal),
       this.#budget.run(signal),
       this.#tick(signal),
@@ -369,7 +371,7 @@
       const wallTime = clock.wallTime();
       for (const job of this.#jobs.open()) if (job.hasSchedule) job.createDueOccurrences(wallTime);
       this.#vacating.proceed();
-      this.#judgeWorkers();
+      this.#judgement.update();
       this.#requestPlacement();
       if (this.#features.learnsRunTimes) this.#runTimesSnapshot.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
@@ -378,23 +380,6 @@
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
-  /** Judges the workers; must not end the process, because all starts depend on the tick. */
-  #judgeWorkers(): void {
-    if (!this.#features.judgesWorkers) return;
-    const { counters, log } = this.#deps;
-    const pool = () => [...this.#sessions.all()].filter(isPoolMember);
-    try {
-      this.#health.judge(
-        () => pool().map((worker) => this.#runs.judgedWorker(worker)),
-        () => poolNeeds(this.#jobs.open(), pool()),
-      );
-      this.#opinionLink.store();
-    } catch (err) {
-      counters.count('judgement_failures', toError(err).name);
-      log.warn('judgement_failed', { service: this.service, error: messageOf(err) });
-    }
-  }
-
   get isLoaded(): boolean {
     return this.#recovery.isLoaded;
   }
@@ -551,21 +536,6 @@
     return this.#accounts.refuseAboveShare(job, open, queued, now);
   }
 
-  #writeRunTimes(value: string): Promise<SnapshotWrite> {
-    return new Promise((resolve) => {
-      this.#journal.append({
-        conditions: [],
-        writes: [{ ...runTimesKey(this.service), value }],
-        removes: [],
-        settle: (outcome) => {
-          if (outcome === EntryOutcome.Applied) resolve(SnapshotWrite.Written);
-          else if (outcome === EntryOutcome.HolderLost) resolve(SnapshotWrite.HolderLost);
-          else resolve(SnapshotWrite.Rejected);
-        },
-      });
-    });
-  }
-
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
@@ -687,7 +657,7 @@
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
-    for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
+    this.#judgement.applyTo(workers);
     const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
     this.#usage = usage;
     const allowedStarts: AllowedStarts = (step, count) => {
@@ -717,7 +687,7 @@
     );
     // Another holder may have started a copy already.
     if (mayRestart && this.#features.learnsRunTimes) {
-      this.#handleStragglers(jobs, workers, { isRoomIdle, allowedStarts });
+      this.#stragglerHelp.update({ jobs, workers, isRoomIdle, allowedStarts });
     }
     this.#budget.endRound(() => freeResources(workers, now));
     this.#waiting = hasAccounts ? waiting : [];
@@ -740,77 +710,6 @@
     for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
     return usage;
   }
-
-  /** Finds stragglers, and helps them while no task that can be in time waits. */
-  #handleStragglers(
-    jobs: readonly Job[],
-    workers: readonly Worker[],
-    { isRoomIdle, allowedStarts }: { isRoomIdle: boolean; allowedStarts: AllowedStarts },
-  ): void {
-    const { clock, log, counters } = this.#deps;
-    const now = clock.now();
-    if (now - this.#stragglersSoughtAt < copiesDefaults.searchIntervalMs) return;
-    this.#stragglersSoughtAt = now;
-    const stragglers = findStragglers(jobs, now, this.#runTimes);
-    for (const { task, run, elapsedMs, limitMs, remainderMs } of stragglers) {
-      if (run.isStraggler) continue;
-      run.isStraggler = true;
-      counters.count('stragglers', this.service);
-      log.detail('straggler_found', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: run.number,
-        worker: run.worker.record.id,
-        elapsed_ms: Math.round(elapsedMs),
-        limit_ms: Math.round(limitMs),
-        remainder_ms: Math.round(remainderMs),
-      });
-    }
-    if (!isRoomIdle) return;
-    this.#resumeElsewhere(stragglers, workers);
-    this.#startCopies(stragglers, workers, allowedStarts);
-  }
-
-  /** Stops stragglers on slow workers where resuming them on another from a checkpoint pays. */
-  #resumeElsewhere(stragglers: readonly Straggler[], workers: readonly Worker[]): void {
-    const { clock, log, resumeCostMs } = this.#deps;
-    if (resumeCostMs === undefined) return;
-    const round = { workers, now: clock.now(), times: this.#runTimes, resumeCostMs };
-    for (const { task, run } of findResumable(stragglers, round)) {
-      task.avoid = run.worker.record.id;
-      this.#runs.stop(run, 'resumed_elsewhere');
-      log.detail('straggler_resumed', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: run.number,
-        worker: run.worker.record.id,
-        slowdown: run.worker.slowdown,
-      });
-    }
-  }
-
-  #startCopies(
-    stragglers: readonly Straggler[],
-    workers: readonly Worker[],
-    allowedStarts: AllowedStarts,
-  ): void {
-    const { clock, log } = this.#deps;
-    const now = clock.now();
-    const queues = this.#queuesByName();
-    const isPlaceable = (step: Step) =>
-      this.#advice.isPlaceable(step, queues, this.#sessions) && allowedStarts(step, 1) === 1;
-    const round = { workers, now, maxStarts: this.#runs.freeStarts, isPlaceable };
-    placeCopies(stragglers, round, ({ task, worker }) => {
-      this.#runs.startCopy(task, worker, this.#advice.ticketOf(task.step, worker));
-      log.detail('copy_started', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: task.copy?.number,
-        worker: worker.record.id,
-        beside: task.run?.worker.record.id,
-      });
-    });
-  }
 }
 
 /** Reasons of refusals under load. */
@@ -837,40 +736,6 @@
   );
 }
 
-/** What the open jobs need of the workers, so that not too many are set aside. */
-function poolNeeds(jobs: Iterable<Job>, pool: readonly Worker[]): PoolNeeds {
-  const requiredLabels = new Set<string>();
-  let lastingCpu = 0;
-  let maxAway = pool.length - 1;
-  for (const job of jobs) {
-    for (const spec of job.spec.steps) {
-      const { requiredLabel, isLasting, count, maxPerWorker, cpuMillis } = spec;
-      if (requiredLabel !== undefined) requiredLabels.add(requiredLabel);
-      if (!isLasting) continue;
-      lastingCpu += count * cpuMillis;
-      if (maxPerWorker === 0) continue;
-      const eligible = pool.filter(
-        ({ record }) => requiredLabel === undefined || record.labels.includes(requiredLabel),
-      );
-      maxAway = Math.min(maxAway, eligible.length - Math.ceil(count / maxPerWorker));
-    }
-  }
-  const capacities = pool.map(({ record }) => record.capacity.cpuMillis);
-  const largest = Math.max(1, ...capacities);
-  const capacityCpu = capacities.reduce((sum, cpu) => sum + cpu, 0);
-  if (lastingCpu > 0) {
-    maxAway = Math.min(maxAway, Math.floor((capacityCpu - lastingCpu) / largest));
-  }
-  const inUse = pool.filter(({ standing }) => standing === Standing.InUse);
-  const canSpare = (id: string) => {
-    const labels = pool.find(({ record }) => record.id === id)?.record.labels ?? [];
-    const isLast = (label: string) =>
-      !inUse.some(({ record }) => record.id !== id && record.labels.includes(label));
-    return !labels.some((label) => requiredLabels.has(label) && isLast(label));
-  };
-  return { maxAway, canSpare };
-}
-
 /** Free resources of the workers that accept runs. */
 function freeResources(workers: readonly Worker[], now: number): Resources {
   const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
