Move accounts and the timing of rounds out of the holder

Job rates, usage of the pool, admission under load and the owner of a stored job are modules of src/accounts; RoundTimer schedules the placement rounds. The results of submit and pending are types of src/batch. No change of behaviour.

--- a/src/accounts/admission.ts
+++ b/src/accounts/admission.ts
@@ -52,17 +52,21 @@
   workMs: number;
 }
 
+/** Times of a job for which admission is decided, in milliseconds. */
+export interface JobTimes {
+  /** Run time of the longest chain of its steps. */
+  pathMs: number;
+  /** Time after its acceptance within which it should complete. */
+  objectiveMs: number;
+  /** Time after its acceptance at which completing it has no more value. */
+  valueMs: number;
+}
+
 /** A job for which admission is decided. */
-export interface JobRequest {
+export interface JobRequest extends JobTimes {
   account: string;
   isBeyondRate: boolean;
   priority: number;
-  /** Run time of the longest chain of its steps, in milliseconds. */
-  pathMs: number;
-  /** Time after its acceptance within which it should complete, in milliseconds. */
-  objectiveMs: number;
-  /** Time after its acceptance at which completing it has no more value, in milliseconds. */
-  valueMs: number;
 }
 
 /** Load of a service, as far as admission depends on it. */
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -9,6 +9,8 @@
 export { AccountUsage } from './accountUsage.js';
 export { FairBacklog, type ItemAccount } from './fairBacklog.js';
 export { fairOrder, type FairOrderRules } from './fairOrder.js';
+export { JobCounting, type JobCountingDeps } from './jobCounting.js';
+export { readJobOwner } from './jobOwner.js';
 export { JobRates, type CountedJob } from './jobRates.js';
 export {
   dominantShare,
@@ -28,6 +30,7 @@
   SHARED_FILL,
   workAheadOf,
   type JobRequest,
+  type JobTimes,
   type OpenJobs,
   type QueuedWork,
   type ServiceBacklog,
@@ -54,6 +57,8 @@
   type BudgetRow,
   type BudgetShare,
 } from './budgetRow.js';
+export { LoadAdmission, type LoadAdmissionDeps } from './loadAdmission.js';
+export { freeResources, PoolUsage, type PoolUsageDeps } from './poolUsage.js';
 export { budgetDefaults } from './defaults.js';
 export {
   demandTotal,
--- /dev/null
+++ b/src/accounts/loadAdmission.ts
@@ -0,0 +1,76 @@
+import type { JobTable } from '../batch/jobTable.js';
+import type { WaitingStep } from '../batch/ordering.js';
+import type { JobSpec, Queue, Resources } from '../batch/types.js';
+import type { Clock } from '../clock/index.js';
+import type { AccountControl } from './accountControl.js';
+import {
+  SHARED_FILL,
+  type AdmissionRefusal,
+  type JobRequest,
+  type JobTimes,
+  type QueuedWork,
+} from './admission.js';
+
+/** Dependencies of {@link LoadAdmission}. */
+export interface LoadAdmissionDeps {
+  control: AccountControl;
+  clock: Clock;
+  jobs: Pick<JobTable, 'size' | 'open'>;
+  /** Maximum number of open jobs. */
+  maxOpenJobs: number;
+  /** Retry delay in milliseconds while the rate at which work ends is unknown. */
+  defaultRetryMs: number;
+  /** Queue of the active configuration, whose accounts it applies. */
+  queueOf: (name: string) => Queue | undefined;
+  timesOf: (spec: JobSpec, queue: Queue | undefined) => JobTimes;
+  /** Capacity of the pool. */
+  pool: () => Resources;
+  queuedWork: (waiting: readonly WaitingStep[], pool: Resources) => QueuedWork[];
+}
+
+/** Decides whether a job that the holder does not know is refused under load. */
+export class LoadAdmission {
+  readonly #deps: LoadAdmissionDeps;
+  /** Waiting steps of the last placement round. */
+  #waiting: readonly WaitingStep[] = [];
+  /** Their work; computed when it is required. */
+  #queued: QueuedWork[] | undefined;
+
+  constructor(deps: LoadAdmissionDeps) {
+    this.#deps = deps;
+  }
+
+  /** Sets the steps that wait in a placement round. */
+  setWaiting(waiting: readonly WaitingStep[]): void {
+    const { isActive } = this.#deps.control;
+    this.#waiting = isActive ? waiting : [];
+    if (isActive) this.#queued = undefined;
+  }
+
+  /** Refuses a job; undefined if it is accepted. */
+  refuse(spec: JobSpec): AdmissionRefusal | undefined {
+    const { control, clock, jobs, maxOpenJobs, defaultRetryMs, queueOf, timesOf } = this.#deps;
+    const queue = queueOf(spec.queue);
+    const { account, steps } = spec;
+    if (account === undefined || !control.isActive) return undefined;
+    if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
+    const now = clock.now();
+    const job: JobRequest = {
+      account,
+      isBeyondRate: control.isBeyondRate(account, now),
+      priority: queue?.priority ?? 0,
+      ...timesOf(spec, queue),
+    };
+    const queued = () => this.#queuedWork();
+    const hopeless = control.refuseHopeless(job, queued, now);
+    if (hopeless || jobs.size < maxOpenJobs * SHARED_FILL) return hopeless;
+    const accounts = [...jobs.open()].map((open) => open.spec.account);
+    const open = { accounts, limit: maxOpenJobs, defaultRetryMs };
+    return control.refuseAboveShare(job, open, queued, now);
+  }
+
+  #queuedWork(): QueuedWork[] {
+    const { queuedWork, pool } = this.#deps;
+    return (this.#queued ??= queuedWork(this.#waiting, pool()));
+  }
+}
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import { UNSTORABLE_RETRY_MS, type SubmitOutcome } from './holder.js';
+import { UNSTORABLE_RETRY_MS } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import {
   decodeEndedJob,
@@ -25,7 +25,14 @@
 import type { MonitoredStore } from './monitoredStore.js';
 import { StoreErrorCode, type Row, type RowKey } from './ports.js';
 import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
-import { JobState, RefusalReason, type BatchConfig, type JobSpec, type Queue } from './types.js';
+import {
+  JobState,
+  RefusalReason,
+  type BatchConfig,
+  type JobSpec,
+  type Queue,
+  type SubmitOutcome,
+} from './types.js';
 
 /** Timeout of one call to a holder; short, so that there is time left to go through the store. */
 const HOLDER_TIMEOUT_MS = 700;
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,24 +1,24 @@
 import {
   AccountControl,
-  AccountUsage,
   accountRuleDefaults,
   AdmissionRefusalCode,
   BudgetLedger,
   compareOwner,
+  freeResources,
+  JobCounting,
   JobOwner,
+  LoadAdmission,
   mayAccessJob,
-  SHARED_FILL,
+  PoolUsage,
+  readJobOwner,
   type AccountRules,
-  type AdmissionRefusal,
-  type JobRequest,
-  type QueuedWork,
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
-import { messageOf, toError } from '../errors/index.js';
 import { StragglerHelp } from '../copies/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import { PlaceWaits } from '../places/index.js';
+import { ExpectedDemand } from '../pools/index.js';
 import type { Random } from '../random/index.js';
-import { Judgement } from '../workerHealth/index.js';
 import {
   createSnapshotRow,
   declaredMs,
@@ -26,28 +26,28 @@
   SnapshotKeeper,
   type PredictMs,
 } from '../runTimes/index.js';
-import { PlaceWaits } from '../places/index.js';
+import { Judgement } from '../workerHealth/index.js';
 import { AdviceCache } from './adviceCache.js';
-import { ExpectedDemand } from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job, type Task } from './job.js';
+import { criticalPathMs, Job, type Step } from './job.js';
+import { encodeJob, type EndedJobRow } from './jobCodec.js';
 import { JobTable } from './jobTable.js';
-import { EntryOutcome, Journal, type JournalEntry } from './journal.js';
+import { EntryOutcome, Journal, type JournalEntry, type TransactionSize } from './journal.js';
+import type { MonitoredStore } from './monitoredStore.js';
 import {
   byAccount,
-  objectiveMsOf,
+  jobTimesOf,
   orderWaiting,
-  OVERDUE_FACTOR,
   queuedWork,
   slackMsOf,
   taskWorkMs,
   turnSize,
   Urgency,
-  type WaitingStep,
 } from './ordering.js';
+import type { Claim } from './ownership.js';
 import {
   canHoldTask,
   mayUseWorker,
@@ -55,13 +55,13 @@
   type AllowedStarts,
   type Assignment,
 } from './placement.js';
-import type { MonitoredStore } from './monitoredStore.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
-import { delayBeforeRoundMs } from './roundDelay.js';
+import { RoundTimer } from './roundDelay.js';
+import { endedKey, inboxKey, jobKey } from './rows.js';
 import { RunControl } from './runControl.js';
-import { jobKey, endedKey, inboxKey } from './rows.js';
-import { decodeStoredAccount, encodeJob, type EndedJobRow } from './jobCodec.js';
+import type { ServiceLoad } from './serviceLoad.js';
+import { ServiceStateLog } from './serviceStateLog.js';
 import {
   JobState,
   noFeatures,
@@ -69,15 +69,13 @@
   type BatchConfig,
   type Features,
   type JobSpec,
+  type PendingCount,
   type Queue,
-  type Resources,
+  type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
-import { isPoolMember, type Worker } from './worker.js';
 import { Vacating, type VacateStatus } from './vacating.js';
-import type { ServiceLoad } from './serviceLoad.js';
-import { ServiceStateLog } from './serviceStateLog.js';
-import type { Claim } from './ownership.js';
+import { isPoolMember, type Worker } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
 /** Maximum number of open jobs per holder; bounds its memory use. */
@@ -92,31 +90,6 @@
 const MAX_PENDING_AGE_MS = 1_900;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
-/**
- * Share of its CPU or memory that a pool has in use at least while tasks wait for capacity. Tasks
- * that fit on no worker wait in an empty pool, too.
- */
-const SATURATED_SHARE = 0.5;
-
-/** Result of submitting a job. */
-export type SubmitOutcome =
-  | { isAccepted: true }
-  | {
-      isAccepted: false;
-      reason: RefusalReason;
-      retryAfterMs: number;
-      /** Input of a refusal under load, for logs. */
-      load?: { workAheadMs: number; ratePerMs: number };
-    };
-
-/** Number of the jobs of a queue that have not started any task. */
-export interface PendingCount {
-  /** Undefined if the holder cannot know it. */
-  count?: number;
-  /** Time since the holder last knew all accepted jobs, in milliseconds. */
-  ageMs: number;
-}
-
 /** Dependencies of a {@link Holder}. */
 export interface HolderDeps {
   store: MonitoredStore;
@@ -146,90 +119,169 @@
   resumeCostMs?: number;
 }
 
+/** Dependencies of the parts of a holder. */
+interface PartDeps extends HolderDeps {
+  service: string;
+  epoch: number;
+  /** Requests a placement round. */
+  place: () => void;
+  /** Gives up the service. */
+  lose: (reason: string) => void;
+}
+
 /** Manages one service: its open jobs, the runs on its workers, and its journal. */
 export class Holder {
   readonly service: string;
   readonly #deps: HolderDeps;
+  readonly #features: Features;
+
+  // Jobs and their rows.
   readonly #jobs: JobTable;
   readonly #journal: Journal;
+  readonly #inbox: Inbox;
+  readonly #recovery: Recovery;
+
+  // Workers and their runs.
   readonly #runs: RunControl;
   readonly #sessions: WorkerSessions;
-  readonly #recovery: Recovery;
   readonly #vacating: Vacating;
-  readonly #demand: ExpectedDemand;
+  readonly #judgement: Judgement;
+
+  // Run times and demand.
   readonly #runTimes = new RunTimes();
   readonly #predictMs: PredictMs;
   readonly #runTimesSnapshot: SnapshotKeeper;
-  readonly #advice: AdviceCache;
-  readonly #inbox: Inbox;
-  readonly #stateLog: ServiceStateLog;
+  readonly #demand: ExpectedDemand;
+
+  // Accounts.
   readonly #accounts: AccountControl;
-  /** Waiting steps, capacity of the pool and usage of accounts in the last placement round. */
-  #waiting: WaitingStep[] = [];
-  #pool: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  #usage: AccountUsage | undefined;
-  /** Waiting work since the last placement round; computed when admission requires it. */
-  #queuedWork: QueuedWork[] | undefined;
-  readonly #features: Features;
-  readonly #judgement: Judgement;
+  readonly #counting: JobCounting;
+  readonly #usage: PoolUsage;
+  readonly #admission: LoadAdmission;
   readonly #budget: BudgetLedger;
+
+  // Placement.
+  readonly #roundTimer: RoundTimer;
+  readonly #advice: AdviceCache;
   readonly #placeWaits: PlaceWaits;
   readonly #stragglerHelp: StragglerHelp;
+  readonly #stateLog: ServiceStateLog;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
+
   #indexedConfig: BatchConfig | undefined;
   #queues: ReadonlyMap<string, Queue> = new Map();
-  #isPlacementScheduled = false;
-  /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
-  #roundMs = 0;
-  #roundEndedAt = -Infinity;
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
-    const { service, epoch } = claim;
-    const { store, clock, log, counters } = deps;
+    const { service, epoch, headVersion, leases } = claim;
     this.service = service;
     this.#deps = deps;
     this.#features = deps.features ?? noFeatures;
-    this.#predictMs = this.#features.learnsRunTimes
+    const { learnsRunTimes, forecastsDemand: isForecast } = this.#features;
+    const predictMs: PredictMs = learnsRunTimes
       ? (step, queue) => this.#runTimes.predictMs(step, queue)
       : declaredMs;
-    this.#demand = new ExpectedDemand({
-      clock,
-      predictMs: this.#predictMs,
-      isForecast: this.#features.forecastsDemand,
-    });
-    const lose = deps.onLost;
+    this.#predictMs = predictMs;
     const place = () => {
       this.#requestPlacement();
     };
-    const rateWindowMs = deps.accountRules?.rateWindowMs ?? accountRuleDefaults.rateWindowMs;
-    this.#accounts = new AccountControl({ rateWindowMs, random: deps.random });
-    this.#jobs = new JobTable({ service, clock, log, counters });
-    this.#journal = new Journal({
-      store,
-      clock,
-      log,
-      counters,
-      service,
-      epoch,
-      headVersion: claim.headVersion,
-      takeDirty: (max) => this.#jobs.takeDirty(max),
-      onLost: lose,
+    const parts: PartDeps = { ...deps, service, epoch, place, lose: deps.onLost };
+    this.#roundTimer = new RoundTimer({
+      ...parts,
+      placeTasks: () => {
+        this.#placeTasks();
+      },
     });
-    this.#jobs.onChange = () => {
-      void this.#journal.barrier();
+
+    const jobs = (this.#jobs = new JobTable(parts));
+    const takeDirty = (max: TransactionSize) => jobs.takeDirty(max);
+    const journal = (this.#journal = new Journal({ ...parts, headVersion, takeDirty }));
+    jobs.onChange = () => {
+      void journal.barrier();
+    };
+
+    const rateWindowMs = deps.accountRules?.rateWindowMs ?? accountRuleDefaults.rateWindowMs;
+    const control = (this.#accounts = new AccountControl({ ...parts, rateWindowMs }));
+    const configure = () => void this.#queuesByName();
+    this.#counting = new JobCounting({ ...parts, control, configure });
+    this.#usage = new PoolUsage({ ...parts, control });
+    this.#admission = this.#createAdmission(parts);
+    this.#budget = this.#createBudget(parts);
+
+    this.#judgement = this.#createJudgement(parts);
+    const runs = (this.#runs = this.#createRunControl(parts));
+    jobs.onUnstorable = (job) => {
+      runs.stopAll(job, 'unstorable');
     };
-    this.#judgement = new Judgement({
-      service,
-      clock,
-      log,
-      counters,
+    const sessions = (this.#sessions = new WorkerSessions({ ...parts, journal, runs, leases }));
+    const recovery = (this.#recovery = new Recovery({ ...parts, claim, jobs, sessions }));
+    const hasSeenAllRuns = () => recovery.hasCompleteView();
+    this.#vacating = new Vacating({ ...parts, runs, sessions, hasSeenAllRuns });
+    this.#inbox = new Inbox({
+      ...parts,
+      jobs,
+      cancel: (id, account) => void this.cancel(id, account),
+      countJob: (spec) => {
+        this.#counting.count(spec);
+      },
+    });
+
+    const runTimes = this.#runTimes;
+    const { rowBytes } = deps.store.limits;
+    const snapshotRow = createSnapshotRow(service, deps.store, journal);
+    this.#runTimesSnapshot = new SnapshotKeeper({ ...parts, runTimes, rowBytes, ...snapshotRow });
+    this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
+
+    const advice = (this.#advice = new AdviceCache(parts));
+    const runMsOf = ({ spec, job }: Step) => predictMs(spec, job.spec.queue);
+    this.#placeWaits = new PlaceWaits({ ...parts, runMsOf });
+    this.#stragglerHelp = new StragglerHelp({
+      ...parts,
+      runTimes,
+      runs,
+      isPlaceable: (step) => advice.isPlaceable(step, this.#queuesByName(), sessions),
+      ticketOf: (step, worker) => advice.ticketOf(step, worker),
+    });
+    this.#stateLog = new ServiceStateLog({
+      ...parts,
+      jobs: () => jobs.open(),
+      workers: () => sessions.all(),
+      heldJobCount: () => recovery.heldJobCount,
+    });
+  }
+
+  #createAdmission(parts: PartDeps): LoadAdmission {
+    return new LoadAdmission({
+      ...parts,
+      control: this.#accounts,
+      jobs: this.#jobs,
+      maxOpenJobs: MAX_OPEN_JOBS,
+      defaultRetryMs: FULL_RETRY_MS,
+      queueOf: (name) => this.#queuesByName().get(name),
+      timesOf: (spec, queue) => jobTimesOf(spec, queue, this.#predictMs),
+      pool: () => this.#usage.pool,
+      queuedWork: (waiting, pool) => queuedWork(waiting, pool, this.#predictMs),
+    });
+  }
+
+  #createBudget(parts: PartDeps): BudgetLedger {
+    return new BudgetLedger({
+      ...parts,
+      // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
+      maxOverage: 0,
+      hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
+    });
+  }
+
+  #createJudgement(parts: PartDeps): Judgement {
+    return new Judgement({
+      ...parts,
       isEnabled: this.#features.judgesWorkers,
       jobs: () => this.#jobs.open(),
       pool: () => [...this.#sessions.all()].filter(isPoolMember),
       judgedWorker: (worker) => this.#runs.judgedWorker(worker),
-      read: (table) => store.readPart(table, service),
+      read: (table) => parts.store.readPart(table, parts.service),
       write: (rows, settle) => {
         this.#journal.append({
           ...rows,
@@ -240,108 +292,27 @@
         });
       },
     });
-    this.#budget = new BudgetLedger({
-      ...deps,
-      service,
-      epoch,
-      // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
-      maxOverage: 0,
-      hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
-      place,
-      lose,
-    });
-    this.#runs = new RunControl({
-      ...deps,
-      health: this.#features.judgesWorkers ? this.#judgement.health : undefined,
+  }
+
+  #createRunControl(parts: PartDeps): RunControl {
+    const { judgesWorkers, learnsRunTimes } = this.#features;
+    return new RunControl({
+      ...parts,
+      health: judgesWorkers ? this.#judgement.health : undefined,
       expectedMs: ({ step }) => this.#predictMs(step.spec, step.job.spec.queue),
-      epoch,
       budget: this.#budget,
       jobs: this.#jobs,
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
-      place,
       discardTicket: (step, workerId, ticket) => {
         this.#advice.discard(step, workerId, ticket);
       },
-      lose,
       onTaskDone: ({ step }) => {
         if (!this.#accounts.isActive) return;
-        this.#accounts.addEndedWork(taskWorkMs(step, this.#pool, this.#predictMs), clock.now());
+        const workMs = taskWorkMs(step, this.#usage.pool, this.#predictMs);
+        this.#accounts.addEndedWork(workMs, parts.clock.now());
       },
       runTimes: this.#runTimes,
-      mayHaveUnknownRuns: (job) =>
-        this.#features.learnsRunTimes && !this.#recovery.mayStartTasks(job),
-    });
-    this.#runTimesSnapshot = new SnapshotKeeper({
-      service,
-      clock,
-      log,
-      counters,
-      runTimes: this.#runTimes,
-      rowBytes: store.limits.rowBytes,
-      ...createSnapshotRow(service, store, this.#journal),
-    });
-    this.#jobs.onUnstorable = (job) => {
-      this.#runs.stopAll(job, 'unstorable');
-    };
-    this.#sessions = new WorkerSessions({
-      ...deps,
-      service,
-      epoch,
-      journal: this.#journal,
-      runs: this.#runs,
-      leases: claim.leases,
-      place,
-    });
-    this.#recovery = new Recovery({
-      ...deps,
-      claim,
-      jobs: this.#jobs,
-      sessions: this.#sessions,
-      place,
-    });
-    this.#vacating = new Vacating({
-      clock,
-      log,
-      runs: this.#runs,
-      sessions: this.#sessions,
-      hasSeenAllRuns: () => this.#recovery.hasCompleteView(),
-    });
-    this.#advice = new AdviceCache({ ...deps, place });
-    this.#stragglerHelp = new StragglerHelp({
-      ...deps,
-      service,
-      runTimes: this.#runTimes,
-      runs: this.#runs,
-      isPlaceable: (step) => this.#advice.isPlaceable(step, this.#queuesByName(), this.#sessions),
-      ticketOf: (step, worker) => this.#advice.ticketOf(step, worker),
-    });
-    this.#inbox = new Inbox({
-      store,
-      clock,
-      log,
-      counters,
-      service,
-      jobs: this.#jobs,
-      place,
-      canStart: deps.canStart,
-      cancel: (id, account) => void this.cancel(id, account),
-      countJob: (spec) => {
-        this.#countJob(spec);
-      },
-    });
-    this.#placeWaits = new PlaceWaits({
-      ...deps,
-      service,
-      runMsOf: ({ spec, job }) => this.#predictMs(spec, job.spec.queue),
-    });
-    this.#stateLog = new ServiceStateLog({
-      service,
-      epoch,
-      clock,
-      log,
-      jobs: () => this.#jobs.open(),
-      workers: () => this.#sessions.all(),
-      heldJobCount: () => this.#recovery.heldJobCount,
+      mayHaveUnknownRuns: (job) => learnsRunTimes && !this.#recovery.mayStartTasks(job),
     });
   }
 
@@ -354,7 +325,7 @@
     const journal = this.#journal.run(signal);
     if (this.#features.learnsRunTimes) void this.#runTimesSnapshot.load(signal);
     if (!(await this.#recovery.load(signal))) return;
-    this.#restoreRates();
+    this.#counting.restore(this.#jobs.open());
     await Promise.all([
       journal,
       this.#sessions.run(signal),
@@ -375,8 +346,7 @@
       this.#requestPlacement();
       if (this.#features.learnsRunTimes) this.#runTimesSnapshot.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
-      for (const [account, share] of this.#usage?.shares() ?? [])
-        this.#deps.counters.count('account_share_ms', account, share * TICK_INTERVAL_MS);
+      this.#usage.countShares(TICK_INTERVAL_MS);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
@@ -386,44 +356,30 @@
 
   /** Submits a job. Resolves once the job is durable. */
   async submit(spec: JobSpec): Promise<SubmitOutcome> {
-    if (!this.isLoaded || this.#isClosed) {
-      return { isAccepted: false, reason: RefusalReason.NotHolder, retryAfterMs: FULL_RETRY_MS };
-    }
+    if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
     if (isKnown) return this.#answerKnown(spec);
     // Another submission with this id started to be written during the wait.
     if (this.#jobs.isPending(spec.id)) return this.submit(spec);
     if (this.#deps.store.isSuspect()) {
-      this.#deps.counters.count('refusals', RefusalReason.StoreSuspect);
-      return {
-        isAccepted: false,
-        reason: RefusalReason.StoreSuspect,
-        retryAfterMs: STORE_RETRY_MS,
-      };
+      return this.#countRefusal(RefusalReason.StoreSuspect, STORE_RETRY_MS);
     }
     if (this.#jobs.size >= MAX_OPEN_JOBS) {
       this.#deps.counters.count('refusals', 'too_many_open_jobs');
-      return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
+      return refusal(RefusalReason.Full, FULL_RETRY_MS);
     }
-    const refusal = this.#refuseUnderLoad(spec);
-    if (refusal) {
-      const { retryAfterMs, workAheadMs, ratePerMs } = refusal;
-      const reason = refusalReasons[refusal.code];
+    const refused = this.#admission.refuse(spec);
+    if (refused) {
+      const { code, retryAfterMs, workAheadMs, ratePerMs } = refused;
+      const reason = loadRefusalReasons[code];
       return { isAccepted: false, reason, retryAfterMs, load: { workAheadMs, ratePerMs } };
     }
-    this.#countJob(spec);
+    this.#counting.count(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
-    if (outcome !== EntryOutcome.Applied) this.#uncountJob(spec);
-    if (outcome === EntryOutcome.HolderLost) {
-      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
-    }
+    if (outcome !== EntryOutcome.Applied) this.#counting.uncount(spec);
+    if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
     if (outcome === EntryOutcome.Rejected) {
-      this.#deps.counters.count('refusals', RefusalReason.Unstorable);
-      return {
-        isAccepted: false,
-        reason: RefusalReason.Unstorable,
-        retryAfterMs: UNSTORABLE_RETRY_MS,
-      };
+      return this.#countRefusal(RefusalReason.Unstorable, UNSTORABLE_RETRY_MS);
     }
     // On a conflict, the job was already accepted through another process.
     if (outcome !== EntryOutcome.Applied) return this.#answerKnown(spec);
@@ -431,34 +387,22 @@
     return { isAccepted: true };
   }
 
+  #countRefusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
+    this.#deps.counters.count('refusals', reason);
+    return refusal(reason, retryAfterMs);
+  }
+
   /** Answers a submission with the id of an accepted job, which may be another account's. */
   async #answerKnown(spec: JobSpec): Promise<SubmitOutcome> {
-    if (!this.#deps.usesAccounts()) return { isAccepted: true };
+    const { store, usesAccounts } = this.#deps;
+    if (!usesAccounts()) return { isAccepted: true };
     const found = this.#jobs.find(spec.id);
-    const owner = found ? compareOwner(found.account, spec.account) : await this.#storedOwner(spec);
+    const owner = found
+      ? compareOwner(found.account, spec.account)
+      : await readJobOwner(store, this.service, spec);
     if (owner === JobOwner.Same) return { isAccepted: true };
-    if (owner === JobOwner.Unknown) {
-      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
-    }
-    this.#deps.counters.count('refusals', RefusalReason.IdInUse);
-    return {
-      isAccepted: false,
-      reason: RefusalReason.IdInUse,
-      retryAfterMs: UNSTORABLE_RETRY_MS,
-    };
-  }
-
-  /** Reads whose job the store has under the id of a submitted one. */
-  async #storedOwner({ id, account }: JobSpec): Promise<JobOwner> {
-    // In the order in which the rows of a job are written, so that none is missed.
-    for (const key of [inboxKey, jobKey, endedKey]) {
-      const res = await this.#deps.store.readRow(key(this.service, id));
-      if (res.isErr) return JobOwner.Unknown;
-      if (!res.value) continue;
-      const owner = decodeStoredAccount(res.value);
-      return owner.isOk ? compareOwner(owner.value, account) : JobOwner.Unknown;
-    }
-    return JobOwner.Unknown;
+    if (owner === JobOwner.Unknown) return refusal(RefusalReason.Unresolved, 0);
+    return this.#countRefusal(RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
   }
 
   #writeJob(spec: JobSpec): Promise<EntryOutcome> {
@@ -482,60 +426,6 @@
     return { name: account, weight: this.#accounts.weightOf(account) };
   }
 
-  /** Counts a job for its account's rate and records the result in the job. */
-  #countJob(spec: JobSpec): void {
-    const { clock, counters } = this.#deps;
-    this.#queuesByName();
-    if (spec.account === undefined || !this.#accounts.isActive) return;
-    spec.isBeyondRate = this.#accounts.countJob(spec.account, clock.now());
-    if (spec.isBeyondRate) counters.count('jobs_beyond_rate', spec.account);
-  }
-
-  /** Takes back the count of a job that was not accepted. */
-  #uncountJob({ account, isBeyondRate }: JobSpec): void {
-    if (account === undefined || isBeyondRate !== false) return;
-    this.#accounts.giveBack(account, this.#deps.clock.now());
-  }
-
-  /** Counts the jobs that an earlier holder accepted, so that they are ordered the same way. */
-  #restoreRates(): void {
-    this.#queuesByName();
-    if (!this.#accounts.isActive) return;
-    const jobs = [...this.#jobs.open()].flatMap(({ spec, acceptedAt }) =>
-      spec.account === undefined
-        ? []
-        : [{ spec, acceptedAt, account: spec.account, isBeyondRate: spec.isBeyondRate }],
-    );
-    this.#accounts.restore(jobs, ({ spec }, isBeyondRate) => {
-      spec.isBeyondRate = isBeyondRate;
-    });
-  }
-
-  /** Decides whether a job that this holder does not know is refused under load. */
-  #refuseUnderLoad(spec: JobSpec): AdmissionRefusal | undefined {
-    const queue = this.#queuesByName().get(spec.queue);
-    const { account, steps } = spec;
-    if (account === undefined || !this.#accounts.isActive) return undefined;
-    if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
-    const now = this.#deps.clock.now();
-    const objectiveMs = objectiveMsOf({ spec }, queue, this.#predictMs);
-    const job: JobRequest = {
-      account,
-      isBeyondRate: this.#accounts.isBeyondRate(account, now),
-      priority: queue?.priority ?? 0,
-      pathMs: criticalPathMs(spec, this.#predictMs),
-      objectiveMs,
-      valueMs: objectiveMs * OVERDUE_FACTOR,
-    };
-    const queued = () =>
-      (this.#queuedWork ??= queuedWork(this.#waiting, this.#pool, this.#predictMs));
-    const hopeless = this.#accounts.refuseHopeless(job, queued, now);
-    if (hopeless || this.#jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
-    const accounts = [...this.#jobs.open()].map((open) => open.spec.account);
-    const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
-    return this.#accounts.refuseAboveShare(job, open, queued, now);
-  }
-
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
@@ -621,25 +511,9 @@
     return this.#queues;
   }
 
-  /** Schedules a placement round unless one is already scheduled. */
+  /** Requests a placement round. */
   #requestPlacement(): void {
-    if (this.#isPlacementScheduled || this.#isClosed) return;
-    this.#isPlacementScheduled = true;
-    const { clock, counters, log } = this.#deps;
-    const delayMs = delayBeforeRoundMs(this.#roundMs, clock.now() - this.#roundEndedAt);
-    clock.setTimer(delayMs, () => {
-      this.#isPlacementScheduled = false;
-      const startedAt = clock.now();
-      // An error must not end the process; the tick requests the next round.
-      try {
-        this.#placeTasks();
-      } catch (err) {
-        counters.count('placement_failures', toError(err).name);
-        log.warn('placement_failed', { service: this.service, error: messageOf(err) });
-      }
-      this.#roundEndedAt = clock.now();
-      this.#roundMs = this.#roundEndedAt - startedAt;
-    });
+    if (!this.#isClosed) this.#roundTimer.request();
   }
 
   #placeTasks(): void {
@@ -649,31 +523,22 @@
     const now = clock.now();
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
-    const hasAccounts = this.#accounts.isActive;
     const queueOf = (name: string) => queues.get(name);
-    const rules = { hasAccounts, predictMs: this.#predictMs };
+    const rules = { hasAccounts: this.#accounts.isActive, predictMs: this.#predictMs };
     const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
       this.#advice.isPlaceable(step, queues, this.#sessions),
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
     this.#judgement.applyTo(workers);
-    const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
-    this.#usage = usage;
-    const allowedStarts: AllowedStarts = (step, count) => {
-      const { spec, job } = step;
-      const canStart = () =>
-        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
-      const { isGang, fillsSpare } = spec;
-      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
-      return this.#budget.allowedStarts(job.spec.account, tasks);
-    };
+    const usage = this.#usage.measure(workers);
+    const allowedStarts = this.#limitStarts(workers, now);
     const candidates = waiting.map((each) => ({ step: each.step, slackMs: slackMsOf(each) }));
     const places = this.#placeWaits.plan(candidates, jobs, { workers, mayUse: mayUseWorker });
     const round = { steps, workers, now, mayRestart, allowedStarts, places };
     this.#budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
-      if (usage) addToUsage(usage, task);
+      this.#usage.add(task);
       this.#placeWaits.handleStart(task, worker, places);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
@@ -690,61 +555,29 @@
       this.#stragglerHelp.update({ jobs, workers, isRoomIdle, allowedStarts });
     }
     this.#budget.endRound(() => freeResources(workers, now));
-    this.#waiting = hasAccounts ? waiting : [];
-    if (!hasAccounts) return;
-    this.#queuedWork = undefined;
-    this.#accounts.updateSaturation(this.#unplacedCount > 0 && isInUse(workers, this.#pool), now);
+    this.#admission.setWaiting(waiting);
+    this.#usage.updateSaturation(workers, this.#unplacedCount, now);
   }
 
-  /** Measures the capacity of the pool and what each account holds of it. */
-  #measureUsage(workers: readonly Worker[]): AccountUsage {
-    const pool = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-    for (const { record, isAdmitted, isGone } of workers) {
-      if (!isAdmitted || isGone) continue;
-      pool.cpuMillis += record.capacity.cpuMillis;
-      pool.memoryMb += record.capacity.memoryMb;
-      pool.accelerators += record.capacity.accelerators;
-    }
-    this.#pool = pool;
-    const usage = new AccountUsage(pool, (account) => this.#accounts.weightOf(account));
-    for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
-    return usage;
+  /** Limits the starts of a round to what the accounts may have running. */
+  #limitStarts(workers: readonly Worker[], now: number): AllowedStarts {
+    return (step, count) => {
+      const { spec, job } = step;
+      const canStart = () =>
+        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
+      const { isGang, fillsSpare } = spec;
+      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
+      return this.#budget.allowedStarts(job.spec.account, tasks);
+    };
   }
 }
 
 /** Reasons of refusals under load. */
-const refusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
+const loadRefusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
   [AdmissionRefusalCode.Hopeless]: RefusalReason.Hopeless,
   [AdmissionRefusalCode.AccountShare]: RefusalReason.AccountShare,
 };
 
-function addToUsage(usage: AccountUsage, { step }: Task): void {
-  const { account } = step.job.spec;
-  if (account !== undefined) usage.add(account, step.spec, !step.spec.fillsSpare);
-}
-
-/** Whether much of the pool's CPU or memory is in use. */
-function isInUse(workers: readonly Worker[], pool: Resources): boolean {
-  let cpuMillis = 0;
-  let memoryMb = 0;
-  for (const worker of workers) {
-    cpuMillis += worker.cpuUsed;
-    memoryMb += worker.memoryUsed;
-  }
-  return (
-    cpuMillis >= pool.cpuMillis * SATURATED_SHARE || memoryMb >= pool.memoryMb * SATURATED_SHARE
-  );
-}
-
-/** Free resources of the workers that accept runs. */
-function freeResources(workers: readonly Worker[], now: number): Resources {
-  const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  for (const worker of workers) {
-    if (!worker.acceptsRuns(now)) continue;
-    const { capacity } = worker.record;
-    free.cpuMillis += Math.max(0, capacity.cpuMillis - worker.cpuUsed);
-    free.memoryMb += Math.max(0, capacity.memoryMb - worker.memoryUsed);
-    free.accelerators += Math.max(0, capacity.accelerators - worker.acceleratorsUsed);
-  }
-  return free;
+function refusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
+  return { isAccepted: false, reason, retryAfterMs };
 }
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -1,7 +1,6 @@
 import { BaseError } from '../errors/index.js';
-import type { PendingCount, SubmitOutcome } from './holder.js';
 import type { ServiceLoad } from './serviceLoad.js';
-import type { JobSpec, JobState } from './types.js';
+import type { JobSpec, JobState, PendingCount, SubmitOutcome } from './types.js';
 import type { VacateStatus } from './vacating.js';
 
 /** Codes of {@link NodeCallError}. */
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -2,6 +2,7 @@
   dominantShare,
   fairOrder,
   type AccountUsage,
+  type JobTimes,
   type QueuedWork,
   type ResourceAmounts,
 } from '../accounts/index.js';
@@ -60,6 +61,17 @@
   return pathMs * (queue?.stretch ?? 1) + (queue?.objectiveMs ?? 0);
 }
 
+/** Times of a submitted job by which its admission is decided. */
+export function jobTimesOf(
+  spec: JobSpec,
+  queue: Queue | undefined,
+  predictMs: PredictMs = declaredMs,
+): JobTimes {
+  const objectiveMs = objectiveMsOf({ spec }, queue, predictMs);
+  const pathMs = criticalPathMs(spec, predictMs);
+  return { pathMs, objectiveMs, valueMs: objectiveMs * OVERDUE_FACTOR };
+}
+
 /**
  * Orders the steps that have tasks to place: least slack first among jobs that can still meet their
  * objective, then late jobs by shortest remaining path. At a peak of several times the capacity of
--- a/src/batch/roundDelay.ts
+++ b/src/batch/roundDelay.ts
@@ -1,3 +1,8 @@
+import type { Clock } from '../clock/index.js';
+import { messageOf, toError } from '../errors/index.js';
+import type { Counters } from './counters.js';
+import type { DecisionLog } from './decisionLog.js';
+
 /** Shortest delay before a placement round, so that one round covers requests that arrive together. */
 const MIN_DELAY_MS = 1;
 const MAX_DELAY_MS = 200;
@@ -15,3 +20,47 @@
   const pauseMs = Math.min(MAX_DELAY_MS, lastDurationMs * PAUSE_FACTOR);
   return Math.max(MIN_DELAY_MS, pauseMs - sinceLastMs);
 }
+
+/** Dependencies of a {@link RoundTimer}. */
+export interface RoundTimerDeps {
+  service: string;
+  clock: Clock;
+  log: DecisionLog;
+  counters: Counters;
+  /** Carries out a placement round. */
+  placeTasks: () => void;
+}
+
+/** Schedules the placement rounds of one service. */
+export class RoundTimer {
+  readonly #deps: RoundTimerDeps;
+  #isScheduled = false;
+  /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
+  #roundMs = 0;
+  #endedAt = -Infinity;
+
+  constructor(deps: RoundTimerDeps) {
+    this.#deps = deps;
+  }
+
+  /** Schedules a placement round unless one is already scheduled. */
+  request(): void {
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    const { service, clock, counters, log, placeTasks } = this.#deps;
+    const delayMs = delayBeforeRoundMs(this.#roundMs, clock.now() - this.#endedAt);
+    clock.setTimer(delayMs, () => {
+      this.#isScheduled = false;
+      const startedAt = clock.now();
+      // An error must not end the process; the tick requests the next round.
+      try {
+        placeTasks();
+      } catch (err) {
+        counters.count('placement_failures', toError(err).name);
+        log.warn('placement_failed', { service, error: messageOf(err) });
+      }
+      this.#endedAt = clock.now();
+      this.#roundMs = this.#endedAt - startedAt;
+    });
+  }
+}
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -225,3 +225,22 @@
 
 /** A job or a stored row is invalid. */
 export class BatchError extends BaseError<BatchErrorCode> {}
+
+/** Result of submitting a job. */
+export type SubmitOutcome =
+  | { isAccepted: true }
+  | {
+      isAccepted: false;
+      reason: RefusalReason;
+      retryAfterMs: number;
+      /** Input of a refusal under load, for logs. */
+      load?: { workAheadMs: number; ratePerMs: number };
+    };
+
+/** Number of the jobs of a queue that have not started any task. */
+export interface PendingCount {
+  /** Undefined if the holder cannot know it. */
+  count?: number;
+  /** Time since the holder last knew all accepted jobs, in milliseconds. */
+  ageMs: number;
+}
