Group the accounts, learned run times and submission checks of the holder

ServiceAccounts and RunTimeLearning wire the parts of their capability, so that the constructor of Holder shows which parts a holder owns. SubmissionChecks decides refusals and answers repeated submissions. No change of behaviour.

--- a/src/accounts/defaults.ts
+++ b/src/accounts/defaults.ts
@@ -18,6 +18,15 @@
 /** Interval within which refusals of one queue for one reason are logged once, in milliseconds. */
 export const REFUSAL_LOG_INTERVAL_MS = 1_000;
 
+/** Maximum number of open jobs per holder; bounds its memory use. */
+export const MAX_OPEN_JOBS = 4_000;
+/** Retry delay for callers that are refused because the holder is full or not serving yet. */
+export const FULL_RETRY_MS = 2_000;
+/** Retry delay for callers that are refused while the store is unavailable. */
+export const STORE_RETRY_MS = 1_000;
+/** Retry delay for callers whose job the store never accepts; sending it again is of no use. */
+export const UNSTORABLE_RETRY_MS = 60_000;
+
 /** Settings of the budget ledger. Times are in milliseconds. */
 export const budgetDefaults = {
   /** Long-poll duration of one feed call. */
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -1,5 +1,5 @@
 export { compareOwner, JobOwner, mayAccessJob } from './access.js';
-export { accountRuleDefaults } from './defaults.js';
+export { accountRuleDefaults, FULL_RETRY_MS, UNSTORABLE_RETRY_MS } from './defaults.js';
 export { AccountError, AccountErrorCode, KeyRefusal, KeyRefusalReason } from './errors.js';
 export { digestOfKey } from './keyDigest.js';
 export { KeyRegistry, type KeyRegistryDeps } from './keyRegistry.js';
@@ -58,7 +58,9 @@
   type BudgetShare,
 } from './budgetRow.js';
 export { LoadAdmission, type LoadAdmissionDeps } from './loadAdmission.js';
-export { freeResources, PoolUsage, type PoolUsageDeps } from './poolUsage.js';
+export { PoolUsage, type PoolUsageDeps } from './poolUsage.js';
+export { ServiceAccounts, type RoundResult, type ServiceAccountsDeps } from './serviceAccounts.js';
+export { refusal, SubmissionChecks, type SubmissionChecksDeps } from './submissionChecks.js';
 export { budgetDefaults } from './defaults.js';
 export {
   demandTotal,
--- a/src/accounts/loadAdmission.ts
+++ b/src/accounts/loadAdmission.ts
@@ -10,16 +10,13 @@
   type JobTimes,
   type QueuedWork,
 } from './admission.js';
+import { FULL_RETRY_MS, MAX_OPEN_JOBS } from './defaults.js';
 
 /** Dependencies of {@link LoadAdmission}. */
 export interface LoadAdmissionDeps {
   control: AccountControl;
   clock: Clock;
   jobs: Pick<JobTable, 'size' | 'open'>;
-  /** Maximum number of open jobs. */
-  maxOpenJobs: number;
-  /** Retry delay in milliseconds while the rate at which work ends is unknown. */
-  defaultRetryMs: number;
   /** Queue of the active configuration, whose accounts it applies. */
   queueOf: (name: string) => Queue | undefined;
   timesOf: (spec: JobSpec, queue: Queue | undefined) => JobTimes;
@@ -49,7 +46,7 @@
 
   /** Refuses a job; undefined if it is accepted. */
   refuse(spec: JobSpec): AdmissionRefusal | undefined {
-    const { control, clock, jobs, maxOpenJobs, defaultRetryMs, queueOf, timesOf } = this.#deps;
+    const { control, clock, jobs, queueOf, timesOf } = this.#deps;
     const queue = queueOf(spec.queue);
     const { account, steps } = spec;
     if (account === undefined || !control.isActive) return undefined;
@@ -63,9 +60,9 @@
     };
     const queued = () => this.#queuedWork();
     const hopeless = control.refuseHopeless(job, queued, now);
-    if (hopeless || jobs.size < maxOpenJobs * SHARED_FILL) return hopeless;
+    if (hopeless || jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
     const accounts = [...jobs.open()].map((open) => open.spec.account);
-    const open = { accounts, limit: maxOpenJobs, defaultRetryMs };
+    const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
     return control.refuseAboveShare(job, open, queued, now);
   }
 
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -5,6 +5,7 @@
   mayAccessJob,
   RecentIds,
   RefusalLog,
+  UNSTORABLE_RETRY_MS,
   type KeyRefusal,
   type KeyRegistry,
 } from '../accounts/index.js';
@@ -12,7 +13,6 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import { UNSTORABLE_RETRY_MS } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import {
   decodeEndedJob,
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,16 +1,9 @@
 import {
-  AccountControl,
-  accountRuleDefaults,
-  AdmissionRefusalCode,
-  BudgetLedger,
-  compareOwner,
-  freeResources,
-  JobCounting,
-  JobOwner,
-  LoadAdmission,
+  FULL_RETRY_MS,
   mayAccessJob,
-  PoolUsage,
-  readJobOwner,
+  refusal,
+  ServiceAccounts,
+  SubmissionChecks,
   type AccountRules,
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
@@ -19,23 +12,17 @@
 import { PlaceWaits } from '../places/index.js';
 import { ExpectedDemand } from '../pools/index.js';
 import type { Random } from '../random/index.js';
-import {
-  createSnapshotRow,
-  declaredMs,
-  RunTimes,
-  SnapshotKeeper,
-  type PredictMs,
-} from '../runTimes/index.js';
-import { Judgement } from '../workerHealth/index.js';
+import { RunTimeLearning } from '../runTimes/index.js';
+import { createOpinionRows, Judgement } from '../workerHealth/index.js';
 import { AdviceCache } from './adviceCache.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
 import { criticalPathMs, Job, type Step } from './job.js';
-import { encodeJob, type EndedJobRow } from './jobCodec.js';
+import type { EndedJobRow } from './jobCodec.js';
 import { JobTable } from './jobTable.js';
-import { EntryOutcome, Journal, type JournalEntry, type TransactionSize } from './journal.js';
+import { EntryOutcome, Journal, type TransactionSize } from './journal.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import {
   byAccount,
@@ -48,17 +35,10 @@
   Urgency,
 } from './ordering.js';
 import type { Claim } from './ownership.js';
-import {
-  canHoldTask,
-  mayUseWorker,
-  placeSteps,
-  type AllowedStarts,
-  type Assignment,
-} from './placement.js';
+import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
 import { RoundTimer } from './roundDelay.js';
-import { endedKey, inboxKey, jobKey } from './rows.js';
 import { RunControl } from './runControl.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { ServiceStateLog } from './serviceStateLog.js';
@@ -75,21 +55,14 @@
   type WorkerRecord,
 } from './types.js';
 import { Vacating, type VacateStatus } from './vacating.js';
-import { isPoolMember, type Worker } from './worker.js';
+import { isPoolMember } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
-/** Maximum number of open jobs per holder; bounds its memory use. */
-const MAX_OPEN_JOBS = 4_000;
-/** Retry delay for callers that are refused because the holder is full or not serving yet. */
-const FULL_RETRY_MS = 2_000;
-/** Retry delay for callers that are refused while the store is unavailable. */
-const STORE_RETRY_MS = 1_000;
-/** Retry delay for callers whose job the store never accepts; sending it again is of no use. */
-export const UNSTORABLE_RETRY_MS = 60_000;
 /** Maximum age of a count of pending jobs; the platform's protocol allows 2 s. */
 const MAX_PENDING_AGE_MS = 1_900;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
+
 /** Dependencies of a {@link Holder}. */
 export interface HolderDeps {
   store: MonitoredStore;
@@ -147,18 +120,11 @@
   readonly #vacating: Vacating;
   readonly #judgement: Judgement;
 
-  // Run times and demand.
-  readonly #runTimes = new RunTimes();
-  readonly #predictMs: PredictMs;
-  readonly #runTimesSnapshot: SnapshotKeeper;
+  // Run times, demand and client accounts.
+  readonly #learning: RunTimeLearning;
   readonly #demand: ExpectedDemand;
-
-  // Accounts.
-  readonly #accounts: AccountControl;
-  readonly #counting: JobCounting;
-  readonly #usage: PoolUsage;
-  readonly #admission: LoadAdmission;
-  readonly #budget: BudgetLedger;
+  readonly #accounts: ServiceAccounts;
+  readonly #checks: SubmissionChecks;
 
   // Placement.
   readonly #roundTimer: RoundTimer;
@@ -179,20 +145,10 @@
     this.#deps = deps;
     this.#features = deps.features ?? noFeatures;
     const { learnsRunTimes, forecastsDemand: isForecast } = this.#features;
-    const predictMs: PredictMs = learnsRunTimes
-      ? (step, queue) => this.#runTimes.predictMs(step, queue)
-      : declaredMs;
-    this.#predictMs = predictMs;
     const place = () => {
       this.#requestPlacement();
     };
     const parts: PartDeps = { ...deps, service, epoch, place, lose: deps.onLost };
-    this.#roundTimer = new RoundTimer({
-      ...parts,
-      placeTasks: () => {
-        this.#placeTasks();
-      },
-    });
 
     const jobs = (this.#jobs = new JobTable(parts));
     const takeDirty = (max: TransactionSize) => jobs.takeDirty(max);
@@ -201,13 +157,12 @@
       void journal.barrier();
     };
 
-    const rateWindowMs = deps.accountRules?.rateWindowMs ?? accountRuleDefaults.rateWindowMs;
-    const control = (this.#accounts = new AccountControl({ ...parts, rateWindowMs }));
-    const configure = () => void this.#queuesByName();
-    this.#counting = new JobCounting({ ...parts, control, configure });
-    this.#usage = new PoolUsage({ ...parts, control });
-    this.#admission = this.#createAdmission(parts);
-    this.#budget = this.#createBudget(parts);
+    this.#learning = new RunTimeLearning({ ...parts, journal, isEnabled: learnsRunTimes });
+    const { runTimes, predictMs } = this.#learning;
+    this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
+    this.#accounts = this.#createAccounts(parts);
+    const refuseUnderLoad = (spec: JobSpec) => this.#accounts.refuseUnderLoad(spec);
+    this.#checks = new SubmissionChecks({ ...parts, jobs, refuseUnderLoad });
 
     this.#judgement = this.#createJudgement(parts);
     const runs = (this.#runs = this.#createRunControl(parts));
@@ -223,16 +178,14 @@
       jobs,
       cancel: (id, account) => void this.cancel(id, account),
       countJob: (spec) => {
-        this.#counting.count(spec);
+        this.#accounts.counting.count(spec);
       },
     });
 
-    const runTimes = this.#runTimes;
-    const { rowBytes } = deps.store.limits;
-    const snapshotRow = createSnapshotRow(service, deps.store, journal);
-    this.#runTimesSnapshot = new SnapshotKeeper({ ...parts, runTimes, rowBytes, ...snapshotRow });
-    this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
-
+    const placeTasks = () => {
+      this.#placeTasks();
+    };
+    this.#roundTimer = new RoundTimer({ ...parts, placeTasks });
     const advice = (this.#advice = new AdviceCache(parts));
     const runMsOf = ({ spec, job }: Step) => predictMs(spec, job.spec.queue);
     this.#placeWaits = new PlaceWaits({ ...parts, runMsOf });
@@ -251,67 +204,49 @@
     });
   }
 
-  #createAdmission(parts: PartDeps): LoadAdmission {
-    return new LoadAdmission({
+  #createAccounts(parts: PartDeps): ServiceAccounts {
+    const { predictMs } = this.#learning;
+    return new ServiceAccounts({
       ...parts,
-      control: this.#accounts,
       jobs: this.#jobs,
-      maxOpenJobs: MAX_OPEN_JOBS,
-      defaultRetryMs: FULL_RETRY_MS,
-      queueOf: (name) => this.#queuesByName().get(name),
-      timesOf: (spec, queue) => jobTimesOf(spec, queue, this.#predictMs),
-      pool: () => this.#usage.pool,
-      queuedWork: (waiting, pool) => queuedWork(waiting, pool, this.#predictMs),
-    });
-  }
-
-  #createBudget(parts: PartDeps): BudgetLedger {
-    return new BudgetLedger({
-      ...parts,
-      // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
-      maxOverage: 0,
       hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
+      applyConfig: () => void this.#queuesByName(),
+      queueOf: (name) => this.#queuesByName().get(name),
+      timesOf: (spec, queue) => jobTimesOf(spec, queue, predictMs),
+      queuedWork: (waiting, pool) => queuedWork(waiting, pool, predictMs),
+      taskWorkMs: (step, pool) => taskWorkMs(step, pool, predictMs),
+      canHoldTask,
     });
   }
 
   #createJudgement(parts: PartDeps): Judgement {
     return new Judgement({
       ...parts,
+      ...createOpinionRows(parts.service, parts.store, this.#journal),
       isEnabled: this.#features.judgesWorkers,
       jobs: () => this.#jobs.open(),
       pool: () => [...this.#sessions.all()].filter(isPoolMember),
       judgedWorker: (worker) => this.#runs.judgedWorker(worker),
-      read: (table) => parts.store.readPart(table, parts.service),
-      write: (rows, settle) => {
-        this.#journal.append({
-          ...rows,
-          conditions: [],
-          settle: (outcome) => {
-            settle(outcome === EntryOutcome.Applied);
-          },
-        });
-      },
     });
   }
 
   #createRunControl(parts: PartDeps): RunControl {
     const { judgesWorkers, learnsRunTimes } = this.#features;
+    const { runTimes, predictMs } = this.#learning;
     return new RunControl({
       ...parts,
-      health: judgesWorkers ? this.#judgement.health : undefined,
-      expectedMs: ({ step }) => this.#predictMs(step.spec, step.job.spec.queue),
-      budget: this.#budget,
+      runTimes,
       jobs: this.#jobs,
+      budget: this.#accounts.budget,
+      health: judgesWorkers ? this.#judgement.health : undefined,
+      expectedMs: ({ step }) => predictMs(step.spec, step.job.spec.queue),
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
       discardTicket: (step, workerId, ticket) => {
         this.#advice.discard(step, workerId, ticket);
       },
-      onTaskDone: ({ step }) => {
-        if (!this.#accounts.isActive) return;
-        const workMs = taskWorkMs(step, this.#usage.pool, this.#predictMs);
-        this.#accounts.addEndedWork(workMs, parts.clock.now());
+      onTaskDone: (task) => {
+        this.#accounts.handleTaskDone(task);
       },
-      runTimes: this.#runTimes,
       mayHaveUnknownRuns: (job) => learnsRunTimes && !this.#recovery.mayStartTasks(job),
     });
   }
@@ -323,15 +258,15 @@
       this.#isClosed = true;
     });
     const journal = this.#journal.run(signal);
-    if (this.#features.learnsRunTimes) void this.#runTimesSnapshot.load(signal);
+    void this.#learning.load(signal);
     if (!(await this.#recovery.load(signal))) return;
-    this.#counting.restore(this.#jobs.open());
+    this.#accounts.counting.restore(this.#jobs.open());
     await Promise.all([
       journal,
       this.#sessions.run(signal),
       this.#judgement.load(signal),
       this.#inbox.run(signal),
-      this.#budget.run(signal),
+      this.#accounts.budget.run(signal),
       this.#tick(signal),
     ]);
   }
@@ -344,9 +279,9 @@
       this.#vacating.proceed();
       this.#judgement.update();
       this.#requestPlacement();
-      if (this.#features.learnsRunTimes) this.#runTimesSnapshot.update();
+      this.#learning.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
-      this.#usage.countShares(TICK_INTERVAL_MS);
+      this.#accounts.countShares(TICK_INTERVAL_MS);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
@@ -358,74 +293,31 @@
   async submit(spec: JobSpec): Promise<SubmitOutcome> {
     if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
-    if (isKnown) return this.#answerKnown(spec);
+    if (isKnown) return this.#checks.answerKnown(spec);
     // Another submission with this id started to be written during the wait.
     if (this.#jobs.isPending(spec.id)) return this.submit(spec);
-    if (this.#deps.store.isSuspect()) {
-      return this.#countRefusal(RefusalReason.StoreSuspect, STORE_RETRY_MS);
-    }
-    if (this.#jobs.size >= MAX_OPEN_JOBS) {
-      this.#deps.counters.count('refusals', 'too_many_open_jobs');
-      return refusal(RefusalReason.Full, FULL_RETRY_MS);
-    }
-    const refused = this.#admission.refuse(spec);
-    if (refused) {
-      const { code, retryAfterMs, workAheadMs, ratePerMs } = refused;
-      const reason = loadRefusalReasons[code];
-      return { isAccepted: false, reason, retryAfterMs, load: { workAheadMs, ratePerMs } };
-    }
-    this.#counting.count(spec);
+    const refused = this.#checks.refuse(spec);
+    if (refused) return refused;
+    const { counting } = this.#accounts;
+    counting.count(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
-    if (outcome !== EntryOutcome.Applied) this.#counting.uncount(spec);
+    if (outcome !== EntryOutcome.Applied) counting.uncount(spec);
     if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
-    if (outcome === EntryOutcome.Rejected) {
-      return this.#countRefusal(RefusalReason.Unstorable, UNSTORABLE_RETRY_MS);
-    }
+    if (outcome === EntryOutcome.Rejected) return this.#checks.refuseUnstorable();
     // On a conflict, the job was already accepted through another process.
-    if (outcome !== EntryOutcome.Applied) return this.#answerKnown(spec);
+    if (outcome !== EntryOutcome.Applied) return this.#checks.answerKnown(spec);
     this.#openJob(spec);
     return { isAccepted: true };
   }
 
-  #countRefusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
-    this.#deps.counters.count('refusals', reason);
-    return refusal(reason, retryAfterMs);
-  }
-
-  /** Answers a submission with the id of an accepted job, which may be another account's. */
-  async #answerKnown(spec: JobSpec): Promise<SubmitOutcome> {
-    const { store, usesAccounts } = this.#deps;
-    if (!usesAccounts()) return { isAccepted: true };
-    const found = this.#jobs.find(spec.id);
-    const owner = found
-      ? compareOwner(found.account, spec.account)
-      : await readJobOwner(store, this.service, spec);
-    if (owner === JobOwner.Same) return { isAccepted: true };
-    if (owner === JobOwner.Unknown) return refusal(RefusalReason.Unresolved, 0);
-    return this.#countRefusal(RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
-  }
-
   #writeJob(spec: JobSpec): Promise<EntryOutcome> {
-    const { id } = spec;
+    const entry = this.#jobs.acceptanceEntry(spec);
+    const account = this.#accounts.itemAccount(spec);
     return new Promise((settle) => {
-      this.#journal.append({
-        conditions: [
-          { ...inboxKey(this.service, id), version: 0 },
-          { ...endedKey(this.service, id), version: 0 },
-        ],
-        writes: [{ ...jobKey(this.service, id), value: encodeJob(spec) }],
-        removes: [],
-        account: this.#itemAccount(spec),
-        settle,
-      });
+      this.#journal.append({ ...entry, account, settle });
     });
   }
 
-  #itemAccount({ account }: JobSpec): JournalEntry['account'] {
-    if (account === undefined || !this.#accounts.isActive) return undefined;
-    return { name: account, weight: this.#accounts.weightOf(account) };
-  }
-
   #openJob(spec: JobSpec): void {
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
@@ -440,7 +332,7 @@
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
       lasting: job.isLasting,
-      path_ms: Math.round(criticalPathMs(spec, this.#predictMs)),
+      path_ms: Math.round(criticalPathMs(spec, this.#learning.predictMs)),
       config: config()?.version,
     });
     this.#requestPlacement();
@@ -497,7 +389,11 @@
 
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
-    return this.#sessions.load([...this.#jobs.open()], this.#demand.cpu(), this.#predictMs);
+    return this.#sessions.load(
+      [...this.#jobs.open()],
+      this.#demand.cpu(),
+      this.#learning.predictMs,
+    );
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
@@ -524,21 +420,21 @@
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
     const queueOf = (name: string) => queues.get(name);
-    const rules = { hasAccounts: this.#accounts.isActive, predictMs: this.#predictMs };
+    const rules = { hasAccounts: this.#accounts.isActive, predictMs: this.#learning.predictMs };
     const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
       this.#advice.isPlaceable(step, queues, this.#sessions),
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
     this.#judgement.applyTo(workers);
-    const usage = this.#usage.measure(workers);
-    const allowedStarts = this.#limitStarts(workers, now);
+    const usage = this.#accounts.measureUsage(workers);
+    const allowedStarts = this.#accounts.limitStarts(workers, now);
     const candidates = waiting.map((each) => ({ step: each.step, slackMs: slackMsOf(each) }));
     const places = this.#placeWaits.plan(candidates, jobs, { workers, mayUse: mayUseWorker });
     const round = { steps, workers, now, mayRestart, allowedStarts, places };
-    this.#budget.beginRound();
+    this.#accounts.budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
-      this.#usage.add(task);
+      this.#accounts.addStart(task);
       this.#placeWaits.handleStart(task, worker, places);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
@@ -554,30 +450,7 @@
     if (mayRestart && this.#features.learnsRunTimes) {
       this.#stragglerHelp.update({ jobs, workers, isRoomIdle, allowedStarts });
     }
-    this.#budget.endRound(() => freeResources(workers, now));
-    this.#admission.setWaiting(waiting);
-    this.#usage.updateSaturation(workers, this.#unplacedCount, now);
+    const unplacedCount = this.#unplacedCount;
+    this.#accounts.endRound(workers, { now, waiting, unplacedCount });
   }
-
-  /** Limits the starts of a round to what the accounts may have running. */
-  #limitStarts(workers: readonly Worker[], now: number): AllowedStarts {
-    return (step, count) => {
-      const { spec, job } = step;
-      const canStart = () =>
-        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
-      const { isGang, fillsSpare } = spec;
-      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
-      return this.#budget.allowedStarts(job.spec.account, tasks);
-    };
-  }
-}
-
-/** Reasons of refusals under load. */
-const loadRefusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
-  [AdmissionRefusalCode.Hopeless]: RefusalReason.Hopeless,
-  [AdmissionRefusalCode.AccountShare]: RefusalReason.AccountShare,
-};
-
-function refusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
-  return { isAccepted: false, reason, retryAfterMs };
 }
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -3,9 +3,9 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { Job } from './job.js';
 import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
-import { encodeEndedJob, type EndedJobRow } from './jobCodec.js';
+import { encodeEndedJob, encodeJob, type EndedJobRow } from './jobCodec.js';
 import { endedKey, inboxKey, jobKey, progressKey } from './rows.js';
-import { JobState } from './types.js';
+import { JobState, type JobSpec } from './types.js';
 
 /** How long an ended job stays in memory; covers `status_s`. Its row is kept longer. */
 const ENDED_RETENTION_MS = 180_000;
@@ -145,6 +145,20 @@
     return { entries, hasMore: this.#dirty.size > 0 };
   }
 
+  /** Journal entry with which a job is accepted. */
+  acceptanceEntry(spec: JobSpec): Pick<JournalEntry, 'conditions' | 'writes' | 'removes'> {
+    const { service } = this.#deps;
+    const { id } = spec;
+    return {
+      conditions: [
+        { ...inboxKey(service, id), version: 0 },
+        { ...endedKey(service, id), version: 0 },
+      ],
+      writes: [{ ...jobKey(service, id), value: encodeJob(spec) }],
+      removes: [],
+    };
+  }
+
   #progressEntry(job: Job): JournalEntry {
     const key = progressKey(this.#deps.service, job.spec.id);
     return {
--- a/src/runTimes/index.ts
+++ b/src/runTimes/index.ts
@@ -1,7 +1,7 @@
 export { runTimesDefaults } from './defaults.js';
+export { RunTimeLearning, type RunTimeLearningDeps } from './runTimeLearning.js';
 export { RunTimes } from './runTimes.js';
 export { SnapshotKeeper, SnapshotWrite, type SnapshotKeeperDeps } from './snapshotKeeper.js';
-export { createSnapshotRow } from './snapshotRow.js';
 export {
   declaredMs,
   RunTimesError,
--- a/src/workerHealth/index.ts
+++ b/src/workerHealth/index.ts
@@ -2,6 +2,7 @@
 export { Judgement, type JudgementDeps } from './judgement.js';
 export { decodeOpinion, encodeOpinion, type StoredOpinion } from './opinion.js';
 export { OpinionLink, type OpinionLinkDeps } from './opinionLink.js';
+export { createOpinionRows } from './opinionRows.js';
 export { poolNeeds } from './poolNeeds.js';
 export {
   OpinionError,
