--- a/src/accounts/serviceAccounts.ts
+++ b/src/accounts/serviceAccounts.ts
@@ -1,25 +1,30 @@
 import type { Step, Task } from '../batch/job.js';
+import type { JobTable } from '../batch/jobTable.js';
 import type { WaitingStep } from '../batch/ordering.js';
 import type { AllowedStarts } from '../batch/placement.js';
+import type { RowStore } from '../batch/ports.js';
 import type { JobSpec, Resources } from '../batch/types.js';
 import type { Worker } from '../batch/worker.js';
 import type { Random } from '../random/index.js';
 import { AccountControl } from './accountControl.js';
 import type { AccountUsage } from './accountUsage.js';
-import type { AdmissionRefusal } from './admission.js';
 import { BudgetLedger, type BudgetLedgerDeps } from './budgetLedger.js';
 import { accountRuleDefaults } from './defaults.js';
 import type { ItemAccount } from './fairBacklog.js';
 import { JobCounting } from './jobCounting.js';
 import { LoadAdmission, type LoadAdmissionDeps } from './loadAdmission.js';
 import { freeResources, PoolUsage } from './poolUsage.js';
+import { SubmissionChecks, type SubmissionChecksDeps } from './submissionChecks.js';
 import type { Account, AccountRules } from './types.js';
 
 /** Dependencies of {@link ServiceAccounts}. */
 export interface ServiceAccountsDeps
   extends
-    Omit<BudgetLedgerDeps, 'maxOverage'>,
-    Pick<LoadAdmissionDeps, 'jobs' | 'queueOf' | 'timesOf' | 'queuedWork'> {
+    Omit<BudgetLedgerDeps, 'maxOverage' | 'store'>,
+    Omit<SubmissionChecksDeps, 'admission' | 'jobs' | 'store'>,
+    Pick<LoadAdmissionDeps, 'queueOf' | 'timesOf' | 'queuedWork'> {
+  store: RowStore & SubmissionChecksDeps['store'];
+  jobs: Pick<JobTable, 'size' | 'open' | 'find'>;
   random: Random;
   /** Rules for client accounts; undefined where a deployment has none. */
   accountRules?: AccountRules;
@@ -35,6 +40,7 @@
 export class ServiceAccounts {
   readonly budget: BudgetLedger;
   readonly counting: JobCounting;
+  readonly checks: SubmissionChecks;
   readonly #deps: ServiceAccountsDeps;
   readonly #control: AccountControl;
   readonly #usage: PoolUsage;
@@ -48,6 +54,7 @@
     this.counting = new JobCounting({ control, clock, counters, configure });
     this.#usage = new PoolUsage({ control, counters });
     this.#admission = new LoadAdmission({ ...deps, control, pool: () => this.#usage.pool });
+    this.checks = new SubmissionChecks({ ...deps, admission: this.#admission });
     // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
     this.budget = new BudgetLedger({ ...deps, maxOverage: 0 });
   }
@@ -68,11 +75,6 @@
     return { name: account, weight: this.#control.weightOf(account) };
   }
 
-  /** Refuses a job under load; undefined if it is accepted. */
-  refuseUnderLoad(spec: JobSpec): AdmissionRefusal | undefined {
-    return this.#admission.refuse(spec);
-  }
-
   /** Records the work of a task that has succeeded. */
   handleTaskDone({ step }: Task): void {
     if (!this.isActive) return;
--- a/src/accounts/submissionChecks.ts
+++ b/src/accounts/submissionChecks.ts
@@ -3,9 +3,10 @@
 import type { RowStore } from '../batch/ports.js';
 import { RefusalReason, type JobSpec, type SubmitOutcome } from '../batch/types.js';
 import { compareOwner, JobOwner } from './access.js';
-import { AdmissionRefusalCode, type AdmissionRefusal } from './admission.js';
+import { AdmissionRefusalCode } from './admission.js';
 import { FULL_RETRY_MS, MAX_OPEN_JOBS, STORE_RETRY_MS, UNSTORABLE_RETRY_MS } from './defaults.js';
 import { readJobOwner } from './jobOwner.js';
+import type { LoadAdmission } from './loadAdmission.js';
 
 /** Reasons of refusals under load. */
 const loadRefusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
@@ -21,8 +22,7 @@
   jobs: Pick<JobTable, 'size' | 'find'>;
   /** Whether jobs of different client accounts have to be kept apart. */
   usesAccounts: () => boolean;
-  /** Decides whether a job is refused under load. */
-  refuseUnderLoad: (spec: JobSpec) => AdmissionRefusal | undefined;
+  admission: Pick<LoadAdmission, 'refuse'>;
 }
 
 /** Decides how a holder answers submissions that it does not accept. */
@@ -35,13 +35,13 @@
 
   /** Refuses a job that the holder does not know; undefined if it may be accepted. */
   refuse(spec: JobSpec): SubmitOutcome | undefined {
-    const { store, counters, jobs, refuseUnderLoad } = this.#deps;
+    const { store, counters, jobs, admission } = this.#deps;
     if (store.isSuspect()) return this.#countRefusal(RefusalReason.StoreSuspect, STORE_RETRY_MS);
     if (jobs.size >= MAX_OPEN_JOBS) {
       counters.count('refusals', 'too_many_open_jobs');
       return refusal(RefusalReason.Full, FULL_RETRY_MS);
     }
-    const refused = refuseUnderLoad(spec);
+    const refused = admission.refuse(spec);
     if (!refused) return undefined;
     const { code, retryAfterMs, workAheadMs, ratePerMs } = refused;
     const reason = loadRefusalReasons[code];
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -3,7 +3,6 @@
   mayAccessJob,
   refusal,
   ServiceAccounts,
-  SubmissionChecks,
   type AccountRules,
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
@@ -26,13 +25,13 @@
 import type { MonitoredStore } from './monitoredStore.js';
 import {
   byAccount,
+  isWaitingInTime,
   jobTimesOf,
   orderWaiting,
   queuedWork,
   slackMsOf,
   taskWorkMs,
   turnSize,
-  Urgency,
 } from './ordering.js';
 import type { Claim } from './ownership.js';
 import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
@@ -124,7 +123,6 @@
   readonly #learning: RunTimeLearning;
   readonly #demand: ExpectedDemand;
   readonly #accounts: ServiceAccounts;
-  readonly #checks: SubmissionChecks;
 
   // Placement.
   readonly #roundTimer: RoundTimer;
@@ -161,8 +159,6 @@
     const { runTimes, predictMs } = this.#learning;
     this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
     this.#accounts = this.#createAccounts(parts);
-    const refuseUnderLoad = (spec: JobSpec) => this.#accounts.refuseUnderLoad(spec);
-    this.#checks = new SubmissionChecks({ ...parts, jobs, refuseUnderLoad });
 
     this.#judgement = this.#createJudgement(parts);
     const runs = (this.#runs = this.#createRunControl(parts));
@@ -293,19 +289,19 @@
   async submit(spec: JobSpec): Promise<SubmitOutcome> {
     if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
-    if (isKnown) return this.#checks.answerKnown(spec);
+    const { checks, counting } = this.#accounts;
+    if (isKnown) return checks.answerKnown(spec);
     // Another submission with this id started to be written during the wait.
     if (this.#jobs.isPending(spec.id)) return this.submit(spec);
-    const refused = this.#checks.refuse(spec);
+    const refused = checks.refuse(spec);
     if (refused) return refused;
-    const { counting } = this.#accounts;
     counting.count(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
     if (outcome !== EntryOutcome.Applied) counting.uncount(spec);
     if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
-    if (outcome === EntryOutcome.Rejected) return this.#checks.refuseUnstorable();
+    if (outcome === EntryOutcome.Rejected) return checks.refuseUnstorable();
     // On a conflict, the job was already accepted through another process.
-    if (outcome !== EntryOutcome.Applied) return this.#checks.answerKnown(spec);
+    if (outcome !== EntryOutcome.Applied) return checks.answerKnown(spec);
     this.#openJob(spec);
     return { isAccepted: true };
   }
@@ -365,11 +361,7 @@
   pending(queue: string): PendingCount {
     const ageMs = this.#inbox.ageMs();
     if (ageMs > MAX_PENDING_AGE_MS || !this.#deps.canStart()) return { ageMs };
-    let count = 0;
-    for (const job of this.#jobs.open()) {
-      if (job.spec.queue === queue && job.state === JobState.Queued) count++;
-    }
-    return { ageMs, count };
+    return { ageMs, count: this.#jobs.countQueued(queue) };
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
@@ -389,11 +381,8 @@
 
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
-    return this.#sessions.load(
-      [...this.#jobs.open()],
-      this.#demand.cpu(),
-      this.#learning.predictMs,
-    );
+    const { predictMs } = this.#learning;
+    return this.#sessions.load([...this.#jobs.open()], this.#demand.cpu(), predictMs);
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
@@ -441,16 +430,14 @@
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
     const fairRound = usage ? { ...round, steps: byAccount(waiting, usage), turnSize } : round;
-    this.#unplacedCount =
+    const unplacedCount =
       waitingSuspects + placeSteps({ ...fairRound, maxStarts: maxStarts() }, start);
-    const isRoomIdle = !waiting.some(
-      ({ step, urgency }) => urgency <= Urgency.OnTime && step.idleCount > 0,
-    );
+    this.#unplacedCount = unplacedCount;
     // Another holder may have started a copy already.
     if (mayRestart && this.#features.learnsRunTimes) {
+      const isRoomIdle = !waiting.some(isWaitingInTime);
       this.#stragglerHelp.update({ jobs, workers, isRoomIdle, allowedStarts });
     }
-    const unplacedCount = this.#unplacedCount;
     this.#accounts.endRound(workers, { now, waiting, unplacedCount });
   }
 }
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -145,6 +145,15 @@
     return { entries, hasMore: this.#dirty.size > 0 };
   }
 
+  /** Number of open jobs of a queue that have not started any task. */
+  countQueued(queue: string): number {
+    let count = 0;
+    for (const job of this.open()) {
+      if (job.spec.queue === queue && job.state === JobState.Queued) count++;
+    }
+    return count;
+  }
+
   /** Journal entry with which a job is accepted. */
   acceptanceEntry(spec: JobSpec): Pick<JournalEntry, 'conditions' | 'writes' | 'removes'> {
     const { service } = this.#deps;
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -203,6 +203,11 @@
   return queued;
 }
 
+/** Whether a step that can still be in time has tasks to place, after those that were placed. */
+export function isWaitingInTime({ step, urgency }: WaitingStep): boolean {
+  return urgency <= Urgency.OnTime && step.idleCount > 0;
+}
+
 /** Time in milliseconds that the job of a waiting step can lose; negative if it is late. */
 export function slackMsOf({ urgency, sortKeyMs }: WaitingStep): number {
   if (urgency === Urgency.Lasting) return Infinity;
