Move the records on ended runs out of RunControl

Input for the judgement of workers is made by workerHealth/runHealth, ends of copies are recorded by copies/copyEnds and run times by runTimes/recordRunTime. No change of behaviour.

--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -1,7 +1,19 @@
 import type { BudgetLedger } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
-import { CopyEnd, mayHaveCopies } from '../copies/index.js';
-import type { RunTimes } from '../runTimes/index.js';
+import {
+  CopyEnd,
+  copyEndOf,
+  mayHaveCopies,
+  recordCopyEnd,
+  type CopyRecordDeps,
+} from '../copies/index.js';
+import {
+  isRepresentative,
+  recordRunTime,
+  type RunTimeRecordDeps,
+  type RunTimes,
+} from '../runTimes/index.js';
+import { RunHealth, type JudgedWorker, type WorkerHealth } from '../workerHealth/index.js';
 import type { Counters } from './counters.js';
 import { addCrash, attributeCrash, CrashRole, isGivenUp, mayHaveCrashed } from './crashSuspects.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -19,7 +31,6 @@
 } from './ports.js';
 import { StartWindow } from './startWindow.js';
 import { JobState, RunEnd } from './types.js';
-import { RunOutcome, type JudgedWorker, type WorkerHealth } from '../workerHealth/index.js';
 import { createRun, isSpeedSample, RunPhase, type Run, type Worker } from './worker.js';
 
 /** Length of the leases granted to workers. Must stay below the platform's maximum of 6 s. */
@@ -102,10 +113,16 @@
 export class RunControl {
   readonly #deps: RunControlDeps;
   readonly #startWindow = new StartWindow();
+  readonly #runHealth: RunHealth;
+  /** Dependencies of the records on runs that ended. */
+  readonly #records: CopyRecordDeps & RunTimeRecordDeps;
   #isFenced = false;
 
   constructor(deps: RunControlDeps) {
     this.#deps = deps;
+    const isRunning = ({ phase }: Run) => phase === RunPhase.Running;
+    this.#runHealth = new RunHealth({ ...deps, isRunning, isSpeedSample });
+    this.#records = { ...deps, service: deps.jobs.service };
   }
 
   /** Number of tasks that may be started now, see {@link StartWindow}. */
@@ -280,7 +297,7 @@
   }
 
   #requeue(run: Run, copyEnd = CopyEnd.NotStarted): void {
-    if (run.isCopy) this.#recordCopyEnd(run, copyEnd);
+    if (run.isCopy) recordCopyEnd(run, copyEnd, this.#records);
     this.#detach(run);
     this.#deps.place();
   }
@@ -364,11 +381,11 @@
     const run = worker.runs.get(ended.task);
     const isCurrent = run?.number === ended.run;
     if (run && isCurrent) {
-      this.#recordHealth(run, ended.end);
-      if (run.isCopy) this.#recordCopyEnd(run, copyEndOf(run, ended.end));
+      this.#runHealth.recordEnd(run, ended.end);
+      if (run.isCopy) recordCopyEnd(run, copyEndOf(run, ended.end), this.#records);
       this.#detach(run);
       if (run.task.step.job.finalState) this.#holdAcknowledgement(worker, run.task);
-      if (ended.end === RunEnd.Done) this.#recordRunTime(run);
+      if (ended.end === RunEnd.Done) recordRunTime(run, this.#records);
     }
     const address = parseTaskName(ended.task);
     const job = address && jobs.get(address.job);
@@ -392,55 +409,9 @@
     place();
   }
 
-  #recordHealth(run: Run, end: RunEnd): void {
-    if (end !== RunEnd.Done && end !== RunEnd.Failed) return;
-    const { worker, task, startedAt } = run;
-    this.#deps.health?.recordEnd({
-      worker: worker.record.id,
-      task: task.name,
-      step: stepKey(task),
-      kind: kindOf(task),
-      outcome: end === RunEnd.Done ? RunOutcome.Done : RunOutcome.Failed,
-      startedAt,
-      ratio: isSpeedSample(run) ? this.#ratioOf(run) : undefined,
-      isTrial: worker.trialRun === run,
-    });
-  }
-
-  /** Time since the start of a run, compared with the expected run time. */
-  #ratioOf({ task, startedAt }: Run): number | undefined {
-    const expectedMs = this.#deps.expectedMs(task);
-    return expectedMs > 0 ? (this.#deps.clock.now() - startedAt) / expectedMs : undefined;
-  }
-
   /** The state of a worker as input for its judgement. */
   judgedWorker(worker: Worker): JudgedWorker {
-    const openRuns: JudgedWorker['openRuns'] = [];
-    for (const run of worker.runs.values()) {
-      const ratio = run.phase === RunPhase.Running && isSpeedSample(run) ? this.#ratioOf(run) : 0;
-      const { task, startedAt } = run;
-      const isTrial = worker.trialRun === run;
-      openRuns.push({ kind: kindOf(task), startedAt, ratio: ratio ?? 0, isTrial });
-    }
-    return { id: worker.record.id, bornMs: worker.record.bornMs, openRuns };
-  }
-
-  /** Learns from a run that ended well, in one piece and at full speed. */
-  #recordRunTime({ task, startedAt, phase, isTimed }: Run): void {
-    const { clock, runTimes, counters, jobs } = this.#deps;
-    if (!isTimed || (phase !== RunPhase.Running && phase !== RunPhase.Starting)) return;
-    const { spec, job } = task.step;
-    const { queue } = job.spec;
-    const ranMs = clock.now() - startedAt;
-    // Sums by service; their quotients compare declared and predicted with measured times.
-    counters.count('run_times_declared_ms', jobs.service, Math.round(spec.estimateMs));
-    counters.count(
-      'run_times_predicted_ms',
-      jobs.service,
-      Math.round(runTimes.predictMs(spec, queue)),
-    );
-    counters.count('run_times_measured_ms', jobs.service, Math.round(ranMs));
-    runTimes.observe(spec, queue, ranMs);
+    return this.#runHealth.judgedWorker(worker);
   }
 
   #applyDone(worker: Worker, task: Task): void {
@@ -484,27 +455,10 @@
     return worker.unsettledTasks.length === 0;
   }
 
-  #recordCopyEnd({ task, worker, number, startedAt }: Run, end: CopyEnd): void {
-    const { clock, counters, log, jobs } = this.#deps;
-    const ranMs = clock.now() - startedAt;
-    const { spec, job } = task.step;
-    if (end !== CopyEnd.NotStarted) task.hadCopy = true;
-    counters.count('copies', end);
-    counters.count('copy_cpu_ms', jobs.service, Math.round((spec.cpuMillis / 1_000) * ranMs));
-    log.detail(end === CopyEnd.Won ? 'copy_won' : 'copy_ended', {
-      job: job.spec.id,
-      task: task.name,
-      run: number,
-      worker: worker.record.id,
-      end,
-      ran_ms: Math.round(ranMs),
-    });
-  }
-
   #applyFailure(worker: Worker, task: Task, runNumber: number): void {
     const { clock, jobs, maxAttempts } = this.#deps;
     const now = clock.now();
-    const isAttributable = this.#deps.health?.isAttributable(worker.record.id, task.name) ?? true;
+    const isAttributable = this.#runHealth.isAttributable(worker, task);
     if (isAttributable) worker.consecutiveFailures++;
     if (isAttributable && worker.consecutiveFailures >= FAILURES_BEFORE_PAUSE) {
       const doublings = worker.consecutiveFailures - FAILURES_BEFORE_PAUSE;
@@ -697,36 +651,12 @@
   }
 }
 
-/** Name of a step whose tasks are equal. */
-function stepKey({ name }: Task): string {
-  return name.slice(0, name.lastIndexOf('.'));
-}
-
-/** Tasks of the same queue and image behave alike. */
-function kindOf({ step }: Task): string {
-  return `${step.job.spec.queue} ${step.spec.image}`;
-}
-
 /** Whether the second run of a task that an earlier holder started may go on. */
 function mayAdoptSecond({ step, run, copy }: Task): boolean {
   // Beside a run of this holder, the other one is what it took for lost.
   return mayHaveCopies(step.spec) && run?.isAdopted === true && !copy;
 }
 
-function copyEndOf({ task }: Run, end: RunEnd): CopyEnd {
-  if (task.isDone) return CopyEnd.Lost;
-  if (end === RunEnd.Done) return CopyEnd.Won;
-  return end === RunEnd.Failed ? CopyEnd.Failed : CopyEnd.Stopped;
-}
-
-/** Whether a run in one piece will tell how long such tasks take on a healthy worker. */
-function isRepresentative({ step, checkpoint }: Task, { record }: Worker): boolean {
-  const { isLasting, nearRack } = step.spec;
-  // Away from their data, tasks take a multiple of their time.
-  const isNear = nearRack === undefined || record.labels.includes(nearRack);
-  return isNear && !isLasting && checkpoint === '';
-}
-
 /** Whether the last order for a run was carried out before a reading of the worker's clock. */
 function isOlderThan({ lastOrderClockMs }: Run, workerTimeMs: number): boolean {
   return lastOrderClockMs !== undefined && lastOrderClockMs < workerTimeMs;
--- a/src/copies/index.ts
+++ b/src/copies/index.ts
@@ -1,3 +1,4 @@
+export { copyEndOf, recordCopyEnd, type CopyRecordDeps } from './copyEnds.js';
 export { copiesDefaults } from './defaults.js';
 export { copyCpu, placeCopies, type CopyRound } from './placeCopies.js';
 export { findResumable, resumeGainMs, type ResumeCosts, type ResumeRound } from './resume.js';
--- a/src/workerHealth/index.ts
+++ b/src/workerHealth/index.ts
@@ -4,6 +4,7 @@
 export { OpinionLink, type OpinionLinkDeps } from './opinionLink.js';
 export { createOpinionRows } from './opinionRows.js';
 export { poolNeeds } from './poolNeeds.js';
+export { RunHealth, type RunHealthDeps } from './runHealth.js';
 export {
   OpinionError,
   OpinionErrorCode,
