--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -45,7 +45,13 @@
   type Division,
   type DivisionInput,
 } from './budgetDivision.js';
-export { BudgetLedger, HeldReason, type BudgetLedgerDeps } from './budgetLedger.js';
+export {
+  BudgetLedger,
+  HeldReason,
+  type BudgetLedgerDeps,
+  type BudgetPreview,
+  type StartDecision,
+} from './budgetLedger.js';
 export {
   BudgetError,
   BudgetErrorCode,
@@ -57,9 +63,14 @@
   type BudgetRow,
   type BudgetShare,
 } from './budgetRow.js';
-export { LoadAdmission, type LoadAdmissionDeps } from './loadAdmission.js';
+export { LoadAdmission, type AdmissionPreview, type LoadAdmissionDeps } from './loadAdmission.js';
 export { PoolUsage, type PoolUsageDeps } from './poolUsage.js';
-export { ServiceAccounts, type RoundResult, type ServiceAccountsDeps } from './serviceAccounts.js';
+export {
+  ServiceAccounts,
+  type AccountsPreview,
+  type RoundResult,
+  type ServiceAccountsDeps,
+} from './serviceAccounts.js';
 export { refusal, SubmissionChecks, type SubmissionChecksDeps } from './submissionChecks.js';
 export { budgetDefaults } from './defaults.js';
 export {
--- a/src/accounts/jobCounting.ts
+++ b/src/accounts/jobCounting.ts
@@ -30,6 +30,15 @@
     if (spec.isBeyondRate) counters.count('jobs_beyond_rate', spec.account);
   }
 
+  /** A job as {@link count} would record it now; counts nothing. */
+  preview(spec: JobSpec): JobSpec {
+    const { control, clock, configure } = this.#deps;
+    configure();
+    const { account } = spec;
+    if (account === undefined || !control.isActive) return { ...spec };
+    return { ...spec, isBeyondRate: control.wouldBeBeyondRate(account, clock.now()) };
+  }
+
   /** Takes back the count of a job that was not accepted. */
   uncount({ account, isBeyondRate }: JobSpec): void {
     const { control, clock } = this.#deps;
--- a/src/accounts/loadAdmission.ts
+++ b/src/accounts/loadAdmission.ts
@@ -2,6 +2,7 @@
 import type { WaitingStep } from '../batch/ordering.js';
 import type { JobSpec, Queue, Resources } from '../batch/types.js';
 import type { Clock } from '../clock/index.js';
+import type { Random } from '../random/index.js';
 import type { AccountControl } from './accountControl.js';
 import {
   SHARED_FILL,
@@ -25,6 +26,12 @@
   queuedWork: (waiting: readonly WaitingStep[], pool: Resources) => QueuedWork[];
 }
 
+/** Options of a decision of which nothing is kept. */
+export interface AdmissionPreview {
+  /** Source of the jitter of the Retry-After. */
+  random: Pick<Random, 'next'>;
+}
+
 /** Decides whether a job that the holder does not know is refused under load. */
 export class LoadAdmission {
   readonly #deps: LoadAdmissionDeps;
@@ -44,8 +51,12 @@
     if (isActive) this.#queued = undefined;
   }
 
-  /** Refuses a job; undefined if it is accepted. */
-  refuse(spec: JobSpec): AdmissionRefusal | undefined {
+  /**
+   * Refuses a job; undefined if it is accepted.
+   *
+   * @param preview - given if nothing may be kept of the decision
+   */
+  refuse(spec: JobSpec, preview?: AdmissionPreview): AdmissionRefusal | undefined {
     const { control, clock, jobs, queueOf, timesOf } = this.#deps;
     const queue = queueOf(spec.queue);
     const { account, steps } = spec;
@@ -54,20 +65,24 @@
     const now = clock.now();
     const job: JobRequest = {
       account,
-      isBeyondRate: control.isBeyondRate(account, now),
+      isBeyondRate: preview
+        ? control.wouldBeBeyondRate(account, now)
+        : control.isBeyondRate(account, now),
       priority: queue?.priority ?? 0,
       ...timesOf(spec, queue),
     };
-    const queued = () => this.#queuedWork();
-    const hopeless = control.refuseHopeless(job, queued, now);
+    const queued = () => this.#queuedWork(preview);
+    const hopeless = control.refuseHopeless(job, queued, now, preview?.random);
     if (hopeless || jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
     const accounts = [...jobs.open()].map((open) => open.spec.account);
     const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
-    return control.refuseAboveShare(job, open, queued, now);
+    return control.refuseAboveShare(job, open, queued, now, preview?.random);
   }
 
-  #queuedWork(): QueuedWork[] {
+  #queuedWork(preview?: AdmissionPreview): QueuedWork[] {
     const { queuedWork, pool } = this.#deps;
-    return (this.#queued ??= queuedWork(this.#waiting, pool()));
+    const queued = this.#queued ?? queuedWork(this.#waiting, pool());
+    if (!preview) this.#queued = queued;
+    return queued;
   }
 }
--- a/src/accounts/poolUsage.ts
+++ b/src/accounts/poolUsage.ts
@@ -34,19 +34,23 @@
 
   /** Measures capacity and usage for a round; undefined if the configuration has no accounts. */
   measure(workers: readonly Worker[]): AccountUsage | undefined {
+    this.#usage = this.preview(workers);
+    if (this.#usage) this.#pool = this.#usage.pool;
+    return this.#usage;
+  }
+
+  /** Measures as {@link measure} does, but keeps nothing. */
+  preview(workers: readonly Worker[]): AccountUsage | undefined {
     const { control } = this.#deps;
-    this.#usage = undefined;
     if (!control.isActive) return undefined;
-    this.#pool = capacityOf(workers);
-    this.#usage = new AccountUsage(this.#pool, (account) => control.weightOf(account));
-    for (const { runs } of workers) for (const { task } of runs.values()) this.add(task);
-    return this.#usage;
+    const usage = new AccountUsage(capacityOf(workers), (account) => control.weightOf(account));
+    for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
+    return usage;
   }
 
   /** Adds a started task to what its account holds. */
-  add({ step }: Task): void {
-    const { account } = step.job.spec;
-    if (account !== undefined) this.#usage?.add(account, step.spec, !step.spec.fillsSpare);
+  add(task: Task): void {
+    if (this.#usage) addToUsage(this.#usage, task);
   }
 
   /**
@@ -68,6 +72,12 @@
   }
 }
 
+/** Adds a task to what its account holds. */
+export function addToUsage(usage: AccountUsage, { step }: Task): void {
+  const { account } = step.job.spec;
+  if (account !== undefined) usage.add(account, step.spec, !step.spec.fillsSpare);
+}
+
 /** Capacity of the workers that are admitted and not gone. */
 function capacityOf(workers: readonly Worker[]): Resources {
   const pool = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
--- a/src/accounts/serviceAccounts.ts
+++ b/src/accounts/serviceAccounts.ts
@@ -8,13 +8,14 @@
 import type { Random } from '../random/index.js';
 import { AccountControl } from './accountControl.js';
 import type { AccountUsage } from './accountUsage.js';
-import { BudgetLedger, type BudgetLedgerDeps } from './budgetLedger.js';
+import { BudgetLedger, type BudgetLedgerDeps, type StartDecision } from './budgetLedger.js';
 import { accountRuleDefaults } from './defaults.js';
 import type { ItemAccount } from './fairBacklog.js';
 import { JobCounting } from './jobCounting.js';
 import { LoadAdmission, type LoadAdmissionDeps } from './loadAdmission.js';
-import { freeResources, PoolUsage } from './poolUsage.js';
+import { addToUsage, freeResources, PoolUsage } from './poolUsage.js';
 import { SubmissionChecks, type SubmissionChecksDeps } from './submissionChecks.js';
+import type { HeldTasks } from './startableDemand.js';
 import type { Account, AccountRules } from './types.js';
 
 /** Dependencies of {@link ServiceAccounts}. */
@@ -89,14 +90,37 @@
 
   /** Limits the starts of a round to what the accounts may have running. */
   limitStarts(workers: readonly Worker[], now: number): AllowedStarts {
+    return (step, count) =>
+      this.budget.allowedStarts(
+        step.job.spec.account,
+        this.#tasksToStart(step, count, { workers, now }),
+      );
+  }
+
+  #tasksToStart(
+    step: Step,
+    count: number,
+    { workers, now }: { workers: readonly Worker[]; now: number },
+  ): Omit<HeldTasks, 'account'> {
     const { canHoldTask } = this.#deps;
-    return (step, count) => {
-      const { spec, job } = step;
-      const canStart = () =>
-        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
-      const { isGang, fillsSpare } = spec;
-      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
-      return this.budget.allowedStarts(job.spec.account, tasks);
+    const canStart = () =>
+      workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
+    const { isGang, fillsSpare } = step.spec;
+    return { needs: step.spec, count, isGang, fillsSpare, canStart };
+  }
+
+  /** Decides as in a round that begins now; keeps, counts and requests nothing. */
+  preview(): AccountsPreview {
+    const budget = this.budget.preview();
+    return {
+      measureUsage: (workers) => this.#usage.preview(workers),
+      decideStarts: (step, count, round) =>
+        budget.allowedStarts(step.job.spec.account, this.#tasksToStart(step, count, round)),
+      addStart: (task, usage) => {
+        const { spec, job } = task.step;
+        if (usage) addToUsage(usage, task);
+        if (job.spec.account !== undefined) budget.addRun(job.spec.account, spec);
+      },
     };
   }
 
@@ -118,6 +142,20 @@
   }
 }
 
+/** Decisions of a placement round on copied workers, with no effect on the accounts of the holder. */
+export interface AccountsPreview {
+  /** Measures usage; undefined if the configuration has no accounts. */
+  measureUsage(workers: readonly Worker[]): AccountUsage | undefined;
+  /** Decides how many of `count` tasks of a step may start. */
+  decideStarts(
+    step: Step,
+    count: number,
+    round: { workers: readonly Worker[]; now: number },
+  ): StartDecision;
+  /** Adds a start to the measured usage and, in this preview only, to the grant of its account. */
+  addStart(task: Task, usage: AccountUsage | undefined): void;
+}
+
 /** Result of a placement round. */
 export interface RoundResult {
   /** Monotonic time of its start in milliseconds. */
--- a/src/accounts/submissionChecks.ts
+++ b/src/accounts/submissionChecks.ts
@@ -1,12 +1,17 @@
 import type { Counters } from '../batch/counters.js';
 import type { JobTable } from '../batch/jobTable.js';
 import type { RowStore } from '../batch/ports.js';
-import { RefusalReason, type JobSpec, type SubmitOutcome } from '../batch/types.js';
+import {
+  RefusalReason,
+  type JobSpec,
+  type RefusedSubmission,
+  type SubmitOutcome,
+} from '../batch/types.js';
 import { compareOwner, JobOwner } from './access.js';
 import { AdmissionRefusalCode } from './admission.js';
 import { FULL_RETRY_MS, MAX_OPEN_JOBS, STORE_RETRY_MS, UNSTORABLE_RETRY_MS } from './defaults.js';
 import { readJobOwner } from './jobOwner.js';
-import type { LoadAdmission } from './loadAdmission.js';
+import type { AdmissionPreview, LoadAdmission } from './loadAdmission.js';
 
 /** Reasons of refusals under load. */
 const loadRefusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
@@ -14,6 +19,17 @@
   [AdmissionRefusalCode.AccountShare]: RefusalReason.AccountShare,
 };
 
+/** Names under which the holder counts refusals; others are counted where they are answered. */
+const countedRefusals: ReadonlyMap<RefusalReason, string> = new Map([
+  [RefusalReason.StoreSuspect, RefusalReason.StoreSuspect],
+  [RefusalReason.Full, 'too_many_open_jobs'],
+  [RefusalReason.Unstorable, RefusalReason.Unstorable],
+  [RefusalReason.IdInUse, RefusalReason.IdInUse],
+]);
+
+/** Makes the Retry-After of a preview its shortest value. */
+const withoutJitter: AdmissionPreview = { random: { next: () => 0 } };
+
 /** Dependencies of {@link SubmissionChecks}. */
 export interface SubmissionChecksDeps {
   service: string;
@@ -34,14 +50,21 @@
   }
 
   /** Refuses a job that the holder does not know; undefined if it may be accepted. */
-  refuse(spec: JobSpec): SubmitOutcome | undefined {
-    const { store, counters, jobs, admission } = this.#deps;
-    if (store.isSuspect()) return this.#countRefusal(RefusalReason.StoreSuspect, STORE_RETRY_MS);
-    if (jobs.size >= MAX_OPEN_JOBS) {
-      counters.count('refusals', 'too_many_open_jobs');
-      return refusal(RefusalReason.Full, FULL_RETRY_MS);
-    }
-    const refused = admission.refuse(spec);
+  refuse(spec: JobSpec): RefusedSubmission | undefined {
+    const refused = this.#findRefusal(spec);
+    return refused && this.#count(refused);
+  }
+
+  /** Decides as {@link refuse} does, but keeps and counts nothing and adds no jitter. */
+  preview(spec: JobSpec): RefusedSubmission | undefined {
+    return this.#findRefusal(spec, withoutJitter);
+  }
+
+  #findRefusal(spec: JobSpec, preview?: AdmissionPreview): RefusedSubmission | undefined {
+    const { store, jobs, admission } = this.#deps;
+    if (store.isSuspect()) return refusal(RefusalReason.StoreSuspect, STORE_RETRY_MS);
+    if (jobs.size >= MAX_OPEN_JOBS) return refusal(RefusalReason.Full, FULL_RETRY_MS);
+    const refused = admission.refuse(spec, preview);
     if (!refused) return undefined;
     const { code, retryAfterMs, workAheadMs, ratePerMs } = refused;
     const reason = loadRefusalReasons[code];
@@ -49,8 +72,8 @@
   }
 
   /** Refuses a job that the store never accepts. */
-  refuseUnstorable(): SubmitOutcome {
-    return this.#countRefusal(RefusalReason.Unstorable, UNSTORABLE_RETRY_MS);
+  refuseUnstorable(): RefusedSubmission {
+    return this.#count(refusal(RefusalReason.Unstorable, UNSTORABLE_RETRY_MS));
   }
 
   /** Answers a submission with the id of an accepted job, which may be another account's. */
@@ -63,12 +86,13 @@
       : await readJobOwner(store, service, spec);
     if (owner === JobOwner.Same) return { isAccepted: true };
     if (owner === JobOwner.Unknown) return refusal(RefusalReason.Unresolved, 0);
-    return this.#countRefusal(RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
+    return this.#count(refusal(RefusalReason.IdInUse, UNSTORABLE_RETRY_MS));
   }
 
-  #countRefusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
-    this.#deps.counters.count('refusals', reason);
-    return refusal(reason, retryAfterMs);
+  #count(refused: RefusedSubmission): RefusedSubmission {
+    const name = countedRefusals.get(refused.reason);
+    if (name !== undefined) this.#deps.counters.count('refusals', name);
+    return refused;
   }
 }
 
@@ -77,6 +101,6 @@
  *
  * @param retryAfterMs - milliseconds after which the caller should retry
  */
-export function refusal(reason: RefusalReason, retryAfterMs: number): SubmitOutcome {
+export function refusal(reason: RefusalReason, retryAfterMs: number): RefusedSubmission {
   return { isAccepted: false, reason, retryAfterMs };
 }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -7,6 +7,7 @@
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
 import { StragglerHelp } from '../copies/index.js';
+import { explainJob, type HolderExplanation } from '../explain/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { PlaceWaits } from '../places/index.js';
 import { ExpectedDemand } from '../pools/index.js';
@@ -32,6 +33,7 @@
   slackMsOf,
   taskWorkMs,
   turnSize,
+  type OrderRules,
 } from './ordering.js';
 import type { Claim } from './ownership.js';
 import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
@@ -53,7 +55,7 @@
   type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
-import { Vacating, type VacateStatus } from './vacating.js';
+import { Vacating, type VacateOptions, type VacateStatus } from './vacating.js';
 import { isPoolMember } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
@@ -306,6 +308,35 @@
     return { isAccepted: true };
   }
 
+  /** Explains what would be done with a job now; nothing is kept, counted or sent. */
+  explain(spec: JobSpec): HolderExplanation {
+    const { clock, config, canStart, canExtend } = this.#deps;
+    const queues = this.#queuesByName();
+    const { checks, counting } = this.#accounts;
+    return explainJob({
+      spec: counting.preview(spec),
+      service: this.service,
+      now: clock.now(),
+      wallTimeMs: clock.wallTime(),
+      configVersion: config()?.version,
+      refusal: checks.preview(spec),
+      jobs: [...this.#jobs.open()],
+      isHeld: (job) => this.#recovery.isHeld(job),
+      workers: [...this.#sessions.all()],
+      standingOf: (id) => this.#judgement.health.standing(id),
+      queues,
+      rules: this.#orderRules(),
+      hasTickets: (step) => this.#advice.hasTickets(step, queues),
+      accounts: this.#accounts.preview(),
+      previewPlaces: (candidates, state) => this.#placeWaits.preview(candidates, state),
+      mayRestart: canStart(),
+      mayStart: canExtend(),
+      maxStarts: this.#runs.freeStarts,
+      inboxAgeMs: this.#inbox.ageMs(),
+      roundAgeMs: this.#roundTimer.ageMs(),
+    });
+  }
+
   #writeJob(spec: JobSpec): Promise<EntryOutcome> {
     const entry = this.#jobs.acceptanceEntry(spec);
     const account = this.#accounts.itemAccount(spec);
@@ -365,8 +396,8 @@
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
-  vacate(workerId: string, isUrgent: boolean): VacateStatus {
-    return this.#vacating.request(workerId, isUrgent);
+  vacate(workerId: string, how: VacateOptions): VacateStatus {
+    return this.#vacating.request(workerId, how);
   }
 
   /** Makes a worker available for new tasks again. */
@@ -396,6 +427,10 @@
     return this.#queues;
   }
 
+  #orderRules(): Required<OrderRules> {
+    return { hasAccounts: this.#accounts.isActive, predictMs: this.#learning.predictMs };
+  }
+
   /** Requests a placement round. */
   #requestPlacement(): void {
     if (!this.#isClosed) this.#roundTimer.request();
@@ -409,7 +444,7 @@
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
     const queueOf = (name: string) => queues.get(name);
-    const rules = { hasAccounts: this.#accounts.isActive, predictMs: this.#learning.predictMs };
+    const rules = this.#orderRules();
     const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
       this.#advice.isPlaceable(step, queues, this.#sessions),
     );
--- a/src/batch/roundDelay.ts
+++ b/src/batch/roundDelay.ts
@@ -43,12 +43,17 @@
     this.#deps = deps;
   }
 
+  /** Time since the end of the last round in milliseconds; infinite before the first one. */
+  ageMs(): number {
+    return this.#deps.clock.now() - this.#endedAt;
+  }
+
   /** Schedules a placement round unless one is already scheduled. */
   request(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
     const { service, clock, counters, log, placeTasks } = this.#deps;
-    const delayMs = delayBeforeRoundMs(this.#roundMs, clock.now() - this.#endedAt);
+    const delayMs = delayBeforeRoundMs(this.#roundMs, this.ageMs());
     clock.setTimer(delayMs, () => {
       this.#isScheduled = false;
       const startedAt = clock.now();
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -179,6 +179,8 @@
   judgesWorkers: boolean;
   /** Sizes pools by the demand that is forecast for the time at which an ordered VM arrives. */
   forecastsDemand: boolean;
+  /** Empties VMs of a pool that has more than it needs when another one is short of VMs. */
+  relocatesRuns: boolean;
   /** Reaches the store through other nodes while it does not answer this one. */
   relaysStore: boolean;
 }
@@ -188,6 +190,7 @@
   learnsRunTimes: false,
   judgesWorkers: false,
   forecastsDemand: false,
+  relocatesRuns: false,
   relaysStore: false,
 };
 
@@ -226,16 +229,17 @@
 /** A job or a stored row is invalid. */
 export class BatchError extends BaseError<BatchErrorCode> {}
 
+/** A job was not accepted. */
+export interface RefusedSubmission {
+  isAccepted: false;
+  reason: RefusalReason;
+  retryAfterMs: number;
+  /** Input of a refusal under load, for logs. */
+  load?: { workAheadMs: number; ratePerMs: number };
+}
+
 /** Result of submitting a job. */
-export type SubmitOutcome =
-  | { isAccepted: true }
-  | {
-      isAccepted: false;
-      reason: RefusalReason;
-      retryAfterMs: number;
-      /** Input of a refusal under load, for logs. */
-      load?: { workAheadMs: number; ratePerMs: number };
-    };
+export type SubmitOutcome = { isAccepted: true } | RefusedSubmission;
 
 /** Number of the jobs of a queue that have not started any task. */
 export interface PendingCount {
