--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -1,13 +1,16 @@
 export { compareOwner, JobOwner, mayAccessJob } from './access.js';
-export { accountRuleDefaults } from './defaults.js';
+export { accountRuleDefaults, FULL_RETRY_MS, UNSTORABLE_RETRY_MS } from './defaults.js';
 export { AccountError, AccountErrorCode, KeyRefusal, KeyRefusalReason } from './errors.js';
 export { digestOfKey } from './keyDigest.js';
 export { KeyRegistry, type KeyRegistryDeps } from './keyRegistry.js';
+export { RecentIds } from './recentIds.js';
 export { RefusalLog } from './refusalLog.js';
 export type { Account, AccountRules, Moment } from './types.js';
 export { AccountUsage } from './accountUsage.js';
 export { FairBacklog, type ItemAccount } from './fairBacklog.js';
 export { fairOrder, type FairOrderRules } from './fairOrder.js';
+export { JobCounting, type JobCountingDeps } from './jobCounting.js';
+export { readJobOwner } from './jobOwner.js';
 export { JobRates, type CountedJob } from './jobRates.js';
 export {
   dominantShare,
@@ -27,6 +30,7 @@
   SHARED_FILL,
   workAheadOf,
   type JobRequest,
+  type JobTimes,
   type OpenJobs,
   type QueuedWork,
   type ServiceBacklog,
@@ -59,6 +63,15 @@
   type BudgetRow,
   type BudgetShare,
 } from './budgetRow.js';
+export { LoadAdmission, type AdmissionPreview, type LoadAdmissionDeps } from './loadAdmission.js';
+export { PoolUsage, type PoolUsageDeps } from './poolUsage.js';
+export {
+  ServiceAccounts,
+  type AccountsPreview,
+  type RoundResult,
+  type ServiceAccountsDeps,
+} from './serviceAccounts.js';
+export { refusal, SubmissionChecks, type SubmissionChecksDeps } from './submissionChecks.js';
 export { budgetDefaults } from './defaults.js';
 export {
   demandTotal,
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -3,7 +3,9 @@
   compareOwner,
   JobOwner,
   mayAccessJob,
+  RecentIds,
   RefusalLog,
+  UNSTORABLE_RETRY_MS,
   type KeyRefusal,
   type KeyRegistry,
 } from '../accounts/index.js';
@@ -11,7 +13,6 @@
 import type { Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import { UNSTORABLE_RETRY_MS, type SubmitOutcome } from './holder.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import {
   decodeEndedJob,
@@ -24,7 +25,14 @@
 import type { MonitoredStore } from './monitoredStore.js';
 import { StoreErrorCode, type Row, type RowKey } from './ports.js';
 import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
-import { JobState, RefusalReason, type BatchConfig, type JobSpec, type Queue } from './types.js';
+import {
+  JobState,
+  RefusalReason,
+  type BatchConfig,
+  type JobSpec,
+  type Queue,
+  type SubmitOutcome,
+} from './types.js';
 
 /** Timeout of one call to a holder; short, so that there is time left to go through the store. */
 const HOLDER_TIMEOUT_MS = 700;
@@ -53,11 +61,6 @@
   RefusalReason.AccountShare,
 ]);
 
-/** Longest time after which the store may still apply a write that it did not respond to. */
-const LATE_WRITE_MS = 30_000;
-/** Maximum number of job ids that are kept for that time. */
-const MAX_RECENT_IDS = 1_000;
-
 /** Outcome of a caller's request. */
 export enum CallOutcome {
   /** The request was carried out, or the state of the job is known. */
@@ -448,26 +451,3 @@
 
 /** A row that a job may have, and how to decode the state and the account of the job from it. */
 type Lookup = [key: RowKey, decode: (row: Row) => EndedJobRow | undefined];
-
-/** Ids that were added within the last {@link LATE_WRITE_MS}. */
-class RecentIds {
-  readonly #clock: Clock;
-  readonly #addedAt = new Map<string, number>();
-
-  constructor(clock: Clock) {
-    this.#clock = clock;
-  }
-
-  add(id: string): void {
-    this.#addedAt.delete(id);
-    this.#addedAt.set(id, this.#clock.now());
-    for (const [oldest] of this.#addedAt) {
-      if (this.#addedAt.size <= MAX_RECENT_IDS && this.has(oldest)) break;
-      this.#addedAt.delete(oldest);
-    }
-  }
-
-  has(id: string): boolean {
-    return this.#clock.now() - (this.#addedAt.get(id) ?? -Infinity) < LATE_WRITE_MS;
-  }
-}
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -1,75 +1,48 @@
 import {
-  AccountControl,
-  AccountUsage,
-  accountRuleDefaults,
-  AdmissionRefusalCode,
-  BudgetLedger,
-  compareOwner,
-  JobOwner,
+  FULL_RETRY_MS,
   mayAccessJob,
-  SHARED_FILL,
+  refusal,
+  ServiceAccounts,
   type AccountRules,
-  type AdmissionRefusal,
-  type JobRequest,
-  type QueuedWork,
 } from '../accounts/index.js';
 import type { Clock } from '../clock/index.js';
-import { messageOf, toError } from '../errors/index.js';
-import {
-  copiesDefaults,
-  findResumable,
-  findStragglers,
-  placeCopies,
-  type Straggler,
-} from '../copies/index.js';
-import type { Lifecycle } from '../lifecycle/index.js';
-import type { Random } from '../random/index.js';
-import { OpinionLink, Standing, WorkerHealth, type PoolNeeds } from '../workerHealth/index.js';
-import {
-  declaredMs,
-  RunTimes,
-  SnapshotKeeper,
-  SnapshotWrite,
-  type PredictMs,
-} from '../runTimes/index.js';
+import { StragglerHelp } from '../copies/index.js';
 import { explainJob, type HolderExplanation } from '../explain/index.js';
+import type { Lifecycle } from '../lifecycle/index.js';
 import { PlaceWaits } from '../places/index.js';
+import { ExpectedDemand } from '../pools/index.js';
+import type { Random } from '../random/index.js';
+import { RunTimeLearning } from '../runTimes/index.js';
+import { createOpinionRows, Judgement } from '../workerHealth/index.js';
 import { AdviceCache } from './adviceCache.js';
-import { ArrivalRateEstimator, workOf } from './arrivals.js';
-import { DemandForecast } from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
 import { placeSuspects } from './isolation.js';
-import { criticalPathMs, Job, type Step, type Task } from './job.js';
+import { criticalPathMs, Job, type Step } from './job.js';
+import type { EndedJobRow } from './jobCodec.js';
 import { JobTable } from './jobTable.js';
-import { EntryOutcome, Journal, type JournalEntry } from './journal.js';
+import { EntryOutcome, Journal, type TransactionSize } from './journal.js';
+import type { MonitoredStore } from './monitoredStore.js';
 import {
   byAccount,
-  objectiveMsOf,
+  isWaitingInTime,
+  jobTimesOf,
   orderWaiting,
-  OVERDUE_FACTOR,
   queuedWork,
   slackMsOf,
   taskWorkMs,
   turnSize,
-  Urgency,
-  type WaitingStep,
+  type OrderRules,
 } from './ordering.js';
-import {
-  canHoldTask,
-  mayUseWorker,
-  placeSteps,
-  type AllowedStarts,
-  type Assignment,
-} from './placement.js';
-import type { MonitoredStore } from './monitoredStore.js';
+import type { Claim } from './ownership.js';
+import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import { Recovery } from './recovery.js';
-import { delayBeforeRoundMs } from './roundDelay.js';
+import { RoundTimer } from './roundDelay.js';
 import { RunControl } from './runControl.js';
-import { jobKey, endedKey, inboxKey, runTimesKey } from './rows.js';
-import { decodeStoredAccount, encodeJob, type EndedJobRow } from './jobCodec.js';
+import type { ServiceLoad } from './serviceLoad.js';
+import { ServiceStateLog } from './serviceStateLog.js';
 import {
   JobState,
   noFeatures,
@@ -77,54 +50,19 @@
   type BatchConfig,
   type Features,
   type JobSpec,
+  type PendingCount,
   type Queue,
-  type Resources,
+  type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
-import { isPoolMember, type Worker } from './worker.js';
 import { Vacating, type VacateOptions, type VacateStatus } from './vacating.js';
-import type { ServiceLoad } from './serviceLoad.js';
-import { ServiceStateLog } from './serviceStateLog.js';
-import type { Claim } from './ownership.js';
+import { isPoolMember } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
-/** Maximum number of open jobs per holder; bounds its memory use. */
-const MAX_OPEN_JOBS = 4_000;
-/** Retry delay for callers that are refused because the holder is full or not serving yet. */
-const FULL_RETRY_MS = 2_000;
-/** Retry delay for callers that are refused while the store is unavailable. */
-const STORE_RETRY_MS = 1_000;
-/** Retry delay for callers whose job the store never accepts; sending it again is of no use. */
-export const UNSTORABLE_RETRY_MS = 60_000;
 /** Maximum age of a count of pending jobs; the platform's protocol allows 2 s. */
 const MAX_PENDING_AGE_MS = 1_900;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
-/**
- * Share of its CPU or memory that a pool has in use at least while tasks wait for capacity. Tasks
- * that fit on no worker wait in an empty pool, too.
- */
-const SATURATED_SHARE = 0.5;
-
-/** A job was not accepted. */
-export interface RefusedSubmission {
-  isAccepted: false;
-  reason: RefusalReason;
-  retryAfterMs: number;
-  /** Input of a refusal under load, for logs. */
-  load?: { workAheadMs: number; ratePerMs: number };
-}
-
-/** Result of submitting a job. */
-export type SubmitOutcome = { isAccepted: true } | RefusedSubmission;
-
-/** Number of the jobs of a queue that have not started any task. */
-export interface PendingCount {
-  /** Undefined if the holder cannot know it. */
-  count?: number;
-  /** Time since the holder last knew all accepted jobs, in milliseconds. */
-  ageMs: number;
-}
 
 /** Dependencies of a {@link Holder}. */
 export interface HolderDeps {
@@ -155,190 +93,159 @@
   resumeCostMs?: number;
 }
 
+/** Dependencies of the parts of a holder. */
+interface PartDeps extends HolderDeps {
+  service: string;
+  epoch: number;
+  /** Requests a placement round. */
+  place: () => void;
+  /** Gives up the service. */
+  lose: (reason: string) => void;
+}
+
 /** Manages one service: its open jobs, the runs on its workers, and its journal. */
 export class Holder {
   readonly service: string;
   readonly #deps: HolderDeps;
+  readonly #features: Features;
+
+  // Jobs and their rows.
   readonly #jobs: JobTable;
   readonly #journal: Journal;
+  readonly #inbox: Inbox;
+  readonly #recovery: Recovery;
+
+  // Workers and their runs.
   readonly #runs: RunControl;
   readonly #sessions: WorkerSessions;
-  readonly #recovery: Recovery;
   readonly #vacating: Vacating;
-  readonly #arrivals = new ArrivalRateEstimator();
-  readonly #forecast = new DemandForecast();
-  readonly #runTimes = new RunTimes();
-  readonly #predictMs: PredictMs;
-  readonly #runTimesSnapshot: SnapshotKeeper;
+  readonly #judgement: Judgement;
+
+  // Run times, demand and client accounts.
+  readonly #learning: RunTimeLearning;
+  readonly #demand: ExpectedDemand;
+  readonly #accounts: ServiceAccounts;
+
+  // Placement.
+  readonly #roundTimer: RoundTimer;
   readonly #advice: AdviceCache;
-  readonly #inbox: Inbox;
-  readonly #stateLog: ServiceStateLog;
-  readonly #accounts: AccountControl;
-  /** Waiting steps, capacity of the pool and usage of accounts in the last placement round. */
-  #waiting: WaitingStep[] = [];
-  #pool: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  #usage: AccountUsage | undefined;
-  /** Waiting work since the last placement round; computed when admission requires it. */
-  #queuedWork: QueuedWork[] | undefined;
-  readonly #features: Features;
-  readonly #health: WorkerHealth;
-  readonly #opinionLink: OpinionLink;
-  readonly #budget: BudgetLedger;
   readonly #placeWaits: PlaceWaits;
+  readonly #stragglerHelp: StragglerHelp;
+  readonly #stateLog: ServiceStateLog;
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
+
   #indexedConfig: BatchConfig | undefined;
   #queues: ReadonlyMap<string, Queue> = new Map();
-  #isPlacementScheduled = false;
-  /** Duration and end of the last placement round, on the monotonic clock in milliseconds. */
-  #roundMs = 0;
-  #roundEndedAt = -Infinity;
-  #stragglersSoughtAt = -Infinity;
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
-    const { service, epoch } = claim;
-    const { store, clock, log, counters } = deps;
+    const { service, epoch, headVersion, leases } = claim;
     this.service = service;
     this.#deps = deps;
     this.#features = deps.features ?? noFeatures;
-    this.#predictMs = this.#features.learnsRunTimes
-      ? (step, queue) => this.#runTimes.predictMs(step, queue)
-      : declaredMs;
-    const lose = deps.onLost;
+    const { learnsRunTimes, forecastsDemand: isForecast } = this.#features;
     const place = () => {
       this.#requestPlacement();
     };
-    const rateWindowMs = deps.accountRules?.rateWindowMs ?? accountRuleDefaults.rateWindowMs;
-    this.#accounts = new AccountControl({ rateWindowMs, random: deps.random });
-    this.#jobs = new JobTable({ service, clock, log, counters });
-    this.#journal = new Journal({
-      store,
-      clock,
-      log,
-      counters,
-      service,
-      epoch,
-      headVersion: claim.headVersion,
-      takeDirty: (max) => this.#jobs.takeDirty(max),
-      onLost: lose,
-    });
-    this.#jobs.onChange = () => {
-      void this.#journal.barrier();
+    const parts: PartDeps = { ...deps, service, epoch, place, lose: deps.onLost };
+
+    const jobs = (this.#jobs = new JobTable(parts));
+    const takeDirty = (max: TransactionSize) => jobs.takeDirty(max);
+    const journal = (this.#journal = new Journal({ ...parts, headVersion, takeDirty }));
+    jobs.onChange = () => {
+      void journal.barrier();
     };
-    this.#health = new WorkerHealth({ service, clock, log, counters });
-    this.#opinionLink = new OpinionLink({
-      service,
-      clock,
-      log,
-      counters,
-      health: this.#health,
-      read: (table) => store.readPart(table, service),
-      write: (rows, settle) => {
-        this.#journal.append({
-          ...rows,
-          conditions: [],
-          settle: (outcome) => {
-            settle(outcome === EntryOutcome.Applied);
-          },
-        });
+
+    this.#learning = new RunTimeLearning({ ...parts, journal, isEnabled: learnsRunTimes });
+    const { runTimes, predictMs } = this.#learning;
+    this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
+    this.#accounts = this.#createAccounts(parts);
+
+    this.#judgement = this.#createJudgement(parts);
+    const runs = (this.#runs = this.#createRunControl(parts));
+    jobs.onUnstorable = (job) => {
+      runs.stopAll(job, 'unstorable');
+    };
+    const sessions = (this.#sessions = new WorkerSessions({ ...parts, journal, runs, leases }));
+    const recovery = (this.#recovery = new Recovery({ ...parts, claim, jobs, sessions }));
+    const hasSeenAllRuns = () => recovery.hasCompleteView();
+    this.#vacating = new Vacating({ ...parts, runs, sessions, hasSeenAllRuns });
+    this.#inbox = new Inbox({
+      ...parts,
+      jobs,
+      cancel: (id, account) => void this.cancel(id, account),
+      countJob: (spec) => {
+        this.#accounts.counting.count(spec);
       },
     });
-    this.#budget = new BudgetLedger({
-      ...deps,
-      service,
-      epoch,
-      // The permitted overage stays a margin for runs that the holder does not know of, as after late orders.
-      maxOverage: 0,
+
+    const placeTasks = () => {
+      this.#placeTasks();
+    };
+    this.#roundTimer = new RoundTimer({ ...parts, placeTasks });
+    const advice = (this.#advice = new AdviceCache(parts));
+    const runMsOf = ({ spec, job }: Step) => predictMs(spec, job.spec.queue);
+    this.#placeWaits = new PlaceWaits({ ...parts, runMsOf });
+    this.#stragglerHelp = new StragglerHelp({
+      ...parts,
+      runTimes,
+      runs,
+      isPlaceable: (step) => advice.isPlaceable(step, this.#queuesByName(), sessions),
+      ticketOf: (step, worker) => advice.ticketOf(step, worker),
+    });
+    this.#stateLog = new ServiceStateLog({
+      ...parts,
+      jobs: () => jobs.open(),
+      workers: () => sessions.all(),
+      heldJobCount: () => recovery.heldJobCount,
+    });
+  }
+
+  #createAccounts(parts: PartDeps): ServiceAccounts {
+    const { predictMs } = this.#learning;
+    return new ServiceAccounts({
+      ...parts,
+      jobs: this.#jobs,
       hasCompleteView: () => this.#recovery.hasCompleteView() && !this.#sessions.hasOrphans(),
-      place,
-      lose,
+      applyConfig: () => void this.#queuesByName(),
+      queueOf: (name) => this.#queuesByName().get(name),
+      timesOf: (spec, queue) => jobTimesOf(spec, queue, predictMs),
+      queuedWork: (waiting, pool) => queuedWork(waiting, pool, predictMs),
+      taskWorkMs: (step, pool) => taskWorkMs(step, pool, predictMs),
+      canHoldTask,
     });
-    this.#runs = new RunControl({
-      ...deps,
-      health: this.#features.judgesWorkers ? this.#health : undefined,
-      expectedMs: ({ step }) => this.#predictMs(step.spec, step.job.spec.queue),
-      epoch,
-      budget: this.#budget,
+  }
+
+  #createJudgement(parts: PartDeps): Judgement {
+    return new Judgement({
+      ...parts,
+      ...createOpinionRows(parts.service, parts.store, this.#journal),
+      isEnabled: this.#features.judgesWorkers,
+      jobs: () => this.#jobs.open(),
+      pool: () => [...this.#sessions.all()].filter(isPoolMember),
+      judgedWorker: (worker) => this.#runs.judgedWorker(worker),
+    });
+  }
+
+  #createRunControl(parts: PartDeps): RunControl {
+    const { judgesWorkers, learnsRunTimes } = this.#features;
+    const { runTimes, predictMs } = this.#learning;
+    return new RunControl({
+      ...parts,
+      runTimes,
       jobs: this.#jobs,
+      budget: this.#accounts.budget,
+      health: judgesWorkers ? this.#judgement.health : undefined,
+      expectedMs: ({ step }) => predictMs(step.spec, step.job.spec.queue),
       maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
-      place,
       discardTicket: (step, workerId, ticket) => {
         this.#advice.discard(step, workerId, ticket);
       },
-      lose,
-      onTaskDone: ({ step }) => {
-        if (!this.#accounts.isActive) return;
-        this.#accounts.addEndedWork(taskWorkMs(step, this.#pool, this.#predictMs), clock.now());
-      },
-      runTimes: this.#runTimes,
-      mayHaveUnknownRuns: (job) =>
-        this.#features.learnsRunTimes && !this.#recovery.mayStartTasks(job),
-    });
-    this.#runTimesSnapshot = new SnapshotKeeper({
-      service,
-      clock,
-      log,
-      counters,
-      runTimes: this.#runTimes,
-      rowBytes: store.limits.rowBytes,
-      read: async () => (await store.readRow(runTimesKey(service))).map((row) => row?.value),
-      write: (value) => this.#writeRunTimes(value),
-    });
-    this.#jobs.onUnstorable = (job) => {
-      this.#runs.stopAll(job, 'unstorable');
-    };
-    this.#sessions = new WorkerSessions({
-      ...deps,
-      service,
-      epoch,
-      journal: this.#journal,
-      runs: this.#runs,
-      leases: claim.leases,
-      place,
-    });
-    this.#recovery = new Recovery({
-      ...deps,
-      claim,
-      jobs: this.#jobs,
-      sessions: this.#sessions,
-      place,
-    });
-    this.#vacating = new Vacating({
-      clock,
-      log,
-      runs: this.#runs,
-      sessions: this.#sessions,
-      hasSeenAllRuns: () => this.#recovery.hasCompleteView(),
-    });
-    this.#advice = new AdviceCache({ ...deps, place });
-    this.#inbox = new Inbox({
-      store,
-      clock,
-      log,
-      counters,
-      service,
-      jobs: this.#jobs,
-      place,
-      canStart: deps.canStart,
-      cancel: (id, account) => void this.cancel(id, account),
-      countJob: (spec) => {
-        this.#countJob(spec);
+      onTaskDone: (task) => {
+        this.#accounts.handleTaskDone(task);
       },
-    });
-    this.#placeWaits = new PlaceWaits({
-      ...deps,
-      service,
-      runMsOf: ({ spec, job }) => this.#predictMs(spec, job.spec.queue),
-    });
-    this.#stateLog = new ServiceStateLog({
-      service,
-      epoch,
-      clock,
-      log,
-      jobs: () => this.#jobs.open(),
-      workers: () => this.#sessions.all(),
-      heldJobCount: () => this.#recovery.heldJobCount,
+      mayHaveUnknownRuns: (job) => learnsRunTimes && !this.#recovery.mayStartTasks(job),
     });
   }
 
@@ -349,15 +256,15 @@
       this.#isClosed = true;
     });
     const journal = this.#journal.run(signal);
-    if (this.#features.learnsRunTimes) void this.#runTimesSnapshot.load(signal);
+    void this.#learning.load(signal);
     if (!(await this.#recovery.load(signal))) return;
-    this.#restoreRates();
+    this.#accounts.counting.restore(this.#jobs.open());
     await Promise.all([
       journal,
       this.#sessions.run(signal),
-      ...(this.#features.judgesWorkers ? [this.#opinionLink.load(signal)] : []),
+      this.#judgement.load(signal),
       this.#inbox.run(signal),
-      this.#budget.run(signal),
+      this.#accounts.budget.run(signal),
       this.#tick(signal),
     ]);
   }
@@ -368,252 +275,73 @@
       const wallTime = clock.wallTime();
       for (const job of this.#jobs.open()) if (job.hasSchedule) job.createDueOccurrences(wallTime);
       this.#vacating.proceed();
-      this.#judgeWorkers();
+      this.#judgement.update();
       this.#requestPlacement();
-      if (this.#features.learnsRunTimes) this.#runTimesSnapshot.update();
+      this.#learning.update();
       this.#stateLog.update(TICK_INTERVAL_MS, this.#unplacedCount);
-      for (const [account, share] of this.#usage?.shares() ?? [])
-        this.#deps.counters.count('account_share_ms', account, share * TICK_INTERVAL_MS);
+      this.#accounts.countShares(TICK_INTERVAL_MS);
     } while (await clock.sleep(TICK_INTERVAL_MS, signal));
   }
 
-  /** Judges the workers; must not end the process, because all starts depend on the tick. */
-  #judgeWorkers(): void {
-    if (!this.#features.judgesWorkers) return;
-    const { counters, log } = this.#deps;
-    const pool = () => [...this.#sessions.all()].filter(isPoolMember);
-    try {
-      this.#health.judge(
-        () => pool().map((worker) => this.#runs.judgedWorker(worker)),
-        () => poolNeeds(this.#jobs.open(), pool()),
-      );
-      this.#opinionLink.store();
-    } catch (err) {
-      counters.count('judgement_failures', toError(err).name);
-      log.warn('judgement_failed', { service: this.service, error: messageOf(err) });
-    }
-  }
-
   get isLoaded(): boolean {
     return this.#recovery.isLoaded;
   }
 
   /** Submits a job. Resolves once the job is durable. */
   async submit(spec: JobSpec): Promise<SubmitOutcome> {
-    if (!this.isLoaded || this.#isClosed) {
-      return { isAccepted: false, reason: RefusalReason.NotHolder, retryAfterMs: FULL_RETRY_MS };
-    }
+    if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
-    if (isKnown) return this.#answerKnown(spec);
+    const { checks, counting } = this.#accounts;
+    if (isKnown) return checks.answerKnown(spec);
     // Another submission with this id started to be written during the wait.
     if (this.#jobs.isPending(spec.id)) return this.submit(spec);
-    const refused = this.#findRefusal(spec);
-    if (refused) {
-      const name = countedRefusals.get(refused.reason);
-      if (name !== undefined) this.#deps.counters.count('refusals', name);
-      return refused;
-    }
-    this.#countJob(spec);
+    const refused = checks.refuse(spec);
+    if (refused) return refused;
+    counting.count(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
-    if (outcome !== EntryOutcome.Applied) this.#uncountJob(spec);
-    if (outcome === EntryOutcome.HolderLost) {
-      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
-    }
-    if (outcome === EntryOutcome.Rejected) {
-      this.#deps.counters.count('refusals', RefusalReason.Unstorable);
-      return {
-        isAccepted: false,
-        reason: RefusalReason.Unstorable,
-        retryAfterMs: UNSTORABLE_RETRY_MS,
-      };
-    }
+    if (outcome !== EntryOutcome.Applied) counting.uncount(spec);
+    if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
+    if (outcome === EntryOutcome.Rejected) return checks.refuseUnstorable();
     // On a conflict, the job was already accepted through another process.
-    if (outcome !== EntryOutcome.Applied) return this.#answerKnown(spec);
+    if (outcome !== EntryOutcome.Applied) return checks.answerKnown(spec);
     this.#openJob(spec);
     return { isAccepted: true };
   }
 
-  /**
-   * Decides whether a job that this holder does not know is refused.
-   *
-   * @param preview - given if nothing may be kept of the decision
-   */
-  #findRefusal(
-    spec: JobSpec,
-    preview?: { random: Pick<Random, 'next'> },
-  ): RefusedSubmission | undefined {
-    if (this.#deps.store.isSuspect()) {
-      const reason = RefusalReason.StoreSuspect;
-      return { isAccepted: false, reason, retryAfterMs: STORE_RETRY_MS };
-    }
-    if (this.#jobs.size >= MAX_OPEN_JOBS)
-      return { isAccepted: false, reason: RefusalReason.Full, retryAfterMs: FULL_RETRY_MS };
-    const refusal = this.#refuseUnderLoad(spec, preview);
-    if (!refusal) return undefined;
-    const { code, retryAfterMs, workAheadMs, ratePerMs } = refusal;
-    const load = { workAheadMs, ratePerMs };
-    return { isAccepted: false, reason: refusalReasons[code], retryAfterMs, load };
-  }
-
   /** Explains what would be done with a job now; nothing is kept, counted or sent. */
   explain(spec: JobSpec): HolderExplanation {
     const { clock, config, canStart, canExtend } = this.#deps;
-    const now = clock.now();
     const queues = this.#queuesByName();
-    const hasAccounts = this.#accounts.isActive;
-    const isBeyondRate =
-      hasAccounts && spec.account !== undefined
-        ? { isBeyondRate: this.#accounts.wouldBeBeyondRate(spec.account, now) }
-        : {};
+    const { checks, counting } = this.#accounts;
     return explainJob({
-      spec: { ...spec, ...isBeyondRate },
+      spec: counting.preview(spec),
       service: this.service,
-      now,
+      now: clock.now(),
       wallTimeMs: clock.wallTime(),
       configVersion: config()?.version,
-      refusal: this.#findRefusal(spec, { random: { next: () => 0 } }),
+      refusal: checks.preview(spec),
       jobs: [...this.#jobs.open()],
       isHeld: (job) => this.#recovery.isHeld(job),
       workers: [...this.#sessions.all()],
-      standingOf: (id) => this.#health.standing(id),
+      standingOf: (id) => this.#judgement.health.standing(id),
       queues,
-      rules: { hasAccounts, predictMs: this.#predictMs },
+      rules: this.#orderRules(),
       hasTickets: (step) => this.#advice.hasTickets(step, queues),
-      budget: this.#budget.preview(),
+      accounts: this.#accounts.preview(),
       previewPlaces: (candidates, state) => this.#placeWaits.preview(candidates, state),
-      measureUsage: (workers) => this.#measureUsage(workers),
-      addToUsage,
       mayRestart: canStart(),
       mayStart: canExtend(),
       maxStarts: this.#runs.freeStarts,
       inboxAgeMs: this.#inbox.ageMs(),
-      roundAgeMs: now - this.#roundEndedAt,
+      roundAgeMs: this.#roundTimer.ageMs(),
     });
   }
 
-  /** Answers a submission with the id of an accepted job, which may be another account's. */
-  async #answerKnown(spec: JobSpec): Promise<SubmitOutcome> {
-    if (!this.#deps.usesAccounts()) return { isAccepted: true };
-    const found = this.#jobs.find(spec.id);
-    const owner = found ? compareOwner(found.account, spec.account) : await this.#storedOwner(spec);
-    if (owner === JobOwner.Same) return { isAccepted: true };
-    if (owner === JobOwner.Unknown) {
-      return { isAccepted: false, reason: RefusalReason.Unresolved, retryAfterMs: 0 };
-    }
-    this.#deps.counters.count('refusals', RefusalReason.IdInUse);
-    return {
-      isAccepted: false,
-      reason: RefusalReason.IdInUse,
-      retryAfterMs: UNSTORABLE_RETRY_MS,
-    };
-  }
-
-  /** Reads whose job the store has under the id of a submitted one. */
-  async #storedOwner({ id, account }: JobSpec): Promise<JobOwner> {
-    // In the order in which the rows of a job are written, so that none is missed.
-    for (const key of [inboxKey, jobKey, endedKey]) {
-      const res = await this.#deps.store.readRow(key(this.service, id));
-      if (res.isErr) return JobOwner.Unknown;
-      if (!res.value) continue;
-      const owner = decodeStoredAccount(res.value);
-      return owner.isOk ? compareOwner(owner.value, account) : JobOwner.Unknown;
-    }
-    return JobOwner.Unknown;
-  }
-
   #writeJob(spec: JobSpec): Promise<EntryOutcome> {
-    const { id } = spec;
+    const entry = this.#jobs.acceptanceEntry(spec);
+    const account = this.#accounts.itemAccount(spec);
     return new Promise((settle) => {
-      this.#journal.append({
-        conditions: [
-          { ...inboxKey(this.service, id), version: 0 },
-          { ...endedKey(this.service, id), version: 0 },
-        ],
-        writes: [{ ...jobKey(this.service, id), value: encodeJob(spec) }],
-        removes: [],
-        account: this.#itemAccount(spec),
-        settle,
-      });
-    });
-  }
-
-  #itemAccount({ account }: JobSpec): JournalEntry['account'] {
-    if (account === undefined || !this.#accounts.isActive) return undefined;
-    return { name: account, weight: this.#accounts.weightOf(account) };
-  }
-
-  /** Counts a job for its account's rate and records the result in the job. */
-  #countJob(spec: JobSpec): void {
-    const { clock, counters } = this.#deps;
-    this.#queuesByName();
-    if (spec.account === undefined || !this.#accounts.isActive) return;
-    spec.isBeyondRate = this.#accounts.countJob(spec.account, clock.now());
-    if (spec.isBeyondRate) counters.count('jobs_beyond_rate', spec.account);
-  }
-
-  /** Takes back the count of a job that was not accepted. */
-  #uncountJob({ account, isBeyondRate }: JobSpec): void {
-    if (account === undefined || isBeyondRate !== false) return;
-    this.#accounts.giveBack(account, this.#deps.clock.now());
-  }
-
-  /** Counts the jobs that an earlier holder accepted, so that they are ordered the same way. */
-  #restoreRates(): void {
-    this.#queuesByName();
-    if (!this.#accounts.isActive) return;
-    const jobs = [...this.#jobs.open()].flatMap(({ spec, acceptedAt }) =>
-      spec.account === undefined
-        ? []
-        : [{ spec, acceptedAt, account: spec.account, isBeyondRate: spec.isBeyondRate }],
-    );
-    this.#accounts.restore(jobs, ({ spec }, isBeyondRate) => {
-      spec.isBeyondRate = isBeyondRate;
-    });
-  }
-
-  /** Decides whether a job that this holder does not know is refused under load. */
-  #refuseUnderLoad(
-    spec: JobSpec,
-    preview?: { random: Pick<Random, 'next'> },
-  ): AdmissionRefusal | undefined {
-    const queue = this.#queuesByName().get(spec.queue);
-    const { account, steps } = spec;
-    if (account === undefined || !this.#accounts.isActive) return undefined;
-    if (spec.occurrences > 0 || steps.some(({ isLasting }) => isLasting)) return undefined;
-    const now = this.#deps.clock.now();
-    const objectiveMs = objectiveMsOf({ spec }, queue, this.#predictMs);
-    const job: JobRequest = {
-      account,
-      isBeyondRate: preview
-        ? this.#accounts.wouldBeBeyondRate(account, now)
-        : this.#accounts.isBeyondRate(account, now),
-      priority: queue?.priority ?? 0,
-      pathMs: criticalPathMs(spec, this.#predictMs),
-      objectiveMs,
-      valueMs: objectiveMs * OVERDUE_FACTOR,
-    };
-    const measure = () => queuedWork(this.#waiting, this.#pool, this.#predictMs);
-    const queued = () =>
-      preview ? (this.#queuedWork ?? measure()) : (this.#queuedWork ??= measure());
-    const hopeless = this.#accounts.refuseHopeless(job, queued, now, preview?.random);
-    if (hopeless || this.#jobs.size < MAX_OPEN_JOBS * SHARED_FILL) return hopeless;
-    const accounts = [...this.#jobs.open()].map((open) => open.spec.account);
-    const open = { accounts, limit: MAX_OPEN_JOBS, defaultRetryMs: FULL_RETRY_MS };
-    return this.#accounts.refuseAboveShare(job, open, queued, now, preview?.random);
-  }
-
-  #writeRunTimes(value: string): Promise<SnapshotWrite> {
-    return new Promise((resolve) => {
-      this.#journal.append({
-        conditions: [],
-        writes: [{ ...runTimesKey(this.service), value }],
-        removes: [],
-        settle: (outcome) => {
-          if (outcome === EntryOutcome.Applied) resolve(SnapshotWrite.Written);
-          else if (outcome === EntryOutcome.HolderLost) resolve(SnapshotWrite.HolderLost);
-          else resolve(SnapshotWrite.Rejected);
-        },
-      });
+      this.#journal.append({ ...entry, account, settle });
     });
   }
 
@@ -621,7 +349,7 @@
     const { clock, log, config } = this.#deps;
     const job = new Job(spec, clock.now(), 1);
     job.createDueOccurrences(clock.wallTime());
-    this.#recordDemand(spec);
+    this.#demand.add(spec);
     this.#jobs.add(job);
     log.info('job_accepted', {
       job: spec.id,
@@ -631,20 +359,12 @@
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
       lasting: job.isLasting,
-      path_ms: Math.round(criticalPathMs(spec, this.#predictMs)),
+      path_ms: Math.round(criticalPathMs(spec, this.#learning.predictMs)),
       config: config()?.version,
     });
     this.#requestPlacement();
   }
 
-  #recordDemand(spec: JobSpec): void {
-    const now = this.#deps.clock.now();
-    this.#arrivals.add(spec, now, this.#predictMs);
-    if (this.#features.forecastsDemand) {
-      this.#forecast.add(spec.queue, workOf(spec, this.#predictMs), now);
-    }
-  }
-
   /** State and account of an open or recently ended job; undefined if the holder knows no such job. */
   find(id: string): EndedJobRow | undefined {
     return this.#jobs.find(id);
@@ -672,11 +392,7 @@
   pending(queue: string): PendingCount {
     const ageMs = this.#inbox.ageMs();
     if (ageMs > MAX_PENDING_AGE_MS || !this.#deps.canStart()) return { ageMs };
-    let count = 0;
-    for (const job of this.#jobs.open()) {
-      if (job.spec.queue === queue && job.state === JobState.Queued) count++;
-    }
-    return { ageMs, count };
+    return { ageMs, count: this.#jobs.countQueued(queue) };
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
@@ -696,9 +412,8 @@
 
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
-    const demand = this.#features.forecastsDemand ? this.#forecast : this.#arrivals;
-    const expectedCpu = demand.expectedCpu(this.#deps.clock.now());
-    return this.#sessions.load([...this.#jobs.open()], expectedCpu, this.#predictMs);
+    const { predictMs } = this.#learning;
+    return this.#sessions.load([...this.#jobs.open()], this.#demand.cpu(), predictMs);
   }
 
   /** Queues of the active configuration by name; rebuilt when the configuration changes. */
@@ -712,25 +427,13 @@
     return this.#queues;
   }
 
-  /** Schedules a placement round unless one is already scheduled. */
+  #orderRules(): Required<OrderRules> {
+    return { hasAccounts: this.#accounts.isActive, predictMs: this.#learning.predictMs };
+  }
+
+  /** Requests a placement round. */
   #requestPlacement(): void {
-    if (this.#isPlacementScheduled || this.#isClosed) return;
-    this.#isPlacementScheduled = true;
-    const { clock, counters, log } = this.#deps;
-    const delayMs = delayBeforeRoundMs(this.#roundMs, clock.now() - this.#roundEndedAt);
-    clock.setTimer(delayMs, () => {
-      this.#isPlacementScheduled = false;
-      const startedAt = clock.now();
-      // An error must not end the process; the tick requests the next round.
-      try {
-        this.#placeTasks();
-      } catch (err) {
-        counters.count('placement_failures', toError(err).name);
-        log.warn('placement_failed', { service: this.service, error: messageOf(err) });
-      }
-      this.#roundEndedAt = clock.now();
-      this.#roundMs = this.#roundEndedAt - startedAt;
-    });
+    if (!this.#isClosed) this.#roundTimer.request();
   }
 
   #placeTasks(): void {
@@ -740,213 +443,36 @@
     const now = clock.now();
     const queues = this.#queuesByName();
     const jobs = [...this.#jobs.open()].filter((job) => this.#recovery.mayStartTasks(job));
-    const hasAccounts = this.#accounts.isActive;
     const queueOf = (name: string) => queues.get(name);
-    const rules = { hasAccounts, predictMs: this.#predictMs };
+    const rules = this.#orderRules();
     const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
       this.#advice.isPlaceable(step, queues, this.#sessions),
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
-    for (const worker of workers) worker.setStanding(this.#health.standing(worker.record.id));
-    const usage = hasAccounts ? this.#measureUsage(workers) : undefined;
-    this.#usage = usage;
-    if (usage) this.#pool = usage.pool;
-    const allowedStarts: AllowedStarts = (step, count) => {
-      const { spec, job } = step;
-      const canStart = () =>
-        workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
-      const { isGang, fillsSpare } = spec;
-      const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
-      return this.#budget.allowedStarts(job.spec.account, tasks);
-    };
+    this.#judgement.applyTo(workers);
+    const usage = this.#accounts.measureUsage(workers);
+    const allowedStarts = this.#accounts.limitStarts(workers, now);
     const candidates = waiting.map((each) => ({ step: each.step, slackMs: slackMsOf(each) }));
     const places = this.#placeWaits.plan(candidates, jobs, { workers, mayUse: mayUseWorker });
     const round = { steps, workers, now, mayRestart, allowedStarts, places };
-    this.#budget.beginRound();
+    this.#accounts.budget.beginRound();
     const start = ({ task, worker }: Assignment) => {
-      if (usage) addToUsage(usage, task);
+      this.#accounts.addStart(task);
       this.#placeWaits.handleStart(task, worker, places);
       this.#runs.start(task, worker, this.#advice.ticketOf(task.step, worker));
     };
     const maxStarts = () => this.#runs.freeStarts;
     const waitingSuspects = placeSuspects({ ...round, maxStarts: maxStarts() }, start);
     const fairRound = usage ? { ...round, steps: byAccount(waiting, usage), turnSize } : round;
-    this.#unplacedCount =
+    const unplacedCount =
       waitingSuspects + placeSteps({ ...fairRound, maxStarts: maxStarts() }, start);
-    const isRoomIdle = !waiting.some(
-      ({ step, urgency }) => urgency <= Urgency.OnTime && step.idleCount > 0,
-    );
+    this.#unplacedCount = unplacedCount;
     // Another holder may have started a copy already.
     if (mayRestart && this.#features.learnsRunTimes) {
-      this.#handleStragglers(jobs, workers, { isRoomIdle, allowedStarts });
-    }
-    this.#budget.endRound(() => freeResources(workers, now));
-    this.#waiting = hasAccounts ? waiting : [];
-    if (!hasAccounts) return;
-    this.#queuedWork = undefined;
-    this.#accounts.updateSaturation(this.#unplacedCount > 0 && isInUse(workers, this.#pool), now);
-  }
-
-  /** Measures the capacity of the pool and what each account holds of it. */
-  #measureUsage(workers: readonly Worker[]): AccountUsage {
-    const pool = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-    for (const { record, isAdmitted, isGone } of workers) {
-      if (!isAdmitted || isGone) continue;
-      pool.cpuMillis += record.capacity.cpuMillis;
-      pool.memoryMb += record.capacity.memoryMb;
-      pool.accelerators += record.capacity.accelerators;
-    }
-    const usage = new AccountUsage(pool, (account) => this.#accounts.weightOf(account));
-    for (const { runs } of workers) for (const { task } of runs.values()) addToUsage(usage, task);
-    return usage;
-  }
-
-  /** Finds stragglers, and helps them while no task that can be in time waits. */
-  #handleStragglers(
-    jobs: readonly Job[],
-    workers: readonly Worker[],
-    { isRoomIdle, allowedStarts }: { isRoomIdle: boolean; allowedStarts: AllowedStarts },
-  ): void {
-    const { clock, log, counters } = this.#deps;
-    const now = clock.now();
-    if (now - this.#stragglersSoughtAt < copiesDefaults.searchIntervalMs) return;
-    this.#stragglersSoughtAt = now;
-    const stragglers = findStragglers(jobs, now, this.#runTimes);
-    for (const { task, run, elapsedMs, limitMs, remainderMs } of stragglers) {
-      if (run.isStraggler) continue;
-      run.isStraggler = true;
-      counters.count('stragglers', this.service);
-      log.detail('straggler_found', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: run.number,
-        worker: run.worker.record.id,
-        elapsed_ms: Math.round(elapsedMs),
-        limit_ms: Math.round(limitMs),
-        remainder_ms: Math.round(remainderMs),
-      });
-    }
-    if (!isRoomIdle) return;
-    this.#resumeElsewhere(stragglers, workers);
-    this.#startCopies(stragglers, workers, allowedStarts);
-  }
-
-  /** Stops stragglers on slow workers where resuming them on another from a checkpoint pays. */
-  #resumeElsewhere(stragglers: readonly Straggler[], workers: readonly Worker[]): void {
-    const { clock, log, resumeCostMs } = this.#deps;
-    if (resumeCostMs === undefined) return;
-    const round = { workers, now: clock.now(), times: this.#runTimes, resumeCostMs };
-    for (const { task, run } of findResumable(stragglers, round)) {
-      task.avoid = run.worker.record.id;
-      this.#runs.stop(run, 'resumed_elsewhere');
-      log.detail('straggler_resumed', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: run.number,
-        worker: run.worker.record.id,
-        slowdown: run.worker.slowdown,
-      });
+      const isRoomIdle = !waiting.some(isWaitingInTime);
+      this.#stragglerHelp.update({ jobs, workers, isRoomIdle, allowedStarts });
     }
+    this.#accounts.endRound(workers, { now, waiting, unplacedCount });
   }
-
-  #startCopies(
-    stragglers: readonly Straggler[],
-    workers: readonly Worker[],
-    allowedStarts: AllowedStarts,
-  ): void {
-    const { clock, log } = this.#deps;
-    const now = clock.now();
-    const queues = this.#queuesByName();
-    const isPlaceable = (step: Step) =>
-      this.#advice.isPlaceable(step, queues, this.#sessions) && allowedStarts(step, 1) === 1;
-    const round = { workers, now, maxStarts: this.#runs.freeStarts, isPlaceable };
-    placeCopies(stragglers, round, ({ task, worker }) => {
-      this.#runs.startCopy(task, worker, this.#advice.ticketOf(task.step, worker));
-      log.detail('copy_started', {
-        job: task.step.job.spec.id,
-        task: task.name,
-        run: task.copy?.number,
-        worker: worker.record.id,
-        beside: task.run?.worker.record.id,
-      });
-    });
-  }
-}
-
-/** Names under which the holder counts refusals; others are counted where they are answered. */
-const countedRefusals: ReadonlyMap<RefusalReason, string> = new Map([
-  [RefusalReason.StoreSuspect, RefusalReason.StoreSuspect],
-  [RefusalReason.Full, 'too_many_open_jobs'],
-]);
-
-/** Reasons of refusals under load. */
-const refusalReasons: Readonly<Record<AdmissionRefusalCode, RefusalReason>> = {
-  [AdmissionRefusalCode.Hopeless]: RefusalReason.Hopeless,
-  [AdmissionRefusalCode.AccountShare]: RefusalReason.AccountShare,
-};
-
-function addToUsage(usage: AccountUsage, { step }: Task): void {
-  const { account } = step.job.spec;
-  if (account !== undefined) usage.add(account, step.spec, !step.spec.fillsSpare);
-}
-
-/** Whether much of the pool's CPU or memory is in use. */
-function isInUse(workers: readonly Worker[], pool: Resources): boolean {
-  let cpuMillis = 0;
-  let memoryMb = 0;
-  for (const worker of workers) {
-    cpuMillis += worker.cpuUsed;
-    memoryMb += worker.memoryUsed;
-  }
-  return (
-    cpuMillis >= pool.cpuMillis * SATURATED_SHARE || memoryMb >= pool.memoryMb * SATURATED_SHARE
-  );
-}
-
-/** What the open jobs need of the workers, so that not too many are set aside. */
-function poolNeeds(jobs: Iterable<Job>, pool: readonly Worker[]): PoolNeeds {
-  const requiredLabels = new Set<string>();
-  let lastingCpu = 0;
-  let maxAway = pool.length - 1;
-  for (const job of jobs) {
-    for (const spec of job.spec.steps) {
-      const { requiredLabel, isLasting, count, maxPerWorker, cpuMillis } = spec;
-      if (requiredLabel !== undefined) requiredLabels.add(requiredLabel);
-      if (!isLasting) continue;
-      lastingCpu += count * cpuMillis;
-      if (maxPerWorker === 0) continue;
-      const eligible = pool.filter(
-        ({ record }) => requiredLabel === undefined || record.labels.includes(requiredLabel),
-      );
-      maxAway = Math.min(maxAway, eligible.length - Math.ceil(count / maxPerWorker));
-    }
-  }
-  const capacities = pool.map(({ record }) => record.capacity.cpuMillis);
-  const largest = Math.max(1, ...capacities);
-  const capacityCpu = capacities.reduce((sum, cpu) => sum + cpu, 0);
-  if (lastingCpu > 0) {
-    maxAway = Math.min(maxAway, Math.floor((capacityCpu - lastingCpu) / largest));
-  }
-  const inUse = pool.filter(({ standing }) => standing === Standing.InUse);
-  const canSpare = (id: string) => {
-    const labels = pool.find(({ record }) => record.id === id)?.record.labels ?? [];
-    const isLast = (label: string) =>
-      !inUse.some(({ record }) => record.id !== id && record.labels.includes(label));
-    return !labels.some((label) => requiredLabels.has(label) && isLast(label));
-  };
-  return { maxAway, canSpare };
-}
-
-/** Free resources of the workers that accept runs. */
-function freeResources(workers: readonly Worker[], now: number): Resources {
-  const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  for (const worker of workers) {
-    if (!worker.acceptsRuns(now)) continue;
-    const { capacity } = worker.record;
-    free.cpuMillis += Math.max(0, capacity.cpuMillis - worker.cpuUsed);
-    free.memoryMb += Math.max(0, capacity.memoryMb - worker.memoryUsed);
-    free.accelerators += Math.max(0, capacity.accelerators - worker.acceleratorsUsed);
-  }
-  return free;
 }
--- a/src/explain/explainJob.ts
+++ b/src/explain/explainJob.ts
@@ -1,5 +1,4 @@
-import { HeldReason, type AccountUsage, type BudgetPreview } from '../accounts/index.js';
-import type { RefusedSubmission } from '../batch/holder.js';
+import { HeldReason, type AccountsPreview, type AccountUsage } from '../accounts/index.js';
 import { placeSuspects } from '../batch/isolation.js';
 import { Job, type Step, type Task } from '../batch/job.js';
 import {
@@ -11,14 +10,13 @@
   type WaitingStep,
 } from '../batch/ordering.js';
 import {
-  canHoldTask,
   mayUseWorker,
   obstacleToTask,
   placeSteps,
   type AllowedStarts,
   type Assignment,
 } from '../batch/placement.js';
-import type { JobSpec, Queue } from '../batch/types.js';
+import type { JobSpec, Queue, RefusedSubmission } from '../batch/types.js';
 import { createRun, RunPhase, type Worker } from '../batch/worker.js';
 import type { PlaceDecision, PlaceWaits, ReportedPlaces } from '../places/index.js';
 import type { Standing } from '../workerHealth/index.js';
@@ -54,10 +52,8 @@
   rules: Required<OrderRules>;
   /** Whether a step of the holder needs no tickets or has them. */
   hasTickets: (step: Step) => boolean;
-  budget: BudgetPreview;
+  accounts: AccountsPreview;
   previewPlaces: PlaceWaits['preview'];
-  measureUsage: (workers: readonly Worker[]) => AccountUsage;
-  addToUsage: (usage: AccountUsage, task: Task) => void;
   /** Whether ownership of the service is certain. */
   mayRestart: boolean;
   /** Whether the holder may start tasks at all. */
@@ -93,7 +89,7 @@
   const ordered = orderWaiting([...copies.jobs, job], queueOf, now, wallTimeMs, rules);
   const hasTickets = (step: Step) => state.hasTickets(copies.recorded.get(step) ?? step);
   const waiting = ordered.filter(({ step }) => hasTickets(step));
-  const usage = rules.hasAccounts ? state.measureUsage(copies.workers) : undefined;
+  const usage = state.accounts.measureUsage(copies.workers);
   const round = state.mayStart
     ? runRound(state, { waiting, usage, workers: copies.workers, recorded: copies.recorded })
     : undefined;
@@ -151,7 +147,7 @@
     recorded: ReadonlyMap<Step, Step>;
   },
 ): TrialRound & { steps: Step[]; idleBefore: Map<Step, number> } {
-  const { now, budget, mayRestart, maxStarts } = state;
+  const { now, accounts, mayRestart, maxStarts } = state;
   const { waiting, usage, workers, recorded } = input;
   const trial = {
     assigned: new Map<Task, Worker>(),
@@ -160,12 +156,7 @@
   };
   const idleBefore = new Map(waiting.map(({ step }) => [step, step.idleCount]));
   const allowedStarts: AllowedStarts = (step, count) => {
-    const { spec, job } = step;
-    const { isGang, fillsSpare } = spec;
-    const canStart = () =>
-      workers.some((worker) => worker.acceptsRuns(now) && canHoldTask(step, worker));
-    const tasks = { needs: spec, count, isGang, fillsSpare, canStart };
-    const { allowed, reason } = budget.allowedStarts(job.spec.account, tasks);
+    const { allowed, reason } = accounts.decideStarts(step, count, { workers, now });
     if (reason !== undefined) trial.held.set(step, reason);
     return allowed;
   };
@@ -181,9 +172,7 @@
   };
   const start = ({ task, worker }: Assignment) => {
     const { step } = task;
-    const { account } = step.job.spec;
-    if (usage) state.addToUsage(usage, task);
-    if (account !== undefined) budget.addRun(account, step.spec);
+    accounts.addStart(task, usage);
     const phase = RunPhase.Starting;
     const run = createRun({ task, worker, number: task.nextRun, phase, startedAt: now });
     step.job.attach(task, run);
--- a/src/pools/relocation.spec.ts
+++ b/src/pools/relocation.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { NodeCallKind } from '../batch/nodeCalls.js';
-import { planMoves, type BalancedService, type BalancedVm } from '../batch/balance.js';
+import { planMoves, type BalancedService, type BalancedVm } from './balance.js';
 import { JobState, RunEnd, VmState, type StepSpec } from '../batch/index.js';
 import { BatchRig, required } from '../testing/batchRig/index.js';
 
