--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -5,7 +5,7 @@
 export { KeyRegistry, type KeyRegistryDeps } from './keyRegistry.js';
 export { RecentIds } from './recentIds.js';
 export { RefusalLog } from './refusalLog.js';
-export type { Account, AccountRules, Moment } from './types.js';
+export type { Account, AccountRules } from './types.js';
 export { AccountUsage } from './accountUsage.js';
 export { FairBacklog, type ItemAccount } from './fairBacklog.js';
 export { fairOrder, type FairOrderRules } from './fairOrder.js';
--- a/src/accounts/keyRegistry.ts
+++ b/src/accounts/keyRegistry.ts
@@ -1,6 +1,6 @@
 import { timingSafeEqual } from 'node:crypto';
 import { Result } from 'true-myth';
-import type { Clock } from '../clock/index.js';
+import { elapsedMs, type Clock, type Moment } from '../clock/index.js';
 import {
   accountRuleDefaults,
   MAX_UNKNOWN_KEY_AGE_MS,
@@ -9,7 +9,7 @@
 } from './defaults.js';
 import { KeyRefusal, KeyRefusalReason } from './errors.js';
 import { decodeDigest, digestOfKey } from './keyDigest.js';
-import type { Account, AccountRules, Moment } from './types.js';
+import type { Account, AccountRules } from './types.js';
 
 /** Dependencies of a {@link KeyRegistry}. */
 export interface KeyRegistryDeps {
@@ -77,8 +77,7 @@
    * clock, because the monotonic clock stands still while the VM is suspended.
    */
   ageMs(): number {
-    const { monotonicMs, wallMs } = this.#confirmedAt;
-    return Math.max(this.#clock.now() - monotonicMs, this.#clock.wallTime() - wallMs);
+    return elapsedMs(this.#clock, this.#confirmedAt);
   }
 
   /**
--- a/src/accounts/startableDemand.ts
+++ b/src/accounts/startableDemand.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '../batch/types.js';
-import { countFitting, largest, minus, NO_RESOURCES, times } from './resourceMath.js';
+import { countFitting, largest, minus, NO_RESOURCES, sumOf, times } from './resourceMath.js';
 
 /** Tasks of one step that a placement round left waiting because of their account's limit. */
 export interface HeldTasks {
@@ -51,15 +51,7 @@
 
 /** Resources of all tasks of a demand. */
 export function demandTotal(demand: readonly Demand[]): Resources {
-  let total: Resources = { ...NO_RESOURCES };
-  for (const { needs, count } of demand) {
-    total = {
-      cpuMillis: total.cpuMillis + needs.cpuMillis * count,
-      memoryMb: total.memoryMb + needs.memoryMb * count,
-      accelerators: total.accelerators + needs.accelerators * count,
-    };
-  }
-  return total;
+  return sumOf(demand.map(({ needs, count }) => times(needs, count)));
 }
 
 /** The largest single request of a demand, for each kind of resource. */
--- a/src/accounts/types.ts
+++ b/src/accounts/types.ts
@@ -24,11 +24,3 @@
   /** Window over which the rate of an account's jobs is measured, in milliseconds. */
   rateWindowMs: number;
 }
-
-/** A moment on both clocks of a process. */
-export interface Moment {
-  /** Monotonic time in milliseconds. */
-  monotonicMs: number;
-  /** Unix time in milliseconds. */
-  wallMs: number;
-}
--- a/src/batch/follow.ts
+++ b/src/batch/follow.ts
@@ -1,6 +1,5 @@
 import type { Result } from 'true-myth/result';
-import type { Moment } from '../accounts/index.js';
-import type { Clock } from '../clock/index.js';
+import type { Clock, Moment } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { StoreErrorCode, type StoreError } from './ports.js';
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock/index.js';
+import { elapsedMs, type Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import { follow, type Changes } from './follow.js';
 import { Job } from './job.js';
@@ -63,7 +63,7 @@
    */
   ageMs(): number {
     const { clock } = this.#deps;
-    return Math.max(clock.now() - this.#readAt, clock.wallTime() - this.#readWallTime);
+    return elapsedMs(clock, { monotonicMs: this.#readAt, wallMs: this.#readWallTime });
   }
 
   #processRow({ key, value }: Row): void {
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -1,5 +1,5 @@
-import { KeyRegistry, type AccountRules, type Moment } from '../accounts/index.js';
-import type { Clock } from '../clock/index.js';
+import { KeyRegistry, type AccountRules } from '../accounts/index.js';
+import type { Clock, Moment } from '../clock/index.js';
 import { toError } from '../errors/index.js';
 import { JobExplainer, type ExplainRequest, type JobExplanation } from '../explain/index.js';
 import {
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -1,6 +1,6 @@
 import Emittery from 'emittery';
 import type { Result } from 'true-myth/result';
-import type { Clock } from '../clock/index.js';
+import { elapsedMs, type Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { initialHeadValue, headKey } from './journal.js';
@@ -218,7 +218,7 @@
    */
   #renewalAgeMs(): number {
     const { clock } = this.#deps;
-    return Math.max(clock.now() - this.#renewedAt, clock.wallTime() - this.#renewedWallTime);
+    return elapsedMs(clock, { monotonicMs: this.#renewedAt, wallMs: this.#renewedWallTime });
   }
 
   /** Renews the node row, watches node and owner rows, and claims services until aborted. */
--- a/src/workerHealth/workerHealth.ts
+++ b/src/workerHealth/workerHealth.ts
@@ -390,13 +390,13 @@
     for (const { id, bornMs, reason, severity, rounds, remainingMs } of workers) {
       if (this.#records.has(id)) continue;
       const record = this.#recordOf(id, bornMs);
-      const untilMs = Math.max(0, Math.min(remainingMs, maxPeriodMs) - ageMs);
-      Object.assign(record, { standing: Standing.SetAside, since: now, until: now + untilMs });
+      const periodMs = Math.max(0, Math.min(remainingMs, maxPeriodMs) - ageMs);
+      Object.assign(record, { standing: Standing.SetAside, since: now, until: now + periodMs });
       Object.assign(record, { reason, rounds, severity: severity || UNKNOWN_SEVERITY });
       this.#report('worker_set_aside', id, record, {
         reason,
         severity: record.severity,
-        period_ms: Math.round(untilMs),
+        period_ms: Math.round(periodMs),
         source: 'earlier_holder',
       });
     }
