Log for which workers inherited jobs wait, and how the wait ends

For which workers they had waited followed only from a join with worker_removed and the vendor's orders by hand. service_state now has the number of unreached workers, unreached_worker_gone names each of them with the time waited, inherited_jobs_released has waited_ms and the workers whose leases had to expire, worker_removed has the reason, and the waits have a histogram. The lines are bounded by the workers of the stored roster.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -199,6 +199,7 @@
       jobs: () => jobs.open(),
       workers: () => sessions.all(),
       heldJobCount: () => recovery.heldJobCount,
+      unreachedCount: () => recovery.unreachedCount,
     });
   }
 
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -28,6 +28,8 @@
 const RETRY_MS = 200;
 /** Time after loading within which the registered workers become known, too. */
 const WORKER_SYNC_MS = 1_000;
+/** Maximum number of worker ids in a log line. */
+const MAX_LOGGED_WORKERS = 10;
 
 /** How long leases may last after a release, as stored in the owner row; in milliseconds. */
 export interface ReleasedLeases {
@@ -263,9 +265,7 @@
    * only counts while there can be none.
    */
   #areWorkersResolved(): boolean {
-    this.#unreachedWorkers = this.#unreachedWorkers.filter(
-      (worker) => !worker.isAdmitted && !worker.isGone,
-    );
+    this.#unreachedWorkers = this.#unreachedWorkers.filter((worker) => !this.#isResolved(worker));
     if (this.#unreachedWorkers.length === 0) return true;
     const { clock, canStart, claim } = this.#deps;
     const now = clock.now();
@@ -273,6 +273,28 @@
     return canStart() && this.#unreachedWorkers.every(isExpired);
   }
 
+  #isResolved(worker: Worker): boolean {
+    if (worker.isAdmitted) return true;
+    if (!worker.isGone) return false;
+    const { log, claim } = this.#deps;
+    const { id } = worker.record;
+    log.info('unreached_worker_gone', {
+      service: claim.service,
+      worker: id,
+      waited_ms: this.#waitedMs(),
+    });
+    return true;
+  }
+
+  #waitedMs(): number {
+    return Math.round(this.#deps.clock.now() - this.#loadedAt);
+  }
+
+  /** Number of workers in the stored roster that have not been reached and may still have runs. */
+  get unreachedCount(): number {
+    return this.#unreachedWorkers.length;
+  }
+
   /** Number of jobs whose tasks may not start yet, see {@link mayStartTasks}. */
   get heldJobCount(): number {
     return this.#inheritedJobIds.size;
@@ -287,12 +309,16 @@
   mayStartTasks(job: Job): boolean {
     if (this.#inheritedJobIds.size === 0 || !this.#inheritedJobIds.has(job.spec.id)) return true;
     if (!this.#areWorkersResolved()) return false;
-    const { log, claim } = this.#deps;
+    const { log, claim, counters } = this.#deps;
+    const unreached = this.#unreachedWorkers.map(({ record }) => record.id);
     log.info('inherited_jobs_released', {
       service: claim.service,
       jobs: this.#inheritedJobIds.size,
-      unreached: this.#unreachedWorkers.length,
+      waited_ms: this.#waitedMs(),
+      unreached: unreached.length,
+      unreached_workers: unreached.slice(0, MAX_LOGGED_WORKERS).join(',') || undefined,
     });
+    counters.observe('inherited_wait_ms', this.#waitedMs());
     this.#inheritedJobIds.clear();
     return true;
   }
--- a/src/batch/serviceStateLog.spec.ts
+++ b/src/batch/serviceStateLog.spec.ts
@@ -46,7 +46,7 @@
       await rig.until(() => rig.holderOf('motions') !== undefined);
       await rig.advance(4_000);
     },
-    expected: { held_jobs: '1', silent: '1' },
+    expected: { held_jobs: '1', silent: '1', unreached: '1' },
   },
 ];
 
--- a/src/batch/serviceStateLog.ts
+++ b/src/batch/serviceStateLog.ts
@@ -16,6 +16,8 @@
   workers: () => Iterable<Worker>;
   /** Jobs whose tasks wait until all runs of an earlier holder are known. */
   heldJobCount: () => number;
+  /** Workers that an earlier holder used and this one has not reached. */
+  unreachedCount: () => number;
 }
 
 /**
@@ -40,7 +42,7 @@
    * @param unplacedCount - tasks for which the last placement round found no worker
    */
   update(tickIntervalMs: number, unplacedCount: number): void {
-    const { clock, log, service, epoch, heldJobCount } = this.#deps;
+    const { clock, log, service, epoch, heldJobCount, unreachedCount } = this.#deps;
     const now = clock.now();
     this.#maxTimerDelayMs = Math.max(this.#maxTimerDelayMs, now - this.#nextTickAt);
     this.#nextTickAt = now + tickIntervalMs;
@@ -50,6 +52,7 @@
       epoch,
       ...this.#jobCounts(),
       held_jobs: heldJobCount(),
+      unreached: unreachedCount(),
       unplaced: unplacedCount,
       ...this.#workerCounts(now),
       timer_delay_ms: Math.round(this.#maxTimerDelayMs),
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -170,12 +170,13 @@
     const isLongMissing =
       missingSince !== undefined && now - missingSince > REMOVE_MISSING_AFTER_MS;
     if (!worker.isGone && !(haveLeasesExpired && isLongMissing && worker.runs.size === 0)) return;
-    if (!worker.isGone) this.#deps.runs.handleCrash(worker, 'registration_gone');
+    const reason = worker.isGone ? 'left' : 'registration_gone';
+    if (!worker.isGone) this.#deps.runs.handleCrash(worker, reason);
     worker.isGone = true;
     this.#sessions.delete(id);
     // A later holder would wait for the worker to respond.
     if (this.#roster.delete(id)) void this.#writeRoster({ removes: [rosterKey(service, id)] });
-    this.#deps.log.info('worker_removed', { worker: id });
+    this.#deps.log.info('worker_removed', { worker: id, reason });
   }
 
   #handleRestart(worker: Worker, bornMs: number): void {
