Tell holders which of their silent workers have left, by the VM list

The new holder waited for 7 workers of the stored roster. Their VMs had been moved to a pool that is switched off while the store was down, and the processes that knew of it ended before they could remove the roster rows. The platform kept the registrations for 3.5 s after the outage, and a missing registration counts only after 6 s, since a worker that is merely cut off loses its registration, too.

The node that orders moves reads the list of all VMs anyway, and the loads that holders report name their workers. Holders now report which of them do not answer, and are told of those that have been silent for 1 s and that no VM of a list requested since then runs. A holder ignores the notice if the worker answers, and nothing is reported from a list with entries that cannot be decoded.

--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '../clock/index.js';
+import { DepartedWorkers } from '../pools/index.js';
 import { FleetView, type FleetViewDeps } from './fleetView.js';
+import { NodeCallKind } from './nodeCalls.js';
 import { VmMover } from './vmMover.js';
 import type { Claim } from './ownership.js';
 import type { RowStore } from './ports.js';
@@ -17,6 +19,9 @@
  */
 const TAKEOVER_WAIT_MS = 800;
 
+/** Timeout of calls to the holder of a service. */
+const CALL_TIMEOUT_MS = 400;
+
 /** Dependencies of {@link FleetController}. */
 export interface FleetControllerDeps extends FleetViewDeps {
   claim: Claim;
@@ -40,6 +45,7 @@
   readonly #view: FleetView;
   readonly #maintenance: MaintenanceWaves;
   readonly #mover: VmMover;
+  readonly #departed = new DepartedWorkers();
 
   constructor(deps: FleetControllerDeps) {
     this.#deps = deps;
@@ -58,16 +64,35 @@
   }
 
   async #round(): Promise<void> {
-    const { canStart, services } = this.#deps;
+    const { canStart, services, clock } = this.#deps;
     await this.#maintenance.openWaves();
     if (!canStart()) return;
     const names = services()
       .filter(({ isStandby }) => !isStandby)
       .map(({ name }) => name);
     await this.#view.refreshLoads(names);
-    const isBusy = this.#maintenance.isBusy || this.#mover.isBusy;
+    const now = clock.now();
+    this.#departed.observe(this.#view.loads(), now);
+    const needsList = this.#departed.needsList(this.#view.listedAt, now);
+    const isBusy = needsList || this.#maintenance.isBusy || this.#mover.isBusy;
     if (!(await this.#view.refreshList(isBusy ? BUSY_LIST_AGE_MS : IDLE_LIST_AGE_MS))) return;
+    await this.#reportDepartedWorkers();
     await this.#maintenance.round((vm) => this.#mover.isMoving(vm));
     await this.#mover.round(this.#maintenance.vms());
   }
+
+  /** Tells the holders which of their silent workers have left, so that they do not wait for them. */
+  async #reportDepartedWorkers(): Promise<void> {
+    const { canStart, holders, log } = this.#deps;
+    if (!this.#view.isComplete) return;
+    const found = this.#departed.find(this.#view.byName().values(), this.#view.listedAt);
+    // After a suspension of this VM, its list may be older than the monotonic clock says.
+    if (found.length === 0 || !canStart()) return;
+    await Promise.all(
+      found.map(({ service, worker }) => {
+        log.info('worker_not_listed', { service, worker });
+        return holders.notify(NodeCallKind.WorkerGone, service, worker, CALL_TIMEOUT_MS);
+      }),
+    );
+  }
 }
--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -23,6 +23,7 @@
   readonly #deps: FleetViewDeps;
   #byName: ReadonlyMap<string, ListedVm> = new Map();
   #listedAt = -Infinity;
+  #isComplete = false;
   #loads = new Map<string, ServiceLoad>();
   /** Load of the workers by id, for each service. */
   #workers = new Map<string, ReadonlyMap<string, WorkerLoad>>();
@@ -41,6 +42,16 @@
     return this.#listedAt;
   }
 
+  /** Loads by service, without those whose holders did not respond. */
+  loads(): ReadonlyMap<string, ServiceLoad> {
+    return this.#loads;
+  }
+
+  /** Whether the list has every VM. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
   /** Load of a service; undefined if its holder did not respond. */
   load(service: string): ServiceLoad | undefined {
     return this.#loads.get(service);
@@ -69,7 +80,10 @@
       log.warn('vm_list_failed', { reason: res.error.code, age_ms: requestedAt - this.#listedAt });
       return false;
     }
-    this.#byName = new Map(res.value.map((vm) => [vm.vm, vm]));
+    const { vms: listed, unreadableCount } = res.value;
+    this.#isComplete = unreadableCount === 0;
+    if (!this.#isComplete) log.warn('vm_list_incomplete', { unreadable: unreadableCount });
+    this.#byName = new Map(listed.map((vm) => [vm.vm, vm]));
     this.#listedAt = requestedAt;
     return true;
   }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -411,6 +411,11 @@
     this.#vacating.ended(workerId);
   }
 
+  /** Handles the notice that no VM runs a worker any more. */
+  handleWorkerGone(workerId: string): void {
+    this.#sessions.handleGone(workerId);
+  }
+
   /** Load of the service, as input for the VM move policy. */
   load(): ServiceLoad {
     const { predictMs } = this.#learning;
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -2,7 +2,13 @@
 import { BaseError } from '../errors/index.js';
 import type { Holder } from './holder.js';
 import { LinkErrorCode, type NodeTransport } from './links.js';
-import { decodeNodeAnswer, NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
+import {
+  decodeNodeAnswer,
+  NodeCallKind,
+  type NodeAnswer,
+  type NodeCall,
+  type WorkerNotice,
+} from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
 import type { VacateOptions, VacateStatus } from './vacating.js';
 
@@ -79,9 +85,9 @@
     return res.isOk ? res.value.vacating : undefined;
   }
 
-  /** Tells the holder of a service how planned work on a worker ended, if there is a worker. */
+  /** Tells the holder of a service what became of a worker, if there is one. */
   async notify(
-    kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
+    kind: WorkerNotice,
     service: string,
     worker: string | undefined,
     timeoutMs: number,
@@ -121,6 +127,9 @@
       case NodeCallKind.RunsEnded:
         holder.handleRunsEnded(call.worker);
         return { isHolder: true };
+      case NodeCallKind.WorkerGone:
+        holder.handleWorkerGone(call.worker);
+        return { isHolder: true };
       case NodeCallKind.Load:
         return { isHolder: true, load: holder.load() };
       case NodeCallKind.Explain:
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -22,11 +22,16 @@
   Readmit = 'readmit',
   /** Planned work has ended all runs on a worker. */
   RunsEnded = 'ended',
+  /** No VM runs a worker any more. */
+  WorkerGone = 'gone',
   Load = 'load',
   /** What would be done with a job, without submitting it. */
   Explain = 'explain',
 }
 
+/** Kinds of calls that tell a holder about a worker. */
+export type WorkerNotice = NodeCallKind.Readmit | NodeCallKind.RunsEnded | NodeCallKind.WorkerGone;
+
 /** A call to the holder of a service. */
 export type NodeCall = { service: string } & (
   | { kind: NodeCallKind.Submit | NodeCallKind.Explain; spec: JobSpec }
@@ -34,7 +39,7 @@
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
   | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean; relocatesRuns?: boolean }
-  | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
+  | { kind: WorkerNotice; worker: string }
   | { kind: NodeCallKind.Load }
 );
 
@@ -91,6 +96,7 @@
       return isText(call.worker) && typeof call.isUrgent === 'boolean';
     case NodeCallKind.Readmit:
     case NodeCallKind.RunsEnded:
+    case NodeCallKind.WorkerGone:
       return isText(call.worker);
     case NodeCallKind.Load:
       return true;
--- a/src/batch/ports.ts
+++ b/src/batch/ports.ts
@@ -201,6 +201,13 @@
   worker?: string;
 }
 
+/** The VMs as listed by the vendor. */
+export interface VmList {
+  vms: ListedVm[];
+  /** Number of entries that could not be decoded and are left out. */
+  unreadableCount: number;
+}
+
 /** The vendor's response to a move or maintenance order. */
 export enum VmOrderAnswer {
   Done = 'done',
@@ -224,7 +231,7 @@
 
 /** Client for the API of the VM vendor. */
 export interface VmClient {
-  list(): Promise<Result<ListedVm[], StoreError>>;
+  list(): Promise<Result<VmList, StoreError>>;
   move(order: VmOrder & { pool: string }): Promise<VmOrderAnswer>;
   upkeep(order: VmOrder & { wave: string }): Promise<VmOrderAnswer>;
 }
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -260,7 +260,7 @@
         this.#requeue(run);
         break;
       case OrderAnswer.OtherInstance:
-        this.handleReplaced(worker);
+        this.handleGone(worker, 'address_reused');
         break;
       case OrderAnswer.LeaseInPast:
         worker.avoidUntil = now + REJECTED_PAUSE_MS;
@@ -363,7 +363,7 @@
         return;
       }
       if (reply.answer === OrderAnswer.OtherInstance) {
-        this.handleReplaced(worker);
+        this.handleGone(worker, 'address_reused');
         return;
       }
       if (reply.workerTimeMs !== undefined && reply.answer !== OrderAnswer.Unhealthy) {
@@ -592,10 +592,10 @@
     for (const run of [...worker.runs.values()]) this.#handleLostRun(run, reason);
   }
 
-  /** Handles a worker whose address another one has taken over, so that it no longer exists. */
-  handleReplaced(worker: Worker): void {
+  /** Handles a worker that no longer exists and whose departure was not planned. */
+  handleGone(worker: Worker, reason: string): void {
     worker.isGone = true;
-    this.handleCrash(worker, 'address_reused');
+    this.handleCrash(worker, reason);
   }
 
   /**
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -100,6 +100,19 @@
     return false;
   }
 
+  /**
+   * Handles the notice that no VM runs a worker any more. One that answers has started again under
+   * its id since then.
+   */
+  handleGone(id: string): void {
+    const session = this.#sessions.get(id);
+    if (!session || session.worker.unansweredCalls === 0) return;
+    this.#deps.counters.count('workers_lost', 'not_listed');
+    this.#deps.runs.handleGone(session.worker, 'not_listed');
+    this.#removeIfGone(id, session, this.#deps.clock.now());
+    this.#deps.place();
+  }
+
   /** Runs the sessions until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
@@ -240,7 +253,7 @@
     }
     if (answer === OrderAnswer.OtherInstance) {
       log.warn('worker_replaced', { worker: worker.record.id, address: worker.record.address });
-      runs.handleReplaced(worker);
+      runs.handleGone(worker, 'address_reused');
       return;
     }
     if (worker.unansweredCalls === 0) {
@@ -367,9 +380,10 @@
       capacityCpu: workers
         .filter(({ isAdmitted, isVacating }) => isAdmitted && !isVacating)
         .reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0),
-      workers: workers.map(({ record, runs }) => ({
+      workers: workers.map(({ record, runs, unansweredCalls }) => ({
         id: record.id,
         runs: runs.size,
+        isSilent: unansweredCalls > 0,
         lastingRuns: [...runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
       })),
     };
--- /dev/null
+++ b/src/pools/departedWorkers.ts
@@ -0,0 +1,79 @@
+import { VmState, type ListedVm } from '../batch/ports.js';
+import type { ServiceLoad } from '../batch/serviceLoad.js';
+
+/**
+ * How long a worker must have been silent when the VM list is requested. Longer than it takes a
+ * worker that has just started to appear in the list.
+ */
+const MIN_SILENCE_MS = 1_000;
+
+/** A worker that no VM runs any more and that its holder still counts as one. */
+export interface DepartedWorker {
+  service: string;
+  worker: string;
+}
+
+interface SilentWorker extends DepartedWorker {
+  /** Monotonic time of the first report of its silence, in milliseconds. */
+  since: number;
+}
+
+/**
+ * Finds workers that have left without the knowledge of their holder. A worker counts as one if its
+ * holder gets no answer from it, and if no VM of a list requested later runs it. Failure pattern: VMs
+ * are moved or end while the store is down, and the processes that know of it end before it returns.
+ */
+export class DepartedWorkers {
+  #silentWorkers: ReadonlyMap<string, SilentWorker> = new Map();
+
+  /**
+   * Records which workers do not answer.
+   *
+   * @param loads - loads as reported by the holders, by service
+   * @param now - monotonic time after the reports, in milliseconds
+   */
+  observe(loads: ReadonlyMap<string, ServiceLoad>, now: number): void {
+    const current = new Map<string, SilentWorker>();
+    for (const [service, { workers }] of loads) {
+      for (const { id: worker, isSilent } of workers) {
+        if (isSilent !== true) continue;
+        const key = `${service} ${worker}`;
+        current.set(key, this.#silentWorkers.get(key) ?? { service, worker, since: now });
+      }
+    }
+    this.#silentWorkers = current;
+  }
+
+  /**
+   * Whether a list requested now would decide on a silent worker that an earlier list could not.
+   *
+   * @param listedAt - monotonic time at which the earlier list was requested, in milliseconds
+   */
+  needsList(listedAt: number, now: number): boolean {
+    for (const { since } of this.#silentWorkers.values()) {
+      if (since + MIN_SILENCE_MS > listedAt && since + MIN_SILENCE_MS <= now) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Lists the silent workers that no VM runs.
+   *
+   * @param vms - all VMs
+   * @param listedAt - monotonic time at which their list was requested, in milliseconds
+   */
+  find(vms: Iterable<ListedVm>, listedAt: number): DepartedWorker[] {
+    const silent = [...this.#silentWorkers.values()].filter(
+      ({ since }) => since + MIN_SILENCE_MS <= listedAt,
+    );
+    if (silent.length === 0) return [];
+    const present = new Set<string>();
+    for (const { worker, state } of vms) {
+      const mayRun = state !== VmState.Moving && state !== VmState.Upkeep;
+      if (worker !== undefined && mayRun) present.add(worker);
+    }
+    return silent
+      .filter(({ worker }) => !present.has(worker))
+      .map(({ service, worker }) => ({ service, worker }));
+  }
+}
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -6,5 +6,6 @@
   type BalancedVm,
   type PlannedMove,
 } from './balance.js';
+export { DepartedWorkers, type DepartedWorker } from './departedWorkers.js';
 export { DemandForecast } from './demandForecast.js';
 export { ExpectedDemand, type ExpectedDemandDeps } from './expectedDemand.js';
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -110,6 +110,8 @@
   /** Directed pairs `from>to` of nodes whose calls are lost. */
   readonly #linkCuts = new Set<string>();
   readonly #vmsDown = new Set<string>();
+  /** VMs whose entry in the vendor's list cannot be decoded. */
+  readonly unreadableVms = new Set<string>();
   /** VMs in a pool that is switched off. */
   readonly #vmsOff = new Set<string>();
   readonly #timers;
@@ -372,7 +374,8 @@
     return {
       list: () => {
         const vms = new Set([...this.fleet.executors.keys()].map(vmOf));
-        const listed = [...vms].map((vm): ListedVm => {
+        const readable = [...vms].filter((vm) => !this.unreadableVms.has(vm));
+        const listed = readable.map((vm): ListedVm => {
           const { record } = required(current(vm));
           const state = this.#vmsDown.has(vm) ? VmState.Upkeep : VmState.Up;
           const { capacity, labels, service } = record;
@@ -381,7 +384,8 @@
           const worker = isOff || this.#vmsDown.has(vm) ? undefined : record.id;
           return { vm, pool, state, capacity, labels, worker };
         });
-        return Promise.resolve(Result.ok(listed));
+        const unreadableCount = vms.size - listed.length;
+        return Promise.resolve(Result.ok({ vms: listed, unreadableCount }));
       },
       move: () => Promise.resolve(VmOrderAnswer.Refused),
       upkeep: async ({ vm, wave }) => {
