Report departed workers after planned departures, so that these are no crashes

When the VM list was unavailable for 4 s after the order for a maintenance, the request to empty the worker had expired, and the notice that no VM runs it came before the one that planned work has ended its runs. A crash was counted for a task that was interrupted as planned; four of them give a task up. Waves and moves now go first in a round. The added case failed before (one worker_crashed line).

--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -76,9 +76,10 @@
     const needsList = this.#departed.needsList(this.#view.listedAt, now);
     const isBusy = needsList || this.#maintenance.isBusy || this.#mover.isBusy;
     if (!(await this.#view.refreshList(isBusy ? BUSY_LIST_AGE_MS : IDLE_LIST_AGE_MS))) return;
-    await this.#reportDepartedWorkers();
     await this.#maintenance.round((vm) => this.#mover.isMoving(vm));
     await this.#mover.round(this.#maintenance.vms());
+    // After both, which tell holders which departures were planned and thus no crashes.
+    await this.#reportDepartedWorkers();
   }
 
   /** Tells the holders which of their silent workers have left, so that they do not wait for them. */
--- a/src/pools/departedWorkers.spec.ts
+++ b/src/pools/departedWorkers.spec.ts
@@ -187,3 +187,29 @@
     t.deepEqual(rig.violations(), []);
   });
 }
+
+/** Longer than a request to empty a worker lasts without being repeated, and less than a lease. */
+const VM_LIST_OUTAGE_MS = 4_000;
+
+// Guards against a task that is given up because of planned work: a crash is counted for it when the
+// VM list is unavailable from the order until the request to empty the worker has expired.
+test('maintenance is no crash when the VM list is unavailable after its order', async (t) => {
+  const rig = new BatchRig();
+  await rig.ready();
+  rig.fleet.script = () => ({ runMs: 30_000 });
+  rig.maintenanceMs = 20_000;
+  const holder = required(rig.holderOf(SERVICE));
+  const spec = rig.createJob(SERVICE, [{ count: 1 }]);
+  await rig.settle(holder.node.gateway.submit(rig.queue(SERVICE), spec, 3_000));
+  t.true(await rig.until(() => rig.fleet.runs().length === 1));
+  const { worker } = required(rig.fleet.runs()[0]);
+  await rig.advance(2_000);
+  rig.requestWave({ id: '1', vms: [worker], timeLimitS: 4, maxDown: 1 });
+  t.true(await rig.until(() => rig.maintenanceOrders.length > 0, 10_000));
+  rig.isVmListDown = true;
+  await rig.advance(VM_LIST_OUTAGE_MS);
+  rig.isVmListDown = false;
+  t.true(await rig.until(() => rig.fleet.runs().length === 2, 3_000));
+  const crashes = holder.logLines.filter((line) => line.includes('event=worker_crashed'));
+  t.deepEqual(crashes, []);
+});
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -101,6 +101,8 @@
   restartsUnderNewId = false;
   /** Largest number of VMs that were down for maintenance at the same time. */
   maxDown = 0;
+  /** Whether calls for the vendor's VM list fail. */
+  isVmListDown = false;
   /** Time until the vendor answers an order. */
   vendorDelayMs = 0;
   /** Orders for maintenance that the vendor received, as `wave/vm`. */
@@ -373,6 +375,9 @@
       [...this.fleet.executors.values()].findLast(({ record }) => vmOf(record.id) === vm);
     return {
       list: () => {
+        if (this.isVmListDown) {
+          return Promise.resolve(Result.err(new StoreError(StoreErrorCode.NoAnswer, 'VM list')));
+        }
         const vms = new Set([...this.fleet.executors.keys()].map(vmOf));
         const readable = [...vms].filter((vm) => !this.unreadableVms.has(vm));
         const listed = readable.map((vm): ListedVm => {
