Bind the notice about a departed worker to one life of it, and to two lists

The notice named an id only. Delayed, it could arrive when the worker had started again under its id and was out of reach of its holder, which then started a second run of the task without waiting for the lease. Loads and notices now carry the start time of the process, and a holder ignores a notice about another one; the added rig case failed before (runs 2 and 3 overlap). A worker also has to be missing in two lists, since one that is read page by page while VMs change may lack some.

--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -90,9 +90,9 @@
     // After a suspension of this VM, its list may be older than the monotonic clock says.
     if (found.length === 0 || !canStart()) return;
     await Promise.all(
-      found.map(({ service, worker }) => {
-        log.info('worker_not_listed', { service, worker });
-        return holders.notify(NodeCallKind.WorkerGone, service, worker, CALL_TIMEOUT_MS);
+      found.map((departed) => {
+        log.info('worker_not_listed', { ...departed });
+        return holders.call({ kind: NodeCallKind.WorkerGone, ...departed }, CALL_TIMEOUT_MS);
       }),
     );
   }
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -412,8 +412,8 @@
   }
 
   /** Handles the notice that no VM runs a worker any more. */
-  handleWorkerGone(workerId: string): void {
-    this.#sessions.handleGone(workerId);
+  handleWorkerGone(workerId: string, bornMs: number): void {
+    this.#sessions.handleGone(workerId, bornMs);
   }
 
   /** Load of the service, as input for the VM move policy. */
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -2,13 +2,7 @@
 import { BaseError } from '../errors/index.js';
 import type { Holder } from './holder.js';
 import { LinkErrorCode, type NodeTransport } from './links.js';
-import {
-  decodeNodeAnswer,
-  NodeCallKind,
-  type NodeAnswer,
-  type NodeCall,
-  type WorkerNotice,
-} from './nodeCalls.js';
+import { decodeNodeAnswer, NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
 import type { VacateOptions, VacateStatus } from './vacating.js';
 
@@ -85,9 +79,9 @@
     return res.isOk ? res.value.vacating : undefined;
   }
 
-  /** Tells the holder of a service what became of a worker, if there is one. */
+  /** Tells the holder of a service how planned work on a worker ended, if there is a worker. */
   async notify(
-    kind: WorkerNotice,
+    kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
     service: string,
     worker: string | undefined,
     timeoutMs: number,
@@ -128,7 +122,7 @@
         holder.handleRunsEnded(call.worker);
         return { isHolder: true };
       case NodeCallKind.WorkerGone:
-        holder.handleWorkerGone(call.worker);
+        holder.handleWorkerGone(call.worker, call.bornMs);
         return { isHolder: true };
       case NodeCallKind.Load:
         return { isHolder: true, load: holder.load() };
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -29,9 +29,6 @@
   Explain = 'explain',
 }
 
-/** Kinds of calls that tell a holder about a worker. */
-export type WorkerNotice = NodeCallKind.Readmit | NodeCallKind.RunsEnded | NodeCallKind.WorkerGone;
-
 /** A call to the holder of a service. */
 export type NodeCall = { service: string } & (
   | { kind: NodeCallKind.Submit | NodeCallKind.Explain; spec: JobSpec }
@@ -39,7 +36,8 @@
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
   | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean; relocatesRuns?: boolean }
-  | { kind: WorkerNotice; worker: string }
+  | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
+  | { kind: NodeCallKind.WorkerGone; worker: string; bornMs: number }
   | { kind: NodeCallKind.Load }
 );
 
@@ -96,8 +94,9 @@
       return isText(call.worker) && typeof call.isUrgent === 'boolean';
     case NodeCallKind.Readmit:
     case NodeCallKind.RunsEnded:
-    case NodeCallKind.WorkerGone:
       return isText(call.worker);
+    case NodeCallKind.WorkerGone:
+      return isText(call.worker) && typeof call.bornMs === 'number';
     case NodeCallKind.Load:
       return true;
   }
--- a/src/batch/serviceLoad.ts
+++ b/src/batch/serviceLoad.ts
@@ -4,8 +4,8 @@
   runs: number;
   /** Number of long-running tasks among the runs; undefined if an earlier version reports the load. */
   lastingRuns?: number;
-  /** Whether it did not answer the last call; undefined if an earlier version reports the load. */
-  isSilent?: boolean;
+  /** Start time of its process, as in its record, if it did not answer the last call. */
+  silentBornMs?: number;
 }
 
 /** Load of a service. */
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -101,12 +101,14 @@
   }
 
   /**
-   * Handles the notice that no VM runs a worker any more. One that answers has started again under
-   * its id since then.
+   * Handles the notice that no VM runs a worker any more. It may be late, and the worker may have
+   * started again under its id since.
+   *
+   * @param bornMs - start time of the process that has ended
    */
-  handleGone(id: string): void {
+  handleGone(id: string, bornMs: number): void {
     const session = this.#sessions.get(id);
-    if (!session || session.worker.unansweredCalls === 0) return;
+    if (session?.worker.record.bornMs !== bornMs || session.worker.unansweredCalls === 0) return;
     this.#deps.counters.count('workers_lost', 'not_listed');
     this.#deps.runs.handleGone(session.worker, 'not_listed');
     this.#removeIfGone(id, session, this.#deps.clock.now());
@@ -383,7 +385,7 @@
       workers: workers.map(({ record, runs, unansweredCalls }) => ({
         id: record.id,
         runs: runs.size,
-        isSilent: unansweredCalls > 0,
+        silentBornMs: unansweredCalls > 0 ? record.bornMs : undefined,
         lastingRuns: [...runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
       })),
     };
--- a/src/pools/departedWorkers.spec.ts
+++ b/src/pools/departedWorkers.spec.ts
@@ -19,112 +19,130 @@
 
 interface Case {
   title: string;
-  /** Whether the worker `a` is silent at each report, by its time in milliseconds. */
-  reports: [number, boolean | undefined][];
-  vms: ListedVm[];
-  listedAt: number;
-  expected: string[];
+  /** Start time of the worker `a` if it is silent at a report, by the time of the report. */
+  reports: [number, number | undefined][];
+  /** Lists by the time at which they were requested; one without the worker if `vms` is undefined. */
+  lists: { at: number; vms?: ListedVm[] }[];
+  /** Whether the worker is found to have left. */
+  hasLeft: boolean;
 }
 
 const cases: Case[] = [
   {
-    title: 'a silent worker that no VM runs has left',
-    reports: [[0, true]],
-    vms: [vmOf('b'), vmOf(undefined)],
-    listedAt: 1_000,
-    expected: ['a'],
+    title: 'a silent worker that is missing in two lists has left',
+    reports: [[0, 7]],
+    lists: [{ at: 1_000, vms: [vmOf('b'), vmOf(undefined)] }, { at: 1_400 }],
+    hasLeft: true,
+  },
+  {
+    title: 'a silent worker that is missing in one list may be missing by a change of the VMs',
+    reports: [[0, 7]],
+    lists: [{ at: 1_000 }, { at: 1_000 }],
+    hasLeft: false,
+  },
+  {
+    title: 'a silent worker that is listed again after a list without it has not left',
+    reports: [[0, 7]],
+    lists: [{ at: 1_000 }, { at: 1_400, vms: [vmOf('a')] }, { at: 1_800 }],
+    hasLeft: false,
   },
   {
     title: 'a silent worker that a VM runs is only out of reach',
-    reports: [[0, true]],
-    vms: [vmOf('a'), vmOf('b')],
-    listedAt: 60_000,
-    expected: [],
+    reports: [[0, 7]],
+    lists: [
+      { at: 1_000, vms: [vmOf('a'), vmOf('b')] },
+      { at: 60_000, vms: [vmOf('a')] },
+    ],
+    hasLeft: false,
   },
   {
     title: 'maintenance ends the worker of a VM',
-    reports: [[0, true]],
-    vms: [vmOf('a', VmState.Upkeep)],
-    listedAt: 1_000,
-    expected: ['a'],
+    reports: [[0, 7]],
+    lists: [
+      { at: 1_000, vms: [vmOf('a', VmState.Upkeep)] },
+      { at: 1_400, vms: [vmOf('a', VmState.Upkeep)] },
+    ],
+    hasLeft: true,
   },
   {
     title: 'a worker that answers has not left, whatever the list says',
-    reports: [[0, false]],
-    vms: [],
-    listedAt: 60_000,
-    expected: [],
+    reports: [[0, undefined]],
+    lists: [{ at: 60_000 }, { at: 61_000 }],
+    hasLeft: false,
   },
   {
     title: 'a list that was requested when the worker had just become silent does not count',
-    reports: [[0, true]],
-    vms: [],
-    listedAt: 999,
-    expected: [],
+    reports: [[0, 7]],
+    lists: [{ at: 999 }, { at: 1_400 }],
+    hasLeft: false,
   },
   {
     title: 'the time counts anew once a worker has answered',
     reports: [
-      [0, true],
-      [500, false],
-      [600, true],
+      [0, 7],
+      [500, undefined],
+      [600, 7],
     ],
-    vms: [],
-    listedAt: 1_500,
-    expected: [],
+    lists: [{ at: 1_500 }, { at: 1_900 }],
+    hasLeft: false,
   },
   {
-    title: 'the first report of a silence counts',
+    title: 'the time counts anew once a worker has started again',
     reports: [
-      [0, true],
-      [900, true],
+      [0, 7],
+      [900, 8],
     ],
-    vms: [],
-    listedAt: 1_000,
-    expected: ['a'],
+    lists: [{ at: 1_000 }, { at: 1_899 }],
+    hasLeft: false,
   },
   {
-    title: 'a holder of an earlier version does not report silence',
-    reports: [[0, undefined]],
-    vms: [],
-    listedAt: 60_000,
-    expected: [],
+    title: 'the first report of a silence counts',
+    reports: [
+      [0, 7],
+      [900, 7],
+    ],
+    lists: [{ at: 1_000 }, { at: 1_400 }],
+    hasLeft: true,
   },
 ];
 
-for (const { title, reports, vms, listedAt, expected } of cases) {
+for (const { title, reports, lists, hasLeft } of cases) {
   // Guards against waits for workers that have left, and against runs that are started again while
   // their worker is only out of reach.
   test(title, (t) => {
     const departed = new DepartedWorkers();
-    for (const [now, isSilent] of reports) {
-      departed.observe(loadsOf([{ id: 'a', runs: 1, isSilent }]), now);
+    for (const [now, silentBornMs] of reports) {
+      departed.observe(loadsOf([{ id: 'a', runs: 1, silentBornMs }]), now);
     }
-    const found = departed.find(vms, listedAt).map(({ worker }) => worker);
-    t.deepEqual(found, expected);
+    const found = lists.flatMap(({ at, vms = [] }) => departed.find(vms, at));
+    t.deepEqual(found, hasLeft ? [{ service: SERVICE, worker: 'a', bornMs: 7 }] : []);
   });
 }
 
 const listCases = [
-  {
-    title: 'before the worker has been silent for a second',
-    listedAt: -1,
-    now: 900,
-    needed: false,
-  },
-  { title: 'once it has been silent for a second', listedAt: 900, now: 1_000, needed: true },
-  { title: 'after a list that was requested since', listedAt: 1_000, now: 5_000, needed: false },
+  { title: 'before the worker has been silent for a second', lists: [-1], now: 900, needed: false },
+  { title: 'once it has been silent for a second', lists: [900], now: 1_000, needed: true },
+  { title: 'after one list without the worker', lists: [1_000], now: 5_000, needed: true },
+  { title: 'after two lists without the worker', lists: [1_000, 1_400], now: 5_000, needed: false },
 ];
 
-for (const { title, listedAt, now, needed } of listCases) {
+for (const { title, lists, now, needed } of listCases) {
   // Guards against more calls to the vendor for each worker that is silent for long.
   test(`a new list is${needed ? '' : ' not'} needed ${title}`, (t) => {
     const departed = new DepartedWorkers();
-    departed.observe(loadsOf([{ id: 'a', runs: 1, isSilent: true }]), 0);
-    t.is(departed.needsList(listedAt, now), needed);
+    departed.observe(loadsOf([{ id: 'a', runs: 1, silentBornMs: 7 }]), 0);
+    for (const listedAt of lists) departed.find([], listedAt);
+    t.is(departed.needsList(lists.at(-1) ?? 0, now), needed);
   });
 }
 
+test('a silent worker that is listed needs no new list', (t) => {
+  const departed = new DepartedWorkers();
+  departed.observe(loadsOf([{ id: 'a', runs: 1, silentBornMs: 7 }]), 0);
+  departed.find([vmOf('a')], 1_000);
+  t.false(departed.needsList(1_000, 60_000));
+});
+
 interface RigCase {
   title: string;
   /** Called when a long-running task runs on `worker`. */
@@ -159,8 +177,11 @@
   {
     // Guards against a late notice about a worker that has started again, or has been reached since.
     title: 'a worker that answers keeps its run after a notice that it has left',
-    act: (rig, holder, worker) =>
-      rig.deliver(holder.name, { kind: NodeCallKind.WorkerGone, service: SERVICE, worker }),
+    act: (rig, holder, worker) => {
+      const { bornMs } = required(rig.fleet.executors.get(worker)).record;
+      const kind = NodeCallKind.WorkerGone;
+      return rig.deliver(holder.name, { kind, service: SERVICE, worker, bornMs });
+    },
     afterMs: 4_000,
     expectedRuns: 1,
   },
@@ -213,3 +234,32 @@
   const crashes = holder.logLines.filter((line) => line.includes('event=worker_crashed'));
   t.deepEqual(crashes, []);
 });
+
+// Guards against two runs of a task at a time: a notice is about the life of a worker that has ended,
+// and is carried out late, when the worker has started again under its id and is out of reach.
+test('a late notice about an earlier life of a worker that is out of reach is ignored', async (t) => {
+  const rig = new BatchRig({ workersPerService: 2 });
+  await rig.ready();
+  const holder = required(rig.holderOf(SERVICE));
+  const worker = await startLastingTask(t, rig, holder);
+  const executor = required(rig.fleet.executors.get(worker));
+  const [other] = [...rig.fleet.executors.keys()].filter((id) => id !== worker);
+  const { bornMs } = executor.record;
+  // The task starts on the same worker again, because the other one is out of reach meanwhile.
+  rig.fleet.cuts.add(`${holder.name}>${other}`);
+  await rig.advance(1_000);
+  executor.crash();
+  await rig.advance(1_000);
+  executor.restart();
+  rig.register(executor);
+  t.true(await rig.until(() => executor.running.length === 1, 8_000));
+  rig.fleet.cuts.delete(`${holder.name}>${other}`);
+  await rig.advance(2_000);
+  rig.fleet.cuts.add(`${holder.name}>${worker}`);
+  await rig.advance(1_000);
+  t.is(executor.running.length, 1);
+  const kind = NodeCallKind.WorkerGone;
+  await rig.deliver(holder.name, { kind, service: SERVICE, worker, bornMs });
+  await rig.advance(2_000);
+  t.deepEqual(rig.violations(), []);
+});
--- a/src/pools/departedWorkers.ts
+++ b/src/pools/departedWorkers.ts
@@ -11,17 +11,22 @@
 export interface DepartedWorker {
   service: string;
   worker: string;
+  /** Start time of its process; another process with the same id has not left. */
+  bornMs: number;
 }
 
 interface SilentWorker extends DepartedWorker {
   /** Monotonic time of the first report of its silence, in milliseconds. */
   since: number;
+  /** Monotonic time at which the first list without it was requested, in milliseconds. */
+  missingSince?: number;
 }
 
 /**
  * Finds workers that have left without the knowledge of their holder. A worker counts as one if its
- * holder gets no answer from it, and if no VM of a list requested later runs it. Failure pattern: VMs
- * are moved or end while the store is down, and the processes that know of it end before it returns.
+ * holder gets no answer from it, and if it is missing in two VM lists that were requested later; a
+ * single one that was read while VMs change may lack some. Failure pattern: VMs are moved or end while
+ * the store is down, and the processes that know of it end before it returns.
  */
 export class DepartedWorkers {
   #silentWorkers: ReadonlyMap<string, SilentWorker> = new Map();
@@ -35,23 +40,25 @@
   observe(loads: ReadonlyMap<string, ServiceLoad>, now: number): void {
     const current = new Map<string, SilentWorker>();
     for (const [service, { workers }] of loads) {
-      for (const { id: worker, isSilent } of workers) {
-        if (isSilent !== true) continue;
-        const key = `${service} ${worker}`;
-        current.set(key, this.#silentWorkers.get(key) ?? { service, worker, since: now });
+      for (const { id: worker, silentBornMs: bornMs } of workers) {
+        if (bornMs === undefined) continue;
+        const key = `${service} ${worker} ${bornMs}`;
+        current.set(key, this.#silentWorkers.get(key) ?? { service, worker, bornMs, since: now });
       }
     }
     this.#silentWorkers = current;
   }
 
   /**
-   * Whether a list requested now would decide on a silent worker that an earlier list could not.
+   * Whether a list requested now can decide on a silent worker on which the last one could not.
    *
-   * @param listedAt - monotonic time at which the earlier list was requested, in milliseconds
+   * @param listedAt - monotonic time at which the last list was requested, in milliseconds
    */
   needsList(listedAt: number, now: number): boolean {
-    for (const { since } of this.#silentWorkers.values()) {
-      if (since + MIN_SILENCE_MS > listedAt && since + MIN_SILENCE_MS <= now) return true;
+    for (const { since, missingSince } of this.#silentWorkers.values()) {
+      const isDecidable = since + MIN_SILENCE_MS <= now;
+      const isUndecided = since + MIN_SILENCE_MS > listedAt || missingSince === listedAt;
+      if (isDecidable && isUndecided) return true;
     }
     return false;
   }
@@ -72,8 +79,16 @@
       const mayRun = state !== VmState.Moving && state !== VmState.Upkeep;
       if (worker !== undefined && mayRun) present.add(worker);
     }
-    return silent
-      .filter(({ worker }) => !present.has(worker))
-      .map(({ service, worker }) => ({ service, worker }));
+    const departed: DepartedWorker[] = [];
+    for (const entry of silent) {
+      const { service, worker, bornMs } = entry;
+      if (present.has(worker)) {
+        delete entry.missingSince;
+        continue;
+      }
+      entry.missingSince ??= listedAt;
+      if (entry.missingSince < listedAt) departed.push({ service, worker, bornMs });
+    }
+    return departed;
   }
 }
