Do not take a VM whose list entry cannot be decoded for one that has left

A wave counted such a VM as over and could be reported as finished without its maintenance, moves and maintenance in progress were dropped, and since holders are told of workers that no VM runs, runs could be started again elsewhere.

--- a/src/batch/batch.spec.ts
+++ b/src/batch/batch.spec.ts
@@ -545,6 +545,22 @@
       t.true(vms.every((vm) => rig.fleet.executors.get(vm)?.isUp === false));
     },
   },
+  {
+    // Guards against a wave that is reported as finished before the maintenance of a VM whose entry in
+    // the vendor's list cannot be decoded.
+    title: 'a wave waits for a VM whose entry in the VM list cannot be decoded',
+    rig: { services: ['motions'], workersPerService: 3 },
+    run: async (t, rig) => {
+      const vms = [...rig.fleet.executors.keys()];
+      rig.unreadableVms.add('motions-1');
+      rig.requestWave({ id: '1', vms, timeLimitS: 25, maxDown: 2 });
+      await rig.advance(10_000);
+      t.false(rig.isFinished('1'));
+      rig.unreadableVms.clear();
+      t.true(await rig.until(() => rig.isFinished('1'), 10_000));
+      t.true(vms.every((vm) => rig.fleet.executors.get(vm)?.isUp === false));
+    },
+  },
   {
     // Guards against taking down two VMs with tasks of one step, each found ready on its own.
     title: 'a wave respects the disruption budget of a long-running step',
--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -81,8 +81,11 @@
       return false;
     }
     const { vms: listed, unreadableCount } = res.value;
-    this.#isComplete = unreadableCount === 0;
-    if (!this.#isComplete) log.warn('vm_list_incomplete', { unreadable: unreadableCount });
+    this.#isComplete = unreadableCount === 0 && listed.length > 0;
+    if (!this.#isComplete) {
+      counters.count('vm_list_failures', 'incomplete');
+      log.warn('vm_list_incomplete', { vms: listed.length, unreadable: unreadableCount });
+    }
     this.#byName = new Map(listed.map((vm) => [vm.vm, vm]));
     this.#listedAt = requestedAt;
     return true;
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -210,7 +210,8 @@
     await Promise.all(
       [...inProgress.values()].map((maintenance) => this.#advanceVm(wave, maintenance, isUrgent)),
     );
-    const isOver = spec.vms.every((vm) => done.has(vm) || !listed.has(vm));
+    const { isComplete } = this.#deps.view;
+    const isOver = spec.vms.every((vm) => done.has(vm) || (isComplete && !listed.has(vm)));
     const isSettled = [...inProgress.values()].every(
       (maintenance) => maintenance.isConfirmed && maintenance.isHolderNotified,
     );
@@ -229,6 +230,8 @@
       const vm = listed.get(id);
       const isUp = vm?.state === VmState.Up;
       const isListedSince = this.#deps.view.listedAt > maintenance.orderedAt;
+      // An entry that cannot be decoded says nothing about its VM.
+      if (vm === undefined && !this.#deps.view.isComplete) continue;
       const hasBegun = maintenance.isOrdered && (!isUp || vm.worker !== maintenance.worker);
       // The vendor confirms an order in the same way if the maintenance already took place under an
       // earlier holder, so a confirmation alone does not show that it has begun.
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -148,7 +148,8 @@
       const isListedSince = view.listedAt > (move.orderedAt ?? Infinity);
       const hasArrived = isListedSince && vm?.pool === move.to && vm.state === VmState.Up;
       const isLate = move.orderedAt !== undefined && now - move.orderedAt > ARRIVAL_TIMEOUT_MS;
-      if (vm && !hasArrived && !isLate) continue;
+      const hasLeft = vm === undefined && view.isComplete;
+      if (!hasLeft && !hasArrived && !isLate) continue;
       this.#moves.delete(name);
       this.#emptySince.delete(name);
       const tookMs = Math.round(now - move.startedAt);
