--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -76,9 +76,10 @@
     const needsList = this.#departed.needsList(this.#view.listedAt, now);
     const isBusy = needsList || this.#maintenance.isBusy || this.#mover.isBusy;
     if (!(await this.#view.refreshList(isBusy ? BUSY_LIST_AGE_MS : IDLE_LIST_AGE_MS))) return;
-    await this.#reportDepartedWorkers();
     await this.#maintenance.round((vm) => this.#mover.isMoving(vm));
     await this.#mover.round(this.#maintenance.vms());
+    // After both, which tell holders which departures were planned and thus no crashes.
+    await this.#reportDepartedWorkers();
   }
 
   /** Tells the holders which of their silent workers have left, so that they do not wait for them. */
@@ -89,9 +90,9 @@
     // After a suspension of this VM, its list may be older than the monotonic clock says.
     if (found.length === 0 || !canStart()) return;
     await Promise.all(
-      found.map(({ service, worker }) => {
-        log.info('worker_not_listed', { service, worker });
-        return holders.notify(NodeCallKind.WorkerGone, service, worker, CALL_TIMEOUT_MS);
+      found.map((departed) => {
+        log.info('worker_not_listed', { ...departed });
+        return holders.call({ kind: NodeCallKind.WorkerGone, ...departed }, CALL_TIMEOUT_MS);
       }),
     );
   }
