Report a departed worker once per VM list instead of in each round

A holder that does not handle the notice, such as one of an earlier version, would have been called, and the notice logged, every 120 ms for each worker for up to 10 s. It is now called once per list, at most every 0.45 s, and lists are requested at that interval until the holder no longer reports the worker.

--- a/src/pools/departedWorkers.ts
+++ b/src/pools/departedWorkers.ts
@@ -20,6 +20,8 @@
   since: number;
   /** Monotonic time at which the first list without it was requested, in milliseconds. */
   missingSince?: number;
+  /** Monotonic time at which the list of the last report was requested, in milliseconds. */
+  reportedBy?: number;
 }
 
 /**
@@ -50,21 +52,22 @@
   }
 
   /**
-   * Whether a list requested now can decide on a silent worker on which the last one could not.
+   * Whether a new list is worth its cost: it can decide on a silent worker on which the last one could
+   * not, or the holder has not handled the notice that one has left.
    *
    * @param listedAt - monotonic time at which the last list was requested, in milliseconds
    */
   needsList(listedAt: number, now: number): boolean {
     for (const { since, missingSince } of this.#silentWorkers.values()) {
       const isDecidable = since + MIN_SILENCE_MS <= now;
-      const isUndecided = since + MIN_SILENCE_MS > listedAt || missingSince === listedAt;
-      if (isDecidable && isUndecided) return true;
+      const isOpen = since + MIN_SILENCE_MS > listedAt || missingSince !== undefined;
+      if (isDecidable && isOpen) return true;
     }
     return false;
   }
 
   /**
-   * Lists the silent workers that no VM runs.
+   * Lists the silent workers that no VM runs, each once per list.
    *
    * @param vms - all VMs
    * @param listedAt - monotonic time at which their list was requested, in milliseconds
@@ -87,7 +90,9 @@
         continue;
       }
       entry.missingSince ??= listedAt;
-      if (entry.missingSince < listedAt) departed.push({ service, worker, bornMs });
+      if (entry.missingSince === listedAt || entry.reportedBy === listedAt) continue;
+      entry.reportedBy = listedAt;
+      departed.push({ service, worker, bornMs });
     }
     return departed;
   }
