Leave the start time of workers that answer out of the reported load

Also use one timeout for the fleet service's calls to holders in place of a constant in each of three files.

--- a/src/batch/fleetController.ts
+++ b/src/batch/fleetController.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import { DepartedWorkers } from '../pools/index.js';
-import { FleetView, type FleetViewDeps } from './fleetView.js';
+import { FleetView, HOLDER_CALL_TIMEOUT_MS, type FleetViewDeps } from './fleetView.js';
 import { NodeCallKind } from './nodeCalls.js';
 import { VmMover } from './vmMover.js';
 import type { Claim } from './ownership.js';
@@ -19,9 +19,6 @@
  */
 const TAKEOVER_WAIT_MS = 800;
 
-/** Timeout of calls to the holder of a service. */
-const CALL_TIMEOUT_MS = 400;
-
 /** Dependencies of {@link FleetController}. */
 export interface FleetControllerDeps extends FleetViewDeps {
   claim: Claim;
@@ -92,7 +89,7 @@
     await Promise.all(
       found.map((departed) => {
         log.info('worker_not_listed', { ...departed });
-        return holders.call({ kind: NodeCallKind.WorkerGone, ...departed }, CALL_TIMEOUT_MS);
+        return holders.call({ kind: NodeCallKind.WorkerGone, ...departed }, HOLDER_CALL_TIMEOUT_MS);
       }),
     );
   }
--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -6,8 +6,8 @@
 import type { ListedVm, VmClient } from './ports.js';
 import type { ServiceLoad, WorkerLoad } from './serviceLoad.js';
 
-/** Timeout of calls to the holder of a service. */
-const CALL_TIMEOUT_MS = 400;
+/** Timeout of the fleet service's calls to the holder of a service. */
+export const HOLDER_CALL_TIMEOUT_MS = 400;
 
 /** Dependencies of a {@link FleetView}. */
 export interface FleetViewDeps {
@@ -96,7 +96,7 @@
     const loads = new Map<string, ServiceLoad>();
     const requestLoad = async (service: string) => {
       const call = { kind: NodeCallKind.Load, service } as const;
-      const res = await this.#deps.holders.call(call, CALL_TIMEOUT_MS);
+      const res = await this.#deps.holders.call(call, HOLDER_CALL_TIMEOUT_MS);
       if (res.isOk && res.value.load) loads.set(service, res.value.load);
     };
     await Promise.all(services.map(requestLoad));
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -7,14 +7,12 @@
 } from '../pools/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
-import type { FleetView } from './fleetView.js';
+import { HOLDER_CALL_TIMEOUT_MS, type FleetView } from './fleetView.js';
 import type { HolderDirectory } from './holderDirectory.js';
 import { NodeCallKind } from './nodeCalls.js';
 import { VmOrderAnswer, VmState, type VmClient } from './ports.js';
 import type { Service } from './types.js';
 
-/** Timeout of calls to the holder of a service. */
-const CALL_TIMEOUT_MS = 400;
 /** Time after which a move is cancelled if the VM's worker has not become empty. */
 const VACATE_TIMEOUT_MS = 800;
 /** The same for a worker that had runs when the move was planned; most short tasks end within it. */
@@ -199,7 +197,7 @@
   async #isEmptied({ from, worker, hasRuns }: Move): Promise<boolean> {
     if (worker === undefined || this.#isStandby(from)) return true;
     const how = { isUrgent: false, relocatesRuns: hasRuns };
-    const status = await this.#deps.holders.vacate(from, worker, how, CALL_TIMEOUT_MS);
+    const status = await this.#deps.holders.vacate(from, worker, how, HOLDER_CALL_TIMEOUT_MS);
     return status?.isReady === true && status.runs === 0;
   }
 
@@ -211,6 +209,6 @@
     { from, worker }: Move,
     kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
   ): Promise<void> {
-    return this.#deps.holders.notify(kind, from, worker, CALL_TIMEOUT_MS);
+    return this.#deps.holders.notify(kind, from, worker, HOLDER_CALL_TIMEOUT_MS);
   }
 }
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -385,7 +385,7 @@
       workers: workers.map(({ record, runs, unansweredCalls }) => ({
         id: record.id,
         runs: runs.size,
-        silentBornMs: unansweredCalls > 0 ? record.bornMs : undefined,
+        ...(unansweredCalls > 0 && { silentBornMs: record.bornMs }),
         lastingRuns: [...runs.values()].filter(({ task }) => task.step.spec.isLasting).length,
       })),
     };
