Show limit, grant, use and waiting tasks of accounts as gauges

Operators saw the state of an account only in account_state log lines; the metrics page had counters of held starts, from which neither the limit nor the use of a service can be told.

The metrics page has account_limit, account_granted, account_used and account_wanted by account, service and resource, and account_waiting_tasks, for accounts with a limit and for the resources that are limited. Gauges are read from their sources when the page is rendered, and are not kept. Their values are those of the account_state lines (accountState.ts), which now have `wanted`, too. A holder shows none before it has read the rows, once it lost the service, and while it may not start tasks; an account has none once it left the configuration. A service shows at most 100 accounts (1,300 series), and counts the others.

--- a/src/accounts/budgetLedger.ts
+++ b/src/accounts/budgetLedger.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '../clock/index.js';
-import type { Counters } from '../batch/counters.js';
+import type { Counters, GaugeReading } from '../batch/counters.js';
 import type { DecisionLog } from '../batch/decisionLog.js';
 import { follow } from '../batch/follow.js';
 import { StoreErrorCode, type Row, type RowStore, type Transaction } from '../batch/ports.js';
 import { tableSource } from '../batch/tableSource.js';
 import type { BatchConfig, Resources } from '../batch/types.js';
+import { chooseStates, stateFields, stateGauges, type AccountState } from './accountState.js';
 import {
   capOf,
   divide,
@@ -777,33 +778,59 @@
 
   /** Logs the accounts whose state has changed, at most once a second. */
   #logStates(): void {
-    const { clock, log, service } = this.#deps;
+    const { clock, log } = this.#deps;
     const now = clock.now();
     if (now - this.#loggedAt < budgetDefaults.logIntervalMs) return;
     this.#loggedAt = now;
     for (const entry of this.#entries.values()) {
-      const limit = this.#limitOf(entry);
-      if (!limit || isNone(limit.limit)) continue;
-      const used = this.#usedOf(entry);
-      const waiting = [...entry.held.values()].reduce((sum, count) => sum + count, 0);
-      const fields = {
-        limit: formatAmount(limit.limit),
-        used: formatAmount(used),
-        granted: formatAmount(this.#grantOf(entry)),
-        others: Object.entries(entry.row?.shares ?? {})
-          .filter(([name]) => name !== service)
-          .map(([name, { granted }]) => `${name}:${formatAmount(granted)}`)
-          .join(','),
-        waiting,
-        reasons: [...entry.held].map(([reason, count]) => `${reason}:${count}`).join(','),
-        missing: entry.row?.missing?.join(','),
-      };
-      const state = JSON.stringify(fields);
-      if (state === entry.loggedState) continue;
-      entry.loggedState = state;
-      log.detail('account_state', { account: entry.account, service, ...fields });
+      const state = this.#stateOf(entry);
+      if (!state) continue;
+      const { account, service } = state;
+      const fields = stateFields(state);
+      const text = JSON.stringify(fields);
+      if (text === entry.loggedState) continue;
+      entry.loggedState = text;
+      log.detail('account_state', { account, service, ...fields });
     }
   }
+
+  /** State of an account for logs and metrics; undefined if it has no limit. */
+  #stateOf(entry: Entry): AccountState | undefined {
+    const { service } = this.#deps;
+    const { account, row, held } = entry;
+    const limit = this.#limitOf(entry);
+    if (!limit || isNone(limit.limit)) return undefined;
+    return {
+      account,
+      service,
+      limit: limit.limit,
+      used: this.#usedOf(entry),
+      granted: this.#grantOf(entry),
+      wanted: this.#shareOf(entry)?.wanted ?? NO_RESOURCES,
+      others: Object.entries(row?.shares ?? {})
+        .filter(([name]) => name !== service)
+        .map(([name, { granted }]) => [name, granted]),
+      held,
+      missing: row?.missing,
+    };
+  }
+
+  /**
+   * Gauges of the accounts with a limit in the active configuration. There are none before the rows
+   * were read and after the service was lost, because nothing updates the values then.
+   */
+  gauges(): GaugeReading[] {
+    if (!this.#isLoaded || this.#hasEnded) return [];
+    const { config, counters, service } = this.#deps;
+    const configured = new Set(config()?.accounts?.map(({ name }) => name));
+    const states = [...this.#entries.values()]
+      .filter(({ account }) => configured.has(account))
+      .map((entry) => this.#stateOf(entry))
+      .filter((state) => state !== undefined);
+    const { chosen, leftOutCount } = chooseStates(states, budgetDefaults.maxGaugeAccounts);
+    if (leftOutCount > 0) counters.count('account_gauges_left_out', service, leftOutCount);
+    return chosen.flatMap((state) => [...stateGauges(state)]);
+  }
 }
 
 function createEntry(account: string): Entry {
@@ -836,7 +863,3 @@
 function isSame(a: Readonly<Resources>, b: Readonly<Resources> | undefined): boolean {
   return b !== undefined && isEqual(a, b);
 }
-
-function formatAmount({ cpuMillis, memoryMb, accelerators }: Readonly<Resources>): string {
-  return `${cpuMillis}/${memoryMb}/${accelerators}`;
-}
--- a/src/accounts/defaults.ts
+++ b/src/accounts/defaults.ts
@@ -49,4 +49,9 @@
   removedServiceMs: 30_000,
   /** Interval between two log lines of an account. */
   logIntervalMs: 1_000,
+  /**
+   * Accounts with gauges for each service; bounds the series of a service to 1,300: an account has up to
+   * 13 (four amounts of three resources, and the waiting tasks).
+   */
+  maxGaugeAccounts: 100,
 } as const;
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -6,6 +6,7 @@
 export { RecentIds } from './recentIds.js';
 export { RefusalLog } from './refusalLog.js';
 export type { Account, AccountRules } from './types.js';
+export { chooseStates, stateFields, stateGauges, type AccountState } from './accountState.js';
 export { AccountUsage } from './accountUsage.js';
 export { FairBacklog, type ItemAccount } from './fairBacklog.js';
 export { fairOrder, type FairOrderRules } from './fairOrder.js';
--- a/src/batch/counters.ts
+++ b/src/batch/counters.ts
@@ -8,13 +8,25 @@
   sum: number;
 }
 
+/** Present value of a gauge. All readings of a name have the same labels. */
+export interface GaugeReading {
+  name: string;
+  labels: Readonly<Record<string, string>>;
+  value: number;
+}
+
+/** Reads the present values of gauges. */
+export type GaugeSource = () => Iterable<GaugeReading>;
+
 /**
  * Counters by name and reason, and latency histograms, kept as plain numbers, so that the metrics
- * library is loaded only when the metrics page is rendered.
+ * library is loaded only when the metrics page is rendered. Gauges are not kept at all: their sources
+ * are read when the page is rendered, so that it never shows an earlier value.
  */
 export class Counters {
   readonly #counts = new Map<string, Map<string, number>>();
   readonly #latencies = new Map<string, LatencyCounts>();
+  readonly #gaugeSources = new Set<GaugeSource>();
 
   /** Increments the counter of a reason. */
   count(name: string, reason: string, by = 1): void {
@@ -47,6 +59,19 @@
     }
   }
 
+  /** Adds a source of gauges; returns the function that removes it. */
+  addGauges(source: GaugeSource): () => void {
+    this.#gaugeSources.add(source);
+    return () => {
+      this.#gaugeSources.delete(source);
+    };
+  }
+
+  /** Present values of all gauges. */
+  *gauges(): Generator<GaugeReading> {
+    for (const source of this.#gaugeSources) yield* source();
+  }
+
   /** Latency histograms by name. */
   latencies(): Iterable<[string, LatencyCounts]> {
     return this.#latencies;
--- a/src/batch/decisionLog.spec.ts
+++ b/src/batch/decisionLog.spec.ts
@@ -71,3 +71,17 @@
   t.regex(page, /burdocknotch_submit_ms_bucket\{le="\+Inf"\} 2/);
   t.regex(page, /burdocknotch_submit_ms_count 2/);
 });
+
+// Guards against a source that goes on showing its last value after it was removed.
+test('the metrics page reads gauges when it is rendered, until their source is removed', async (t) => {
+  const counters = new Counters();
+  let value = 1;
+  const labels = { account: 'a"b', service: 'motions' };
+  const remove = counters.addGauges(() => [{ name: 'waiting_tasks', labels, value }]);
+  const series = 'burdocknotch_waiting_tasks{account="a\\"b",service="motions"}';
+  t.true((await renderMetrics(counters)).includes(`${series} 1`));
+  value = 2;
+  t.true((await renderMetrics(counters)).includes(`${series} 2`));
+  remove();
+  t.false((await renderMetrics(counters)).includes('waiting_tasks'));
+});
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -256,6 +256,7 @@
     lifecycle.own('service holder', () => {
       this.#isClosed = true;
     });
+    lifecycle.own('account gauges', this.#addAccountGauges());
     const journal = this.#journal.run(signal);
     void this.#learning.load(signal);
     if (!(await this.#recovery.load(signal))) return;
@@ -270,6 +271,15 @@
     ]);
   }
 
+  /**
+   * Adds the gauges of client accounts to the metrics page. They are shown only while placement rounds
+   * update them: a node that may not extend leases may have a successor, which has its own.
+   */
+  #addAccountGauges(): () => void {
+    const { counters, canExtend } = this.#deps;
+    return counters.addGauges(() => (canExtend() ? this.#accounts.budget.gauges() : []));
+  }
+
   async #tick(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
     do {
