Test a holder that is frozen beyond its lease and resumes, in the rig

That a resumed holder does not exceed an account's limit was tested on a simulation of several ledgers only. There, a frozen holder is one that learns no answers; timers, clocks, workers and the takeover by another node are not part of it.

--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -34,6 +34,7 @@
 import { createFakeTimers } from '../virtualClock.js';
 import { FakeExecutors, type FakeExecutor, type ObservedRun } from './fakeExecutors.js';
 import { FakeRowStore } from './fakeRowStore.js';
+import { PausableProcess } from './pausableProcess.js';
 
 /** Time that the advice service takes to answer. */
 const ADVICE_DELAY_MS = 10;
@@ -53,6 +54,8 @@
   logLines: string[];
   /** Difference of the node's wall clock from the rig's, in milliseconds. */
   wallOffsetMs: number;
+  /** Freezes and resumes the node. */
+  process: PausableProcess;
 }
 
 /** Options for {@link BatchRig}. */
@@ -259,16 +262,18 @@
     const counters = new Counters();
     const sink = { write: (text: string) => logLines.push(text) > 0 };
     const lifecycle = new Lifecycle(name);
-    const rigNode = { name, counters, lifecycle, isDead: false, logLines, wallOffsetMs: 0 };
-    const wallTime = () => this.clock.wallTime() + rigNode.wallOffsetMs;
-    const clock: Clock = { ...this.clock, wallTime };
+    const wallTime = (): number => this.clock.wallTime() + rigNode.wallOffsetMs;
+    const process = new PausableProcess(this.clock, wallTime);
+    const state = { isDead: false, wallOffsetMs: 0 };
+    const rigNode = { name, counters, lifecycle, logLines, process, ...state };
+    const { clock } = process;
     const log = new DecisionLog(sink, clock);
     const store = this.#blockWhenDead(this.store.clientOf(name), rigNode);
     const node = new BatchNode({
       store,
       workers: this.#blockWhenDead(this.fleet.clientOf(name), rigNode),
       vms: this.#blockWhenDead(this.#createVmClient(), rigNode),
-      advice: this.#createAdviceClient(),
+      advice: this.#blockWhenDead(this.#createAdviceClient(), rigNode),
       tables: (nodeStore) => ({
         board: this.#blockWhenDead(this.#createWaveStatusStore(), rigNode),
         operator: tableSource(nodeStore, 'operator', '', parseItem),
@@ -292,8 +297,11 @@
     return started;
   }
 
-  /** Wraps a client so that calls by a dead node have no effect and never settle. */
-  #blockWhenDead<T extends object>(target: T, state: { isDead: boolean }): T {
+  /**
+   * Wraps a client so that calls by a dead node have no effect and never settle, and those of a frozen
+   * node settle when it resumes.
+   */
+  #blockWhenDead<T extends object>(target: T, state: NodeState): T {
     const neverSettle = () => new Promise<never>(() => undefined);
     return new Proxy(target, {
       get(object, name) {
@@ -302,19 +310,21 @@
         return async (...args: unknown[]) => {
           if (state.isDead) return neverSettle();
           const result: unknown = await Reflect.apply(value, object, args);
+          if (state.process.isFrozen) await state.process.whenRunning();
           return hasDied(state) ? neverSettle() : result;
         };
       },
     });
   }
 
-  #createTransport(name: string, state: { isDead: boolean }): NodeTransport {
+  #createTransport(name: string, state: NodeState): NodeTransport {
     return {
       address: name,
       listen: (answer) => {
-        this.#callHandlers.set(name, (body) =>
-          state.isDead ? new Promise(() => undefined) : answer(body),
-        );
+        this.#callHandlers.set(name, async (body) => {
+          if (state.process.isFrozen) await state.process.whenRunning();
+          return state.isDead ? new Promise(() => undefined) : answer(body);
+        });
         return Promise.resolve();
       },
       call: async (address, body, timeoutMs) => {
@@ -323,9 +333,13 @@
         const late = this.clock
           .sleep(timeoutMs)
           .then(() => Result.err(new LinkError(LinkErrorCode.NoAnswer, `call to ${address}`)));
-        if (!answer || this.#linkCuts.has(`${name}>${address}`)) return late;
-        const answered = answer(structuredClone(body)).then((reply) => Result.ok(reply));
-        return Promise.race<Result<unknown, LinkError>>([answered, late]);
+        const isLost = !answer || this.#linkCuts.has(`${name}>${address}`);
+        const answered = isLost
+          ? new Promise<never>(() => undefined)
+          : answer(structuredClone(body)).then((reply) => Result.ok(reply));
+        const result = await Promise.race<Result<unknown, LinkError>>([answered, late]);
+        if (state.process.isFrozen) await state.process.whenRunning();
+        return result;
       },
     };
   }
@@ -575,6 +589,12 @@
   }
 }
 
+/** What keeps a node from making calls and getting answers. */
+interface NodeState {
+  isDead: boolean;
+  process: PausableProcess;
+}
+
 /** Reads the flag again after an `await`, where the compiler still assumes its earlier value. */
 function hasDied(state: { isDead: boolean }): boolean {
   return state.isDead;
--- a/src/testing/batchRig/index.ts
+++ b/src/testing/batchRig/index.ts
@@ -6,4 +6,5 @@
   type TaskScript,
 } from './fakeExecutors.js';
 export { fakeStoreLimits, FakeRowStore, StoreFault } from './fakeRowStore.js';
+export { PausableProcess } from './pausableProcess.js';
 export { RunControlRig } from './runControlRig.js';
