--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -46,13 +46,13 @@
   type Division,
   type DivisionInput,
 } from './budgetDivision.js';
+export { BudgetLedger } from './budgetLedger.js';
 export {
-  BudgetLedger,
   HeldReason,
   type BudgetLedgerDeps,
   type BudgetPreview,
   type StartDecision,
-} from './budgetLedger.js';
+} from './budgetTypes.js';
 export {
   BudgetError,
   BudgetErrorCode,
