--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -6,6 +6,7 @@
 export { RecentIds } from './recentIds.js';
 export { RefusalLog } from './refusalLog.js';
 export type { Account, AccountRules } from './types.js';
+export { chooseStates, stateFields, stateGauges, type AccountState } from './accountState.js';
 export { AccountUsage } from './accountUsage.js';
 export { FairBacklog, type ItemAccount } from './fairBacklog.js';
 export { fairOrder, type FairOrderRules } from './fairOrder.js';
@@ -45,13 +46,13 @@
   type Division,
   type DivisionInput,
 } from './budgetDivision.js';
+export { BudgetLedger } from './budgetLedger.js';
 export {
-  BudgetLedger,
   HeldReason,
   type BudgetLedgerDeps,
   type BudgetPreview,
   type StartDecision,
-} from './budgetLedger.js';
+} from './budgetTypes.js';
 export {
   BudgetError,
   BudgetErrorCode,
