--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -80,6 +80,8 @@
   maxOverage?: number;
   /** Factor by which tasks run longer off their rack, as the nodes know it. */
   remoteSlowdown?: number;
+  /** Whether the nodes measure how busy they are with calls to the workers. */
+  measuresBusyTime?: boolean;
 }
 
 /** Batch nodes with a fake row store, fake workers and a fake VM vendor in virtual time. */
@@ -130,6 +132,7 @@
   readonly #accountRules: AccountRules | undefined;
   readonly #maxOverage: number;
   readonly #remoteSlowdown: number | undefined;
+  readonly #measuresBusyTime: boolean;
   #nextReplacement = 0;
   #nextJob = 0;
 
@@ -146,8 +149,10 @@
     limits,
     maxOverage = 0,
     remoteSlowdown,
+    measuresBusyTime = false,
   }: BatchRigOptions = {}) {
     this.#remoteSlowdown = remoteSlowdown;
+    this.#measuresBusyTime = measuresBusyTime;
     this.#features = { ...noFeatures, ...features };
     this.#weights = weights;
     this.#accountRules = accountRules;
@@ -291,6 +296,7 @@
       incarnation: `${name}#${this.nodes.length}`,
       resources: { cores: 1, bandwidthMbps: 1_000 },
       features: this.#features,
+      createBusyMeter: this.#measuresBusyTime ? () => this.fleet.createBusyMeter(name) : undefined,
       transport: this.#createTransport(name, rigNode),
     });
     const started: RigNode = Object.assign(rigNode, { node });
--- a/src/testing/batchRig/fakeExecutors.ts
+++ b/src/testing/batchRig/fakeExecutors.ts
@@ -8,7 +8,7 @@
   type WorkerClient,
   type WorkerRecord,
 } from '../../batch/index.js';
-import type { Clock, Timer } from '../../clock/index.js';
+import type { BusyMeter, Clock, Timer } from '../../clock/index.js';
 
 /** Longest lease that a worker grants, in milliseconds. */
 const MAX_LEASE_MS = 6_000;
@@ -274,6 +274,12 @@
   script: (task: string, run: number, worker: string) => TaskScript = () => ({ runMs: 500 });
   /** Time that a node needs to send one order, in milliseconds; orders wait for each other. */
   orderSendMs = 0;
+  /** Time that a node needs to read one list of runs, in milliseconds; also waits for orders. */
+  listReadMs = 0;
+  /** Number of lists of runs that nodes have read. */
+  listCount = 0;
+  /** Milliseconds of work for calls that each node was given. */
+  readonly #workMs = new Map<string, number>();
   /** Called when a run has crashed its worker; must start the worker again. */
   onCrash: (executor: FakeExecutor) => void = () => undefined;
   /** Number of crashes that runs have caused. */
@@ -308,15 +314,32 @@
     return [...this.executors.values()].flatMap(({ observedRuns }) => observedRuns);
   }
 
+  /** Creates a meter of the share of time in which a node works on calls to the workers. */
+  createBusyMeter(node: string): BusyMeter {
+    let last = { at: this.clock.now(), workMs: 0 };
+    return () => {
+      const current = { at: this.clock.now(), workMs: this.#workMs.get(node) ?? 0 };
+      const elapsedMs = Math.max(1, current.at - last.at);
+      const share = (current.workMs - last.workMs) / elapsedMs;
+      last = current;
+      return Math.min(1, share);
+    };
+  }
+
   /** Creates the client through which one node calls the workers. */
   clientOf(node: string): WorkerClient {
-    let isSendingUntil = 0;
+    let isBusyUntil = 0;
+    /** Adds work to what the node does one after the other; returns the time until it is done. */
+    const addWork = (workMs: number): number => {
+      const now = this.clock.now();
+      isBusyUntil = Math.max(now, isBusyUntil) + workMs;
+      this.#workMs.set(node, (this.#workMs.get(node) ?? 0) + workMs);
+      return isBusyUntil - now;
+    };
     /** Waits until an order is sent; returns false if the caller gives up first. */
     const send = async (deliver: () => void): Promise<boolean> => {
       if (this.orderSendMs === 0) return true;
-      const now = this.clock.now();
-      isSendingUntil = Math.max(now, isSendingUntil) + this.orderSendMs;
-      const waitMs = isSendingUntil - now;
+      const waitMs = addWork(this.orderSendMs);
       if (waitMs > NO_ANSWER_TIMEOUT_MS) this.clock.setTimer(waitMs, deliver);
       await this.clock.sleep(Math.min(waitMs, NO_ANSWER_TIMEOUT_MS));
       return waitMs <= NO_ANSWER_TIMEOUT_MS;
@@ -375,6 +398,8 @@
         executor.holdAnswersInTransit++;
         await this.clock.sleep(ANSWER_DELAY_MS + executor.holdAnswerDelayMs);
         executor.holdAnswersInTransit--;
+        this.listCount++;
+        if (this.listReadMs > 0) await this.clock.sleep(addWork(this.listReadMs));
         return isCut() ? { isListed: false, answer: OrderAnswer.NoAnswer } : reply;
       },
     };
