Space the recurring work of a busy holder

What callers saw: the classes of many short tasks were late while VMs of their pool were empty, and waited up to 0.5 s for an acceptance. Cause: a holder read a list of runs for the end of nearly every task and held a placement round after nearly every event. With 1,600 tasks a second that is more than its VM can do, and the acceptances and starts that callers wait for, one after the other, queue behind lists and rounds. A process with time to spare pauses nothing, and neither does one that does not measure its time.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -9,6 +9,7 @@
 import { StragglerHelp } from '../copies/index.js';
 import { explainJob, type HolderExplanation } from '../explain/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
+import { LoadPacing } from '../loadPacing/index.js';
 import { PlaceWaits } from '../places/index.js';
 import { ExpectedDemand } from '../pools/index.js';
 import type { Random } from '../random/index.js';
@@ -99,6 +100,7 @@
 interface PartDeps extends HolderDeps {
   service: string;
   epoch: number;
+  pacing: LoadPacing;
   /** Requests a placement round. */
   place: () => void;
   /** Gives up the service. */
@@ -129,6 +131,7 @@
   readonly #accounts: ServiceAccounts;
 
   // Placement.
+  readonly #pacing: LoadPacing;
   readonly #roundTimer: RoundTimer;
   readonly #advice: AdviceCache;
   readonly #placeWaits: PlaceWaits;
@@ -150,7 +153,9 @@
     const place = () => {
       this.#requestPlacement();
     };
-    const parts: PartDeps = { ...deps, service, epoch, place, lose: deps.onLost };
+    const busyShare = deps.createBusyMeter?.();
+    const pacing = (this.#pacing = new LoadPacing({ busyShare }));
+    const parts: PartDeps = { ...deps, service, epoch, pacing, place, lose: deps.onLost };
 
     const jobs = (this.#jobs = new JobTable(parts));
     const takeDirty = (max: TransactionSize) => jobs.takeDirty(max);
@@ -304,6 +309,7 @@
     do {
       const wallTime = clock.wallTime();
       for (const job of this.#jobs.open()) if (job.hasSchedule) job.createDueOccurrences(wallTime);
+      this.#pacing.update();
       this.#vacating.proceed();
       this.#judgement.update();
       this.#requestPlacement();
--- a/src/batch/roundDelay.ts
+++ b/src/batch/roundDelay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import { messageOf, toError } from '../errors/index.js';
+import type { LoadPacing } from '../loadPacing/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 
@@ -15,9 +16,14 @@
  *
  * @param lastDurationMs - duration of the last round in milliseconds
  * @param sinceLastMs - time since the end of the last round in milliseconds
+ * @param minPauseMs - shortest time between the two in milliseconds
  */
-export function delayBeforeRoundMs(lastDurationMs: number, sinceLastMs: number): number {
-  const pauseMs = Math.min(MAX_DELAY_MS, lastDurationMs * PAUSE_FACTOR);
+export function delayBeforeRoundMs(
+  lastDurationMs: number,
+  sinceLastMs: number,
+  minPauseMs = 0,
+): number {
+  const pauseMs = Math.min(MAX_DELAY_MS, Math.max(minPauseMs, lastDurationMs * PAUSE_FACTOR));
   return Math.max(MIN_DELAY_MS, pauseMs - sinceLastMs);
 }
 
@@ -27,6 +33,7 @@
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
+  pacing: Pick<LoadPacing, 'roundPauseMs'>;
   /** Carries out a placement round. */
   placeTasks: () => void;
 }
@@ -64,8 +71,8 @@
   request(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
-    const { service, clock, counters, log, placeTasks } = this.#deps;
-    const delayMs = delayBeforeRoundMs(this.#roundMs, this.ageMs());
+    const { service, clock, counters, log, pacing, placeTasks } = this.#deps;
+    const delayMs = delayBeforeRoundMs(this.#roundMs, this.ageMs(), pacing.roundPauseMs);
     clock.setTimer(delayMs, () => {
       this.#isScheduled = false;
       const startedAt = clock.now();
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.js';
+import type { LoadPacing } from '../loadPacing/index.js';
 import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -49,6 +50,7 @@
   registered: () => Iterable<WorkerRecord>;
   /** Whether leases may be renewed. */
   canExtend: () => boolean;
+  pacing: Pick<LoadPacing, 'listPauseMs'>;
   /** Requests a placement round. */
   place: () => void;
 }
@@ -311,6 +313,8 @@
         }
       });
       await Promise.race([durable, clock.sleep(RETRY_MS, signal)]);
+      const { listPauseMs } = this.#deps.pacing;
+      if (listPauseMs > 0) await clock.sleep(listPauseMs, signal);
     } else if (worker.processedUpto > worker.durableUpto) await clock.sleep(RETRY_MS, signal);
   }
 
