--- a/src/batch/workerRegistry.ts
+++ b/src/batch/workerRegistry.ts
@@ -7,7 +7,7 @@
 import type { WorkerRecord } from './types.js';
 
 /** Pause between reads of the registrations, which change continuously, in milliseconds. */
-const READ_PAUSE_MS = 400;
+const READ_PAUSE_MS = 150;
 /** Long-poll time of the call that follows the registrations, in milliseconds. */
 const FEED_WAIT_MS = 2_000;
 
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -20,7 +20,7 @@
 /** Long-poll time for workers with best-effort tasks, whose pace follows changing latencies. */
 const PACING_HOLD_WAIT_MS = 400;
 /** Interval at which sessions are synchronized with the worker registry. */
-const SYNC_INTERVAL_MS = 250;
+const SYNC_INTERVAL_MS = 100;
 /** Delay after a failed call, while leases may not be renewed, and while ends are not durable. */
 const RETRY_MS = 150;
 /** Maximum delay of the exponential backoff for a worker without runs that does not answer. */
