Keep following a table after changes that cannot be applied

Cause: an error while changes were applied ended the task that follows the table; its supervisor starts it again on the same changes and gives the process up.

--- a/src/batch/follow.ts
+++ b/src/batch/follow.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'true-myth/result';
 import type { Clock, Moment } from '../clock/index.js';
+import { messageOf } from '../errors/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { StoreErrorCode, type StoreError } from './ports.js';
@@ -41,6 +42,8 @@
 }
 
 const RETRY_MS = 300;
+/** Name under which changes that could not be applied are counted. */
+const APPLY_FAILED = 'apply_failed';
 
 /** Reads `aborted` again after an await; the compiler assumes that it has not changed. */
 export function isAborted(signal: AbortSignal): boolean {
@@ -73,8 +76,18 @@
     }
     if (isUnavailable) log.info('dependency_back', { table: name, version: res.value.version });
     isUnavailable = false;
-    apply(res.value, isFullRead, sentAt);
-    after = res.value.version;
+    try {
+      apply(res.value, isFullRead, sentAt);
+      after = res.value.version;
+    } catch (err) {
+      // Ending here would end the process once its supervisor gives up, and the same item would end
+      // the next one.
+      counters.count('follow_failures', APPLY_FAILED);
+      log.warn('changes_not_applied', { table: name, after, error: messageOf(err) });
+      after = undefined;
+      await clock.sleep(RETRY_MS, signal);
+      continue;
+    }
     if (options.pauseMs > 0) await clock.sleep(options.pauseMs, signal);
   }
 }
