Answer calls to malformed node addresses instead of throwing

Cause: connecting to a port out of range throws, in the task of whoever calls the node that a row names with such an address. Change: the call was not sent; counted as link_failures bad_address. The case of a valid submission has a complete job now, since incomplete ones are malformed.

--- a/src/batch/links.spec.ts
+++ b/src/batch/links.spec.ts
@@ -6,7 +6,8 @@
 import { encodeFrame } from '../peers/framing.js';
 import { Counters } from './counters.js';
 import { DecisionLog } from './decisionLog.js';
-import { Links } from './links.js';
+import { withStepDefaults } from './jobCodec.js';
+import { LinkErrorCode, Links } from './links.js';
 import { decodeNodeAnswer, decodeNodeCall, NodeCallKind } from './nodeCalls.js';
 
 const HOST = '127.0.0.1';
@@ -42,11 +43,22 @@
   return frame.value;
 };
 
+/** A frame with lists of one element inside each other. */
+function nestedFrame(depth: number): Buffer {
+  const header = Buffer.alloc(4);
+  header.writeUInt32BE(depth);
+  return Buffer.concat([header, Buffer.alloc(depth, 0x81)]);
+}
+
 const malformed: { title: string; bytes: Buffer }[] = [
   { title: 'bytes that are no frame', bytes: Buffer.from('GET / HTTP/1.1\r\n\r\n') },
   { title: 'a frame of null', bytes: frameOf(null) },
   { title: 'a frame of text', bytes: frameOf('text') },
   { title: 'a frame without a call number', bytes: frameOf({ body: {} }) },
+  {
+    title: 'a frame of deeply nested lists',
+    bytes: nestedFrame(50_000),
+  },
   { title: 'a call that the node rejects', bytes: frameOf({ call: 1, body: null }) },
 ];
 
@@ -82,7 +94,16 @@
 });
 
 const submit = { kind: NodeCallKind.Submit, service: 's' };
-const spec = { id: 'a', queue: 'q', payload: '', steps: [{ after: [] }] };
+const spec = {
+  id: 'a',
+  queue: 'q',
+  payload: '',
+  steps: [withStepDefaults({})],
+  occurrences: 0,
+  firstDueMs: 0,
+  periodMs: 0,
+  acceptedMs: 0,
+};
 const calls: { title: string; call: unknown; isValid: boolean }[] = [
   { title: 'a submission', call: { ...submit, spec }, isValid: true },
   { title: 'a submission without a spec', call: submit, isValid: false },
@@ -105,3 +126,16 @@
     t.is(decodeNodeCall(call) !== undefined, isValid);
   });
 }
+
+const oddAddresses = ['', 'node', '10.0.0.1', '127.0.0.1:0', '127.0.0.1:65536', '[::1]:80'];
+
+for (const address of oddAddresses) {
+  // Guards against a row with a malformed address that ends the task of whoever calls that node.
+  test(`a call to the address "${address}" is not sent`, async (t) => {
+    const log = new DecisionLog({ write: () => true }, systemClock);
+    const counters = new Counters();
+    const links = new Links({ host: HOST, port: 1, clock: systemClock, counters, log });
+    const res = await links.call(address, {}, CALL_TIMEOUT_MS);
+    t.is(res.isErr && res.error.code, LinkErrorCode.NotSent);
+  });
+}
--- a/src/batch/links.ts
+++ b/src/batch/links.ts
@@ -4,6 +4,7 @@
 import { BaseError, messageOf } from '../errors/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import { decodeBody, encodeFrame, readFrames } from '../peers/framing.js';
+import { isSocketAddress } from '../validation/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 
@@ -84,6 +85,11 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, LinkError>> {
+    // Addresses come from rows; connecting to one that is malformed throws.
+    if (!isSocketAddress(address)) {
+      this.#deps.counters.count('link_failures', 'bad_address');
+      return Result.err(new LinkError(LinkErrorCode.NotSent, `${address} is no address of a node`));
+    }
     let connection = this.#connections.get(address);
     if (!connection || connection.isClosed) {
       connection = new Connection(address, this.#deps);
