Size pools independently of a single odd VM, job or task

Cause: the size of a VM was the mean over a pool, so one entry of the VM list with an extreme capacity shrank the pools to their minimum; the mean work of a queue took one job of any size, so one estimate let a service take all VMs; tasks that fit on no worker of the fleet counted as demand for as long as they waited. Change: a VM counts with at most twice and at least half the median of its pool, and a job with at most 30 times the mean of its queue; tasks larger than any registered worker are no demand. Tasks with a label that no worker has count as before: VMs that are switched off may have it.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -166,7 +166,8 @@
 
     this.#learning = new RunTimeLearning({ ...parts, journal, isEnabled: learnsRunTimes });
     const { runTimes, predictMs } = this.#learning;
-    this.#demand = new ExpectedDemand({ ...parts, predictMs, isForecast });
+    const envelope = () => this.#sessions.envelope;
+    this.#demand = new ExpectedDemand({ ...parts, predictMs, envelope, isForecast });
     this.#accounts = this.#createAccounts(parts);
 
     this.#judgement = this.#createJudgement(parts);
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/index.js';
 import type { LoadPacing } from '../loadPacing/index.js';
+import { WorkerEnvelope } from '../pools/index.js';
 import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -76,12 +77,18 @@
   readonly #roster = new Set<string>();
   /** Workers that left and may still be registered, by id. */
   readonly #departed = new Map<string, DepartedWorker>();
+  #envelope = new WorkerEnvelope();
   #signal: AbortSignal | undefined;
 
   constructor(deps: WorkerSessionsDeps) {
     this.#deps = deps;
   }
 
+  /** What the registered workers of all services offer. */
+  get envelope(): WorkerEnvelope {
+    return this.#envelope;
+  }
+
   /** All workers that may have runs. */
   *all(): Generator<Worker> {
     for (const { worker } of this.#sessions.values()) yield worker;
@@ -137,6 +144,7 @@
     const { clock, service, registered, place, log } = this.#deps;
     const now = clock.now();
     const present = new Set<string>();
+    this.#envelope = new WorkerEnvelope(registered());
     for (const record of registered()) {
       if (record.service !== service) continue;
       present.add(record.id);
@@ -350,8 +358,12 @@
     });
   }
 
-  /** Load of the service, for pool balancing and maintenance. */
+  /**
+   * Load of the service, for pool balancing and maintenance. Tasks that no registered worker can hold
+   * are not part of it.
+   */
   load(jobs: readonly Job[], expectedCpu: number, predictMs: PredictMs = declaredMs): ServiceLoad {
+    const { envelope } = this;
     let waitingCpu = 0;
     let backlogCpu = 0;
     let spreadNeed = 0;
@@ -362,7 +374,7 @@
           if (spec.maxPerWorker > 0 && spec.isLasting) {
             spreadNeed = Math.max(spreadNeed, Math.ceil(spec.count / spec.maxPerWorker));
           }
-          if (spec.fillsSpare || !isStepReady(step)) continue;
+          if (spec.fillsSpare || !isStepReady(step) || !envelope.mayHold(spec)) continue;
           const waiting = step.idleCount * spec.cpuMillis;
           waitingCpu += waiting;
           if (waiting === 0) continue;
--- a/src/pools/balance.ts
+++ b/src/pools/balance.ts
@@ -1,5 +1,6 @@
 import { VmState, type ListedVm } from '../batch/ports.js';
 import type { ServiceLoad } from '../batch/serviceLoad.js';
+import { clamp } from '../validation/index.js';
 
 /** Factor on the required CPU, so that the next tasks find free capacity. */
 const HEADROOM_FACTOR = 1.15;
@@ -11,6 +12,9 @@
  */
 const MIN_EMPTY_MS = 1_200;
 
+/** Ratio to the median CPU of a pool's VMs from which on the CPU of a VM is not taken as it is. */
+const MAX_CPU_RATIO = 2;
+
 /** Input for one service. */
 export interface BalancedService {
   name: string;
@@ -73,7 +77,7 @@
     const own = vms.filter(({ pool }) => pool === name);
     // A VM that is down may be lost; one under maintenance or in a move returns with a new worker.
     const available = own.filter(({ state }) => state !== VmState.Down).length + arriving;
-    const wanted = wantedWorkers(load, averageCpu(own.length > 0 ? own : vms));
+    const wanted = wantedWorkers(load, typicalCpu(own.length > 0 ? own : vms));
     const hasDemand = load.waitingCpu > 0 || load.expectedCpu > 0;
     if (wanted > available && hasDemand) deficits.push({ name, missing: wanted - available });
     const empty = own
@@ -113,7 +117,14 @@
   return lists[0]?.shift();
 }
 
-function averageCpu(vms: readonly ListedVm[]): number {
-  if (vms.length === 0) return 0;
-  return vms.reduce((sum, { capacity }) => sum + capacity.cpuMillis, 0) / vms.length;
+/**
+ * Mean CPU of a VM, in thousandths of a core. Values far from the median count as the nearest plausible
+ * one: a single malformed entry of the VM list would otherwise change the number of VMs of a pool.
+ */
+export function typicalCpu(vms: readonly Pick<ListedVm, 'capacity'>[]): number {
+  const amounts = vms.map(({ capacity }) => capacity.cpuMillis).sort((a, b) => a - b);
+  const median = amounts[Math.floor(amounts.length / 2)];
+  if (median === undefined) return 0;
+  const plausible = { min: median / MAX_CPU_RATIO, max: median * MAX_CPU_RATIO };
+  return amounts.reduce((sum, cpu) => sum + clamp(cpu, plausible), 0) / amounts.length;
 }
--- a/src/pools/demandForecast.ts
+++ b/src/pools/demandForecast.ts
@@ -11,6 +11,8 @@
  * their mean, so the work of the few jobs in one rate window says little about the next ones.
  */
 const MEAN_WORK_JOBS = 60;
+/** Multiple of the mean work up to which the work of one job counts; estimates are not checked. */
+const MAX_WORK_RATIO = 30;
 /** Time for which demand is forecast: a VM that is ordered now runs tasks about this much later. */
 const LEAD_MS = 1_900;
 /** Share of the trend that is extrapolated; a turn of demand rises ever more slowly to its peak. */
@@ -62,9 +64,11 @@
     }
     shiftTo(demand, now);
     demand.bins[KEPT_BINS - 1] = (demand.bins[KEPT_BINS - 1] ?? 0) + 1;
+    const { meanWork } = demand;
+    const countedWork = demand.jobs < MIN_JOBS ? work : Math.min(work, meanWork * MAX_WORK_RATIO);
     demand.jobs++;
     demand.lastJobAt = now;
-    demand.meanWork += (work - demand.meanWork) / Math.min(demand.jobs, MEAN_WORK_JOBS);
+    demand.meanWork += (countedWork - meanWork) / Math.min(demand.jobs, MEAN_WORK_JOBS);
   }
 
   /** Forecast demand in thousandths of a core; 0 while there are too few jobs. */
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,6 +1,7 @@
 export { ArrivalRateEstimator, workOf } from './arrivals.js';
 export {
   planMoves,
+  typicalCpu,
   wantedWorkers,
   type BalancedService,
   type BalancedVm,
@@ -9,3 +10,4 @@
 export { DepartedWorkers, type DepartedWorker } from './departedWorkers.js';
 export { DemandForecast } from './demandForecast.js';
 export { ExpectedDemand, type ExpectedDemandDeps } from './expectedDemand.js';
+export { WorkerEnvelope } from './workerEnvelope.js';
