--- a/src/clock/createClock.ts
+++ b/src/clock/createClock.ts
@@ -8,6 +8,9 @@
   wallMs(): number;
 }
 
+/** Longest delay of a timer in milliseconds; Node.js runs one with a longer delay at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /**
  * Creates a clock from timer functions, either Node's own or those of a virtual clock.
  *
@@ -15,7 +18,7 @@
  */
 export function createClock(timers: TimerFunctions): Clock {
   function setTimer(delayMs: number, callback: () => void): Timer {
-    const handle = timers.setTimeout(callback, delayMs);
+    const handle = timers.setTimeout(callback, Math.min(MAX_DELAY_MS, delayMs));
     if (typeof handle === 'object' && handle !== null && 'unref' in handle) {
       (handle as { unref(): void }).unref();
     }
