Check stored rows and node messages before they are used

Cause: rows and messages of other versions, or of another writer, were cast. A job row with a count of 10^9 or without a queue ended each process that loaded it (the supervisor reports "hold motions" as failed, and gives up); a node row with deeply nested fields could not be written back with a fence, which left its service without a holder; a node row that another value replaced did the same; an epoch of another type ended a holder; one odd entry of a progress row discarded the others, so that done tasks would run again, or let a job count as done; a job with 10^9 occurrences that are due at once filled the memory; a load with NaN or a bigint reached the plan of moves. Change: job, progress, roster, node and owner rows, budgets, opinions, relay and node messages are decoded with types and ranges, and only known fields are kept. A progress row loses only its odd entries. A worker whose roster row cannot be read is waited for until its leases expire. Occurrences are opened as earlier ones end, at most 5,000 tasks at a time. Not covered: an owner row that is overwritten while no node knows its epoch.

--- a/src/accounts/budgetRow.ts
+++ b/src/accounts/budgetRow.ts
@@ -2,6 +2,14 @@
 import type { RowKey } from '../batch/ports.js';
 import type { Resources } from '../batch/types.js';
 import { BaseError } from '../errors/index.js';
+import {
+  countRange,
+  epochRange,
+  isFields,
+  isNumberIn,
+  isTextList,
+  isWholeNumberIn,
+} from '../validation/index.js';
 import { RESOURCE_KINDS } from './resourceMath.js';
 
 /** Table and partition of the budget rows; the key of a row is the name of its account. */
@@ -72,42 +80,33 @@
   }
   const bad = (field: string): Result<BudgetRow, BudgetError> =>
     Result.err(new BudgetError(BudgetErrorCode.BadField, `${field} of a budget row is malformed`));
-  if (!isRecord(parsed)) return bad('value');
+  if (!isFields(parsed)) return bad('value');
   const { version, limit, shares, missing } = parsed;
-  if (!isAmount(version)) return bad('version');
+  if (!isWholeNumberIn(version, countRange)) return bad('version');
   if (!isResources(limit)) return bad('limit');
-  if (!isRecord(shares)) return bad('shares');
+  if (!isFields(shares)) return bad('shares');
   const decoded: Record<string, BudgetShare> = {};
   for (const [service, share] of Object.entries(shares)) {
     if (!isShare(share)) return bad(`share of ${service}`);
     decoded[service] = share;
   }
   if (missing === undefined) return Result.ok({ version, limit, shares: decoded });
-  if (!isNameList(missing)) return bad('missing');
+  if (!isTextList(missing)) return bad('missing');
   return Result.ok({ version, limit, shares: decoded, missing });
 }
 
-function isRecord(value: unknown): value is Record<string, unknown> {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
-function isAmount(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
+/** Sums of amounts over all workers. */
+const isAmount = (value: unknown): value is number => isNumberIn(value, countRange);
 
 function isResources(value: unknown): value is Resources {
-  return isRecord(value) && RESOURCE_KINDS.every((kind) => isAmount(value[kind]));
+  return isFields(value) && RESOURCE_KINDS.every((kind) => isAmount(value[kind]));
 }
 
 function isShare(value: unknown): value is BudgetShare {
   return (
-    isRecord(value) &&
-    isAmount(value.epoch) &&
+    isFields(value) &&
+    isWholeNumberIn(value.epoch, epochRange) &&
     isResources(value.granted) &&
     isResources(value.wanted)
   );
 }
-
-function isNameList(value: unknown): value is string[] {
-  return Array.isArray(value) && value.every((name) => typeof name === 'string');
-}
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -1,10 +1,23 @@
 import { Result } from 'true-myth';
 import { declaredMs, type PredictMs } from '../runTimes/index.js';
 import { isCrashSuspect, mayHaveCrashed, type CrashRole } from './crashSuspects.js';
-import { taskName } from './jobCodec.js';
+import {
+  decodeProgress,
+  MAX_TASKS_PER_JOB,
+  taskName,
+  type DecodedProgress,
+  type StoredProgress,
+  type SuspectRun,
+} from './jobCodec.js';
 import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
 import type { Run } from './worker.js';
 
+/**
+ * Tasks of open occurrences up to which a progress row creates further ones. Earlier versions opened
+ * more occurrences at once than {@link Job.createDueOccurrences} does.
+ */
+const MAX_RESTORED_TASKS = 10 * MAX_TASKS_PER_JOB;
+
 /** One task of a step, with at most one current run and, where its step allows it, a copy. */
 export interface Task {
   step: Step;
@@ -62,35 +75,14 @@
   steps: Step[];
 }
 
-/** Progress of a job, as stored in its progress row. */
-interface StoredProgress {
-  /** Indexes of completed tasks by `occurrence.step`. */
-  done: Record<string, number[]>;
-  /** Numbers of failed runs by `occurrence.step.index`. */
-  failures: Record<string, number[]>;
-  /** Occurrences below this number have ended and are omitted from `done`. */
-  ended?: number;
-  /** Roles in crashes of workers by run number, by `occurrence.step.index`. */
-  crashes?: Record<string, [run: number, role: CrashRole][]>;
-  /** Runs that may have crashed their worker, by `occurrence.step.index`. */
-  suspectRuns?: Record<string, SuspectRun>;
-}
-
-/** A run that may have crashed its worker, as stored for a later holder. */
-export interface SuspectRun {
-  run: number;
-  /** Id of the worker. */
-  worker: string;
-  /** Start of the incarnation of the worker; Unix milliseconds. */
-  bornMs: number;
-}
-
 /** An open job, with its occurrences and their progress. */
 export class Job {
   readonly spec: JobSpec;
   state = JobState.Queued;
   readonly occurrences = new Map<number, Occurrence>();
   hasProgressRow = false;
+  /** Number of entries of the progress row that could not be applied. */
+  unreadableEntries = 0;
   /**
    * Whether another holder may have taken the job before. If so, its tasks may start only while
    * this process is certain to hold the service.
@@ -136,11 +128,23 @@
     for (let number = this.#nextOccurrence; number < this.occurrenceCount; number++) {
       if (this.hasSchedule && this.spec.firstDueMs + number * this.spec.periodMs > wallTimeMs)
         return;
+      // Occurrences that fall due together are created as earlier ones end.
+      if (this.#openTasks > 0 && this.#openTasks + this.#tasksPerOccurrence > MAX_TASKS_PER_JOB)
+        return;
       if (!this.occurrences.has(number)) this.#createOccurrence(number);
       this.#nextOccurrence = number + 1;
     }
   }
 
+  /** Number of tasks of the open occurrences. */
+  get #openTasks(): number {
+    return this.occurrences.size * this.#tasksPerOccurrence;
+  }
+
+  get #tasksPerOccurrence(): number {
+    return this.spec.steps.reduce((sum, { count }) => sum + count, 0);
+  }
+
   #createOccurrence(number: number): Occurrence {
     const occurrence: Occurrence = { number, steps: [] };
     for (const [stepNumber, spec] of this.spec.steps.entries()) {
@@ -260,49 +264,60 @@
     return JSON.stringify(stored);
   }
 
-  /** Applies a progress row written by {@link encodeProgress}. */
+  /**
+   * Applies a progress row written by {@link encodeProgress}, except for entries that name no task of
+   * this job; see {@link unreadableEntries}.
+   */
   applyProgress(text: string): Result<this, BatchError> {
-    try {
-      this.#restore(JSON.parse(text) as StoredProgress);
+    const stored = decodeProgress(text);
+    if (stored) {
+      this.unreadableEntries = stored.unreadableCount + this.#restore(stored);
       return Result.ok(this);
-    } catch (err) {
-      const message = `cannot read the progress row of job ${this.spec.id}`;
-      return Result.err(new BatchError(BatchErrorCode.BadRow, message, err));
     }
+    const message = `cannot read the progress row of job ${this.spec.id}`;
+    return Result.err(new BatchError(BatchErrorCode.BadRow, message));
   }
 
-  #restore(stored: StoredProgress): void {
-    this.#endedOccurrences = stored.ended ?? 0;
+  #restore({ ended, done, failures, crashes, suspectRuns }: DecodedProgress): number {
+    let unknownCount = 0;
+    if (ended > this.occurrenceCount) unknownCount++;
+    else this.#endedOccurrences = ended;
     this.#nextOccurrence = this.#endedOccurrences;
-    for (const [stepKey, indexes] of Object.entries(stored.done)) {
-      const [occurrence = 0, step = 0] = stepKey.split('.').map(Number);
-      if (occurrence < this.#endedOccurrences) continue;
-      if (!this.occurrences.has(occurrence)) this.#createOccurrence(occurrence);
+    const forEachTask = <T>(entries: Record<string, T>, apply: (task: Task, entry: T) => void) => {
+      for (const [key, entry] of Object.entries(entries)) {
+        const task = this.#storedTask(key);
+        if (task) apply(task, entry);
+        else unknownCount++;
+      }
+    };
+    for (const [stepKey, indexes] of Object.entries(done)) {
+      if (Number(stepKey.split('.')[0]) < this.#endedOccurrences) continue;
       for (const index of indexes) {
-        const task = this.task(occurrence, step, index);
+        const task = this.#storedTask(`${stepKey}.${index}`);
         if (task) this.complete(task);
+        else unknownCount++;
       }
     }
-    for (const [key, failedRuns] of Object.entries(stored.failures)) {
-      const task = this.#storedTask(key);
-      if (task) task.failedRuns = new Set(failedRuns);
-    }
-    for (const [key, crashes] of Object.entries(stored.crashes ?? {})) {
-      const task = this.#storedTask(key);
-      if (!task) continue;
-      task.crashes = new Map(crashes);
+    forEachTask(failures, (task, failedRuns) => {
+      task.failedRuns = new Set(failedRuns);
+    });
+    forEachTask(crashes, (task, roles) => {
+      task.crashes = new Map(roles);
       task.step.hasSuspects ||= isCrashSuspect(task);
-    }
-    for (const [key, suspectRun] of Object.entries(stored.suspectRuns ?? {})) {
-      const task = this.#storedTask(key);
-      if (task) this.inheritedSuspects.push({ ...suspectRun, task });
-    }
+    });
+    forEachTask(suspectRuns, (task, suspectRun) => {
+      this.inheritedSuspects.push({ ...suspectRun, task });
+    });
+    return unknownCount;
   }
 
   /** The task with the stored key `occurrence.step.index`. */
   #storedTask(key: string): Task | undefined {
     const [occurrence = 0, step = 0, index = 0] = key.split('.').map(Number);
-    if (!this.occurrences.has(occurrence)) this.#createOccurrence(occurrence);
+    const isKnown = this.occurrences.has(occurrence);
+    const isOpen = occurrence >= this.#endedOccurrences && occurrence < this.occurrenceCount;
+    if (!isKnown && isOpen && this.#openTasks < MAX_RESTORED_TASKS)
+      this.#createOccurrence(occurrence);
     return this.task(occurrence, step, index);
   }
 }
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -1,4 +1,18 @@
 import { Result } from 'true-myth';
+import {
+  countRange,
+  isFields,
+  isNumberIn,
+  isOptionalFlag,
+  isOptionalText,
+  isText,
+  isWholeNumberIn,
+  parseJson,
+  runNumberRange,
+  timeRange,
+  type NumberRange,
+} from '../validation/index.js';
+import { CrashRole } from './crashSuspects.js';
 import type { Row } from './ports.js';
 import { ENDED_TABLE } from './rows.js';
 import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
@@ -6,6 +20,12 @@
 /** Maximum number of tasks in all steps of a job; bounds the memory that a job can use. */
 export const MAX_TASKS_PER_JOB = 5_000;
 
+/** Shortest time between the occurrences of a job; bounds how fast these can fall due. */
+const MIN_PERIOD_MS = 1;
+
+/** Fields of a step that count tasks. */
+const wholeFields = ['maxPerWorker', 'maxAway'] as const;
+
 const defaultStep: StepSpec = {
   count: 1,
   cpuMillis: 0,
@@ -41,17 +61,34 @@
   if (steps.length === 0) return 'a job needs at least one step';
   let tasks = 0;
   for (const [number, step] of steps.entries()) {
-    if (step.count < 1) return `step ${number}: count is ${step.count}, expected 1 or more`;
-    const invalidStep = step.after.find((earlier) => earlier < 0 || earlier >= number);
-    if (invalidStep !== undefined)
-      return `step ${number}: after contains ${invalidStep}, expected only earlier steps`;
+    const problem = findStepProblem(step, number);
+    if (problem !== undefined) return `step ${number}: ${problem}`;
     tasks += step.count;
   }
   if (tasks > MAX_TASKS_PER_JOB) return `${tasks} tasks, expected at most ${MAX_TASKS_PER_JOB}`;
-  if (occurrences > 1 && periodMs <= 0) return `period is ${periodMs} ms, expected more than 0`;
+  if (!isWhole(occurrences, countRange))
+    return `number of occurrences is ${occurrences}, expected a whole number of 0 or more`;
+  if (occurrences > 1 && periodMs < MIN_PERIOD_MS)
+    return `period is ${periodMs} ms, expected ${MIN_PERIOD_MS} or more`;
   return undefined;
 }
 
+/** Without the type of a guard, so that a number that fails stays a number. */
+const isWhole = (value: number, range: NumberRange): boolean => isWholeNumberIn(value, range);
+
+function findStepProblem(step: StepSpec, number: number): string | undefined {
+  const { count, after } = step;
+  if (!isWhole(count, { min: 1, max: MAX_TASKS_PER_JOB }))
+    return `count is ${count}, expected a whole number of 1 to ${MAX_TASKS_PER_JOB}`;
+  const earlierSteps = { min: 0, max: number - 1 };
+  const invalidStep = after.find((earlier) => !isWhole(earlier, earlierSteps));
+  if (invalidStep !== undefined)
+    return `after contains ${invalidStep}, expected only earlier steps`;
+  const fractional = wholeFields.find((field) => !isWhole(step[field], countRange));
+  if (fractional === undefined) return undefined;
+  return `${fractional} is ${step[fractional]}, expected a whole number of 0 or more`;
+}
+
 /** Encodes the value of a job row; step fields with default values are omitted. */
 export function encodeJob(spec: JobSpec): string {
   const steps = spec.steps.map((step) => {
@@ -66,12 +103,143 @@
 
 /** Decodes a value written by {@link encodeJob}. */
 export function decodeJob(text: string): Result<JobSpec, BatchError> {
-  try {
-    const row = JSON.parse(text) as Omit<JobSpec, 'steps'> & { steps: Partial<StepSpec>[] };
-    return Result.ok({ ...row, steps: row.steps.map(withStepDefaults) });
-  } catch (err) {
-    return Result.err(new BatchError(BatchErrorCode.BadRow, 'cannot parse job row', err));
-  }
+  const fields = parseJson(text);
+  const steps: unknown = isFields(fields) ? fields.steps : undefined;
+  if (!isFields(fields) || !Array.isArray(steps) || !steps.every(isFields))
+    return badJobRow('steps');
+  const spec = { ...fields, steps: steps.map((step) => withStepDefaults(step)) };
+  return isJobSpec(spec) ? Result.ok(spec) : badJobRow('a field');
+}
+
+function badJobRow(part: string): Result<never, BatchError> {
+  const message = `job row: ${part} is missing or malformed`;
+  return Result.err(new BatchError(BatchErrorCode.BadRow, message));
+}
+
+/**
+ * Whether a value from a row or another node is a complete job. A job that another version of this
+ * program accepted is as valid as one that is submitted now, so the same limits hold.
+ */
+export function isJobSpec(value: unknown): value is JobSpec {
+  if (!isFields(value)) return false;
+  const { id, queue, payload, steps, account, isBeyondRate } = value;
+  const { occurrences, firstDueMs, periodMs, acceptedMs } = value;
+  return (
+    [id, queue, payload].every(isText) &&
+    isOptionalText(account) &&
+    isOptionalFlag(isBeyondRate) &&
+    [occurrences, firstDueMs, periodMs, acceptedMs].every((number) => Number.isFinite(number)) &&
+    Array.isArray(steps) &&
+    steps.every(isStepSpec) &&
+    findProblem(value as unknown as JobSpec) === undefined
+  );
+}
+
+function isStepSpec(value: unknown): value is StepSpec {
+  if (!isFields(value)) return false;
+  const hasTypeOf = ([name, example]: [string, unknown]) => {
+    const field = value[name];
+    if (Array.isArray(example)) return Array.isArray(field);
+    if (typeof example === 'number') return isNumberIn(field, { min: 0, max: Number.MAX_VALUE });
+    return typeof field === typeof example;
+  };
+  const { requiredLabel, nearRack } = value;
+  return (
+    Object.entries(defaultStep).every(hasTypeOf) &&
+    isOptionalText(requiredLabel) &&
+    isOptionalText(nearRack)
+  );
+}
+
+/** A run that may have crashed its worker, as stored for a later holder. */
+export interface SuspectRun {
+  run: number;
+  /** Id of the worker. */
+  worker: string;
+  /** Start of the incarnation of the worker; Unix milliseconds. */
+  bornMs: number;
+}
+
+/** Progress of a job, as stored in its progress row. */
+export interface StoredProgress {
+  /** Indexes of completed tasks by `occurrence.step`. */
+  done: Record<string, number[]>;
+  /** Numbers of failed runs by `occurrence.step.index`. */
+  failures: Record<string, number[]>;
+  /** Occurrences below this number have ended and are omitted from `done`. */
+  ended?: number;
+  /** Roles in crashes of workers by run number, by `occurrence.step.index`. */
+  crashes?: Record<string, [run: number, role: CrashRole][]>;
+  /** Runs that may have crashed their worker, by `occurrence.step.index`. */
+  suspectRuns?: Record<string, SuspectRun>;
+}
+
+/** A progress row whose entries can be applied to any job. */
+export interface DecodedProgress extends Required<StoredProgress> {
+  /** Number of entries that could not be read. */
+  unreadableCount: number;
+}
+
+const isIndex = (value: unknown): value is number => isWholeNumberIn(value, countRange);
+const isRunNumber = (value: unknown): value is number => isWholeNumberIn(value, runNumberRange);
+const isIndexList = (value: unknown): value is number[] =>
+  Array.isArray(value) && value.every(isIndex);
+const isRunList = (value: unknown): value is number[] =>
+  Array.isArray(value) && value.every(isRunNumber);
+
+const crashRoles: ReadonlySet<unknown> = new Set(Object.values(CrashRole));
+
+function isCrashList(value: unknown): value is [run: number, role: CrashRole][] {
+  const isCrash = (entry: unknown) =>
+    Array.isArray(entry) && isRunNumber(entry[0]) && crashRoles.has(entry[1]);
+  return Array.isArray(value) && value.every(isCrash);
+}
+
+function isSuspectRun(value: unknown): value is SuspectRun {
+  if (!isFields(value) || !isRunNumber(value.run) || !isText(value.worker)) return false;
+  return isNumberIn(value.bornMs, timeRange);
+}
+
+/**
+ * Decodes a progress row. Entries that cannot be read are left out, because each of the others tells
+ * of a task that must not start again.
+ *
+ * @returns undefined if the value has no entries at all
+ */
+export function decodeProgress(text: string): DecodedProgress | undefined {
+  const fields = parseJson(text);
+  if (!isFields(fields)) return undefined;
+  let unreadableCount = 0;
+  const entriesOf = <T>(value: unknown, depth: number, isValid: (entry: unknown) => entry is T) => {
+    const entries: Record<string, T> = {};
+    if (value === undefined) return entries;
+    if (!isFields(value)) unreadableCount++;
+    else {
+      for (const [key, entry] of Object.entries(value)) {
+        if (isTaskKey(key, depth) && isValid(entry)) entries[key] = entry;
+        else unreadableCount++;
+      }
+    }
+    return entries;
+  };
+  if (fields.ended !== undefined && !isIndex(fields.ended)) unreadableCount++;
+  return {
+    ended: isIndex(fields.ended) ? fields.ended : 0,
+    done: entriesOf(fields.done, STEP_KEY_DEPTH, isIndexList),
+    failures: entriesOf(fields.failures, TASK_KEY_DEPTH, isRunList),
+    crashes: entriesOf(fields.crashes, TASK_KEY_DEPTH, isCrashList),
+    suspectRuns: entriesOf(fields.suspectRuns, TASK_KEY_DEPTH, isSuspectRun),
+    unreadableCount,
+  };
+}
+
+/** Numbers in the key of a step (`occurrence.step`) and of a task (`occurrence.step.index`). */
+const STEP_KEY_DEPTH = 2;
+const TASK_KEY_DEPTH = 3;
+
+function isTaskKey(key: string, depth: number): boolean {
+  const numbers = key.split('.');
+  return numbers.length === depth && numbers.every((part) => part !== '' && isIndex(Number(part)));
 }
 
 /** An ended job, as stored in its row. */
@@ -93,14 +261,10 @@
 export function decodeEndedJob(text: string): EndedJobRow | undefined {
   const plainState = statesByText.get(text);
   if (plainState) return { state: plainState };
-  try {
-    const row = JSON.parse(text) as Partial<Record<keyof EndedJobRow, unknown>> | null;
-    const state = statesByText.get(row?.state);
-    const account = row?.account;
-    return state && typeof account === 'string' ? { state, account } : undefined;
-  } catch {
-    return undefined;
-  }
+  const row = parseJson(text);
+  if (!isFields(row)) return undefined;
+  const state = statesByText.get(row.state);
+  return state && isText(row.account) ? { state, account: row.account } : undefined;
 }
 
 /** Decodes the account of a job from its row, its inbox row or its row as an ended job. */
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -1,7 +1,27 @@
 import { BaseError } from '../errors/index.js';
 import type { HolderExplanation } from '../explain/index.js';
+import {
+  countRange,
+  durationRange,
+  isFields,
+  isFlag,
+  isNumberIn,
+  isOptionalFlag,
+  isOptionalText,
+  isText,
+  isWholeNumberIn,
+  timeRange,
+  type NumberRange,
+} from '../validation/index.js';
+import { isJobSpec } from './jobCodec.js';
 import type { ServiceLoad } from './serviceLoad.js';
-import type { JobSpec, JobState, PendingCount, SubmitOutcome } from './types.js';
+import {
+  JobState,
+  RefusalReason,
+  type JobSpec,
+  type PendingCount,
+  type SubmitOutcome,
+} from './types.js';
 import type { VacateStatus } from './vacating.js';
 
 /** Codes of {@link NodeCallError}. */
@@ -59,25 +79,6 @@
 
 const callKinds: ReadonlySet<unknown> = new Set(Object.values(NodeCallKind));
 
-const isText = (value: unknown): value is string => typeof value === 'string';
-const isOptionalText = (value: unknown): boolean => value === undefined || isText(value);
-
-function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
-function isJobSpec(value: unknown): boolean {
-  if (!isObject(value) || !isText(value.id) || !isText(value.queue) || !isText(value.payload))
-    return false;
-  const { steps, account } = value;
-  return (
-    isOptionalText(account) &&
-    Array.isArray(steps) &&
-    steps.length > 0 &&
-    steps.every((step) => isObject(step) && Array.isArray(step.after))
-  );
-}
-
 /** Whether a call has the fields of its kind. */
 function hasFieldsOfKind(call: Record<string, unknown>): boolean {
   switch (call.kind as NodeCallKind) {
@@ -91,12 +92,12 @@
     case NodeCallKind.Pending:
       return isText(call.queue);
     case NodeCallKind.Vacate:
-      return isText(call.worker) && typeof call.isUrgent === 'boolean';
+      return isText(call.worker) && isFlag(call.isUrgent) && isOptionalFlag(call.relocatesRuns);
     case NodeCallKind.Readmit:
     case NodeCallKind.RunsEnded:
       return isText(call.worker);
     case NodeCallKind.WorkerGone:
-      return isText(call.worker) && typeof call.bornMs === 'number';
+      return isText(call.worker) && isNumberIn(call.bornMs, timeRange);
     case NodeCallKind.Load:
       return true;
   }
@@ -104,17 +105,96 @@
 
 /** Decodes a call from another node; returns undefined if it is malformed. */
 export function decodeNodeCall(body: unknown): NodeCall | undefined {
-  if (!isObject(body) || !isText(body.service) || !callKinds.has(body.kind)) return undefined;
+  if (!isFields(body) || !isText(body.service) || !callKinds.has(body.kind)) return undefined;
   return hasFieldsOfKind(body) ? (body as unknown as NodeCall) : undefined;
 }
 
 /** Decodes an answer from another node; returns undefined if it is malformed. */
 export function decodeNodeAnswer(body: unknown): NodeAnswer | undefined {
-  if (!isObject(body) || typeof body.isHolder !== 'boolean') return undefined;
-  const { submitted, pending, vacating, load, explained, account } = body;
-  if (!isOptionalText(account)) return undefined;
-  const parts = [submitted, pending, vacating, load, explained];
-  if (!parts.every((part) => part === undefined || part === null || isObject(part)))
-    return undefined;
-  return body as unknown as NodeAnswer;
+  if (!isFields(body) || !isFlag(body.isHolder)) return undefined;
+  const { account, state, isCancelled, explained } = body;
+  const areFieldsValid =
+    isOptionalText(account) &&
+    (state === undefined || jobStates.has(state)) &&
+    isOptionalFlag(isCancelled) &&
+    isOptional(body.submitted, isSubmitOutcome) &&
+    isOptional(body.pending, isPendingCount) &&
+    isOptional(body.vacating, isVacateStatus) &&
+    isOptional(body.load, isServiceLoad) &&
+    isOptional(explained, isFields);
+  return areFieldsValid ? (body as unknown as NodeAnswer) : undefined;
+}
+
+/** CBOR has null where an encoder has no value. */
+function isOptional(value: unknown, isValid: (value: unknown) => boolean): boolean {
+  return value === undefined || value === null || isValid(value);
+}
+
+const jobStates: ReadonlySet<unknown> = new Set(Object.values(JobState));
+const refusalReasons: ReadonlySet<unknown> = new Set(Object.values(RefusalReason));
+
+function isSubmitOutcome(value: unknown): boolean {
+  if (!isFields(value) || !isFlag(value.isAccepted)) return false;
+  if (value.isAccepted) return true;
+  return (
+    refusalReasons.has(value.reason) &&
+    isNumberIn(value.retryAfterMs, durationRange) &&
+    isOptional(value.load, isRefusedLoad)
+  );
+}
+
+function isRefusedLoad(value: unknown): boolean {
+  return isFields(value) && [value.workAheadMs, value.ratePerMs].every(Number.isFinite);
+}
+
+function isPendingCount(value: unknown): boolean {
+  if (!isFields(value)) return false;
+  const { count, ageMs } = value;
+  return (
+    isOptional(count, (number) => isWholeNumberIn(number, countRange)) &&
+    isNumberIn(ageMs, ageRange)
+  );
+}
+
+function isVacateStatus(value: unknown): boolean {
+  return isFields(value) && isFlag(value.isReady) && isWholeNumberIn(value.runs, countRange);
+}
+
+/** Ages; infinite before the first event. */
+const ageRange: NumberRange = { min: 0, max: Infinity };
+/**
+ * CPU of all tasks or workers of a service, in thousandths of a core. Sums of fractional requests may
+ * end slightly below 0.
+ */
+const totalCpuRange: NumberRange = { min: -1, max: Number.MAX_SAFE_INTEGER };
+
+const loadAmounts = [
+  'waitingCpu',
+  'backlogCpu',
+  'expectedCpu',
+  'lastingCpu',
+  'usedCpu',
+  'capacityCpu',
+] as const;
+
+function isServiceLoad(value: unknown): boolean {
+  if (!isFields(value)) return false;
+  const { workers, spreadNeed } = value;
+  return (
+    loadAmounts.every((name) => isNumberIn(value[name], totalCpuRange)) &&
+    isWholeNumberIn(spreadNeed, countRange) &&
+    Array.isArray(workers) &&
+    workers.every(isWorkerLoad)
+  );
+}
+
+function isWorkerLoad(value: unknown): boolean {
+  if (!isFields(value)) return false;
+  const { id, runs, lastingRuns, silentBornMs } = value;
+  return (
+    isText(id) &&
+    isWholeNumberIn(runs, countRange) &&
+    isOptional(lastingRuns, (count) => isWholeNumberIn(count, countRange)) &&
+    isOptional(silentBornMs, (time) => isNumberIn(time, timeRange))
+  );
 }
--- a/src/batch/ownership.ts
+++ b/src/batch/ownership.ts
@@ -1,6 +1,17 @@
 import Emittery from 'emittery';
 import type { Result } from 'true-myth/result';
 import { elapsedMs, type Clock } from '../clock/index.js';
+import {
+  epochRange,
+  isFields,
+  isFlag,
+  isNumberIn,
+  isOptionalFlag,
+  isText,
+  isWholeNumberIn,
+  parseJson,
+  type NumberRange,
+} from '../validation/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { initialHeadValue, headKey } from './journal.js';
@@ -121,6 +132,11 @@
 
 interface ObservedNode extends NodeRow {
   version: number;
+  /**
+   * Whether a row that cannot be decoded has replaced that of the session. The session cannot be
+   * renewed any more, because a renewal requires the version of the one before.
+   */
+  isReplaced?: boolean;
   /** Monotonic time of the first read of this version, or of the first read after a gap. */
   observedAt: number;
 }
@@ -300,7 +316,7 @@
 
   /** Continues from the found node row, with a new session unless the row is of this session. */
   #handleRenewalConflict(found: Row | undefined): void {
-    const value = found && (parseRow(found) as NodeRow | undefined);
+    const value = found && decodeNodeRow(found.value);
     this.#rowVersion = found?.version ?? 0;
     const isOwnSession = value?.incarnation === this.#sessionId;
     // An earlier renewal whose answer was lost.
@@ -330,9 +346,15 @@
 
   /** Records a node row. Its expiry period restarts when the row has changed, or if requested. */
   #observeNode(row: Row, restartsExpiry = false): NodeRow | undefined {
-    const value = parseRow(row) as NodeRow | undefined;
-    if (!value) return undefined;
+    const value = decodeNodeRow(row.value);
     const observed = this.#nodes.get(row.key);
+    if (!value) {
+      this.#deps.counters.count('bad_rows', 'node');
+      if (observed && observed.version < row.version) {
+        this.#nodes.set(row.key, { ...observed, version: row.version, isReplaced: true });
+      }
+      return undefined;
+    }
     // A transaction may have shown a newer version while a read was in progress.
     if (observed && observed.version > row.version) return observed;
     const isChanged = observed?.version !== row.version;
@@ -397,7 +419,7 @@
       const current = res.value && this.#observeNode(res.value);
       return current?.incarnation !== incarnation || current.isFenced === true;
     }
-    if (observed.isFenced === true) return true;
+    if (observed.isFenced === true || observed.isReplaced === true) return true;
     const { version, observedAt, ...row } = observed;
     const res = await store.transact({
       conditions: [{ ...nodeKey(node), version }],
@@ -419,10 +441,16 @@
   }
 
   #applyOwnerRow(row: Row): void {
-    const value = parseRow(row) as Omit<Owner, 'service' | 'version'> | undefined;
-    if (!value) return;
     const knownOwner = this.#owners.get(row.part);
     if (knownOwner && knownOwner.version >= row.version) return;
+    const value = decodeOwnerRow(row.value);
+    if (!value) {
+      this.#deps.counters.count('bad_rows', 'owner');
+      this.#deps.log.warn('owner_row_unreadable', { service: row.part, version: row.version });
+      // The next claim replaces the row, and continues from the last epoch that was read.
+      if (knownOwner) knownOwner.version = row.version;
+      return;
+    }
     const owner = { ...value, service: row.part, version: row.version };
     this.#owners.set(row.part, owner);
     const heldEpoch = this.#heldEpochs.get(row.part);
@@ -443,8 +471,11 @@
   async #claimAvailableServices(): Promise<void> {
     if (this.#isClaiming) return;
     this.#isClaiming = true;
-    await this.#claimEligibleServices();
-    this.#isClaiming = false;
+    try {
+      await this.#claimEligibleServices();
+    } finally {
+      this.#isClaiming = false;
+    }
   }
 
   async #claimEligibleServices(): Promise<void> {
@@ -636,10 +667,37 @@
   return previous.isReleased ? 'released' : 'expired';
 }
 
-function parseRow(row: Row): unknown {
-  try {
-    return JSON.parse(row.value);
-  } catch {
-    return undefined;
-  }
+/** Weights of nodes; see `nodeWeight`. */
+const weightRange: NumberRange = { min: 1e-6, max: 1e6 };
+
+/** Decodes a node row; returns undefined if it is malformed. Unknown fields are dropped. */
+function decodeNodeRow(text: string): NodeRow | undefined {
+  const fields = parseJson(text);
+  if (!isFields(fields)) return undefined;
+  const { incarnation, address, weight, isFenced } = fields;
+  if (!isText(incarnation) || !isText(address) || !isOptionalFlag(isFenced)) return undefined;
+  if (weight !== undefined && !isNumberIn(weight, weightRange)) return undefined;
+  return { incarnation, address, weight, isFenced };
+}
+
+/** Decodes an owner row; returns undefined if it is malformed. Unknown fields are dropped. */
+function decodeOwnerRow(text: string): Omit<Owner, 'service' | 'version'> | undefined {
+  const fields = parseJson(text);
+  if (!isFields(fields)) return undefined;
+  const { node, incarnation, epoch, address, isReleased, staleOrderWindowMs, leases } = fields;
+  if (!isText(node) || !isText(incarnation) || !isText(address)) return undefined;
+  if (!isWholeNumberIn(epoch, epochRange) || !isFlag(isReleased)) return undefined;
+  const isWindow = isNumberIn(staleOrderWindowMs, { min: 0, max: STALE_ORDER_WINDOW_MS });
+  return {
+    node,
+    incarnation,
+    epoch,
+    address,
+    isReleased,
+    // Without a window in range, the longest one is assumed.
+    staleOrderWindowMs:
+      isWindow || staleOrderWindowMs === undefined ? staleOrderWindowMs : STALE_ORDER_WINDOW_MS,
+    // Its entries are checked when the service is claimed, see `readReleasedLeases`.
+    leases: isFields(leases) ? (leases as unknown as ReleasedLeases) : undefined,
+  };
 }
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -1,4 +1,14 @@
 import type { Clock } from '../clock/index.js';
+import {
+  amountRange,
+  isFields,
+  isFlag,
+  isNumberIn,
+  isText,
+  isTextList,
+  parseJson,
+  timeRange,
+} from '../validation/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Job } from './job.js';
@@ -130,6 +140,23 @@
   return { othersMs, workers: Object.fromEntries(entries.filter(([, ms]) => isDuration(ms))) };
 }
 
+/** Decodes a row of the roster; returns undefined if it is malformed. */
+export function decodeRosterRow(id: string, value: string): WorkerRecord | undefined {
+  const fields = parseJson(value);
+  if (!isFields(fields) || fields.id !== id) return undefined;
+  const { service, address, zone, isDraining, capacity, labels, bornMs } = fields;
+  const isValid =
+    [service, address, zone].every(isText) &&
+    isFlag(isDraining) &&
+    isFields(capacity) &&
+    amountKinds.every((kind) => isNumberIn(capacity[kind], amountRange)) &&
+    isTextList(labels) &&
+    isNumberIn(bornMs, timeRange);
+  return isValid ? (fields as unknown as WorkerRecord) : undefined;
+}
+
+const amountKinds = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
+
 /** Dependencies of {@link Recovery}. */
 export interface RecoveryDeps {
   claim: Claim;
@@ -152,6 +179,8 @@
   readonly #inheritedJobIds = new Set<string>();
   /** Workers that may still run such tasks and have not been reached yet. */
   #unreachedWorkers: Worker[] = [];
+  /** Ids of workers whose roster rows do not say how to reach them. */
+  #unreadableIds: string[] = [];
   isLoaded = false;
   #loadedAt = Infinity;
 
@@ -201,13 +230,15 @@
   }
 
   #loadRoster(rows: readonly Row[]): void {
-    const { sessions, log, claim } = this.#deps;
+    const { sessions, log, claim, counters } = this.#deps;
     for (const { key, value } of rows) {
       claim.leases.addFromRoster(key);
-      try {
-        sessions.addFromRoster(JSON.parse(value) as WorkerRecord);
-      } catch (err) {
-        log.warn('roster_unreadable', { worker: key, error: String(err) });
+      const record = decodeRosterRow(key, value);
+      if (record) sessions.addFromRoster(record);
+      else {
+        this.#unreadableIds.push(key);
+        counters.count('bad_rows', 'roster');
+        log.warn('roster_unreadable', { worker: key });
       }
     }
     this.#unreachedWorkers = [...sessions.all()];
@@ -218,7 +249,8 @@
     if (parseCancellation(row.key)) return;
     const spec = decodeJob(row.value);
     if (spec.isErr) {
-      log.warn('job_row_unreadable', { job: row.key, reason: spec.error.code });
+      this.#deps.counters.count('bad_rows', row.table);
+      log.warn('job_row_unreadable', { job: row.key, reason: spec.error.message });
       return;
     }
     const wallTime = clock.wallTime();
@@ -230,8 +262,12 @@
     if (progress !== undefined) {
       job.hasProgressRow = true;
       job.state = JobState.Running;
-      const applied = job.applyProgress(progress);
-      if (applied.isErr) log.warn('progress_row_unreadable', { job: row.key });
+      const isReadable = job.applyProgress(progress).isOk;
+      if (!isReadable || job.unreadableEntries > 0) {
+        this.#deps.counters.count('bad_rows', 'progress');
+        const entries = isReadable ? job.unreadableEntries : undefined;
+        log.warn('progress_row_unreadable', { job: row.key, entries });
+      }
     }
     job.createDueOccurrences(wallTime);
     jobs.add(job);
@@ -265,12 +301,14 @@
    * only counts while there can be none.
    */
   #areWorkersResolved(): boolean {
+    const { clock, canStart, claim, sessions } = this.#deps;
     this.#unreachedWorkers = this.#unreachedWorkers.filter((worker) => !this.#isResolved(worker));
-    if (this.#unreachedWorkers.length === 0) return true;
-    const { clock, canStart, claim } = this.#deps;
+    // A worker that is registered, too, may have been reached by its registration.
+    this.#unreadableIds = this.#unreadableIds.filter((id) => !sessions.get(id)?.isAdmitted);
+    const ids = [...this.#unreachedWorkers.map(({ record }) => record.id), ...this.#unreadableIds];
+    if (ids.length === 0) return true;
     const now = clock.now();
-    const isExpired = ({ record }: Worker) => now >= claim.leases.endOf(record.id);
-    return canStart() && this.#unreachedWorkers.every(isExpired);
+    return canStart() && ids.every((id) => now >= claim.leases.endOf(id));
   }
 
   #isResolved(worker: Worker): boolean {
--- a/src/storeRelay/messages.ts
+++ b/src/storeRelay/messages.ts
@@ -8,16 +8,14 @@
   type Transaction,
   type TransactionOutcome,
 } from '../batch/ports.js';
+import { countRange, isFields, isWholeNumberIn, type Fields } from '../validation/index.js';
 import { RelayOperation, type RelayRequest } from './types.js';
 
-type Fields = Record<string, unknown>;
+/** Longest wait of a feed call, as limited by the store, in milliseconds. */
+const MAX_FEED_WAIT_MS = 30_000;
 
 const errorCodes: ReadonlySet<unknown> = new Set(Object.values(StoreErrorCode));
 
-function isFields(value: unknown): value is Fields {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
 function isRowKey(value: unknown): value is RowKey {
   if (!isFields(value)) return false;
   return [value.table, value.part, value.key].every((text) => typeof text === 'string');
@@ -61,8 +59,8 @@
     [RelayOperation.ReadRow]: () => isRowKey(body.key),
     [RelayOperation.Feed]: () =>
       typeof body.table === 'string' &&
-      Number.isSafeInteger(body.after) &&
-      Number.isSafeInteger(body.waitMs),
+      isWholeNumberIn(body.after, countRange) &&
+      isWholeNumberIn(body.waitMs, { min: 0, max: MAX_FEED_WAIT_MS }),
   }[body.relay as RelayOperation] as (() => boolean) | undefined;
   return isValid?.() === true ? (body as unknown as RelayRequest) : undefined;
 }
--- a/src/workerHealth/opinion.ts
+++ b/src/workerHealth/opinion.ts
@@ -1,4 +1,12 @@
 import { Result } from 'true-myth';
+import {
+  durationRange,
+  isFields,
+  isNumberIn,
+  isText,
+  isWholeNumberIn,
+  timeRange,
+} from '../validation/index.js';
 import { OpinionError, OpinionErrorCode, OutlierReason, type HealthSettings } from './types.js';
 
 /** Longest wall-clock lead of a row that is attributed to clocks that differ. */
@@ -61,27 +69,22 @@
 
 // Checked by hand, because schema libraries are not loaded on the entry VMs.
 function isOpinion(value: unknown): value is StoredOpinion {
-  if (typeof value !== 'object' || value === null) return false;
-  const { atMs, workers } = value as Partial<Record<keyof StoredOpinion, unknown>>;
+  if (!isFields(value)) return false;
+  const { atMs, workers } = value;
   if (!Array.isArray(workers) || workers.length > MAX_STORED_WORKERS) return false;
-  return isBetween(atMs, 0, Infinity) && workers.every(isWorkerOpinion);
+  return isNumberIn(atMs, timeRange) && workers.every(isWorkerOpinion);
 }
 
 const reasons: ReadonlySet<unknown> = new Set(Object.values(OutlierReason));
 
 function isWorkerOpinion(value: unknown): value is WorkerOpinion {
-  if (typeof value !== 'object' || value === null) return false;
-  const fields = value as Partial<Record<keyof WorkerOpinion, unknown>>;
+  if (!isFields(value)) return false;
   return (
-    typeof fields.id === 'string' &&
-    reasons.has(fields.reason) &&
-    isBetween(fields.bornMs, 0, Infinity) &&
-    isBetween(fields.severity, 0, 1) &&
-    isBetween(fields.rounds, 1, MAX_ROUNDS) &&
-    isBetween(fields.remainingMs, 0, Infinity)
+    isText(value.id) &&
+    reasons.has(value.reason) &&
+    isNumberIn(value.bornMs, timeRange) &&
+    isNumberIn(value.severity, { min: 0, max: 1 }) &&
+    isWholeNumberIn(value.rounds, { min: 1, max: MAX_ROUNDS }) &&
+    isNumberIn(value.remainingMs, durationRange)
   );
 }
-
-function isBetween(value: unknown, min: number, max: number): boolean {
-  return typeof value === 'number' && value >= min && value <= max;
-}
