Pause the lists of a busy holder for up to 200 ms

Cause: with registrations applied every 100 ms, which requests more placement rounds, the test of the peak of short tasks has 374 instead of 380 of 400 jobs in time. Change: the longest pause before the next list of a worker is 200 instead of 150 ms; jobs allow for 500 ms and more beside their work.

--- a/src/loadPacing/defaults.ts
+++ b/src/loadPacing/defaults.ts
@@ -8,7 +8,7 @@
    * Longest pause in milliseconds before a worker whose runs have ended is asked again. Short compared
    * with the objectives of jobs, which allow for half a second beside the work itself.
    */
-  maxListPauseMs: 150,
+  maxListPauseMs: 200,
   /** Longest pause in milliseconds between two placement rounds, beside the time they take. */
   maxRoundPauseMs: 25,
   /** Weight of the newest measurement. */
