Count relayed calls after the longest poll in the test of the direct path

Cause: the test took a relayed feed call that had begun before the return to the direct path for a call that was relayed after it, since calls are counted when they are answered; with other read intervals one falls into its window (17 instead of 16). Change: within the same 2.5 s the path has to be direct, by its log line; after the longest poll no relayed call may follow within the same 3 s, and the path may not change again. Both checks together are stricter than the old one.

--- a/src/storeRelay/relayedStore.spec.ts
+++ b/src/storeRelay/relayedStore.spec.ts
@@ -4,6 +4,8 @@
 import { BatchRig, required, StoreFault, type RigNode } from '../testing/batchRig/index.js';
 
 const SERVICE = 'motions';
+/** Longest wait of a feed call of a node. */
+const LONGEST_POLL_MS = 2_000;
 
 interface Case {
   title: string;
@@ -73,10 +75,16 @@
       await rig.advance(3_000);
       rig.store.faults.clear();
       await rig.advance(2_500);
+      t.true(relayed(holder) > 0);
+      const paths = holder.logLines.filter((line) => line.includes('event=store_path'));
+      t.true(paths.at(-1)?.includes('path=direct'));
+      // A long poll that a peer had begun before is counted once it is answered.
+      await rig.advance(LONGEST_POLL_MS);
       const before = relayed(holder);
-      t.true(before > 0);
       await rig.advance(3_000);
       t.is(relayed(holder), before);
+      const later = holder.logLines.filter((line) => line.includes('event=store_path'));
+      t.is(later.length, paths.length);
     },
   },
   {
