--- a/src/batch/follow.spec.ts
+++ b/src/batch/follow.spec.ts
@@ -25,7 +25,7 @@
       waitMs: 0,
       pauseMs: 10,
       apply: ({ items: [item] }, isFullRead) => {
-        if (item === 1) throw new TypeError('odd item');
+        if (item === 1) throw new TypeError('malformed item');
         applied.push([item, isFullRead]);
         if (applied.length === 3) ended.abort();
       },
--- a/src/batch/links.spec.ts
+++ b/src/batch/links.spec.ts
@@ -127,9 +127,9 @@
   });
 }
 
-const oddAddresses = ['', 'node', '10.0.0.1', '127.0.0.1:0', '127.0.0.1:65536', '[::1]:80'];
+const malformedAddresses = ['', 'node', '10.0.0.1', '127.0.0.1:0', '127.0.0.1:65536', '[::1]:80'];
 
-for (const address of oddAddresses) {
+for (const address of malformedAddresses) {
   // Guards against a row with a malformed address that ends the task of whoever calls that node.
   test(`a call to the address "${address}" is not sent`, async (t) => {
     const log = new DecisionLog({ write: () => true }, systemClock);
--- a/src/batch/oddRows.spec.ts
+++ b/src/batch/malformedRows.spec.ts
@@ -29,7 +29,7 @@
 /** Values of a row that no version of the program writes. */
 const malformedValues = ['', 'null', '7', '"text"', '[]', '{}', NESTED, `{"steps":${NESTED}}`];
 
-const oddJobFields: [title: string, fields: object][] = [
+const malformedJobFields: [title: string, fields: object][] = [
   ['no steps', { steps: [] }],
   ['steps of another type', { steps: [7] }],
   ['a fractional count', { steps: [{ count: 1.5 }] }],
@@ -47,7 +47,7 @@
   ['no time of acceptance', { acceptedMs: undefined }],
 ];
 
-for (const [title, fields] of oddJobFields) {
+for (const [title, fields] of malformedJobFields) {
   // Guards against a stored job that ends each process that loads it, one after another.
   test(`a job row with ${title} cannot be decoded`, (t) => {
     t.true(decodeJob(encodeJob(spec)).isOk);
@@ -79,7 +79,7 @@
   t.pass();
 });
 
-const oddProgress: [title: string, progress: object, unreadable: number][] = [
+const malformedProgress: [title: string, progress: object, unreadable: number][] = [
   ['more ended occurrences than the job has', { ended: 5 }, 1],
   ['a fractional number of ended occurrences', { ended: 0.5 }, 1],
   ['a task of an occurrence that the job does not have', { done: { '7.0': [0] } }, 1],
@@ -92,8 +92,8 @@
   ['a key of another form', { failures: { 'constructor.0': [1] } }, 1],
 ];
 
-for (const [title, progress, unreadable] of oddProgress) {
-  // Guards against tasks that run again, or a job shown as done, because of one odd entry.
+for (const [title, progress, unreadable] of malformedProgress) {
+  // Guards against tasks that run again, or a job shown as done, because of one malformed entry.
   test(`a progress row with ${title} keeps its other entries`, (t) => {
     const job = new Job({ ...spec, steps: [...spec.steps, ...spec.steps] }, 0, 1);
     job.createDueOccurrences(0);
@@ -139,7 +139,7 @@
   workers: [{ id: 'w', runs: 1, lastingRuns: 0 }],
 };
 
-const oddAnswers: [title: string, answer: object][] = [
+const malformedAnswers: [title: string, answer: object][] = [
   ['a load of another type', { load: 7 }],
   ['a load that is not finite', { load: { ...load, waitingCpu: Infinity } }],
   ['a load that is no number', { load: { ...load, expectedCpu: NaN } }],
@@ -158,7 +158,7 @@
   ['a number of runs of another type', { vacating: { isReady: true, runs: '0' } }],
 ];
 
-for (const [title, answer] of oddAnswers) {
+for (const [title, answer] of malformedAnswers) {
   // Guards against pools that are sized by what another version of a node sends.
   test(`a node answer with ${title} is malformed`, (t) => {
     t.truthy(decodeNodeAnswer({ isHolder: true, load }));
@@ -187,7 +187,7 @@
 const nodeKey = (key: string) => ({ table: 'node', part: '', key });
 const ownerKey = { table: 'owner', part: SERVICE, key: 'owner' };
 
-const oddOwners: [title: string, value: string][] = [
+const malformedOwners: [title: string, value: string][] = [
   [
     'an epoch out of range',
     '{"node":"x","incarnation":"x","epoch":1e300,"address":"x","isReleased":false}',
@@ -232,7 +232,7 @@
       t.true(await runsJob(rig, required(others[0])));
     },
   })),
-  ...oddOwners.map(([title, value]): RigCase => ({
+  ...malformedOwners.map(([title, value]): RigCase => ({
     // Guards against a holder that gives its service up, and a service that nobody claims again.
     title: `a service keeps its holder beside an owner row with ${title}, and gets the next one`,
     run: async (t, rig, holder, others) => {
@@ -246,11 +246,13 @@
   {
     title: 'a successor serves its jobs beside rows that cannot be decoded',
     run: async (t, rig, holder, others) => {
-      const oddSpecs = oddJobFields.map(([, fields]) => JSON.stringify({ ...spec, ...fields }));
-      for (const [index, value] of [...malformedValues, ...oddSpecs].entries()) {
-        rig.store.put(jobKey(SERVICE, `odd-${index}`), value);
-        rig.store.put(inboxKey(SERVICE, `odd-inbox-${index}`), value);
-        rig.store.put(rosterKey(SERVICE, `odd-${index}`), value);
+      const malformedSpecs = malformedJobFields.map(([, fields]) =>
+        JSON.stringify({ ...spec, ...fields }),
+      );
+      for (const [index, value] of [...malformedValues, ...malformedSpecs].entries()) {
+        rig.store.put(jobKey(SERVICE, `malformed-${index}`), value);
+        rig.store.put(inboxKey(SERVICE, `malformed-inbox-${index}`), value);
+        rig.store.put(rosterKey(SERVICE, `malformed-${index}`), value);
       }
       t.true(await runsJob(rig, holder));
       holder.isDead = true;
--- a/src/pools/oddVms.spec.ts
+++ b/src/pools/extremeValues.spec.ts
@@ -40,7 +40,7 @@
   }));
 }
 
-test('one VM with an odd capacity does not change how many VMs a service gets', (t) => {
+test('one VM with an extreme capacity does not change how many VMs a service gets', (t) => {
   // Guards against pools that all shrink to their minimum because of one entry of the VM list.
   const services = [
     { name: 'a', isStandby: false, load: load({ waitingCpu: 1, usedCpu: 40 * CPU }), arriving: 0 },
@@ -48,10 +48,10 @@
   ];
   const moves = (cpuMillis: number) => {
     const vms = [...createVms('a', 10), ...createVms('spare', 60)];
-    const [odd, ...others] = vms;
-    if (!odd) throw new Error('no VM');
-    const capacity = { ...odd.capacity, cpuMillis };
-    return planMoves(services, [{ ...odd, capacity }, ...others]).length;
+    const [first, ...others] = vms;
+    if (!first) throw new Error('no VM');
+    const capacity = { ...first.capacity, cpuMillis };
+    return planMoves(services, [{ ...first, capacity }, ...others]).length;
   };
   const usual = moves(CPU);
   t.is(usual, 36);
