Apply cancellations that arrive before their job

Cause: the holder opens a job when the store answers its write. While that answer was lost, a gateway found the row, reported the job as accepted and wrote the cancellation to the inbox; the holder read it, knew no such job and dropped it. A takeover had the same gap: the inbox that it loads was read without its cancellations, so that tasks could start before the next read.

Change: `Cancellations` keeps a cancellation until its job is added to the job table, and applies it before the job can be placed. Direct calls to cancel wait for an acceptance that is being written, and an acceptance opens the job before it reports its outcome.

Ruled out: a longer wait of the gateway for the holder. It orders nothing, as the answer of the store can be lost for longer.

--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -16,6 +16,7 @@
 import { RunTimeLearning } from '../runTimes/index.js';
 import { createOpinionRows, Judgement } from '../workerHealth/index.js';
 import { AdviceCache } from './adviceCache.js';
+import { Cancellations } from './cancellations.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Inbox } from './inbox.js';
@@ -163,6 +164,11 @@
     jobs.onChange = () => {
       void journal.barrier();
     };
+    const cancel = (job: Job) => void this.#cancelJob(job);
+    const cancellations = new Cancellations({ ...parts, jobs, cancel });
+    jobs.onAdded = (job) => {
+      cancellations.handleAdded(job);
+    };
 
     this.#learning = new RunTimeLearning({ ...parts, journal, isEnabled: learnsRunTimes });
     const { runTimes, predictMs } = this.#learning;
@@ -176,13 +182,19 @@
       runs.stopAll(job, 'unstorable');
     };
     const sessions = (this.#sessions = new WorkerSessions({ ...parts, journal, runs, leases }));
-    const recovery = (this.#recovery = new Recovery({ ...parts, claim, jobs, sessions }));
+    const recovery = (this.#recovery = new Recovery({
+      ...parts,
+      claim,
+      jobs,
+      cancellations,
+      sessions,
+    }));
     const hasSeenAllRuns = () => recovery.hasCompleteView();
     this.#vacating = new Vacating({ ...parts, runs, sessions, hasSeenAllRuns });
     this.#inbox = new Inbox({
       ...parts,
       jobs,
-      cancel: (id, account) => void this.cancel(id, account),
+      cancellations,
       countJob: (spec) => {
         this.#accounts.counting.count(spec);
       },
@@ -335,16 +347,22 @@
     const refused = checks.refuse(spec);
     if (refused) return refused;
     counting.count(spec);
-    const outcome = await this.#jobs.trackAcceptance(spec.id, this.#writeJob(spec));
+    const outcome = await this.#jobs.trackAcceptance(spec.id, this.#accept(spec));
     if (outcome !== EntryOutcome.Applied) counting.uncount(spec);
     if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
     if (outcome === EntryOutcome.Rejected) return checks.refuseUnstorable();
     // On a conflict, the job was already accepted through another process.
     if (outcome !== EntryOutcome.Applied) return checks.answerKnown(spec);
-    this.#openJob(spec);
     return { isAccepted: true };
   }
 
+  /** Writes a job, and opens it before anyone who waits for the outcome learns of it. */
+  async #accept(spec: JobSpec): Promise<EntryOutcome> {
+    const outcome = await this.#writeJob(spec);
+    if (outcome === EntryOutcome.Applied) this.#openJob(spec);
+    return outcome;
+  }
+
   /** Explains what would be done with a job now; nothing is kept, counted or sent. */
   explain(spec: JobSpec): HolderExplanation {
     const { clock, config, canStart, canExtend } = this.#deps;
@@ -409,15 +427,21 @@
   }
 
   /**
-   * Cancels a job. Resolves once the cancellation is durable.
+   * Cancels a job; waits for the outcome of its acceptance if that is being written. Resolves once the
+   * cancellation is durable.
    *
    * @param account - account of the caller; undefined if its queue needs no key
    * @returns whether it became durable; undefined when the account has no such open job
    */
   async cancel(id: string, account: string | undefined): Promise<boolean | undefined> {
+    await this.#jobs.awaitAcceptance(id);
     const job = this.#jobs.get(id);
     if (!job || (this.#deps.usesAccounts() && !mayAccessJob(job.spec.account, account)))
       return undefined;
+    return this.#cancelJob(job);
+  }
+
+  async #cancelJob(job: Job): Promise<boolean> {
     const isDurable = await this.#jobs.close(job, JobState.Cancelled);
     if (isDurable) this.#runs.stopAll(job, 'cancelled');
     return isDurable;
--- a/src/batch/inbox.ts
+++ b/src/batch/inbox.ts
@@ -1,4 +1,5 @@
 import { elapsedMs, type Clock } from '../clock/index.js';
+import type { Cancellations } from './cancellations.js';
 import type { Counters } from './counters.js';
 import { follow, type Changes } from './follow.js';
 import { Job } from './job.js';
@@ -25,8 +26,7 @@
   place: () => void;
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
-  /** Cancels a job if it belongs to the account. */
-  cancel: (id: string, account: string | undefined) => void;
+  cancellations: Cancellations;
   /** Counts a job for its account's rate. */
   countJob: (spec: JobSpec) => void;
 }
@@ -48,7 +48,9 @@
   run(signal: AbortSignal): Promise<void> {
     const { store, clock, log, counters, service } = this.#deps;
     const source = tableSource(store, 'inbox', service, (row) => row);
-    const apply = ({ items }: Changes<Row>) => {
+    const apply = ({ items, removed }: Changes<Row>, isFullRead: boolean) => {
+      if (isFullRead) this.#deps.cancellations.clear();
+      for (const key of removed) this.#discardRow(key);
       for (const row of items) this.#processRow(row);
       this.#readAt = clock.now();
       this.#readWallTime = clock.wallTime();
@@ -66,13 +68,16 @@
     return elapsedMs(clock, { monotonicMs: this.#readAt, wallMs: this.#readWallTime });
   }
 
+  #discardRow(key: string): void {
+    const cancellation = parseCancellation(key);
+    if (cancellation) this.#deps.cancellations.discard(key, cancellation);
+  }
+
   #processRow({ key, value }: Row): void {
-    const { jobs, clock, log, cancel, place, canStart, service } = this.#deps;
+    const { jobs, clock, log, cancellations, place, canStart, service } = this.#deps;
     const cancellation = parseCancellation(key);
     if (cancellation) {
-      const { id, account } = cancellation;
-      jobs.get(id)?.inboxKeys.add(key);
-      cancel(id, account);
+      cancellations.receive(key, cancellation);
       return;
     }
     if (jobs.stateOf(key) !== undefined) return;
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -30,6 +30,8 @@
   readonly #pendingAcceptances = new Map<string, Promise<EntryOutcome>>();
   readonly #dirty = new Set<Job>();
   readonly #closeWaiters = new Map<Job, ((isDurable: boolean) => void)[]>();
+  /** Called when a job has been added, before any of its tasks can start. */
+  onAdded: (job: Job) => void = () => undefined;
   /** Called when a job has unsaved changes. */
   onChange: () => void = () => undefined;
   /** Called when a job has succeeded. */
@@ -60,7 +62,9 @@
   }
 
   add(job: Job): void {
-    if (!this.#open.has(job.spec.id)) this.#open.set(job.spec.id, job);
+    if (this.#open.has(job.spec.id)) return;
+    this.#open.set(job.spec.id, job);
+    this.onAdded(job);
   }
 
   /** State of an open or recently ended job. */
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -9,6 +9,7 @@
   parseJson,
   timeRange,
 } from '../validation/index.js';
+import type { Cancellations } from './cancellations.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { Job } from './job.js';
@@ -165,6 +166,7 @@
   log: DecisionLog;
   counters: Counters;
   jobs: JobTable;
+  cancellations: Cancellations;
   sessions: WorkerSessions;
   /** Whether no other process can have claimed the service. */
   canStart: () => boolean;
@@ -245,8 +247,12 @@
   }
 
   #loadJob(row: Row, progressById: ReadonlyMap<string, string>): void {
-    const { claim, clock, jobs, log } = this.#deps;
-    if (parseCancellation(row.key)) return;
+    const { claim, clock, jobs, log, cancellations } = this.#deps;
+    const cancellation = parseCancellation(row.key);
+    if (cancellation) {
+      cancellations.receive(row.key, cancellation);
+      return;
+    }
     const spec = decodeJob(row.value);
     if (spec.isErr) {
       this.#deps.counters.count('bad_rows', row.table);
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -41,10 +41,16 @@
 export const cancellationId = (id: string, account = ''): string =>
   `${id}${CANCELLATION_MARK}${account}`;
 
+/** What the id of an inbox row with a cancellation contains. */
+export interface CancellationKey {
+  /** Id of the job. */
+  id: string;
+  /** Account that requested the cancellation, if it has one. */
+  account: string | undefined;
+}
+
 /** Decodes an id created by {@link cancellationId}; returns undefined for that of a job. */
-export function parseCancellation(
-  key: string,
-): { id: string; account: string | undefined } | undefined {
+export function parseCancellation(key: string): CancellationKey | undefined {
   const mark = key.indexOf(CANCELLATION_MARK);
   if (mark < 0) return undefined;
   const account = key.slice(mark + 1);
