Leave the outcome open when only one of two store paths refused a transaction

Cause: a transaction that was sent on both paths took the result of the direct one when neither succeeded. A refusal there hid that the relayed copy got no answer and may have been applied, so that a caller could be told that its job never runs.

Change: if the direct path refused, the relayed result counts.

Result: one of the three new cases of relayedStore.spec.ts failed before, all pass now.

--- a/src/storeRelay/relayedStore.spec.ts
+++ b/src/storeRelay/relayedStore.spec.ts
@@ -1,7 +1,17 @@
 import test, { type ExecutionContext } from 'ava';
+import { Result } from 'true-myth';
+import { Counters } from '../batch/counters.js';
+import { DecisionLog } from '../batch/decisionLog.js';
 import { CallOutcome } from '../batch/gateway.js';
+import { LinkError, LinkErrorCode } from '../batch/links.js';
+import { MonitoredStore } from '../batch/monitoredStore.js';
+import { StoreError, StoreErrorCode } from '../batch/ports.js';
 import { JobState, RefusalReason } from '../batch/types.js';
+import { createRandom } from '../random/index.js';
 import { BatchRig, required, StoreFault, type RigNode } from '../testing/batchRig/index.js';
+import { createVirtualClock } from '../testing/virtualClock.js';
+import { RelayedStore } from './relayedStore.js';
+import { RelayOperation } from './types.js';
 
 const SERVICE = 'motions';
 /** Longest wait of a feed call of a node. */
@@ -169,3 +179,77 @@
     await run(t, rig, holder, others);
   });
 }
+
+interface BothPathsCase {
+  /** How the transaction fails on the node's own path. */
+  direct: StoreErrorCode;
+  /** How the call through a peer fails. */
+  relayed: LinkErrorCode;
+  expected: StoreErrorCode;
+}
+
+const bothPathsCases: BothPathsCase[] = [
+  {
+    direct: StoreErrorCode.Refused,
+    relayed: LinkErrorCode.NoAnswer,
+    expected: StoreErrorCode.NoAnswer,
+  },
+  {
+    direct: StoreErrorCode.NoAnswer,
+    relayed: LinkErrorCode.NotSent,
+    expected: StoreErrorCode.NoAnswer,
+  },
+  {
+    direct: StoreErrorCode.Refused,
+    relayed: LinkErrorCode.NotSent,
+    expected: StoreErrorCode.Refused,
+  },
+];
+
+for (const { direct, relayed, expected } of bothPathsCases) {
+  // Guards against telling a caller that a job never runs although the peer may have written it.
+  test(`a transaction that is ${direct} directly and ${relayed} through a peer is ${expected}`, async (t) => {
+    const clock = createVirtualClock();
+    const unused = () => Promise.reject(new Error('the test makes no such call'));
+    const store = new MonitoredStore(
+      {
+        limits: { rowBytes: 1, operations: 1, transactionBytes: 1 },
+        transact: async () => {
+          await clock.sleep(1_000);
+          return Result.err(new StoreError(direct, 'the direct path failed'));
+        },
+        readRow: () => Promise.resolve(Result.ok(undefined)),
+        readPart: unused,
+        feed: unused,
+      },
+      clock,
+    );
+    const relayedStore = new RelayedStore({
+      direct: store,
+      transport: {
+        address: 'node-0',
+        listen: unused,
+        call: (_address, body) => {
+          const isCheck = (body as { relay: unknown }).relay === RelayOperation.Check;
+          if (isCheck) return Promise.resolve(Result.ok({ isReachable: true }));
+          return Promise.resolve(Result.err(new LinkError(relayed, 'the peer failed')));
+        },
+      },
+      peers: () => ['node-1'],
+      clock,
+      random: createRandom(1),
+      log: new DecisionLog({ write: () => true }, clock),
+      counters: new Counters(),
+    });
+    await store.readRow({ table: 't', part: '', key: 'k' });
+    await clock.advance(300);
+    const tx = { conditions: [], writes: [], removes: [] };
+    // A pending call makes the store suspect while the next one is on its way.
+    void relayedStore.transact(tx);
+    await clock.advance(100);
+    const res = relayedStore.transact(tx);
+    await clock.advance(3_000);
+    const settled = await res;
+    t.is(settled.isErr ? settled.error.code : undefined, expected);
+  });
+}
--- a/src/storeRelay/relayedStore.ts
+++ b/src/storeRelay/relayedStore.ts
@@ -185,7 +185,10 @@
   }
 }
 
-/** The first successful result of two calls; if there is none, that of the first call. */
+/**
+ * The first successful result of a call that was sent on two paths. If there is none, the result that
+ * leaves open whether the call took effect, because a refusal on one path says nothing of the other.
+ */
 async function firstOk<T>(
   first: Promise<Result<T, StoreError>>,
   second: Promise<Result<T, StoreError>>,
@@ -194,7 +197,10 @@
     const res = await call;
     return res.isOk ? res : undefined;
   };
-  return (await firstDefined([successOf(first), successOf(second)])) ?? first;
+  const success = await firstDefined([successOf(first), successOf(second)]);
+  if (success) return success;
+  const res = await first;
+  return res.isErr && res.error.code === StoreErrorCode.Refused ? second : res;
 }
 
 /** The first defined value; undefined if there is none. */
