Let the first list of a restarted worker decide which of its runs go on

Callers saw tasks run twice at the same time (TWICE) after a worker had restarted under its id.

Cause: at the news of a restart, which the registration may bring before any list of the new process, the holder requeued all runs that it tracked there. Orders name only the id, so the new process may have carried out their start orders.

Change: the news only stops new runs and leases. The first list of the new process divides the runs: what it contains goes on, what was confirmed before the list was requested and is missing has ended, and the rest is settled by its own answers. A hold call that waits for the earlier process is abandoned. After a call without an answer no ends are acknowledged, as they may be those of a new process. The bound of leases covers orders with the earlier clock.

Ruled out: waiting for the list for a fixed time; it orders nothing.

--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -35,6 +35,10 @@
 
 /** Length of the leases granted to workers. Must stay below the platform's maximum of 6 s. */
 export const LEASE_MS = 5_000;
+/** Longest lease that a worker grants; it shortens longer ones. Set by the platform's protocol. */
+const MAX_WORKER_LEASE_MS = 6_000;
+/** Time within which a lease that a worker has granted is over, by this process's clock. */
+export const MAX_WORKER_LEASE_LIFE_MS = MAX_WORKER_LEASE_MS * 1.03;
 /** Time after which a worker rejects a start order, because the lease in it is over on its clock. */
 const START_ORDER_LIFE_MS = LEASE_MS * 1.03 + 300;
 /** Delay before a stop order that was not confirmed is sent again. */
@@ -107,7 +111,13 @@
 }
 
 /** The parts of a worker's answer that tell which runs it has. */
-type ListedRuns = Pick<HoldReply & { isListed: true }, 'running' | 'workerTimeMs' | 'hasMoreEnds'>;
+type ListedRuns = Pick<
+  HoldReply & { isListed: true },
+  'running' | 'workerTimeMs' | 'hasMoreEnds'
+> & {
+  /** Monotonic time at which the list was requested, in milliseconds. */
+  requestedAt: number;
+};
 
 /** Starts, stops and tracks the runs of a service's tasks. */
 export class RunControl {
@@ -214,6 +224,7 @@
     const { job } = task.step;
     const now = clock.now();
     if (reply.workerTimeMs !== undefined) worker.recordClock(reply.workerTimeMs, now);
+    if (reply.answer === OrderAnswer.Done) confirmOrder(run, reply, now);
     log.detail('task_start', {
       job: job.spec.id,
       task: task.name,
@@ -225,7 +236,6 @@
     });
     switch (reply.answer) {
       case OrderAnswer.Done:
-        run.lastOrderClockMs = reply.workerTimeMs;
         task.tooOldRejections = 0;
         if (run.isCopy) task.hadCopy = true;
         if (job.state === JobState.Queued) {
@@ -367,7 +377,7 @@
         return;
       }
       if (reply.workerTimeMs !== undefined && reply.answer !== OrderAnswer.Unhealthy) {
-        run.lastOrderClockMs = reply.workerTimeMs;
+        confirmOrder(run, reply, clock.now());
         return;
       }
       this.#deps.counters.count('order_retries', `stop_${reply.answer}`);
@@ -485,12 +495,13 @@
   }
 
   /** Reconciles the tracked runs of a worker with those that it reports as running. */
-  reconcile(worker: Worker, { running, workerTimeMs, hasMoreEnds }: ListedRuns): void {
+  reconcile(worker: Worker, list: ListedRuns): void {
+    const { running, workerTimeMs, hasMoreEnds } = list;
     const listed = new Map(running.map((entry) => [entry.task, entry]));
     for (const run of [...worker.runs.values()]) {
       const entry = listed.get(run.task.name);
       if (entry?.run === run.number) this.#updateRun(run, entry, workerTimeMs);
-      else if (!hasMoreEnds && isOlderThan(run, workerTimeMs)) {
+      else if (!hasMoreEnds && isOlderThan(run, list)) {
         this.#handleLostRun(run, 'not_listed');
       }
     }
@@ -528,6 +539,7 @@
     if (task.run && !mayAdoptSecond(task)) return false;
     const run = this.#createRun(task, worker, entry.run, RunPhase.Running);
     run.lastOrderClockMs = workerTimeMs;
+    run.confirmedAt = this.#deps.clock.now();
     run.isAdopted = true;
     run.isCopy = task.run !== undefined;
     task.hadCopy ||= run.isCopy;
@@ -599,13 +611,35 @@
   }
 
   /**
-   * Requeues all runs of a worker whose process has ended. Unless that was planned, the crash is
+   * Requeues the runs of the earlier process of a worker that has restarted: those that were confirmed
+   * before the first list of the new process was requested and that this list does not contain. The
+   * others were started by the new process, or their start orders may still reach it.
+   */
+  handleRestart(worker: Worker, { running, workerTimeMs, requestedAt }: ListedRuns): void {
+    const listed = new Map(running.map(({ task, run }) => [task, run]));
+    const isListed = ({ task, number }: Run) => listed.get(task.name) === number;
+    const lost = [...worker.runs.values()].filter(
+      (run) => !isListed(run) && isConfirmedBefore(run, requestedAt),
+    );
+    this.handleCrash(worker, 'worker_restarted', lost);
+    for (const run of worker.runs.values()) {
+      if (isListed(run)) run.lastOrderClockMs = workerTimeMs;
+      else delete run.lastOrderClockMs;
+    }
+    worker.resetClock();
+    worker.hasRestarted = false;
+  }
+
+  /**
+   * Requeues the runs of a worker whose process has ended. Unless that was planned, the crash is
    * counted for the tasks that ran there, and tasks that have caused several are given up.
+   *
+   * @param lost - the runs that have ended with the process; by default all that are tracked
    */
-  handleCrash(worker: Worker, reason: string): void {
-    const runs = [...worker.lapsedRuns, ...worker.runs.values()];
+  handleCrash(worker: Worker, reason: string, lost: Run[] = [...worker.runs.values()]): void {
+    const runs = [...worker.lapsedRuns, ...lost];
     worker.lapsedRuns = [];
-    this.dropRuns(worker, reason);
+    for (const run of lost) this.#handleLostRun(run, reason);
     if (runs.length === 0 || worker.isVacating || worker.record.isDraining) return;
     const roles = attributeCrash(runs, worker.lastContactAt);
     const possibleCauses = runs.filter((run) => roles.get(run) !== CrashRole.Bystander);
@@ -657,7 +691,22 @@
   return mayHaveCopies(step.spec) && run?.isAdopted === true && !copy;
 }
 
-/** Whether the last order for a run was carried out before a reading of the worker's clock. */
-function isOlderThan({ lastOrderClockMs }: Run, workerTimeMs: number): boolean {
+/** Records that a worker has carried out an order for a run. */
+function confirmOrder(run: Run, { workerTimeMs }: OrderReply, now: number): void {
+  run.confirmedAt = now;
+  // An earlier reading than the last one may be that of a new process, whose lists have another clock.
+  if (workerTimeMs !== undefined && run.worker.isClockPlausible(workerTimeMs))
+    run.lastOrderClockMs = workerTimeMs;
+}
+
+/** Whether the last order for a run was confirmed before a list was requested. */
+function isConfirmedBefore({ confirmedAt }: Run, requestedAt: number): boolean {
+  return confirmedAt !== undefined && confirmedAt < requestedAt;
+}
+
+/** Whether the last order for a run was carried out before a list was created. */
+function isOlderThan(run: Run, { workerTimeMs, requestedAt }: ListedRuns): boolean {
+  const { lastOrderClockMs } = run;
+  if (isConfirmedBefore(run, requestedAt)) return true;
   return lastOrderClockMs !== undefined && lastOrderClockMs < workerTimeMs;
 }
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -26,6 +26,12 @@
    * of running tasks does not contain the run, it is over. Undefined until an order is confirmed.
    */
   lastOrderClockMs?: number;
+  /**
+   * Monotonic time at which the last order for the run was confirmed, or the run was adopted, in
+   * milliseconds. If a list that was requested later does not contain the run, it is over, also after
+   * a restart of the worker, which starts the worker's clock anew.
+   */
+  confirmedAt?: number;
   /** Monotonic time of the start order or of the adoption, in milliseconds. */
   startedAt: number;
   /** Whether it resumed a checkpoint, so that it takes less than the whole time. */
@@ -105,6 +111,11 @@
   readonly runs = new Map<string, Run>();
   /** Whether it has responded to this holder's fencing token and is in the stored roster. */
   isAdmitted = false;
+  /**
+   * Whether its process is known to have been replaced while no list of the new one was read yet, so
+   * that its runs may belong to either.
+   */
+  hasRestarted = false;
   /** Whether it is permanently gone. */
   isGone = false;
   /** Whether it is being emptied for planned work. */
@@ -157,7 +168,7 @@
 
   /** Records a reading of the worker's clock that arrived at `now`. */
   recordClock(workerTimeMs: number, now: number): void {
-    if (this.#workerTimeMs !== undefined && workerTimeMs < this.#workerTimeMs) return;
+    if (!this.isClockPlausible(workerTimeMs)) return;
     this.#workerTimeMs = workerTimeMs;
     this.#clockReadAt = now;
   }
@@ -167,6 +178,11 @@
     this.#workerTimeMs = undefined;
   }
 
+  /** Whether a reading of its clock may be of the process whose clock was read last. */
+  isClockPlausible(workerTimeMs: number): boolean {
+    return this.#workerTimeMs === undefined || workerTimeMs >= this.#workerTimeMs;
+  }
+
   /**
    * Grants a lease of `leaseMs` and updates {@link leasesExpireBy}.
    *
--- a/src/batch/workerSessions.spec.ts
+++ b/src/batch/workerSessions.spec.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
-import { BatchRig, required, StoreFault } from '../testing/batchRig/index.js';
+import { BatchRig, required, StoreFault, type FakeExecutor } from '../testing/batchRig/index.js';
 import { NodeCallKind } from './nodeCalls.js';
 import { OrderAnswer } from './ports.js';
 import type { StepSpec } from './types.js';
@@ -192,6 +192,101 @@
   },
 ];
 
+interface RestartedWorker {
+  restarted: FakeExecutor;
+  other: FakeExecutor;
+}
+
+/**
+ * Restarts a worker under its id. The holder does not know: its call to the earlier process stays
+ * unanswered for 1.5 s, and the new process is not registered yet.
+ */
+async function restartUnseen(rig: BatchRig): Promise<RestartedWorker> {
+  const restarted = required(rig.fleet.executors.get('motions-0'));
+  const other = required(rig.fleet.executors.get('motions-1'));
+  restarted.holdAnswerDelayMs = 1_500;
+  restarted.crash();
+  await rig.advance(20);
+  restarted.holdAnswerDelayMs = 0;
+  restarted.restart();
+  return { restarted, other };
+}
+
+// Guard against runs of a restarted worker that are started again elsewhere, because the news of the
+// restart arrives before the first list of the new process, which has carried out their start orders.
+const restartCases: Case[] = [
+  {
+    title: 'runs that a restarted worker has begun before its restart is known are kept',
+    rig: { workersPerService: 2 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 3_000 });
+      const { restarted, other } = await restartUnseen(rig);
+      other.startRejection = OrderAnswer.NoRoom;
+      await submit(rig, [{ count: 4 }]);
+      t.true(await rig.until(() => restarted.running.length === 4, 1_000));
+      other.startRejection = undefined;
+      rig.register(restarted);
+      await rig.advance(8_000);
+      t.is(rig.fleet.runs().length, 4);
+    },
+  },
+  {
+    title: 'a start order that reaches a restarted worker after the news of its restart counts',
+    rig: { workersPerService: 2 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 3_000 });
+      const { restarted, other } = await restartUnseen(rig);
+      other.startRejection = OrderAnswer.NoRoom;
+      restarted.unansweredDelayMs = 200;
+      await submit(rig, [{ count: 4 }]);
+      await rig.advance(20);
+      restarted.unansweredDelayMs = 0;
+      other.startRejection = undefined;
+      rig.register(restarted);
+      t.true(await rig.until(() => restarted.running.length === 4, 1_000));
+      t.is(rig.fleet.runs().length, 4);
+      await rig.advance(10_000);
+      t.deepEqual(rig.violations(), []);
+    },
+  },
+  {
+    title:
+      'the ends of a restarted worker are not acknowledged with numbers of its earlier process',
+    rig: { workersPerService: 2 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: 100 });
+      await submit(rig, [{ count: 16 }]);
+      await rig.advance(3_000);
+      const { other } = await restartUnseen(rig);
+      other.startRejection = OrderAnswer.NoRoom;
+      await submit(rig, [{ count: 2 }]);
+      t.true(await rig.until(() => rig.fleet.runs().length === 18, 1_000));
+      other.startRejection = undefined;
+      await rig.advance(5_000);
+      t.is(rig.fleet.runs().length, 18);
+      t.deepEqual(rig.violations(), []);
+    },
+  },
+  {
+    // Guards against tasks that wait for a lease to expire although the process that had their runs is
+    // known to have ended.
+    title:
+      'runs that the first list of a restarted worker does not contain start again within 0.5 s',
+    rig: { workersPerService: 2 },
+    run: async (t, rig) => {
+      rig.fleet.script = () => ({ runMs: Infinity });
+      await submit(rig, [{ count: 4, isLasting: true }]);
+      t.true(await rig.until(() => rig.fleet.runs().length === 4, 1_000));
+      const { restarted } = await restartUnseen(rig);
+      rig.register(restarted);
+      const isRunning = () =>
+        rig.fleet.runs().filter(({ endedAt }) => endedAt === undefined).length === 4;
+      t.true(await rig.until(isRunning, 500));
+      t.deepEqual(rig.violations(), []);
+    },
+  },
+];
+
 /** Answers after which a worker certainly has not begun the run. */
 const rejections = [
   OrderAnswer.NoRoom,
@@ -361,7 +456,12 @@
   },
 ];
 
-for (const { title, rig: options, run } of [...cases, ...rejectionCases, ...startCases]) {
+for (const { title, rig: options, run } of [
+  ...cases,
+  ...restartCases,
+  ...rejectionCases,
+  ...startCases,
+]) {
   test(title, async (t) => {
     const rig = new BatchRig(options);
     await rig.ready();
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -8,10 +8,10 @@
 import type { Job } from './job.js';
 import { isStepReady } from './job.js';
 import { EntryOutcome, type Journal, type JournalEntry } from './journal.js';
-import { OrderAnswer, type HoldReply, type WorkerClient } from './ports.js';
+import { OrderAnswer, type HoldReply, type ListedEnd, type WorkerClient } from './ports.js';
 import type { LeaseBounds } from './recovery.js';
 import { rosterKey } from './rows.js';
-import { LEASE_MS, type RunControl } from './runControl.js';
+import { LEASE_MS, MAX_WORKER_LEASE_LIFE_MS, type RunControl } from './runControl.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import type { WorkerRecord } from './types.js';
 import { Worker } from './worker.js';
@@ -65,6 +65,8 @@
 
 interface Session {
   worker: Worker;
+  /** Ends the wait for the answer to the call that is outstanding, if there is one. */
+  interruptHold?: () => void;
   /** Monotonic time since which the registration has been missing, in milliseconds. */
   missingSince?: number;
 }
@@ -128,7 +130,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
     this.#signal = signal;
-    for (const { worker } of this.#sessions.values()) void this.#runSession(worker, signal);
+    for (const session of this.#sessions.values()) void this.#runSession(session, signal);
     do this.#syncWithRegistry();
     while (await clock.sleep(SYNC_INTERVAL_MS, signal));
   }
@@ -161,7 +163,11 @@
         log.info('worker_draining', { worker: record.id, runs: worker.runs.size });
       }
       const bornMs = Math.max(record.bornMs, worker.record.bornMs);
-      if (record.bornMs > worker.record.bornMs) this.#handleRestart(worker, record.bornMs);
+      if (record.bornMs > worker.record.bornMs) {
+        this.#handleRestart(worker, record.bornMs);
+        // The call may wait for the process that has ended.
+        session.interruptHold?.();
+      }
       worker.record = { ...record, bornMs };
     }
     for (const id of this.#departed.keys()) if (!present.has(id)) this.#departed.delete(id);
@@ -181,8 +187,9 @@
   #add(record: WorkerRecord): void {
     const { leases } = this.#deps;
     const worker = new Worker(record, (id, expiresBy) => leases.grant(id, expiresBy));
-    this.#sessions.set(record.id, { worker });
-    if (this.#signal) void this.#runSession(worker, this.#signal);
+    const session: Session = { worker };
+    this.#sessions.set(record.id, session);
+    if (this.#signal) void this.#runSession(session, this.#signal);
   }
 
   #removeIfGone(id: string, { worker, missingSince }: Session, now: number): void {
@@ -204,22 +211,29 @@
     this.#deps.log.info('worker_removed', { worker: id, reason });
   }
 
+  /**
+   * Handles the restart of a worker under its id. Its runs stay as they are until the first list of the
+   * new process tells which of them it has, see {@link RunControl.handleRestart}: an order is not bound
+   * to a process, so the new one may have carried out some of them before the restart became known.
+   */
   #handleRestart(worker: Worker, bornMs: number): void {
     this.#deps.log.warn('worker_restarted', { worker: worker.record.id, runs: worker.runs.size });
     this.#deps.counters.count('workers_lost', 'restarted');
     worker.record = { ...worker.record, bornMs };
     // It has forgotten the fencing token, and gets no orders until it has answered again.
     worker.isAdmitted = false;
+    worker.hasRestarted = true;
     worker.processedUpto = 0;
     worker.durableUpto = 0;
-    worker.leasesExpireBy = 0;
-    worker.resetClock();
-    this.#deps.runs.handleCrash(worker, 'worker_restarted');
+    // The ends of leases in orders sent until now are on the clock of the earlier process.
+    const latestLeaseEnd = this.#deps.clock.now() + MAX_WORKER_LEASE_LIFE_MS;
+    worker.leasesExpireBy = Math.max(worker.leasesExpireBy, latestLeaseEnd);
   }
 
   /** Renews the leases of a worker and processes its reports until it is gone. */
-  async #runSession(worker: Worker, signal: AbortSignal): Promise<void> {
+  async #runSession(session: Session, signal: AbortSignal): Promise<void> {
     const { clock, workers, epoch, canExtend } = this.#deps;
+    const { worker } = session;
     while (!signal.aborted && !worker.isGone) {
       this.#dropExpiredRuns(worker);
       if (!canExtend()) {
@@ -230,17 +244,25 @@
       const isResponsive = worker.isAdmitted && worker.unansweredCalls === 0;
       const leaseEndMs = isResponsive ? worker.lease(LEASE_MS, clock.now()) : undefined;
       const waitMs = isResponsive && !hasUnacknowledged ? holdWaitMs(worker) : 0;
-      const lastAcknowledgedEnd = worker.durableUpto;
+      // After a call without an answer, the ends may be those of a new process, which start anew.
+      const lastAcknowledgedEnd = worker.unansweredCalls > 0 ? 0 : worker.durableUpto;
       const order = { fencingToken: epoch, lastAcknowledgedEnd, leaseEndMs, waitMs };
       const { bornMs } = worker.record;
-      const reply = await workers.hold(worker.record, order);
+      const requestedAt = clock.now();
+      const interrupted = new Promise<undefined>((resolve) => {
+        session.interruptHold = () => {
+          resolve(undefined);
+        };
+      });
+      const reply = await Promise.race([workers.hold(worker.record, order), interrupted]);
       // Once the worker has left or restarted, an earlier answer no longer says anything about it.
       if (isAborted(signal) || hasLeft(worker)) return;
+      if (!reply) continue;
       const hasRestarted = worker.record.bornMs !== bornMs;
       const isCurrent = reply.isListed && reply.bornMs === worker.record.bornMs;
       if (hasRestarted && !isCurrent) continue;
       if (!reply.isListed) await this.#handleHoldFailure(worker, reply.answer, signal);
-      else await this.#handleHoldReply(worker, reply, signal);
+      else await this.#handleHoldReply(worker, { ...reply, requestedAt }, signal);
     }
   }
 
@@ -284,13 +306,15 @@
 
   async #handleHoldReply(
     worker: Worker,
-    reply: HoldReply & { isListed: true },
+    reply: HoldReply & { isListed: true; requestedAt: number },
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, log, runs, place } = this.#deps;
     if (reply.bornMs > worker.record.bornMs) this.#handleRestart(worker, reply.bornMs);
+    const hasNewEnds = this.#applyEnds(worker, reply.ended);
+    if (worker.hasRestarted && !reply.hasMoreEnds) runs.handleRestart(worker, reply);
     worker.recordClock(reply.workerTimeMs, clock.now());
-    worker.lapsedRuns = [];
+    if (!worker.hasRestarted) worker.lapsedRuns = [];
     if (worker.unansweredCalls > 0) {
       log.info('worker_recovered', {
         worker: worker.record.id,
@@ -300,13 +324,6 @@
       worker.recoveredAt = clock.now();
       place();
     }
-    let hasNewEnds = false;
-    for (const ended of reply.ended) {
-      if (ended.number <= worker.processedUpto) continue;
-      worker.processedUpto = ended.number;
-      runs.applyEnd(worker, ended);
-      hasNewEnds = true;
-    }
     runs.reconcile(worker, reply);
     if (!worker.isAdmitted && !reply.hasMoreEnds) await this.#admit(worker);
     if (hasNewEnds) {
@@ -326,6 +343,18 @@
     } else if (worker.processedUpto > worker.durableUpto) await clock.sleep(RETRY_MS, signal);
   }
 
+  /** Applies the ends that were not processed before; returns whether there are any. */
+  #applyEnds(worker: Worker, ended: readonly ListedEnd[]): boolean {
+    let hasNewEnds = false;
+    for (const end of ended) {
+      if (end.number <= worker.processedUpto) continue;
+      worker.processedUpto = end.number;
+      this.#deps.runs.applyEnd(worker, end);
+      hasNewEnds = true;
+    }
+    return hasNewEnds;
+  }
+
   /** Lets a worker receive runs once it is in the stored roster. */
   async #admit(worker: Worker): Promise<void> {
     const { service, place, log, epoch } = this.#deps;
--- a/src/testing/batchRig/runControlRig.ts
+++ b/src/testing/batchRig/runControlRig.ts
@@ -86,7 +86,12 @@
       measurement: 0,
       ...entry,
     }));
-    const list = { running: entries, workerTimeMs: WORKER_TIME_MS, hasMoreEnds: false };
+    const list = {
+      running: entries,
+      workerTimeMs: WORKER_TIME_MS,
+      hasMoreEnds: false,
+      requestedAt: 0,
+    };
     this.runs.reconcile(worker, list);
   }
 
