Find the job of a repeated submission after its queue has moved

Callers saw a submission run a second time (TWICE) when it arrived again after a configuration had assigned its queue to another service.

Cause: jobs, and the conditions that make an id unique, belong to a service. A submission was only compared with the jobs of the present service of its queue.

Change: the services to which a queue was assigned are recorded in the store before a job can be accepted for it (`QueueAssignments`). Whoever accepts a job first closes its id in the other services (`JobIds`), by a transaction that conflicts if the job is there and that makes a later acceptance there conflict. The store thus orders any two acceptances, also of a write that is applied late and of a node with an earlier configuration. A queue that never moves costs one read for each configuration and node.

Ruled out: asking other services for some time after a change (orders nothing); asking all services for each job (costs calls for every job).

gatewayRefusals.spec.ts now creates the gateway with these parts and lets the queue be known before the fault begins; its cases and expectations are unchanged.

--- a/src/accounts/gatewayRefusals.spec.ts
+++ b/src/accounts/gatewayRefusals.spec.ts
@@ -10,7 +10,9 @@
 } from '../batch/holderDirectory.js';
 import { RefusalReason } from '../batch/index.js';
 import { encodeJob } from '../batch/jobCodec.js';
+import { JobIds } from '../batch/jobIds.js';
 import { MonitoredStore } from '../batch/monitoredStore.js';
+import { QueueAssignments } from '../batch/queueAssignments.js';
 import { endedKey, inboxKey, jobKey } from '../batch/rows.js';
 import { BatchRig, FakeRowStore, StoreFault } from '../testing/batchRig/index.js';
 import { createVirtualClock } from '../testing/index.js';
@@ -130,18 +132,24 @@
         return replies[Math.min(calls++, replies.length - 1)];
       },
     } as unknown as HolderDirectory;
-    const gateway = new Gateway({
+    const rig = new BatchRig({ nodes: 1 });
+    await rig.ready();
+    const queue = rig.queue(SERVICE);
+    const shared = {
       store: monitored,
       clock,
       log: new DecisionLog({ write: () => true }, clock),
       counters: new Counters(),
-      config: () => undefined,
       keys: new KeyRegistry({ clock }),
-      holders,
-    });
-    const rig = new BatchRig({ nodes: 1 });
-    await rig.ready();
-    const queue = rig.queue(SERVICE);
+    };
+    const config = () => rig.nodes[0]?.node.config;
+    const assignments = new QueueAssignments({ ...shared, config });
+    // The queue has been used before the fault begins.
+    const isRecorded = assignments.record(queue, SERVICE);
+    await clock.advance(20);
+    await isRecorded;
+    const ids = new JobIds({ ...shared, assignments });
+    const gateway = new Gateway({ ...shared, ids, config: () => undefined, holders });
     const spec = rig.createJob(SERVICE, [{}], { account: 'loud' });
     const failFor = (kind: StoreFault, ms: number) => {
       store.faults.set('node', kind);
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -19,12 +19,21 @@
   decodeJob,
   decodeStoredAccount,
   encodeJob,
+  isClosedId,
   type EndedJobRow,
 } from './jobCodec.js';
+import { IdState, type JobIds } from './jobIds.js';
 import { NodeCallKind } from './nodeCalls.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import { StoreErrorCode, type Row, type RowKey } from './ports.js';
-import { cancellationId, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
+import {
+  acceptanceConditions,
+  cancellationId,
+  endedKey,
+  inboxKey,
+  jobKey,
+  progressKey,
+} from './rows.js';
 import {
   JobState,
   RefusalReason,
@@ -55,6 +64,12 @@
 /** Refusals after which no earlier attempt of the same submission can be accepted either. */
 const DEFINITE_REFUSALS: ReadonlySet<RefusalReason> = new Set([RefusalReason.IdInUse]);
 
+/** Refusals after which this or another service may have the job. */
+const OPEN_REFUSALS: ReadonlySet<unknown> = new Set([
+  RefusalReason.Unresolved,
+  RefusalReason.IdClosed,
+]);
+
 /** Refusals under load, which depend on the account's work; callers get another status for them. */
 export const LOAD_REFUSALS: ReadonlySet<unknown> = new Set([
   RefusalReason.Hopeless,
@@ -92,8 +107,17 @@
   config: () => BatchConfig | undefined;
   holders: HolderDirectory;
   keys: KeyRegistry;
+  ids: JobIds;
 }
 
+/** Outcomes of a submission whose id another service has, or may have. */
+const claimOutcomes: Record<Exclude<IdState, IdState.Free>, CallOutcome | RefusalReason.IdInUse> = {
+  [IdState.Taken]: CallOutcome.Ok,
+  [IdState.InUse]: RefusalReason.IdInUse,
+  [IdState.Unresolved]: CallOutcome.Unknown,
+  [IdState.Unknown]: CallOutcome.Refused,
+};
+
 /**
  * Handles callers' requests on any node: forwards them to the holder of the queue's service, and
  * falls back to the store when the holder cannot be reached.
@@ -184,7 +208,9 @@
     }
     let mayBeAccepted = false;
     do {
-      const call = { kind: NodeCallKind.Submit, service: queue.service, spec } as const;
+      const { service, host, pathPrefix } = queue;
+      const path = { host, pathPrefix };
+      const call = { kind: NodeCallKind.Submit, service, spec, path } as const;
       const res = await holders.call(
         call,
         Math.min(HOLDER_TIMEOUT_MS, remainingMs() - ANSWER_RESERVE_MS),
@@ -198,13 +224,13 @@
           (FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted));
       if (isFinal) {
         const isLoadRefusal = LOAD_REFUSALS.has(submitted.reason);
-        if (!isLoadRefusal || (await this.#isCertainlyUnknown(queue.service, spec.id)))
+        if (!isLoadRefusal || (await this.#isCertainlyUnknown(service, spec.id)))
           return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs, submitted);
       }
-      if (res.isErr ? res.error.mayHaveRun : submitted?.reason === RefusalReason.Unresolved) {
+      if (res.isErr ? res.error.mayHaveRun : OPEN_REFUSALS.has(submitted?.reason)) {
         mayBeAccepted = true;
       }
-      const storeOutcome = await this.#submitThroughStore(queue.service, spec);
+      const storeOutcome = await this.#submitThroughStore(queue, spec);
       if (storeOutcome === RefusalReason.Unstorable && !mayBeAccepted)
         return this.#reportRefused(spec, storeOutcome, UNSTORABLE_RETRY_MS);
       if (storeOutcome === RefusalReason.IdInUse)
@@ -273,21 +299,26 @@
   }
 
   async #submitThroughStore(
-    service: string,
+    { service, host, pathPrefix }: Queue,
     spec: JobSpec,
   ): Promise<CallOutcome | RefusalReason.Unstorable | RefusalReason.IdInUse> {
     if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
-    const inbox = inboxKey(service, spec.id);
-    const mustBeAbsent = [inbox, jobKey(service, spec.id), endedKey(service, spec.id)];
+    const id = await this.#deps.ids.claim({ host, pathPrefix }, service, spec);
+    if (id !== IdState.Free) return claimOutcomes[id];
     const res = await this.#deps.store.transact({
-      conditions: mustBeAbsent.map((key) => ({ ...key, version: 0 })),
-      writes: [{ ...inbox, value: encodeJob(spec) }],
+      conditions: acceptanceConditions(service, spec.id),
+      writes: [{ ...inboxKey(service, spec.id), value: encodeJob(spec) }],
       removes: [],
     });
     if (res.isOk) {
       const outcome = res.value;
-      // On a conflict, the job was already accepted, or the id is that of another account's job.
-      return outcome.isApplied ? CallOutcome.Ok : this.#checkConflict(spec, outcome.rows);
+      if (outcome.isApplied) return CallOutcome.Ok;
+      if (outcome.rows.some(isClosedId)) {
+        this.#deps.ids.handleClosed();
+        return CallOutcome.Unknown;
+      }
+      // The job was already accepted, or the id is that of another account's job.
+      return this.#checkConflict(spec, outcome.rows);
     }
     if (res.error.code === StoreErrorCode.Invalid) return RefusalReason.Unstorable;
     // Any other failure, such as an unreadable answer, leaves open whether the job was written.
@@ -366,7 +397,7 @@
         this.#deps.counters.count('unknown_outcomes', 'status');
         return { outcome: CallOutcome.Unknown, reason: res.error.code };
       }
-      if (!res.value) continue;
+      if (!res.value || isClosedId(res.value)) continue;
       const stored = decode(res.value);
       if (!stored) return { outcome: CallOutcome.Unknown, reason: RefusalReason.BadRow };
       if (!this.#mayAccess(stored.account, account)) return { outcome: CallOutcome.NotFound };
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -3,6 +3,7 @@
   mayAccessJob,
   refusal,
   ServiceAccounts,
+  UNSTORABLE_RETRY_MS,
   type AccountRules,
 } from '../accounts/index.js';
 import type { BusyMeter, Clock } from '../clock/index.js';
@@ -23,8 +24,9 @@
 import { placeSuspects } from './isolation.js';
 import { criticalPathMs, Job, type Step } from './job.js';
 import type { EndedJobRow } from './jobCodec.js';
-import { JobTable } from './jobTable.js';
-import { EntryOutcome, Journal, type TransactionSize } from './journal.js';
+import { IdState, type JobIds } from './jobIds.js';
+import { AcceptanceOutcome, JobTable } from './jobTable.js';
+import { Journal, type TransactionSize } from './journal.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import {
   byAccount,
@@ -40,6 +42,7 @@
 import type { Claim } from './ownership.js';
 import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
+import type { QueuePath } from './queueAssignments.js';
 import { Recovery } from './recovery.js';
 import { RoundTimer } from './roundDelay.js';
 import { RunControl } from './runControl.js';
@@ -63,6 +66,8 @@
 
 /** Maximum age of a count of pending jobs; the platform's protocol allows 2 s. */
 const MAX_PENDING_AGE_MS = 1_900;
+/** Maximum number of queues whose assignments are recorded before they have jobs. */
+const MAX_PREPARED_QUEUES = 20;
 /** Interval at which due occurrences are created and delayed tasks are placed. */
 const TICK_INTERVAL_MS = 100;
 
@@ -86,6 +91,7 @@
   canExtend: () => boolean;
   /** Whether jobs of different client accounts have to be kept apart. */
   usesAccounts: () => boolean;
+  ids: JobIds;
   /** Factor by which a task runs longer off its rack; 1 if undefined. */
   remoteSlowdown?: number;
   onLost: (reason: string) => void;
@@ -97,6 +103,13 @@
   createBusyMeter?: () => BusyMeter;
 }
 
+/** Reasons for refusing a job by the state of its id. */
+const claimRefusals: Record<Exclude<IdState, IdState.Free | IdState.Taken>, RefusalReason> = {
+  [IdState.InUse]: RefusalReason.IdInUse,
+  [IdState.Unresolved]: RefusalReason.Unresolved,
+  [IdState.Unknown]: RefusalReason.StoreUnavailable,
+};
+
 /** Dependencies of the parts of a holder. */
 interface PartDeps extends HolderDeps {
   service: string;
@@ -303,11 +316,23 @@
       this.#sessions.run(signal),
       this.#judgement.load(signal),
       this.#inbox.run(signal),
+      this.#recordQueues(signal),
       this.#accounts.budget.run(signal),
       this.#tick(signal),
     ]);
   }
 
+  /** Records the assignments of the service's queues, so that their first jobs need not wait for it. */
+  async #recordQueues(signal: AbortSignal): Promise<void> {
+    const own = [...this.#queuesByName().values()].filter(
+      ({ service }) => service === this.service,
+    );
+    for (const queue of own.slice(0, MAX_PREPARED_QUEUES)) {
+      if (signal.aborted) return;
+      await this.#deps.ids.prepare(queue, this.service);
+    }
+  }
+
   /**
    * Adds the gauges of client accounts to the metrics page. They are shown only while placement rounds
    * update them: a node that may not extend leases may have a successor, which has its own.
@@ -336,30 +361,47 @@
     return this.#recovery.isLoaded;
   }
 
-  /** Submits a job. Resolves once the job is durable. */
-  async submit(spec: JobSpec): Promise<SubmitOutcome> {
+  /**
+   * Submits a job. Resolves once the job is durable.
+   *
+   * @param path - queue through which the caller submitted it; undefined if a node of an earlier
+   *   version does not tell, so that only this service is asked for the id
+   */
+  async submit(spec: JobSpec, path?: QueuePath): Promise<SubmitOutcome> {
     if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
     const { checks, counting } = this.#accounts;
     if (isKnown) return checks.answerKnown(spec);
+    const { ids } = this.#deps;
+    const id = path ? await ids.claim(path, this.service, spec) : IdState.Free;
+    if (id === IdState.Taken) return { isAccepted: true };
+    if (id !== IdState.Free) return refusal(claimRefusals[id], UNSTORABLE_RETRY_MS);
     // Another submission with this id started to be written during the wait.
-    if (this.#jobs.isPending(spec.id)) return this.submit(spec);
+    if (this.#jobs.isPending(spec.id)) return this.submit(spec, path);
     const refused = checks.refuse(spec);
     if (refused) return refused;
     counting.count(spec);
     const outcome = await this.#jobs.trackAcceptance(spec.id, this.#accept(spec));
-    if (outcome !== EntryOutcome.Applied) counting.uncount(spec);
-    if (outcome === EntryOutcome.HolderLost) return refusal(RefusalReason.Unresolved, 0);
-    if (outcome === EntryOutcome.Rejected) return checks.refuseUnstorable();
-    // On a conflict, the job was already accepted through another process.
-    if (outcome !== EntryOutcome.Applied) return checks.answerKnown(spec);
-    return { isAccepted: true };
+    if (outcome !== AcceptanceOutcome.Accepted) counting.uncount(spec);
+    switch (outcome) {
+      case AcceptanceOutcome.Accepted:
+        return { isAccepted: true };
+      case AcceptanceOutcome.AlreadyAccepted:
+        return checks.answerKnown(spec);
+      case AcceptanceOutcome.IdClosed:
+        ids.handleClosed();
+        return refusal(RefusalReason.IdClosed, 0);
+      case AcceptanceOutcome.Unstorable:
+        return checks.refuseUnstorable();
+      case AcceptanceOutcome.HolderLost:
+        return refusal(RefusalReason.Unresolved, 0);
+    }
   }
 
   /** Writes a job, and opens it before anyone who waits for the outcome learns of it. */
-  async #accept(spec: JobSpec): Promise<EntryOutcome> {
+  async #accept(spec: JobSpec): Promise<AcceptanceOutcome> {
     const outcome = await this.#writeJob(spec);
-    if (outcome === EntryOutcome.Applied) this.#openJob(spec);
+    if (outcome === AcceptanceOutcome.Accepted) this.#openJob(spec);
     return outcome;
   }
 
@@ -392,11 +434,10 @@
     });
   }
 
-  #writeJob(spec: JobSpec): Promise<EntryOutcome> {
-    const entry = this.#jobs.acceptanceEntry(spec);
+  #writeJob(spec: JobSpec): Promise<AcceptanceOutcome> {
     const account = this.#accounts.itemAccount(spec);
     return new Promise((settle) => {
-      this.#journal.append({ ...entry, account, settle });
+      this.#journal.append({ ...this.#jobs.acceptanceEntry(spec, settle), account });
     });
   }
 
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -106,7 +106,7 @@
     if (!holder?.isLoaded) return { isHolder: false };
     switch (call.kind) {
       case NodeCallKind.Submit:
-        return { isHolder: true, submitted: await holder.submit(call.spec) };
+        return { isHolder: true, submitted: await holder.submit(call.spec, call.path) };
       case NodeCallKind.Status:
         return { isHolder: true, ...holder.find(call.job) };
       case NodeCallKind.Cancel:
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -267,6 +267,17 @@
   return state && isText(row.account) ? { state, account: row.account } : undefined;
 }
 
+/**
+ * Value of the row of an ended job by which a service refuses an id: the job belongs to another
+ * service, to which its queue has moved.
+ */
+export const CLOSED_ID = 'closed';
+
+/** Whether a row closes an id, see {@link CLOSED_ID}. */
+export function isClosedId({ table, value }: Row): boolean {
+  return table === ENDED_TABLE && value === CLOSED_ID;
+}
+
 /** Decodes the account of a job from its row, its inbox row or its row as an ended job. */
 export function decodeStoredAccount({
   table,
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -3,13 +3,34 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { Job } from './job.js';
 import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
-import { encodeEndedJob, encodeJob, type EndedJobRow } from './jobCodec.js';
+import { encodeEndedJob, encodeJob, isClosedId, type EndedJobRow } from './jobCodec.js';
 import { endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState, type JobSpec } from './types.js';
 
 /** How long an ended job stays in memory; covers `status_s`. Its row is kept longer. */
 const ENDED_RETENTION_MS = 180_000;
 
+/** Outcome of writing that a job is accepted. */
+export enum AcceptanceOutcome {
+  Accepted = 'accepted',
+  /** It was accepted before, through another process. */
+  AlreadyAccepted = 'already_accepted',
+  /** The service may not accept the id, see {@link isClosedId}. */
+  IdClosed = 'id_closed',
+  /** The store never accepts the row. */
+  Unstorable = 'unstorable',
+  /** This process lost the service, so that the write may have been applied or not. */
+  HolderLost = 'holder_lost',
+}
+
+/** Outcomes of an acceptance by those of its journal entry. */
+const acceptanceOutcomes: Record<EntryOutcome, AcceptanceOutcome> = {
+  [EntryOutcome.Applied]: AcceptanceOutcome.Accepted,
+  [EntryOutcome.Conflict]: AcceptanceOutcome.AlreadyAccepted,
+  [EntryOutcome.Rejected]: AcceptanceOutcome.Unstorable,
+  [EntryOutcome.HolderLost]: AcceptanceOutcome.HolderLost,
+};
+
 /** Dependencies of a {@link JobTable}. */
 export interface JobTableDeps {
   service: string;
@@ -27,7 +48,7 @@
   readonly #deps: JobTableDeps;
   readonly #open = new Map<string, Job>();
   readonly #ended = new Map<string, EndedJob>();
-  readonly #pendingAcceptances = new Map<string, Promise<EntryOutcome>>();
+  readonly #pendingAcceptances = new Map<string, Promise<AcceptanceOutcome>>();
   readonly #dirty = new Set<Job>();
   readonly #closeWaiters = new Map<Job, ((isDurable: boolean) => void)[]>();
   /** Called when a job has been added, before any of its tasks can start. */
@@ -89,11 +110,14 @@
   async awaitAcceptance(id: string): Promise<boolean> {
     if (this.stateOf(id) !== undefined) return true;
     const outcome = await this.#pendingAcceptances.get(id);
-    return outcome === EntryOutcome.Applied || outcome === EntryOutcome.Conflict;
+    return outcome === AcceptanceOutcome.Accepted || outcome === AcceptanceOutcome.AlreadyAccepted;
   }
 
   /** Tracks a pending acceptance of a job and returns its outcome. */
-  async trackAcceptance(id: string, outcome: Promise<EntryOutcome>): Promise<EntryOutcome> {
+  async trackAcceptance(
+    id: string,
+    outcome: Promise<AcceptanceOutcome>,
+  ): Promise<AcceptanceOutcome> {
     this.#pendingAcceptances.set(id, outcome);
     try {
       return await outcome;
@@ -161,10 +185,17 @@
   }
 
   /** Journal entry with which a job is accepted. */
-  acceptanceEntry(spec: JobSpec): Pick<JournalEntry, 'conditions' | 'writes' | 'removes'> {
+  acceptanceEntry(
+    spec: JobSpec,
+    settle: (outcome: AcceptanceOutcome) => void,
+  ): Omit<JournalEntry, 'account'> {
     const { service } = this.#deps;
     const { id } = spec;
     return {
+      settle: (outcome, conflicts = []) => {
+        const closing = conflicts.some((row) => row.key === id && isClosedId(row));
+        settle(closing ? AcceptanceOutcome.IdClosed : acceptanceOutcomes[outcome]);
+      },
       conditions: [
         { ...inboxKey(service, id), version: 0 },
         { ...endedKey(service, id), version: 0 },
--- a/src/batch/journal.ts
+++ b/src/batch/journal.ts
@@ -40,7 +40,8 @@
    * because they are written in turn by weight.
    */
   account?: ItemAccount;
-  settle(outcome: EntryOutcome): void;
+  /** @param conflicts - after a conflict, the rows of the conditions of its transaction that exist */
+  settle(outcome: EntryOutcome, conflicts?: readonly Row[]): void;
 }
 
 /** Size of a transaction, or of the part of it that is still free. */
@@ -309,7 +310,7 @@
       conditions.every((row) => (versions.get(rowId(row)) ?? 0) === row.version);
     const remaining = current.entries.filter(doConditionsHold);
     for (const entry of current.entries)
-      if (!doConditionsHold(entry)) entry.settle(EntryOutcome.Conflict);
+      if (!doConditionsHold(entry)) entry.settle(EntryOutcome.Conflict, rows);
     return remaining.length > 0 ? this.#createAttempt(remaining) : undefined;
   }
 
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -15,6 +15,7 @@
 import { Gateway } from './gateway.js';
 import { Holder } from './holder.js';
 import { HolderDirectory } from './holderDirectory.js';
+import { JobIds } from './jobIds.js';
 import type { NodeTransport } from './links.js';
 import { decodeNodeCall, NodeCallError, NodeCallErrorCode } from './nodeCalls.js';
 import { FLEET_SERVICE, Ownership, type Claim } from './ownership.js';
@@ -24,6 +25,7 @@
 import { answerRelayCall, isRelayCall, RelayedStore } from '../storeRelay/index.js';
 import type { BatchConfig, Features, WaveSpec, WorkerRecord } from './types.js';
 import { FleetController } from './fleetController.js';
+import { QueueAssignments } from './queueAssignments.js';
 import type { RequestedWave, WaveStatusStore } from './upkeep.js';
 import { WorkerRegistry } from './workerRegistry.js';
 
@@ -94,6 +96,8 @@
   readonly #waves = new Map<string, RequestedWave>();
   readonly #registry: WorkerRegistry;
   readonly #keys: KeyRegistry;
+  readonly #assignments: QueueAssignments;
+  readonly #ids: JobIds;
   readonly #explainer: JobExplainer;
   readonly #holderLifecycles = new Map<string, Lifecycle>();
   #config: BatchConfig | undefined;
@@ -115,17 +119,21 @@
       services: () => this.#services(),
     });
     this.#directory = new HolderDirectory(this.#ownership, deps.transport, this.#holders);
+    const config = () => this.#config;
+    this.#assignments = new QueueAssignments({ ...deps, config });
+    const ids = { assignments: this.#assignments, keys: this.#keys };
+    this.#ids = new JobIds({ ...deps, ...ids });
     this.gateway = new Gateway({
       ...deps,
-      store: this.#store,
-      config: () => this.#config,
+      ids: this.#ids,
+      config,
       holders: this.#directory,
       keys: this.#keys,
     });
     this.#explainer = new JobExplainer({
       clock: deps.clock,
       node: deps.node,
-      config: () => this.#config,
+      config,
       gateway: this.gateway,
       holders: this.#directory,
       keys: this.#keys,
@@ -252,6 +260,7 @@
     });
     this.#config = config;
     this.#keys.apply(version, accounts);
+    this.#assignments.prefetch();
   }
 
   #startHolder(claim: Claim, supervisor: Supervisor): void {
@@ -273,6 +282,7 @@
         config: () => this.#config,
         registered: () => this.#registry.records(),
         store: this.#store,
+        ids: this.#ids,
         canStart: () => ownership.canStart(),
         canExtend: () => ownership.canExtend(),
         usesAccounts: () => this.#keys.isInUse,
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -14,6 +14,7 @@
   type NumberRange,
 } from '../validation/index.js';
 import { isJobSpec } from './jobCodec.js';
+import type { QueuePath } from './queueAssignments.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import {
   JobState,
@@ -51,7 +52,8 @@
 
 /** A call to the holder of a service. */
 export type NodeCall = { service: string } & (
-  | { kind: NodeCallKind.Submit | NodeCallKind.Explain; spec: JobSpec }
+  | { kind: NodeCallKind.Submit; spec: JobSpec; path?: QueuePath }
+  | { kind: NodeCallKind.Explain; spec: JobSpec }
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string }
@@ -83,6 +85,7 @@
 function hasFieldsOfKind(call: Record<string, unknown>): boolean {
   switch (call.kind as NodeCallKind) {
     case NodeCallKind.Submit:
+      return isJobSpec(call.spec) && isOptional(call.path, isQueuePath);
     case NodeCallKind.Explain:
       return isJobSpec(call.spec);
     case NodeCallKind.Status:
@@ -130,6 +133,10 @@
   return value === undefined || value === null || isValid(value);
 }
 
+function isQueuePath(value: unknown): boolean {
+  return isFields(value) && isText(value.host) && isText(value.pathPrefix);
+}
+
 const jobStates: ReadonlySet<unknown> = new Set(Object.values(JobState));
 const refusalReasons: ReadonlySet<unknown> = new Set(Object.values(RefusalReason));
 
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -1,4 +1,4 @@
-import type { RowKey } from './ports.js';
+import type { RowCondition, RowKey } from './ports.js';
 
 /** Key of the row with the specification of an open job, written by the holder of its service. */
 export const jobKey = (service: string, id: string): RowKey => ({
@@ -31,6 +31,20 @@
   key: id,
 });
 
+/** Conditions under which a gateway may write that a service has a job: no row of it exists there. */
+export const acceptanceConditions = (service: string, id: string): RowCondition[] =>
+  [inboxKey, jobKey, endedKey].map((key) => ({ ...key(service, id), version: 0 }));
+
+/** Table of the rows of {@link assignmentKey}. */
+export const ASSIGNMENT_TABLE = 'assignment';
+
+/** Key of the row with the services to which a queue was assigned. */
+export const assignmentKey = (path: string): RowKey => ({
+  table: ASSIGNMENT_TABLE,
+  part: '',
+  key: path,
+});
+
 /** Separates the job from the account in the id of a cancellation; job ids do not contain it. */
 const CANCELLATION_MARK = '!';
 
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -89,6 +89,8 @@
   HolderUnreachable = 'holder_unreachable',
   /** The stored row of the job cannot be decoded. */
   BadRow = 'bad_row',
+  /** The service may not accept the id, because the queue of the job has moved. */
+  IdClosed = 'id_closed',
   /** Another account has a job with this id. */
   IdInUse = 'id_in_use',
   /** The job cannot complete while it has value, because of the work ahead of it. */
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -185,6 +185,7 @@
     weights = this.#weights,
     publicQueues = [],
     limits,
+    movedQueues = {},
   }: {
     version: number;
     services: string[];
@@ -194,6 +195,8 @@
     /** Names of the queues that need no key. */
     publicQueues?: string[];
     limits?: Record<string, Partial<Resources>>;
+    /** Services of queues that are not assigned to the service of their name. */
+    movedQueues?: Record<string, string>;
   }): void {
     const queues = services.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
@@ -202,7 +205,7 @@
         name: service,
         host: 'host',
         pathPrefix: `/${service}/`,
-        service,
+        service: movedQueues[service] ?? service,
         advice,
         isPublic: publicQueues.includes(service),
         ...limits,
