Keep the terms of a queue with its jobs

Callers saw a job fail for good after one of three attempts (LOST) when a run ended as failed while the configuration did not have its queue.

Cause: the holder looked the number of attempts up in the configuration in force and took 1 for a queue that it lacked. The same lookup made such a step need no tickets.

Change: a gateway adds the terms of the queue to a job (`JobSpec.terms`), and `QueueRules` uses, in this order, the configuration in force, the last one that had the queue, and the terms of the job. For a job without terms, from an earlier version, a failed run decides nothing until the queue is known.

Ruled out: no limit while the queue is unknown, which would exceed its attempts.

--- a/src/accounts/loadAdmission.ts
+++ b/src/accounts/loadAdmission.ts
@@ -1,6 +1,6 @@
 import type { JobTable } from '../batch/jobTable.js';
 import type { WaitingStep } from '../batch/ordering.js';
-import type { JobSpec, Queue, Resources } from '../batch/types.js';
+import type { JobSpec, QueueTerms, Resources } from '../batch/types.js';
 import type { Clock } from '../clock/index.js';
 import type { Random } from '../random/index.js';
 import type { AccountControl } from './accountControl.js';
@@ -19,8 +19,8 @@
   clock: Clock;
   jobs: Pick<JobTable, 'size' | 'open'>;
   /** Queue of the active configuration, whose accounts it applies. */
-  queueOf: (name: string) => Queue | undefined;
-  timesOf: (spec: JobSpec, queue: Queue | undefined) => JobTimes;
+  queueOf: (name: string) => QueueTerms | undefined;
+  timesOf: (spec: JobSpec, queue: QueueTerms | undefined) => JobTimes;
   /** Capacity of the pool. */
   pool: () => Resources;
   queuedWork: (waiting: readonly WaitingStep[], pool: Resources) => QueuedWork[];
--- a/src/batch/adviceCache.ts
+++ b/src/batch/adviceCache.ts
@@ -4,7 +4,7 @@
 import type { Step } from './job.js';
 import { canHoldTask } from './placement.js';
 import type { AdviceClient } from './ports.js';
-import type { Queue } from './types.js';
+import type { QueueTerms } from './types.js';
 import type { Worker } from './worker.js';
 
 /** Maximum number of workers per call; each one costs processing time at the advice service. */
@@ -52,7 +52,7 @@
    */
   isPlaceable(
     step: Step,
-    queues: ReadonlyMap<string, Queue>,
+    queues: ReadonlyMap<string, QueueTerms>,
     workers: { all(): Iterable<Worker> },
   ): boolean {
     const policy = queues.get(step.job.spec.queue)?.advice;
@@ -74,7 +74,7 @@
   }
 
   /** Whether a step needs no tickets, or has usable ones; requests none. */
-  hasTickets(step: Step, queues: ReadonlyMap<string, Queue>): boolean {
+  hasTickets(step: Step, queues: ReadonlyMap<string, QueueTerms>): boolean {
     if (!queues.get(step.job.spec.queue)?.advice) return true;
     const advice = this.#adviceByStep.get(step);
     return advice !== undefined && advice.usableUntil > this.#deps.clock.now();
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -20,6 +20,7 @@
   decodeStoredAccount,
   encodeJob,
   isClosedId,
+  termsOf,
   type EndedJobRow,
 } from './jobCodec.js';
 import { IdState, type JobIds } from './jobIds.js';
@@ -187,8 +188,9 @@
   }
 
   /** Submits a job. Reports it as accepted only once it is durable. */
-  async submit(queue: Queue, spec: JobSpec, timeoutMs: number): Promise<CallAnswer> {
+  async submit(queue: Queue, submitted: JobSpec, timeoutMs: number): Promise<CallAnswer> {
     const { clock, holders, counters } = this.#deps;
+    const spec = { ...submitted, terms: termsOf(queue) };
     const startedAt = clock.now();
     const remainingMs = () => timeoutMs - (clock.now() - startedAt);
     const refusal = this.refusalOf(spec);
@@ -215,19 +217,18 @@
         call,
         Math.min(HOLDER_TIMEOUT_MS, remainingMs() - ANSWER_RESERVE_MS),
       );
-      const submitted = res.isOk ? res.value.submitted : undefined;
-      if (submitted?.isAccepted)
-        return this.#reportAccepted(spec, 'holder', clock.now() - startedAt);
+      const outcome = res.isOk ? res.value.submitted : undefined;
+      if (outcome?.isAccepted) return this.#reportAccepted(spec, 'holder', clock.now() - startedAt);
       const isFinal =
-        submitted?.reason !== undefined &&
-        (DEFINITE_REFUSALS.has(submitted.reason) ||
-          (FINAL_REFUSALS.has(submitted.reason) && !mayBeAccepted));
+        outcome?.reason !== undefined &&
+        (DEFINITE_REFUSALS.has(outcome.reason) ||
+          (FINAL_REFUSALS.has(outcome.reason) && !mayBeAccepted));
       if (isFinal) {
-        const isLoadRefusal = LOAD_REFUSALS.has(submitted.reason);
+        const isLoadRefusal = LOAD_REFUSALS.has(outcome.reason);
         if (!isLoadRefusal || (await this.#isCertainlyUnknown(service, spec.id)))
-          return this.#reportRefused(spec, submitted.reason, submitted.retryAfterMs, submitted);
+          return this.#reportRefused(spec, outcome.reason, outcome.retryAfterMs, outcome);
       }
-      if (res.isErr ? res.error.mayHaveRun : OPEN_REFUSALS.has(submitted?.reason)) {
+      if (res.isErr ? res.error.mayHaveRun : OPEN_REFUSALS.has(outcome?.reason)) {
         mayBeAccepted = true;
       }
       const storeOutcome = await this.#submitThroughStore(queue, spec);
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -43,6 +43,7 @@
 import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
 import type { QueuePath } from './queueAssignments.js';
+import { QueueRules } from './queueRules.js';
 import { Recovery } from './recovery.js';
 import { RoundTimer } from './roundDelay.js';
 import { RunControl } from './runControl.js';
@@ -56,7 +57,7 @@
   type Features,
   type JobSpec,
   type PendingCount,
-  type Queue,
+  type QueueTerms,
   type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
@@ -154,8 +155,8 @@
   /** Tasks for which the last placement round found no worker. */
   #unplacedCount = 0;
 
+  readonly #queueRules: QueueRules;
   #indexedConfig: BatchConfig | undefined;
-  #queues: ReadonlyMap<string, Queue> = new Map();
   #isClosed = false;
 
   constructor(claim: Claim, deps: HolderDeps) {
@@ -179,7 +180,10 @@
     };
     const cancel = (job: Job) => void this.#cancelJob(job);
     const cancellations = new Cancellations({ ...parts, jobs, cancel });
+    const openJobs = () => jobs.open();
+    const queueRules = (this.#queueRules = new QueueRules({ ...parts, openJobs }));
     jobs.onAdded = (job) => {
+      queueRules.handleAdded(job);
       cancellations.handleAdded(job);
     };
 
@@ -224,7 +228,7 @@
       ...parts,
       runTimes,
       runs,
-      isPlaceable: (step) => advice.isPlaceable(step, this.#queuesByName(), sessions),
+      isPlaceable: (step) => this.#isPlaceable(step),
       ticketOf: (step, worker) => advice.ticketOf(step, worker),
     });
     this.#stateLog = new ServiceStateLog({
@@ -289,7 +293,7 @@
       budget: this.#accounts.budget,
       health: judgesWorkers ? this.#judgement.health : undefined,
       expectedMs: ({ step }) => predictMs(step.spec, step.job.spec.queue),
-      maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts ?? 1,
+      maxAttempts: (queue) => this.#queuesByName().get(queue)?.maxAttempts,
       discardTicket: (step, workerId, ticket) => {
         this.#advice.discard(step, workerId, ticket);
       },
@@ -324,7 +328,7 @@
 
   /** Records the assignments of the service's queues, so that their first jobs need not wait for it. */
   async #recordQueues(signal: AbortSignal): Promise<void> {
-    const own = [...this.#queuesByName().values()].filter(
+    const own = (this.#deps.config()?.queues ?? []).filter(
       ({ service }) => service === this.service,
     );
     for (const queue of own.slice(0, MAX_PREPARED_QUEUES)) {
@@ -524,21 +528,32 @@
     return this.#sessions.load([...this.#jobs.open()], this.#demand.cpu(), predictMs);
   }
 
-  /** Queues of the active configuration by name; rebuilt when the configuration changes. */
-  #queuesByName(): ReadonlyMap<string, Queue> {
+  /** Terms of the queues by name, as of the active configuration; see {@link QueueRules}. */
+  #queuesByName(): ReadonlyMap<string, QueueTerms> {
     const config = this.#deps.config();
     if (config !== this.#indexedConfig) {
       this.#indexedConfig = config;
-      this.#queues = new Map(config?.queues.map((queue) => [queue.name, queue]));
       this.#accounts.configure(config?.accounts);
     }
-    return this.#queues;
+    return this.#queueRules.byName();
   }
 
   #orderRules(): Required<OrderRules> {
     return { hasAccounts: this.#accounts.isActive, predictMs: this.#learning.predictMs };
   }
 
+  /** Whether a step may be placed now, also by the terms of its queue. */
+  #isPlaceable(step: Step): boolean {
+    const queues = this.#queuesByName();
+    // Without its terms, it is unknown whether a task that has failed may run again.
+    if (
+      !queues.has(step.job.spec.queue) &&
+      step.tasks.some(({ failedRuns }) => failedRuns.size > 0)
+    )
+      return false;
+    return this.#advice.isPlaceable(step, queues, this.#sessions);
+  }
+
   /** Requests a placement round. */
   #requestPlacement(): void {
     if (!this.#isClosed) this.#roundTimer.request();
@@ -554,7 +569,7 @@
     const queueOf = (name: string) => queues.get(name);
     const rules = this.#orderRules();
     const waiting = orderWaiting(jobs, queueOf, now, clock.wallTime(), rules).filter(({ step }) =>
-      this.#advice.isPlaceable(step, queues, this.#sessions),
+      this.#isPlaceable(step),
     );
     const steps = waiting.map(({ step }) => step);
     const workers = [...this.#sessions.all()];
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -1,6 +1,7 @@
 import { Result } from 'true-myth';
 import {
   countRange,
+  durationRange,
   isFields,
   isNumberIn,
   isOptionalFlag,
@@ -15,7 +16,15 @@
 import { CrashRole } from './crashSuspects.js';
 import type { Row } from './ports.js';
 import { ENDED_TABLE } from './rows.js';
-import { BatchError, BatchErrorCode, JobState, type JobSpec, type StepSpec } from './types.js';
+import {
+  BatchError,
+  BatchErrorCode,
+  JobState,
+  type JobSpec,
+  type Queue,
+  type QueueTerms,
+  type StepSpec,
+} from './types.js';
 
 /** Maximum number of tasks in all steps of a job; bounds the memory that a job can use. */
 export const MAX_TASKS_PER_JOB = 5_000;
@@ -23,6 +32,9 @@
 /** Shortest time between the occurrences of a job; bounds how fast these can fall due. */
 const MIN_PERIOD_MS = 1;
 
+/** Numbers of failed runs after which a job may fail. */
+const attemptRange: NumberRange = { min: 1, max: Number.MAX_SAFE_INTEGER };
+
 /** Fields of a step that count tasks. */
 const wholeFields = ['maxPerWorker', 'maxAway'] as const;
 
@@ -89,6 +101,17 @@
   return `${fractional} is ${step[fractional]}, expected a whole number of 0 or more`;
 }
 
+/** The part of a queue that is kept with its jobs. */
+export function termsOf({
+  objectiveMs,
+  stretch,
+  priority,
+  maxAttempts,
+  advice,
+}: Queue): QueueTerms {
+  return { objectiveMs, stretch, priority, maxAttempts, ...(advice && { advice }) };
+}
+
 /** Encodes the value of a job row; step fields with default values are omitted. */
 export function encodeJob(spec: JobSpec): string {
   const steps = spec.steps.map((step) => {
@@ -107,7 +130,13 @@
   const steps: unknown = isFields(fields) ? fields.steps : undefined;
   if (!isFields(fields) || !Array.isArray(steps) || !steps.every(isFields))
     return badJobRow('steps');
-  const spec = { ...fields, steps: steps.map((step) => withStepDefaults(step)) };
+  const { terms, ...others } = fields;
+  const spec = {
+    ...others,
+    steps: steps.map((step) => withStepDefaults(step)),
+    // The job can do without terms for as long as the configuration has its queue.
+    ...(isQueueTerms(terms) && { terms }),
+  };
   return isJobSpec(spec) ? Result.ok(spec) : badJobRow('a field');
 }
 
@@ -122,12 +151,13 @@
  */
 export function isJobSpec(value: unknown): value is JobSpec {
   if (!isFields(value)) return false;
-  const { id, queue, payload, steps, account, isBeyondRate } = value;
+  const { id, queue, payload, steps, account, isBeyondRate, terms } = value;
   const { occurrences, firstDueMs, periodMs, acceptedMs } = value;
   return (
     [id, queue, payload].every(isText) &&
     isOptionalText(account) &&
     isOptionalFlag(isBeyondRate) &&
+    (terms === undefined || terms === null || isQueueTerms(terms)) &&
     [occurrences, firstDueMs, periodMs, acceptedMs].every((number) => Number.isFinite(number)) &&
     Array.isArray(steps) &&
     steps.every(isStepSpec) &&
@@ -135,6 +165,18 @@
   );
 }
 
+function isQueueTerms(value: unknown): value is QueueTerms {
+  if (!isFields(value)) return false;
+  const { objectiveMs, stretch, priority, maxAttempts, advice } = value;
+  return (
+    [objectiveMs, stretch, priority].every((number) => Number.isFinite(number)) &&
+    isWholeNumberIn(maxAttempts, attemptRange) &&
+    (advice === undefined ||
+      advice === null ||
+      (isFields(advice) && isNumberIn(advice.ticketLifeMs, durationRange)))
+  );
+}
+
 function isStepSpec(value: unknown): value is StepSpec {
   if (!isFields(value)) return false;
   const hasTypeOf = ([name, example]: [string, unknown]) => {
--- a/src/batch/ordering.ts
+++ b/src/batch/ordering.ts
@@ -8,7 +8,7 @@
 } from '../accounts/index.js';
 import { criticalPathMs, isStepReady, remainingPathMs, type Job, type Step } from './job.js';
 import { declaredMs, type PredictMs } from '../runTimes/index.js';
-import type { JobSpec, Queue, StepSpec } from './types.js';
+import type { JobSpec, QueueTerms, StepSpec } from './types.js';
 
 /** Multiple of the objective beyond which a late job has no value, by the platform's rules. */
 export const OVERDUE_FACTOR = 3;
@@ -54,7 +54,7 @@
 /** Time in milliseconds within which a job should complete. */
 export function objectiveMsOf(
   job: { spec: JobSpec },
-  queue: Queue | undefined,
+  queue: QueueTerms | undefined,
   predictMs: PredictMs = declaredMs,
 ): number {
   const pathMs = criticalPathMs(job.spec, predictMs);
@@ -64,7 +64,7 @@
 /** Times of a submitted job by which its admission is decided. */
 export function jobTimesOf(
   spec: JobSpec,
-  queue: Queue | undefined,
+  queue: QueueTerms | undefined,
   predictMs: PredictMs = declaredMs,
 ): JobTimes {
   const objectiveMs = objectiveMsOf({ spec }, queue, predictMs);
@@ -83,7 +83,7 @@
  */
 export function orderWaiting(
   jobs: Iterable<Job>,
-  queueOf: (name: string) => Queue | undefined,
+  queueOf: (name: string) => QueueTerms | undefined,
   now: number,
   wallTimeMs: number,
   { hasAccounts = false, predictMs = declaredMs }: OrderRules = {},
--- a/src/batch/runControl.ts
+++ b/src/batch/runControl.ts
@@ -90,7 +90,8 @@
   /** Sent as the fencing token with every order. */
   epoch: number;
   jobs: JobTable;
-  maxAttempts: (queue: string) => number;
+  /** Failed runs of a task after which its job fails, by queue; undefined if unknown now. */
+  maxAttempts: (queue: string) => number | undefined;
   /** Undefined where workers are not judged. */
   health?: WorkerHealth;
   /** Expected run time of a task in milliseconds; 0 if unknown. */
@@ -486,7 +487,8 @@
     const members = step.spec.isGang ? step.tasks : [task];
     // The tasks of a gang share run numbers, so one failed attempt is counted once.
     const failedRuns = new Set(members.flatMap((member) => [...member.failedRuns]));
-    if (failedRuns.size >= maxAttempts(step.job.spec.queue)) {
+    const limit = maxAttempts(step.job.spec.queue);
+    if (limit !== undefined && failedRuns.size >= limit) {
       void jobs.close(step.job, JobState.Failed);
       this.stopAll(step.job, 'job_failed');
       return;
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -67,6 +67,11 @@
    * undefined if it was not counted.
    */
   isBeyondRate?: boolean;
+  /**
+   * Terms of the queue when the job was submitted, for the time in which the configuration lacks it;
+   * undefined for a job that an earlier version accepted.
+   */
+  terms?: QueueTerms;
 }
 
 /** Why a job was not accepted, or why it is unknown whether it was. */
@@ -127,13 +132,8 @@
   ticketLifeMs: number;
 }
 
-/** A queue that accepts jobs, and how these are scheduled. */
-export interface Queue {
-  name: string;
-  host: string;
-  pathPrefix: string;
-  /** Service whose workers run the tasks. */
-  service: string;
+/** How the jobs of a queue are scheduled. */
+export interface QueueTerms {
   /** A job's completion objective is `stretch` times its critical path plus this, in ms. */
   objectiveMs: number;
   stretch: number;
@@ -142,6 +142,15 @@
   /** Failed runs of one task after which the job fails. */
   maxAttempts: number;
   advice?: AdvicePolicy;
+}
+
+/** A queue that accepts jobs. */
+export interface Queue extends QueueTerms {
+  name: string;
+  host: string;
+  pathPrefix: string;
+  /** Service whose workers run the tasks. */
+  service: string;
   /** Whether callers need no key; its jobs belong to no client account. */
   isPublic?: boolean;
 }
--- a/src/explain/explainJob.ts
+++ b/src/explain/explainJob.ts
@@ -16,7 +16,7 @@
   type AllowedStarts,
   type Assignment,
 } from '../batch/placement.js';
-import type { JobSpec, Queue, RefusedSubmission } from '../batch/types.js';
+import type { JobSpec, QueueTerms, RefusedSubmission } from '../batch/types.js';
 import { createRun, RunPhase, type Worker } from '../batch/worker.js';
 import type { PlaceDecision, PlaceWaits, ReportedPlaces } from '../places/index.js';
 import type { Standing } from '../workerHealth/index.js';
@@ -48,7 +48,7 @@
   isHeld: (job: Job) => boolean;
   workers: readonly Worker[];
   standingOf: (workerId: string) => Standing;
-  queues: ReadonlyMap<string, Queue>;
+  queues: ReadonlyMap<string, QueueTerms>;
   rules: Required<OrderRules>;
   /** Whether a step of the holder needs no tickets or has them. */
   hasTickets: (step: Step) => boolean;
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -186,6 +186,7 @@
     publicQueues = [],
     limits,
     movedQueues = {},
+    removedQueues = [],
   }: {
     version: number;
     services: string[];
@@ -197,8 +198,11 @@
     limits?: Record<string, Partial<Resources>>;
     /** Services of queues that are not assigned to the service of their name. */
     movedQueues?: Record<string, string>;
+    /** Names of services that have no queue. */
+    removedQueues?: string[];
   }): void {
-    const queues = services.map((service): Queue => {
+    const withQueue = services.filter((service) => !removedQueues.includes(service));
+    const queues = withQueue.map((service): Queue => {
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
       const advice = this.ticketLifeMs > 0 ? { ticketLifeMs: this.ticketLifeMs } : undefined;
       return {
