Keep the address of a worker in the roster up to date

Cause: the roster row of a worker was written once. After a restart under the same id at another address, a later holder called the former address first; an answer of another worker there (421) means that the process has ended, so that its inherited tasks would have been started beside their runs.

Change: the row is written again when the address has changed, and a holder synchronizes with the registrations before it opens the sessions of the roster.

--- a/src/batch/workerSessions.spec.ts
+++ b/src/batch/workerSessions.spec.ts
@@ -267,6 +267,21 @@
       t.deepEqual(rig.violations(), []);
     },
   },
+  {
+    // Guards against a later holder that calls the former address of a worker, finds another worker
+    // there and takes the first one for gone while it still has runs.
+    title: 'the roster has the address at which a worker has started again',
+    rig: { workersPerService: 2 },
+    run: async (t, rig) => {
+      const { restarted } = await restartUnseen(rig);
+      const { id } = restarted.record;
+      restarted.record = { ...restarted.record, address: '10.0.0.9:8080' };
+      rig.register(restarted);
+      await rig.advance(1_000);
+      const row = rig.store.rowsOfPart('roster', 'motions').find(({ key }) => key === id);
+      t.true(row?.value.includes('10.0.0.9:8080'));
+    },
+  },
   {
     // Guards against tasks that wait for a lease to expire although the process that had their runs is
     // known to have ended.
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -75,8 +75,11 @@
 export class WorkerSessions {
   readonly #deps: WorkerSessionsDeps;
   readonly #sessions = new Map<string, Session>();
-  /** Ids of the workers in the stored roster, from which a later holder learns where runs may be. */
-  readonly #roster = new Set<string>();
+  /**
+   * Addresses by id of the workers in the stored roster, from which a later holder learns where runs
+   * may be.
+   */
+  readonly #roster = new Map<string, string>();
   /** Workers that left and may still be registered, by id. */
   readonly #departed = new Map<string, DepartedWorker>();
   #envelope = new WorkerEnvelope();
@@ -129,15 +132,16 @@
   /** Runs the sessions until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#deps;
+    // The registrations come first, because the addresses in the roster may be out of date.
+    this.#syncWithRegistry();
     this.#signal = signal;
     for (const session of this.#sessions.values()) void this.#runSession(session, signal);
-    do this.#syncWithRegistry();
-    while (await clock.sleep(SYNC_INTERVAL_MS, signal));
+    while (await clock.sleep(SYNC_INTERVAL_MS, signal)) this.#syncWithRegistry();
   }
 
   /** Adds a worker of an earlier holder's roster. */
   addFromRoster(record: WorkerRecord): void {
-    this.#roster.add(record.id);
+    this.#roster.set(record.id, record.address);
     if (!this.#sessions.has(record.id)) this.#add(record);
   }
 
@@ -366,7 +370,9 @@
   async #admit(worker: Worker): Promise<void> {
     const { service, place, log, epoch } = this.#deps;
     const { record } = worker;
-    if (!this.#roster.has(record.id)) {
+    // At an address that is out of date, a later holder would find another worker, and take this one
+    // for gone.
+    if (this.#roster.get(record.id) !== record.address) {
       const value = JSON.stringify(record);
       const writes = [{ ...rosterKey(service, record.id), value }];
       if ((await this.#writeRoster({ writes })) !== EntryOutcome.Applied) return;
@@ -375,7 +381,7 @@
         void this.#writeRoster({ removes: [rosterKey(service, record.id)] });
         return;
       }
-      this.#roster.add(record.id);
+      this.#roster.set(record.id, record.address);
     }
     worker.isAdmitted = true;
     log.info('worker_admitted', {
