Count leases of earlier holders on a restarted worker until it answers

A process that has just started has seen no fencing token, so it also accepts orders of earlier holders.

--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -231,9 +231,12 @@
     worker.hasRestarted = true;
     worker.processedUpto = 0;
     worker.durableUpto = 0;
-    // The ends of leases in orders sent until now are on the clock of the earlier process.
-    const latestLeaseEnd = this.#deps.clock.now() + MAX_WORKER_LEASE_LIFE_MS;
-    worker.leasesExpireBy = Math.max(worker.leasesExpireBy, latestLeaseEnd);
+    // The ends of leases in orders sent until now are on the clock of the earlier process, and until it
+    // has seen a fencing token, the new one also accepts orders of earlier holders.
+    const { clock, leases } = this.#deps;
+    const latestLeaseEnd = clock.now() + MAX_WORKER_LEASE_LIFE_MS;
+    const earlierLeaseEnd = leases.endOf(worker.record.id);
+    worker.leasesExpireBy = Math.max(worker.leasesExpireBy, latestLeaseEnd, earlierLeaseEnd);
   }
 
   /** Renews the leases of a worker and processes its reports until it is gone. */
