--- a/src/batch/queueAssignments.ts
+++ b/src/batch/queueAssignments.ts
@@ -122,7 +122,7 @@
         removes: [],
       });
       if (res.isErr) {
-        // The row may have been written all the same.
+        // The row may have been written, so it has to be read again.
         this.invalidate();
         return Result.err(res.error);
       }
--- a/src/batch/takeover.spec.ts
+++ b/src/batch/takeover.spec.ts
@@ -77,7 +77,7 @@
   [1, 4].map((count): Case => {
     return {
       // Guards against tasks that run twice: a zone is cut off with a holder and its workers, and the
-      // successor takes workers that it has never reached for gone once they are not registered any more.
+      // successor treats workers that it has never reached as ended once they are not registered.
       title: `${count} tasks on a worker that is cut off with its holder, and is not registered after ${registrationEndMs} ms, run once`,
       rig: { nodes: 2, workersPerService: 2 },
       run: async (t, rig, holder, [other]) => {
--- a/src/batch/workerSessions.spec.ts
+++ b/src/batch/workerSessions.spec.ts
@@ -269,7 +269,7 @@
   },
   {
     // Guards against a later holder that calls the former address of a worker, finds another worker
-    // there and takes the first one for gone while it still has runs.
+    // there and treats the first one as ended while it still has runs.
     title: 'the roster has the address at which a worker has started again',
     rig: { workersPerService: 2 },
     run: async (t, rig) => {
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -373,8 +373,8 @@
   async #admit(worker: Worker): Promise<void> {
     const { service, place, log, epoch } = this.#deps;
     const { record } = worker;
-    // At an address that is out of date, a later holder would find another worker, and take this one
-    // for gone.
+    // At an address that is out of date, a later holder would find another worker, and treat this one
+    // as ended.
     if (this.#roster.get(record.id) !== record.address) {
       const value = JSON.stringify(record);
       const writes = [{ ...rosterKey(service, record.id), value }];
