--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -14,6 +14,8 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 /** Ports of each process; each has a loopback address of its own. */
 const PORTS = { front: 7_801, ready: 7_802, peers: 7_810 };
+/** Delay until a process that has ended starts again. */
+const RESTART_MS = 500;
 const SCRIPT_LIMIT_MS = 115_000;
 
 /** Exit codes of a script. */
@@ -73,6 +75,11 @@
     'upkeep',
     'sharing',
   ];
+  /** Whether the platform starts a process that has ended again, as DEPLOY.md has it. */
+  restartsProcesses = false;
+  /** Names of the processes that have ended by themselves. */
+  ownEnds = [];
+  #isClosing = false;
   #dir = mkdtempSync(join(tmpdir(), 'review-2-'));
   #command = readRunCommand();
   #cloudAddress;
@@ -135,11 +142,18 @@
       cloud: { address: this.#cloudAddress, ratePerS: 64, duties: [], dutyPerS: 64 },
     };
     writeFileSync(settings, JSON.stringify(fields));
+    const node = { name, ip, settings, address: listen.front, ready: listen.ready, output: '' };
+    this.#spawn(node);
+    this.nodes.push(node);
+    return node;
+  }
+
+  #spawn(node) {
     const [program, ...args] = this.#command;
     const { PATH, HOME } = process.env;
-    const env = { PATH, HOME, BURDOCKNOTCH_CONFIG: settings };
+    const env = { PATH, HOME, BURDOCKNOTCH_CONFIG: node.settings };
     const child = spawn(program === 'node' ? process.execPath : program, args, { cwd: ROOT, env });
-    const node = { name, ip, child, address: listen.front, ready: listen.ready, output: '' };
+    Object.assign(node, { child, hasEnded: false });
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (chunk) => {
         node.output += chunk.toString('utf8');
@@ -147,10 +161,15 @@
     }
     child.once('exit', (code, signal) => {
       node.hasEnded = true;
-      this.record.add(`process ${name} ends: code ${code}, signal ${signal}`);
+      this.record.add(`process ${node.name} ends: code ${code}, signal ${signal}`);
+      if (!this.restartsProcesses || this.#isClosing) return;
+      this.ownEnds.push(node.name);
+      globalThis.setTimeout(() => {
+        if (this.#isClosing) return;
+        this.record.add(`the platform starts ${node.name} again`);
+        this.#spawn(node);
+      }, RESTART_MS);
     });
-    this.nodes.push(node);
-    return node;
   }
 
   /** Waits until all processes are ready and each service has a holder that has loaded its jobs. */
@@ -206,6 +225,7 @@
   }
 
   async close() {
+    this.#isClosing = true;
     for (const { child, hasEnded } of this.nodes) {
       if (hasEnded) continue;
       const ended = new Promise((resolve) => child.once('exit', resolve));
