--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -3,10 +3,10 @@
 import { fileURLToPath } from 'node:url';
 import { runCase } from '../standins-2/deployment.mjs';
 
-const SERVICE = 'standings';
+const SERVICE = 'breakdesk';
 const HOST = 'league.example';
-const PREFIX = '/rank/';
-const EXECUTORS = 9;
+const PREFIX = '/break/';
+const EXECUTORS = 8;
 const EXECUTOR_CPU = 64_000;
 const STEP = { count: 5_000, cpu: 100, memMb: 16, estRuntimeMs: 1_000 };
 /** Time in which the submissions come. */
@@ -33,7 +33,7 @@
       capacity: { cpu: EXECUTOR_CPU, memMb: 262_144, gpus: 0 },
       script: () => ({ ms: STEP.estRuntimeMs, how: 'done' }),
     });
-  const route = { name: 'rank', host: HOST, pathPrefix: PREFIX, service: SERVICE };
+  const route = { name: 'break', host: HOST, pathPrefix: PREFIX, service: SERVICE };
   deployment.configure(1, [route], [SERVICE]);
   for (const name of ['node-1', 'node-2', 'node-3']) await deployment.startNode(name);
   await deployment.waitUntilReady([SERVICE]);
