--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -76,11 +76,15 @@
       record.add("the store's answers take 4 ms");
     }, SLOW_MS);
   }
-  const traffic = submitFor(3_600);
-  await sleep(1_200);
-  configure(3, 'motions');
-  await sleep(1_500);
-  configure(4, 'breakdesk');
+  const traffic = submitFor(4_000);
+  for (const [version, service] of [
+    [3, 'motions'],
+    [4, 'breakdesk'],
+    [5, 'motions'],
+  ]) {
+    await sleep(1_000);
+    configure(version, service);
+  }
   await traffic;
   await Promise.all(pending);
   await sleep(TASK_MS + 4_000);
