Accept a job only if its id was not closed since its claim began

Cause: JobIds.claim checked in one transaction that the id was closed in the other services and opened it in its own in a later one, which required nothing of the first.

The row of the id in the own service is now read before the others are closed, the acceptance requires it to be unchanged and removes a mark, and a mark that exists is written again. A repeated attempt of a gateway uses the assignment in force. The holder also looks for a submission of the same job that was accepted, not only one that is pending, after a claim.

Ruled out: a row for each id (an abandoned claim has to be taken over, with the same marks), marks that stay (an id closed in all services is lost).

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -29,6 +29,7 @@
 import { StoreErrorCode, type Row, type RowKey } from './ports.js';
 import {
   acceptanceConditions,
+  acceptanceRemoves,
   cancellationId,
   endedKey,
   inboxKey,
@@ -210,7 +211,8 @@
     }
     let mayBeAccepted = false;
     do {
-      const { service, host, pathPrefix } = queue;
+      const current = this.#currentQueue(queue);
+      const { service, host, pathPrefix } = current;
       const path = { host, pathPrefix };
       const call = { kind: NodeCallKind.Submit, service, spec, path } as const;
       const res = await holders.call(
@@ -231,7 +233,7 @@
       if (res.isErr ? res.error.mayHaveRun : OPEN_REFUSALS.has(outcome?.reason)) {
         mayBeAccepted = true;
       }
-      const storeOutcome = await this.#submitThroughStore(queue, spec);
+      const storeOutcome = await this.#submitThroughStore(current, spec);
       if (storeOutcome === RefusalReason.Unstorable && !mayBeAccepted)
         return this.#reportRefused(spec, storeOutcome, UNSTORABLE_RETRY_MS);
       if (storeOutcome === RefusalReason.IdInUse)
@@ -256,6 +258,16 @@
     return { outcome: CallOutcome.Unknown, reason: RefusalReason.StoreUnavailable };
   }
 
+  /**
+   * The queue as the configuration in force has it, so that attempts at one submission through several
+   * nodes turn to the same service as soon as these have the same configuration.
+   */
+  #currentQueue(queue: Queue): Queue {
+    const { host, pathPrefix } = queue;
+    const current = this.matchQueue(host, pathPrefix)?.queue;
+    return current?.host === host && current.pathPrefix === pathPrefix ? current : queue;
+  }
+
   #reportAccepted(spec: JobSpec, through: string, tookMs: number): CallAnswer {
     this.#deps.counters.observe('submit_ms', tookMs);
     const took_ms = Math.round(tookMs);
@@ -273,7 +285,7 @@
     if (this.#unresolved.has(id)) return false;
     const keys = [inboxKey, jobKey, endedKey].map((key) => key(service, id));
     const rows = await Promise.all(keys.map((key) => this.#deps.store.readRow(key)));
-    return rows.every((res) => res.isOk && res.value === undefined);
+    return rows.every((res) => res.isOk && (res.value === undefined || isClosedId(res.value)));
   }
 
   #reportRefused(
@@ -304,12 +316,13 @@
     spec: JobSpec,
   ): Promise<CallOutcome | RefusalReason.Unstorable | RefusalReason.IdInUse> {
     if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
-    const id = await this.#deps.ids.claim({ host, pathPrefix }, service, spec);
-    if (id !== IdState.Free) return claimOutcomes[id];
+    const claim = await this.#deps.ids.claim({ host, pathPrefix }, service, spec);
+    if (claim.state !== IdState.Free) return claimOutcomes[claim.state];
+    const { closedVersion } = claim;
     const res = await this.#deps.store.transact({
-      conditions: acceptanceConditions(service, spec.id),
+      conditions: acceptanceConditions(service, spec.id, closedVersion),
       writes: [{ ...inboxKey(service, spec.id), value: encodeJob(spec) }],
-      removes: [],
+      removes: acceptanceRemoves(service, spec.id, closedVersion),
     });
     if (res.isOk) {
       const outcome = res.value;
@@ -328,10 +341,12 @@
 
   /** Determines whether a submission conflicts with its own earlier acceptance. */
   #checkConflict(spec: JobSpec, [row]: Row[]): CallOutcome | RefusalReason.IdInUse {
+    // The row that closed the id is missing, but no row shows which job replaced it.
+    if (!row) return CallOutcome.Unknown;
     if (!this.#deps.keys.isInUse) return CallOutcome.Ok;
-    const owner = row && decodeStoredAccount(row);
+    const owner = decodeStoredAccount(row);
     // An unreadable row may be that of the same job.
-    if (!owner?.isOk) return CallOutcome.Unknown;
+    if (!owner.isOk) return CallOutcome.Unknown;
     return this.#isSameJob(owner.value, spec) ? CallOutcome.Ok : RefusalReason.IdInUse;
   }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -24,7 +24,7 @@
 import { placeSuspects } from './isolation.js';
 import { criticalPathMs, Job, type Step } from './job.js';
 import type { EndedJobRow } from './jobCodec.js';
-import { IdState, type JobIds } from './jobIds.js';
+import { IdState, unsharedClaim, type JobIds } from './jobIds.js';
 import { AcceptanceOutcome, JobTable } from './jobTable.js';
 import { Journal, type TransactionSize } from './journal.js';
 import type { MonitoredStore } from './monitoredStore.js';
@@ -377,15 +377,19 @@
     const { checks, counting } = this.#accounts;
     if (isKnown) return checks.answerKnown(spec);
     const { ids } = this.#deps;
-    const id = path ? await ids.claim(path, this.service, spec) : IdState.Free;
-    if (id === IdState.Taken) return { isAccepted: true };
-    if (id !== IdState.Free) return refusal(claimRefusals[id], UNSTORABLE_RETRY_MS);
-    // Another submission with this id started to be written during the wait.
-    if (this.#jobs.isPending(spec.id)) return this.submit(spec, path);
+    const claim = path ? await ids.claim(path, this.service, spec) : unsharedClaim;
+    if (claim.state === IdState.Taken) return { isAccepted: true };
+    if (claim.state !== IdState.Free)
+      return refusal(claimRefusals[claim.state], UNSTORABLE_RETRY_MS);
+    // Another submission with this id was accepted, or started to be written, during the wait.
+    if (this.#jobs.isPending(spec.id) || this.#jobs.find(spec.id)) return this.submit(spec, path);
     const refused = checks.refuse(spec);
     if (refused) return refused;
     counting.count(spec);
-    const outcome = await this.#jobs.trackAcceptance(spec.id, this.#accept(spec));
+    const outcome = await this.#jobs.trackAcceptance(
+      spec.id,
+      this.#accept(spec, claim.closedVersion),
+    );
     if (outcome !== AcceptanceOutcome.Accepted) counting.uncount(spec);
     switch (outcome) {
       case AcceptanceOutcome.Accepted:
@@ -403,8 +407,8 @@
   }
 
   /** Writes a job, and opens it before anyone who waits for the outcome learns of it. */
-  async #accept(spec: JobSpec): Promise<AcceptanceOutcome> {
-    const outcome = await this.#writeJob(spec);
+  async #accept(spec: JobSpec, closedVersion: number): Promise<AcceptanceOutcome> {
+    const outcome = await this.#writeJob(spec, closedVersion);
     if (outcome === AcceptanceOutcome.Accepted) this.#openJob(spec);
     return outcome;
   }
@@ -438,10 +442,11 @@
     });
   }
 
-  #writeJob(spec: JobSpec): Promise<AcceptanceOutcome> {
+  #writeJob(spec: JobSpec, closedVersion: number): Promise<AcceptanceOutcome> {
     const account = this.#accounts.itemAccount(spec);
     return new Promise((settle) => {
-      this.#journal.append({ ...this.#jobs.acceptanceEntry(spec, settle), account });
+      const entry = this.#jobs.acceptanceEntry(spec, closedVersion, settle);
+      this.#journal.append({ ...entry, account });
     });
   }
 
--- a/src/batch/jobIds.spec.ts
+++ b/src/batch/jobIds.spec.ts
@@ -170,7 +170,51 @@
   },
 ];
 
-for (const { title, run } of cases) {
+/** Times between two attempts, in milliseconds; a claim of an id takes about 20 ms. */
+const ATTEMPT_OFFSETS_MS = [-24, -20, -16, -12, -8, -4, 0, 4, 8, 12, 16, 20, 24];
+
+// Guard against a submission that is accepted by two services: while its queue moves, two attempts at it
+// close the id for each other's service, and then each opens it for its own.
+const concurrentCases = [true, false].flatMap((reachesHolder) =>
+  ATTEMPT_OFFSETS_MS.map((offsetMs): Case => {
+    const path = reachesHolder ? 'the holders' : 'the store';
+    return {
+      title: `attempts for two services, ${offsetMs} ms apart, through ${path}, are one job`,
+      run: async (t, rig, nodes) => {
+        const [lagging, current] = nodes;
+        await submit(rig, lagging, rig.createJob(QUEUE, [{ count: 1 }]));
+        await move(rig, 2, OTHER_SERVICE);
+        await submit(rig, lagging, rig.createJob(QUEUE, [{ count: 1 }]));
+        await move(rig, 3, QUEUE);
+        await submit(rig, lagging, rig.createJob(QUEUE, [{ count: 1 }]));
+        rig.store.delays.set(`${lagging.name} operator`, 60_000);
+        await rig.advance(CONFIG_MS);
+        await move(rig, 4, OTHER_SERVICE);
+        t.is(lagging.node.config?.version, 3);
+        const links = nodes.flatMap(({ name }) => nodes.map((to) => [name, to.name] as const));
+        if (!reachesHolder) for (const [from, to] of links) rig.cutLink(from, to);
+        const spec = rig.createJob(QUEUE, [{ count: 2 }]);
+        const attempt = async (node: RigNode, delayMs: number) => {
+          await rig.clock.sleep(delayMs);
+          return submit(rig, node, spec);
+        };
+        const outcomes = await Promise.all([
+          attempt(lagging, Math.max(0, -offsetMs)),
+          attempt(current, Math.max(0, offsetMs)),
+          rig.advance(8_000),
+        ]);
+        t.false(outcomes.includes(CallOutcome.Refused));
+        for (const [from, to] of links) rig.restoreLink(from, to);
+        t.is(await submit(rig, current, spec), CallOutcome.Ok);
+        await rig.advance(3_000);
+        t.deepEqual(runCounts(rig, spec), [1, 1]);
+        t.is(await stateOf(rig, current, spec), JobState.Succeeded);
+      },
+    };
+  }),
+);
+
+for (const { title, run } of [...cases, ...concurrentCases]) {
   test(title, async (t) => {
     const rig = new BatchRig({ services: SERVICES });
     await rig.ready(SERVICES);
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -4,7 +4,7 @@
 import type { Job } from './job.js';
 import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
 import { encodeEndedJob, encodeJob, isClosedId, type EndedJobRow } from './jobCodec.js';
-import { endedKey, inboxKey, jobKey, progressKey } from './rows.js';
+import { acceptanceRemoves, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
 import { JobState, type JobSpec } from './types.js';
 
 /** How long an ended job stays in memory; covers `status_s`. Its row is kept longer. */
@@ -184,9 +184,14 @@
     return count;
   }
 
-  /** Journal entry with which a job is accepted. */
+  /**
+   * Journal entry with which a job is accepted.
+   *
+   * @param closedVersion - version of the row that closes its id here, see `IdClaim`
+   */
   acceptanceEntry(
     spec: JobSpec,
+    closedVersion: number,
     settle: (outcome: AcceptanceOutcome) => void,
   ): Omit<JournalEntry, 'account'> {
     const { service } = this.#deps;
@@ -198,10 +203,10 @@
       },
       conditions: [
         { ...inboxKey(service, id), version: 0 },
-        { ...endedKey(service, id), version: 0 },
+        { ...endedKey(service, id), version: closedVersion },
       ],
       writes: [{ ...jobKey(service, id), value: encodeJob(spec) }],
-      removes: [],
+      removes: acceptanceRemoves(service, id, closedVersion),
     };
   }
 
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -31,9 +31,24 @@
   key: id,
 });
 
-/** Conditions under which a gateway may write that a service has a job: no row of it exists there. */
-export const acceptanceConditions = (service: string, id: string): RowCondition[] =>
-  [inboxKey, jobKey, endedKey].map((key) => ({ ...key(service, id), version: 0 }));
+/**
+ * Conditions under which a gateway may write that a service has a job: no row of it exists there.
+ *
+ * @param closedVersion - version of the row that closes the id there; 0 if it is not closed
+ */
+export const acceptanceConditions = (
+  service: string,
+  id: string,
+  closedVersion = 0,
+): RowCondition[] => [
+  { ...inboxKey(service, id), version: 0 },
+  { ...jobKey(service, id), version: 0 },
+  { ...endedKey(service, id), version: closedVersion },
+];
+
+/** Rows that are removed when a job is accepted: the one that closes its id, if there is one. */
+export const acceptanceRemoves = (service: string, id: string, closedVersion: number): RowKey[] =>
+  closedVersion === 0 ? [] : [endedKey(service, id)];
 
 /** Table of the rows of {@link assignmentKey}. */
 export const ASSIGNMENT_TABLE = 'assignment';
