Read the rows of a job in order before a refusal under load

A repeated submission could be refused as one that never runs although its job had just ended: the gateway read the three rows that a job may have at the same time, and a job that moves from one to the next meanwhile could be in none of the answers.

The rows are now read in the order in which they are written.

The new case of gatewayRefusals.spec.ts failed before the change.

--- a/src/accounts/gatewayRefusals.spec.ts
+++ b/src/accounts/gatewayRefusals.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
 import { Counters } from '../batch/counters.js';
 import { DecisionLog } from '../batch/decisionLog.js';
 import { CallOutcome, Gateway, type CallAnswer } from '../batch/gateway.js';
@@ -35,6 +36,7 @@
 
 interface Setup {
   store: FakeRowStore;
+  clock: Clock;
   submit: () => Promise<CallAnswer>;
   /** Ends the fault; the gateway has learned of it afterwards. */
   restoreStore: () => Promise<void>;
@@ -86,6 +88,19 @@
     },
     outcomes: [Ok],
   },
+  {
+    title: 'a job that ends while its rows are read is accepted',
+    replies: [hopeless],
+    prepare: ({ store, clock, id, spec }) => {
+      store.put(inboxKey(SERVICE, id), spec);
+      store.delays.set('node inbox', 30);
+      clock.setTimer(20, () => {
+        store.remove(inboxKey(SERVICE, id));
+        store.put(endedKey(SERVICE, id), 'succeeded');
+      });
+    },
+    outcomes: [Ok],
+  },
   {
     title: 'a job is accepted when the rows cannot be read at first',
     replies: [hopeless],
@@ -170,7 +185,15 @@
       await clock.advance(100);
       await read;
     };
-    await prepare?.({ store, submit, restoreStore, failFor, id: spec.id, spec: encodeJob(spec) });
+    await prepare?.({
+      store,
+      clock,
+      submit,
+      restoreStore,
+      failFor,
+      id: spec.id,
+      spec: encodeJob(spec),
+    });
     const answer = await submit();
     t.true(outcomes.includes(answer.outcome), `${answer.outcome}: ${answer.reason ?? ''}`);
     if (answer.outcome !== Refused) return;
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -283,9 +283,12 @@
    */
   async #isCertainlyUnknown(service: string, id: string): Promise<boolean> {
     if (this.#unresolved.has(id)) return false;
-    const keys = [inboxKey, jobKey, endedKey].map((key) => key(service, id));
-    const rows = await Promise.all(keys.map((key) => this.#deps.store.readRow(key)));
-    return rows.every((res) => res.isOk && (res.value === undefined || isClosedId(res.value)));
+    // In the order in which the rows of a job are written, so that one that ends meanwhile is found.
+    for (const key of [inboxKey, jobKey, endedKey]) {
+      const res = await this.#deps.store.readRow(key(service, id));
+      if (res.isErr || (res.value !== undefined && !isClosedId(res.value))) return false;
+    }
+    return true;
   }
 
   #reportRefused(
--- a/src/testing/batchRig/fakeRowStore.ts
+++ b/src/testing/batchRig/fakeRowStore.ts
@@ -65,7 +65,7 @@
   onTransaction: (node: string, tx: Transaction) => void = () => undefined;
   /** Number of calls by kind. */
   readonly calls = { transact: 0, read: 0, feed: 0 };
-  /** Additional delay in milliseconds of reads of parts and feeds, by `NODE TABLE`. */
+  /** Additional delay in milliseconds of reads and feeds, by `NODE TABLE`. */
   readonly delays = new Map<string, number>();
   /** Number of reads of parts and feeds, by `NODE TABLE`. */
   readonly tableReads = new Map<string, number>();
@@ -90,6 +90,13 @@
     this.#wakeWaiters();
   }
 
+  /** Removes a row without conditions. */
+  remove(key: RowKey): void {
+    this.#version++;
+    this.#write({ ...key, value: '', version: this.#version, isRemoved: true });
+    this.#wakeWaiters();
+  }
+
   /** Returns the rows of a part sorted by key. */
   rowsOfPart(table: string, part: string): Row[] {
     return [...this.rows.values()]
@@ -161,11 +168,14 @@
       await this.#clock.sleep(ANSWER_DELAY_MS);
       return undefined;
     };
+    const delayRead = async (table: string): Promise<void> => {
+      const delayMs = this.delays.get(`${node} ${table}`);
+      if (delayMs !== undefined) await this.#clock.sleep(delayMs);
+    };
     const countAndDelayRead = async (table: string): Promise<void> => {
       const name = `${node} ${table}`;
       this.tableReads.set(name, (this.tableReads.get(name) ?? 0) + 1);
-      const delayMs = this.delays.get(name);
-      if (delayMs !== undefined) await this.#clock.sleep(delayMs);
+      await delayRead(table);
     };
     return {
       limits: fakeStoreLimits,
@@ -209,6 +219,7 @@
       },
       readRow: async (key) => {
         this.calls.read++;
+        await delayRead(key.table);
         const err = await applyNodeFault();
         return err ? Result.err(err) : Result.ok(this.rows.get(keyText(key)));
       },
