Count the jobs that a queue left at its former services as pending

Cause: the gateway asked the holder of the queue's present service only. It now asks all services to which the queue was assigned, as recorded, and adds their counts; as long as the assignments have not been read, all services of the configuration. A holder that does not answer makes the count unknown.

The same cause on two related paths: a repeated submission at a node that cannot reach the store was refused although the holder of the former service has the job, and a queue with a new name had no jobs. Jobs now keep the path of their queue, and the holder takes it from there.

--- a/src/accounts/gatewayRefusals.spec.ts
+++ b/src/accounts/gatewayRefusals.spec.ts
@@ -164,7 +164,13 @@
     await clock.advance(20);
     await isRecorded;
     const ids = new JobIds({ ...shared, assignments });
-    const gateway = new Gateway({ ...shared, ids, config: () => undefined, holders });
+    const gateway = new Gateway({
+      ...shared,
+      ids,
+      assignments,
+      config: () => undefined,
+      holders,
+    });
     const spec = rig.createJob(SERVICE, [{}], { account: 'loud' });
     const failFor = (kind: StoreFault, ms: number) => {
       store.faults.set('node', kind);
--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'true-myth/result';
+import { Result } from 'true-myth';
 import {
   compareOwner,
   JobOwner,
@@ -20,13 +20,15 @@
   decodeStoredAccount,
   encodeJob,
   isClosedId,
+  pathOf,
   termsOf,
   type EndedJobRow,
 } from './jobCodec.js';
 import { IdState, type JobIds } from './jobIds.js';
-import { NodeCallKind } from './nodeCalls.js';
+import { NodeCallKind, type NodeAnswer } from './nodeCalls.js';
 import type { MonitoredStore } from './monitoredStore.js';
 import { StoreErrorCode, type Row, type RowKey } from './ports.js';
+import type { QueueAssignments } from './queueAssignments.js';
 import {
   acceptanceConditions,
   acceptanceRemoves,
@@ -42,6 +44,7 @@
   type BatchConfig,
   type JobSpec,
   type Queue,
+  type QueuePath,
   type SubmitOutcome,
 } from './types.js';
 
@@ -110,6 +113,7 @@
   holders: HolderDirectory;
   keys: KeyRegistry;
   ids: JobIds;
+  assignments: Pick<QueueAssignments, 'known'>;
 }
 
 /** Outcomes of a submission whose id another service has, or may have. */
@@ -191,7 +195,7 @@
   /** Submits a job. Reports it as accepted only once it is durable. */
   async submit(queue: Queue, submitted: JobSpec, timeoutMs: number): Promise<CallAnswer> {
     const { clock, holders, counters } = this.#deps;
-    const spec = { ...submitted, terms: termsOf(queue) };
+    const spec = { ...submitted, terms: termsOf(queue), path: pathOf(queue) };
     const startedAt = clock.now();
     const remainingMs = () => timeoutMs - (clock.now() - startedAt);
     const refusal = this.refusalOf(spec);
@@ -200,10 +204,9 @@
     // A node that cannot reach the store probably cannot reach the holder either. Nothing has been
     // sent yet, so the caller can safely be told to retry, and then reaches another node.
     if (refusal) {
-      const status = { kind: NodeCallKind.Status, service: queue.service, job: spec.id } as const;
-      const existing = await holders.call(status, LOOKUP_TIMEOUT_MS);
-      if (existing.isOk && existing.value.state) {
-        if (!this.#isSameJob(existing.value.account, spec))
+      const existing = await this.#findAtHolders(queue, spec.id);
+      if (existing) {
+        if (!this.#isSameJob(existing.account, spec))
           return this.#reportRefused(spec, RefusalReason.IdInUse, UNSTORABLE_RETRY_MS);
         return this.#reportAccepted(spec, 'earlier', clock.now() - startedAt);
       }
@@ -212,9 +215,8 @@
     let mayBeAccepted = false;
     do {
       const current = this.#currentQueue(queue);
-      const { service, host, pathPrefix } = current;
-      const path = { host, pathPrefix };
-      const call = { kind: NodeCallKind.Submit, service, spec, path } as const;
+      const { service } = current;
+      const call = { kind: NodeCallKind.Submit, service, spec } as const;
       const res = await holders.call(
         call,
         Math.min(HOLDER_TIMEOUT_MS, remainingMs() - ANSWER_RESERVE_MS),
@@ -315,11 +317,11 @@
   }
 
   async #submitThroughStore(
-    { service, host, pathPrefix }: Queue,
-    spec: JobSpec,
+    { service }: Queue,
+    spec: JobSpec & { path: QueuePath },
   ): Promise<CallOutcome | RefusalReason.Unstorable | RefusalReason.IdInUse> {
     if (this.#deps.store.isSuspect()) return CallOutcome.Refused;
-    const claim = await this.#deps.ids.claim({ host, pathPrefix }, service, spec);
+    const claim = await this.#deps.ids.claim(spec.path, service, spec);
     if (claim.state !== IdState.Free) return claimOutcomes[claim.state];
     const { closedVersion } = claim;
     const res = await this.#deps.store.transact({
@@ -379,6 +381,28 @@
     return { outcome: CallOutcome.NotFound };
   }
 
+  /** State and account of a job that a holder knows, of the services that may have it. */
+  async #findAtHolders(queue: Queue, job: string): Promise<NodeAnswer | undefined> {
+    const answers = await Promise.all(
+      this.#servicesOf(queue).map((service) => {
+        const call = { kind: NodeCallKind.Status, service, job } as const;
+        return this.#deps.holders.call(call, LOOKUP_TIMEOUT_MS);
+      }),
+    );
+    const found = answers.find((res) => res.isOk && res.value.state !== undefined);
+    return found?.isOk ? found.value : undefined;
+  }
+
+  /**
+   * The queue's service first, then those that may have jobs of it from before it moved. These are all
+   * others as long as the assignments of the queue have not been read.
+   */
+  #servicesOf(queue: Queue): string[] {
+    const all = this.#servicesFor(queue);
+    const known = this.#deps.assignments.known(queue);
+    return known ? all.filter((name) => name === queue.service || known.includes(name)) : all;
+  }
+
   /**
    * The queue's service first, then all others, because the queue may have been assigned to another
    * service since the job was submitted.
@@ -477,15 +501,31 @@
   }
 
   /**
-   * Counts the open jobs of a queue that have not started any task. Refuses if the holder cannot know
-   * all of them.
+   * Counts the open jobs of a queue that have not started any task, also those that were accepted before
+   * it moved to its service. Refuses if a holder cannot know all of them.
    */
   async pending(queue: Queue): Promise<CallAnswer> {
-    const { service, name } = queue;
-    const call = { kind: NodeCallKind.Pending, service, queue: name } as const;
+    const counts = await Promise.all(
+      this.#servicesOf(queue).map((service) => this.#countPending(service, queue)),
+    );
+    let pending = 0;
+    for (const count of counts) {
+      if (count.isErr) {
+        this.#deps.counters.count('refusals', count.error);
+        const retryAfterMs = UNAVAILABLE_RETRY_MS;
+        return { outcome: CallOutcome.Refused, reason: count.error, retryAfterMs };
+      }
+      pending += count.value;
+    }
+    return { outcome: CallOutcome.Ok, pending };
+  }
+
+  async #countPending(service: string, queue: Queue): Promise<Result<number, RefusalReason>> {
+    const { name } = queue;
+    const path = pathOf(queue);
+    const call = { kind: NodeCallKind.Pending, service, queue: name, path } as const;
     const res = await this.#deps.holders.call(call, HOLDER_TIMEOUT_MS);
     const { count, ageMs } = (res.isOk ? res.value.pending : undefined) ?? {};
-    const reason = res.isErr ? RefusalReason.HolderUnreachable : RefusalReason.CountUnknown;
     this.#deps.log.detail('pending', {
       queue: name,
       service,
@@ -493,9 +533,8 @@
       age_ms: ageMs === undefined ? undefined : Math.round(ageMs),
       failure: res.isErr ? res.error.code : undefined,
     });
-    if (count !== undefined) return { outcome: CallOutcome.Ok, pending: count };
-    this.#deps.counters.count('refusals', reason);
-    return { outcome: CallOutcome.Refused, reason, retryAfterMs: UNAVAILABLE_RETRY_MS };
+    if (count !== undefined) return Result.ok(count);
+    return Result.err(res.isErr ? RefusalReason.HolderUnreachable : RefusalReason.CountUnknown);
   }
 }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -42,7 +42,6 @@
 import type { Claim } from './ownership.js';
 import { canHoldTask, mayUseWorker, placeSteps, type Assignment } from './placement.js';
 import type { AdviceClient, WorkerClient } from './ports.js';
-import type { QueuePath } from './queueAssignments.js';
 import { QueueRules } from './queueRules.js';
 import { Recovery } from './recovery.js';
 import { RoundTimer } from './roundDelay.js';
@@ -57,6 +56,7 @@
   type Features,
   type JobSpec,
   type PendingCount,
+  type QueuePath,
   type QueueTerms,
   type SubmitOutcome,
   type WorkerRecord,
@@ -366,23 +366,22 @@
   }
 
   /**
-   * Submits a job. Resolves once the job is durable.
-   *
-   * @param path - queue through which the caller submitted it; undefined if a node of an earlier
-   *   version does not tell, so that only this service is asked for the id
+   * Submits a job. Resolves once the job is durable. If a node of an earlier version does not tell the
+   * path of its queue, only this service is asked for the id.
    */
-  async submit(spec: JobSpec, path?: QueuePath): Promise<SubmitOutcome> {
+  async submit(spec: JobSpec): Promise<SubmitOutcome> {
     if (!this.isLoaded || this.#isClosed) return refusal(RefusalReason.NotHolder, FULL_RETRY_MS);
     const isKnown = await this.#jobs.awaitAcceptance(spec.id);
     const { checks, counting } = this.#accounts;
     if (isKnown) return checks.answerKnown(spec);
     const { ids } = this.#deps;
+    const { path } = spec;
     const claim = path ? await ids.claim(path, this.service, spec) : unsharedClaim;
     if (claim.state === IdState.Taken) return { isAccepted: true };
     if (claim.state !== IdState.Free)
       return refusal(claimRefusals[claim.state], UNSTORABLE_RETRY_MS);
     // Another submission with this id was accepted, or started to be written, during the wait.
-    if (this.#jobs.isPending(spec.id) || this.#jobs.find(spec.id)) return this.submit(spec, path);
+    if (this.#jobs.isPending(spec.id) || this.#jobs.find(spec.id)) return this.submit(spec);
     const refused = checks.refuse(spec);
     if (refused) return refused;
     counting.count(spec);
@@ -501,10 +500,10 @@
    * Number of open jobs of a queue that have not started any task. Unknown while this process may
    * have a successor, or has not seen the jobs that gateways wrote to the store recently.
    */
-  pending(queue: string): PendingCount {
+  pending(queue: string, path?: QueuePath): PendingCount {
     const ageMs = this.#inbox.ageMs();
     if (ageMs > MAX_PENDING_AGE_MS || !this.#deps.canStart()) return { ageMs };
-    return { ageMs, count: this.#jobs.countQueued(queue) };
+    return { ageMs, count: this.#jobs.countQueued(queue, path) };
   }
 
   /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -106,13 +106,13 @@
     if (!holder?.isLoaded) return { isHolder: false };
     switch (call.kind) {
       case NodeCallKind.Submit:
-        return { isHolder: true, submitted: await holder.submit(call.spec, call.path) };
+        return { isHolder: true, submitted: await holder.submit(call.spec) };
       case NodeCallKind.Status:
         return { isHolder: true, ...holder.find(call.job) };
       case NodeCallKind.Cancel:
         return { isHolder: true, isCancelled: await holder.cancel(call.job, call.account) };
       case NodeCallKind.Pending:
-        return { isHolder: true, pending: holder.pending(call.queue) };
+        return { isHolder: true, pending: holder.pending(call.queue, call.path) };
       case NodeCallKind.Vacate:
         return { isHolder: true, vacating: holder.vacate(call.worker, call) };
       case NodeCallKind.Readmit:
--- a/src/batch/jobCodec.ts
+++ b/src/batch/jobCodec.ts
@@ -22,6 +22,7 @@
   JobState,
   type JobSpec,
   type Queue,
+  type QueuePath,
   type QueueTerms,
   type StepSpec,
 } from './types.js';
@@ -112,6 +113,11 @@
   return { objectiveMs, stretch, priority, maxAttempts, ...(advice && { advice }) };
 }
 
+/** What a job keeps of its queue: the path, without the other fields. */
+export function pathOf({ host, pathPrefix }: QueuePath): QueuePath {
+  return { host, pathPrefix };
+}
+
 /** Encodes the value of a job row; step fields with default values are omitted. */
 export function encodeJob(spec: JobSpec): string {
   const steps = spec.steps.map((step) => {
@@ -130,12 +136,14 @@
   const steps: unknown = isFields(fields) ? fields.steps : undefined;
   if (!isFields(fields) || !Array.isArray(steps) || !steps.every(isFields))
     return badJobRow('steps');
-  const { terms, ...others } = fields;
+  const { terms, path, ...others } = fields;
   const spec = {
     ...others,
     steps: steps.map((step) => withStepDefaults(step)),
     // The job can do without terms for as long as the configuration has its queue.
     ...(isQueueTerms(terms) && { terms }),
+    // The job can do without its path for as long as its queue keeps its name.
+    ...(isQueuePath(path) && { path }),
   };
   return isJobSpec(spec) ? Result.ok(spec) : badJobRow('a field');
 }
@@ -151,13 +159,14 @@
  */
 export function isJobSpec(value: unknown): value is JobSpec {
   if (!isFields(value)) return false;
-  const { id, queue, payload, steps, account, isBeyondRate, terms } = value;
+  const { id, queue, payload, steps, account, isBeyondRate, terms, path } = value;
   const { occurrences, firstDueMs, periodMs, acceptedMs } = value;
   return (
     [id, queue, payload].every(isText) &&
     isOptionalText(account) &&
     isOptionalFlag(isBeyondRate) &&
     (terms === undefined || terms === null || isQueueTerms(terms)) &&
+    (path === undefined || path === null || isQueuePath(path)) &&
     [occurrences, firstDueMs, periodMs, acceptedMs].every((number) => Number.isFinite(number)) &&
     Array.isArray(steps) &&
     steps.every(isStepSpec) &&
@@ -165,6 +174,11 @@
   );
 }
 
+/** Whether a value from a row or another node is the path of a queue. */
+export function isQueuePath(value: unknown): value is QueuePath {
+  return isFields(value) && isText(value.host) && isText(value.pathPrefix);
+}
+
 function isQueueTerms(value: unknown): value is QueueTerms {
   if (!isFields(value)) return false;
   const { objectiveMs, stretch, priority, maxAttempts, advice } = value;
--- a/src/batch/jobIds.ts
+++ b/src/batch/jobIds.ts
@@ -2,9 +2,9 @@
 import type { Counters } from './counters.js';
 import { CLOSED_ID, decodeStoredAccount, isClosedId } from './jobCodec.js';
 import type { Row, RowStore } from './ports.js';
-import type { QueueAssignments, QueuePath } from './queueAssignments.js';
+import type { QueueAssignments } from './queueAssignments.js';
 import { acceptanceConditions, endedKey } from './rows.js';
-import type { JobSpec } from './types.js';
+import type { JobSpec, QueuePath } from './types.js';
 
 /** Whether a service may accept a job, as far as other services are concerned. */
 export enum IdState {
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -5,7 +5,7 @@
 import { EntryOutcome, sizeOf, type JournalEntry, type TransactionSize } from './journal.js';
 import { encodeEndedJob, encodeJob, isClosedId, type EndedJobRow } from './jobCodec.js';
 import { acceptanceRemoves, endedKey, inboxKey, jobKey, progressKey } from './rows.js';
-import { JobState, type JobSpec } from './types.js';
+import { JobState, type JobSpec, type QueuePath } from './types.js';
 
 /** How long an ended job stays in memory; covers `status_s`. Its row is kept longer. */
 const ENDED_RETENTION_MS = 180_000;
@@ -175,12 +175,16 @@
     return { entries, hasMore: this.#dirty.size > 0 };
   }
 
-  /** Number of open jobs of a queue that have not started any task. */
-  countQueued(queue: string): number {
+  /**
+   * Number of open jobs of a queue that have not started any task.
+   *
+   * @param name - name of the queue, for jobs that do not tell its path
+   * @param path - undefined if a node of an earlier version asks
+   */
+  countQueued(name: string, path?: QueuePath): number {
     let count = 0;
-    for (const job of this.open()) {
-      if (job.spec.queue === queue && job.state === JobState.Queued) count++;
-    }
+    for (const { spec, state } of this.open())
+      if (state === JobState.Queued && isOfQueue(spec, name, path)) count++;
     return count;
   }
 
@@ -261,3 +265,8 @@
     }
   }
 }
+
+function isOfQueue({ queue, path: own }: JobSpec, name: string, path?: QueuePath): boolean {
+  if (!own || !path) return queue === name;
+  return own.host === path.host && own.pathPrefix === path.pathPrefix;
+}
--- a/src/batch/node.ts
+++ b/src/batch/node.ts
@@ -129,6 +129,7 @@
       config,
       holders: this.#directory,
       keys: this.#keys,
+      assignments: this.#assignments,
     });
     this.#explainer = new JobExplainer({
       clock: deps.clock,
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -13,14 +13,14 @@
   timeRange,
   type NumberRange,
 } from '../validation/index.js';
-import { isJobSpec } from './jobCodec.js';
-import type { QueuePath } from './queueAssignments.js';
+import { isJobSpec, isQueuePath } from './jobCodec.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import {
   JobState,
   RefusalReason,
   type JobSpec,
   type PendingCount,
+  type QueuePath,
   type SubmitOutcome,
 } from './types.js';
 import type { VacateStatus } from './vacating.js';
@@ -52,11 +52,11 @@
 
 /** A call to the holder of a service. */
 export type NodeCall = { service: string } & (
-  | { kind: NodeCallKind.Submit; spec: JobSpec; path?: QueuePath }
+  | { kind: NodeCallKind.Submit; spec: JobSpec }
   | { kind: NodeCallKind.Explain; spec: JobSpec }
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
-  | { kind: NodeCallKind.Pending; queue: string }
+  | { kind: NodeCallKind.Pending; queue: string; path?: QueuePath }
   | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean; relocatesRuns?: boolean }
   | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
   | { kind: NodeCallKind.WorkerGone; worker: string; bornMs: number }
@@ -85,7 +85,6 @@
 function hasFieldsOfKind(call: Record<string, unknown>): boolean {
   switch (call.kind as NodeCallKind) {
     case NodeCallKind.Submit:
-      return isJobSpec(call.spec) && isOptional(call.path, isQueuePath);
     case NodeCallKind.Explain:
       return isJobSpec(call.spec);
     case NodeCallKind.Status:
@@ -93,7 +92,7 @@
     case NodeCallKind.Cancel:
       return isText(call.job) && isOptionalText(call.account);
     case NodeCallKind.Pending:
-      return isText(call.queue);
+      return isText(call.queue) && isOptional(call.path, isQueuePath);
     case NodeCallKind.Vacate:
       return isText(call.worker) && isFlag(call.isUrgent) && isOptionalFlag(call.relocatesRuns);
     case NodeCallKind.Readmit:
@@ -133,10 +132,6 @@
   return value === undefined || value === null || isValid(value);
 }
 
-function isQueuePath(value: unknown): boolean {
-  return isFields(value) && isText(value.host) && isText(value.pathPrefix);
-}
-
 const jobStates: ReadonlySet<unknown> = new Set(Object.values(JobState));
 const refusalReasons: ReadonlySet<unknown> = new Set(Object.values(RefusalReason));
 
--- a/src/batch/queueAssignments.ts
+++ b/src/batch/queueAssignments.ts
@@ -1,18 +1,22 @@
 import { createHash } from 'node:crypto';
 import { Result } from 'true-myth';
+import type { Clock } from '../clock/index.js';
 import { isFields, isTextList, parseJson } from '../validation/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import { StoreError, StoreErrorCode, type Row, type RowStore } from './ports.js';
 import { ASSIGNMENT_TABLE, assignmentKey } from './rows.js';
-import type { BatchConfig, Queue } from './types.js';
+import type { BatchConfig, QueuePath } from './types.js';
+
+/**
+ * Time after which other nodes follow a configuration, in milliseconds. Until then, one with an earlier
+ * configuration may record an assignment that this node has not read.
+ */
+const SETTLE_MS = 5_000;
 
 /** Maximum transactions for recording an assignment: others may record one at the same time. */
 const MAX_ATTEMPTS = 4;
 
-/** What identifies a queue to callers; its name may change with the configuration. */
-export type QueuePath = Pick<Queue, 'host' | 'pathPrefix'>;
-
 interface Assignment {
   services: readonly string[];
   /** Version of the row. */
@@ -24,6 +28,7 @@
 /** Dependencies of {@link QueueAssignments}. */
 export interface QueueAssignmentsDeps {
   store: RowStore;
+  clock: Clock;
   log: DecisionLog;
   counters: Counters;
   config: () => BatchConfig | undefined;
@@ -41,6 +46,8 @@
   readonly #recordings = new Map<string, Promise<Services>>();
   /** Version of the configuration that was in force when the last read was requested. */
   #readVersion: number | undefined;
+  /** Version of the configuration at the last {@link known}, and its monotonic time, in milliseconds. */
+  #seen: { version: number; at: number; isSettled: boolean } | undefined;
   #reading: Promise<Result<undefined, StoreError>> | undefined;
 
   constructor(deps: QueueAssignmentsDeps) {
@@ -72,6 +79,30 @@
     void this.#readOnce();
   }
 
+  /**
+   * Services to which a queue was assigned, as read under the configuration in force. Makes no call that
+   * the caller has to wait for.
+   *
+   * @returns undefined if they have not been read yet; a read is then on its way
+   */
+  known(path: QueuePath): readonly string[] | undefined {
+    const version = this.#deps.config()?.version;
+    if (version === undefined) return undefined;
+    this.#readAgainOnceSettled(version);
+    if (this.#readVersion === version)
+      return this.#assignments.get(this.#keyOf(path))?.services ?? [];
+    if (!this.#reading) void this.#readOnce();
+    return undefined;
+  }
+
+  #readAgainOnceSettled(version: number): void {
+    const now = this.#deps.clock.now();
+    if (this.#seen?.version !== version) this.#seen = { version, at: now, isSettled: false };
+    if (this.#seen.isSettled || now - this.#seen.at < SETTLE_MS) return;
+    this.#seen.isSettled = true;
+    this.invalidate();
+  }
+
   /** Key of the row of a queue; a path can be longer than a key may be. */
   #keyOf({ host, pathPrefix }: QueuePath): string {
     const path = `${host}\n${pathPrefix}`;
--- a/src/batch/types.ts
+++ b/src/batch/types.ts
@@ -43,6 +43,12 @@
   maxAway: number;
 }
 
+/** What identifies a queue to callers; its name and its service may change with the configuration. */
+export interface QueuePath {
+  host: string;
+  pathPrefix: string;
+}
+
 /** A job as submitted by the caller. */
 export interface JobSpec {
   /** Chosen by the caller. */
@@ -67,6 +73,8 @@
    * undefined if it was not counted.
    */
   isBeyondRate?: boolean;
+  /** Path of the queue; undefined for a job that an earlier version accepted. */
+  path?: QueuePath;
   /**
    * Terms of the queue when the job was submitted, for the time in which the configuration lacks it;
    * undefined for a job that an earlier version accepted.
@@ -145,10 +153,8 @@
 }
 
 /** A queue that accepts jobs. */
-export interface Queue extends QueueTerms {
+export interface Queue extends QueueTerms, QueuePath {
   name: string;
-  host: string;
-  pathPrefix: string;
   /** Service whose workers run the tasks. */
   service: string;
   /** Whether callers need no key; its jobs belong to no client account. */
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -186,6 +186,7 @@
     publicQueues = [],
     limits,
     movedQueues = {},
+    queueNames = {},
     removedQueues = [],
   }: {
     version: number;
@@ -198,6 +199,8 @@
     limits?: Record<string, Partial<Resources>>;
     /** Services of queues that are not assigned to the service of their name. */
     movedQueues?: Record<string, string>;
+    /** Names of queues that are not named after a service, by the service that has their path. */
+    queueNames?: Record<string, string>;
     /** Names of services that have no queue. */
     removedQueues?: string[];
   }): void {
@@ -206,7 +209,7 @@
       const limits = { objectiveMs: 600, stretch: 1.6, priority: 0, maxAttempts };
       const advice = this.ticketLifeMs > 0 ? { ticketLifeMs: this.ticketLifeMs } : undefined;
       return {
-        name: service,
+        name: queueNames[service] ?? service,
         host: 'host',
         pathPrefix: `/${service}/`,
         service: movedQueues[service] ?? service,
