Empty the worker that runs on a VM now before planned work

Cause: the wave kept the id of the worker with which it had begun, and the holder took a worker that it did not know for an empty VM. Moves did the same.

The fleet node now follows the vendor's list until the order. As the list may be older than the new worker, the holder answers for the VM: workers that were added since the listed one was last known to run are held back and must have no runs.

Ruled out: only looking up the listed worker (leaves the age of the list), matching by labels (they may change after a crash), waiting (orders nothing).

Two specs deliver a call by its new fields.

--- a/src/batch/fleetView.ts
+++ b/src/batch/fleetView.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock/index.js';
+import { elapsedMs, type Clock } from '../clock/index.js';
 import type { Counters } from './counters.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { HolderDirectory } from './holderDirectory.js';
@@ -23,6 +23,7 @@
   readonly #deps: FleetViewDeps;
   #byName: ReadonlyMap<string, ListedVm> = new Map();
   #listedAt = -Infinity;
+  #listedWallTime = -Infinity;
   #isComplete = false;
   #loads = new Map<string, ServiceLoad>();
   /** Load of the workers by id, for each service. */
@@ -42,6 +43,15 @@
     return this.#listedAt;
   }
 
+  /**
+   * Milliseconds since the list was requested. Also considers wall-clock time, because the monotonic clock
+   * stops while the VM is suspended.
+   */
+  listAgeMs(): number {
+    const moment = { monotonicMs: this.#listedAt, wallMs: this.#listedWallTime };
+    return elapsedMs(this.#deps.clock, moment);
+  }
+
   /** Loads by service, without those whose holders did not respond. */
   loads(): ReadonlyMap<string, ServiceLoad> {
     return this.#loads;
@@ -73,6 +83,7 @@
   async refreshList(maxAgeMs: number): Promise<boolean> {
     const { vms, clock, log, counters } = this.#deps;
     const requestedAt = clock.now();
+    const requestedWallTime = clock.wallTime();
     if (requestedAt - this.#listedAt < maxAgeMs) return true;
     const res = await vms.list();
     if (res.isErr) {
@@ -88,6 +99,7 @@
     }
     this.#byName = new Map(listed.map((vm) => [vm.vm, vm]));
     this.#listedAt = requestedAt;
+    this.#listedWallTime = requestedWallTime;
     return true;
   }
 
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -61,7 +61,7 @@
   type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
-import { Vacating, type VacateOptions, type VacateStatus } from './vacating.js';
+import { Vacating, type ListedOnVm, type VacateOptions, type VacateStatus } from './vacating.js';
 import { isPoolMember } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
@@ -207,7 +207,10 @@
       sessions,
     }));
     const hasSeenAllRuns = () => recovery.hasCompleteView();
-    this.#vacating = new Vacating({ ...parts, runs, sessions, hasSeenAllRuns });
+    const vacating = (this.#vacating = new Vacating({ ...parts, runs, sessions, hasSeenAllRuns }));
+    sessions.onAdded = (worker) => {
+      vacating.handleAdded(worker);
+    };
     this.#inbox = new Inbox({
       ...parts,
       jobs,
@@ -506,19 +509,22 @@
     return { ageMs, count: this.#jobs.countQueued(queue, path) };
   }
 
-  /** Drains a worker for planned work. Must be repeated until it is ready, as requests expire. */
-  vacate(workerId: string, how: VacateOptions): VacateStatus {
-    return this.#vacating.request(workerId, how);
+  /**
+   * Empties a VM for planned work. Must be repeated until the work has begun, as requests expire and the
+   * worker of the VM may change.
+   */
+  vacate(vm: ListedOnVm, how: VacateOptions): VacateStatus {
+    return this.#vacating.request(vm, how);
   }
 
-  /** Makes a worker available for new tasks again. */
-  readmit(workerId: string): void {
-    this.#vacating.cancel(workerId);
+  /** Makes the worker of a VM available for new tasks again. */
+  readmit(vm: string): void {
+    this.#vacating.cancel(vm);
   }
 
-  /** Handles the notice that planned work has ended all runs on a worker. */
-  handleRunsEnded(workerId: string): void {
-    this.#vacating.ended(workerId);
+  /** Handles the notice that planned work has ended all runs on the worker of a VM. */
+  handleRunsEnded(vm: string, workerId: string | undefined): void {
+    this.#vacating.ended(vm, workerId);
   }
 
   /** Handles the notice that no VM runs a worker any more. */
--- a/src/batch/holderDirectory.ts
+++ b/src/batch/holderDirectory.ts
@@ -4,7 +4,6 @@
 import { LinkErrorCode, type NodeTransport } from './links.js';
 import { decodeNodeAnswer, NodeCallKind, type NodeAnswer, type NodeCall } from './nodeCalls.js';
 import type { Ownership } from './ownership.js';
-import type { VacateOptions, VacateStatus } from './vacating.js';
 
 /** Codes of {@link HolderCallError}. */
 export enum HolderCallErrorCode {
@@ -61,34 +60,6 @@
     return this.#callError(service, wasSent ? NoAnswer : Unreachable);
   }
 
-  /**
-   * Asks the holder of a service to drain a worker for planned work.
-   *
-   * @param how - whether short tasks may be ended, and whether those with a checkpoint are resumed on
-   *   other workers
-   * @returns progress of the drain; undefined when the holder did not answer
-   */
-  async vacate(
-    service: string,
-    worker: string,
-    how: VacateOptions,
-    timeoutMs: number,
-  ): Promise<VacateStatus | undefined> {
-    const call = { kind: NodeCallKind.Vacate, service, worker, ...how } as const;
-    const res = await this.call(call, timeoutMs);
-    return res.isOk ? res.value.vacating : undefined;
-  }
-
-  /** Tells the holder of a service how planned work on a worker ended, if there is a worker. */
-  async notify(
-    kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
-    service: string,
-    worker: string | undefined,
-    timeoutMs: number,
-  ): Promise<void> {
-    if (worker !== undefined) await this.call({ kind, service, worker }, timeoutMs);
-  }
-
   #checkHolder(service: string, answer: NodeAnswer): Result<NodeAnswer, HolderCallError> {
     if (answer.isHolder) return Result.ok(answer);
     return this.#callError(service, HolderCallErrorCode.NotHolder);
@@ -114,12 +85,12 @@
       case NodeCallKind.Pending:
         return { isHolder: true, pending: holder.pending(call.queue, call.path) };
       case NodeCallKind.Vacate:
-        return { isHolder: true, vacating: holder.vacate(call.worker, call) };
+        return { isHolder: true, vacating: holder.vacate(call, call) };
       case NodeCallKind.Readmit:
-        holder.readmit(call.worker);
+        holder.readmit(call.vm);
         return { isHolder: true };
       case NodeCallKind.RunsEnded:
-        holder.handleRunsEnded(call.worker);
+        holder.handleRunsEnded(call.vm, call.worker);
         return { isHolder: true };
       case NodeCallKind.WorkerGone:
         holder.handleWorkerGone(call.worker, call.bornMs);
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -23,7 +23,7 @@
   type QueuePath,
   type SubmitOutcome,
 } from './types.js';
-import type { VacateStatus } from './vacating.js';
+import type { ListedOnVm, VacateOptions, VacateStatus } from './vacating.js';
 
 /** Codes of {@link NodeCallError}. */
 export enum NodeCallErrorCode {
@@ -41,7 +41,7 @@
   Pending = 'pending',
   Vacate = 'vacate',
   Readmit = 'readmit',
-  /** Planned work has ended all runs on a worker. */
+  /** Planned work has ended all runs on the worker of a VM. */
   RunsEnded = 'ended',
   /** No VM runs a worker any more. */
   WorkerGone = 'gone',
@@ -57,8 +57,9 @@
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string; path?: QueuePath }
-  | { kind: NodeCallKind.Vacate; worker: string; isUrgent: boolean; relocatesRuns?: boolean }
-  | { kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded; worker: string }
+  | ({ kind: NodeCallKind.Vacate } & ListedOnVm & VacateOptions)
+  | { kind: NodeCallKind.Readmit; vm: string }
+  | { kind: NodeCallKind.RunsEnded; vm: string; worker?: string }
   | { kind: NodeCallKind.WorkerGone; worker: string; bornMs: number }
   | { kind: NodeCallKind.Load }
 );
@@ -94,10 +95,17 @@
     case NodeCallKind.Pending:
       return isText(call.queue) && isOptional(call.path, isQueuePath);
     case NodeCallKind.Vacate:
-      return isText(call.worker) && isFlag(call.isUrgent) && isOptionalFlag(call.relocatesRuns);
+      return (
+        isText(call.vm) &&
+        isOptionalText(call.worker) &&
+        isNumberIn(call.listAgeMs, ageRange) &&
+        isFlag(call.isUrgent) &&
+        isOptionalFlag(call.relocatesRuns)
+      );
     case NodeCallKind.Readmit:
+      return isText(call.vm);
     case NodeCallKind.RunsEnded:
-      return isText(call.worker);
+      return isText(call.vm) && isOptionalText(call.worker);
     case NodeCallKind.WorkerGone:
       return isText(call.worker) && isNumberIn(call.bornMs, timeRange);
     case NodeCallKind.Load:
--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -5,7 +5,6 @@
 import type { HolderDirectory } from './holderDirectory.js';
 import type { FleetView } from './fleetView.js';
 import { headKey } from './journal.js';
-import { NodeCallKind } from './nodeCalls.js';
 import { FLEET_SERVICE, type Claim } from './ownership.js';
 import {
   VmOrderAnswer,
@@ -16,7 +15,8 @@
   type StoreError,
   type VmClient,
 } from './ports.js';
-import type { WaveSpec } from './types.js';
+import type { Service, WaveSpec } from './types.js';
+import { VmEmptying, type EmptiedVm } from './vmEmptying.js';
 
 /** Expected time to take one VM through maintenance, including the wait for its tasks. */
 const EXPECTED_MAINTENANCE_MS = 3_500;
@@ -57,16 +57,14 @@
   clock: Clock;
   log: DecisionLog;
   counters: Counters;
+  services: () => readonly Service[];
   waves: () => Iterable<RequestedWave>;
   /** Whether orders may be sent to the vendor. */
   canStart: () => boolean;
 }
 
 /** A VM that is being emptied or is under maintenance. */
-interface VmMaintenance {
-  vm: string;
-  pool: string;
-  worker: string | undefined;
+interface VmMaintenance extends EmptiedVm {
   /** Whether the order was sent and may have been carried out. */
   isOrdered: boolean;
   /** Whether the vendor accepted the order. */
@@ -106,11 +104,13 @@
 /** Carries out maintenance waves: empties VMs, orders their maintenance, and reports progress. */
 export class MaintenanceWaves {
   readonly #deps: MaintenanceWavesDeps;
+  readonly #emptying: VmEmptying;
   readonly #waves = new Map<string, WaveProgress>();
   #finished: Set<string> | undefined;
 
   constructor(deps: MaintenanceWavesDeps) {
     this.#deps = deps;
+    this.#emptying = new VmEmptying({ ...deps, callTimeoutMs: CALL_TIMEOUT_MS });
   }
 
   /** Whether a wave is in progress. */
@@ -196,6 +196,7 @@
     }
     const listed = this.#deps.view.byName();
     await this.#removeFinished(wave, listed);
+    for (const maintenance of inProgress.values()) this.#followWorker(maintenance);
     for (const vm of this.#nextVms(wave, listed, isExcluded)) {
       const { vm: id, pool, worker } = vm;
       const initialState = {
@@ -241,7 +242,7 @@
         isUp && this.#deps.view.listedAt > maintenance.orderedAt + START_TIMEOUT_MS;
       if (vm && !(maintenance.isConfirmed && isListedSince && (isBack || wasDoneEarlier))) continue;
       inProgress.delete(id);
-      if (!hasBegun) await this.#notifyHolder(maintenance, NodeCallKind.Readmit);
+      if (!hasBegun) await this.#emptying.readmit(maintenance);
       this.#deps.log.info('upkeep_over', { wave: spec.id, vm: id, listed: vm !== undefined });
     }
   }
@@ -249,7 +250,16 @@
   async #notifyEnded(maintenance: VmMaintenance): Promise<void> {
     if (maintenance.isHolderNotified) return;
     maintenance.isHolderNotified = true;
-    await this.#notifyHolder(maintenance, NodeCallKind.RunsEnded);
+    await this.#emptying.reportEnded(maintenance);
+  }
+
+  /**
+   * Turns to the worker with which a VM is listed now, unless its maintenance has been ordered: the vendor
+   * then says whether it took place.
+   */
+  #followWorker(maintenance: VmMaintenance): void {
+    if (maintenance.isOrdered) return;
+    maintenance.worker = this.#emptying.workerOf(maintenance);
   }
 
   /**
@@ -316,7 +326,10 @@
     isUrgent: boolean,
   ): Promise<void> {
     if (maintenance.isConfirmed) return;
-    if (!maintenance.isOrdered && !(await this.#isEmptied(maintenance, isUrgent))) return;
+    if (!maintenance.isOrdered) {
+      const status = await this.#emptying.request(maintenance, { isUrgent });
+      if (!status?.isReady) return;
+    }
     const { vms, claim, log, counters, canStart } = this.#deps;
     if (!canStart()) return;
     maintenance.isOrdered = true;
@@ -346,20 +359,7 @@
     wave.inProgress.delete(maintenance.vm);
     const isNotInWave = answer === VmOrderAnswer.OtherWave || answer === VmOrderAnswer.NoSuchVm;
     if (isNotInWave) await this.#recordDone(wave, maintenance.vm);
-    await this.#notifyHolder(maintenance, NodeCallKind.Readmit);
-  }
-
-  async #isEmptied({ pool, worker }: VmMaintenance, isUrgent: boolean): Promise<boolean> {
-    if (worker === undefined) return true;
-    const status = await this.#deps.holders.vacate(pool, worker, { isUrgent }, CALL_TIMEOUT_MS);
-    return status?.isReady === true;
-  }
-
-  #notifyHolder(
-    { pool, worker }: VmMaintenance,
-    kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
-  ): Promise<void> {
-    return this.#deps.holders.notify(kind, pool, worker, CALL_TIMEOUT_MS);
+    await this.#emptying.readmit(maintenance);
   }
 
   /** Adds a VM to those that need no further order, and stores these for a later holder. */
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -6,16 +6,28 @@
 import { RunPhase, type Run, type Worker } from './worker.js';
 import type { WorkerSessions } from './workerSessions.js';
 
-/** A request to empty a worker expires unless it is repeated within this time. */
+/** A request to empty a VM expires unless it is repeated within this time. */
 const REQUEST_TTL_MS = 3_000;
 
+/** Longest time that a request is under way; the answer to a slower one is ignored. */
+const MAX_TRANSIT_MS = 500;
+
 /** Maximum time from a stop order to the end of its run; the platform's `stopMs`. */
 const MAX_STOP_MS = 1_500;
 
 /** Progress in percent from which a task is left to finish, as ending and resuming it takes longer. */
 const NEARLY_DONE_PERCENT = 75;
 
-/** How a worker is emptied. */
+/** A VM that is to be emptied, as its vendor last listed it. */
+export interface ListedOnVm {
+  vm: string;
+  /** Id of the worker that runs on it; undefined if none does. */
+  worker?: string;
+  /** Time since the list was requested, in milliseconds. */
+  listAgeMs: number;
+}
+
+/** How a VM is emptied. */
 export interface VacateOptions {
   /** Whether short tasks may be ended by the planned work. */
   isUrgent: boolean;
@@ -23,7 +35,7 @@
   relocatesRuns?: boolean;
 }
 
-/** Progress of emptying a worker. */
+/** Progress of emptying a VM. */
 export interface VacateStatus {
   /** Whether planned work may interrupt what still runs there. */
   isReady: boolean;
@@ -31,6 +43,18 @@
   runs: number;
 }
 
+interface VacateRequest {
+  /** Id of the worker with which the VM was last listed, if any. */
+  worker?: string;
+  /** Monotonic time at which it was certainly listed so, in milliseconds. */
+  listedAt: number;
+  /** Monotonic time at which it was last made, in milliseconds. */
+  at: number;
+  relocatesRuns: boolean;
+  /** Workers that may run on the VM instead; they get no runs. */
+  possibleReplacements: Set<Worker>;
+}
+
 /** Dependencies of {@link Vacating}. */
 export interface VacatingDeps {
   clock: Clock;
@@ -42,14 +66,18 @@
 }
 
 /**
- * Empties workers before planned work and while they drain. Long-running tasks are stopped so that
+ * Empties VMs before planned work, and workers while they drain. Long-running tasks are stopped so that
  * they restart elsewhere, for planned work only within the `maxAway` of their step; short tasks are
  * left to finish.
+ *
+ * A VM is known by the worker that it was last listed with. That worker may have crashed since, and another
+ * one may run on the VM under an id that nobody has connected with it yet. So a worker that is new since
+ * the listed one was known to run counts as being on the VM, too.
  */
 export class Vacating {
   readonly #deps: VacatingDeps;
-  /** Last request by worker id, with its monotonic time in milliseconds. */
-  readonly #requests = new Map<string, { at: number; relocatesRuns: boolean }>();
+  /** Last request by VM. */
+  readonly #requests = new Map<string, VacateRequest>();
   /** Workers reported as ready, whose runs planned work may end at any moment. */
   readonly #readyWorkers = new Set<Worker>();
 
@@ -57,52 +85,125 @@
     this.#deps = deps;
   }
 
-  /** Requests that a worker be emptied. With `isUrgent`, it does not wait for short tasks. */
-  request(workerId: string, { isUrgent, relocatesRuns = false }: VacateOptions): VacateStatus {
-    const worker = this.#deps.sessions.get(workerId);
-    if (!worker) return { isReady: this.#deps.hasSeenAllRuns(), runs: 0 };
-    worker.isVacating = true;
-    this.#requests.set(workerId, { at: this.#deps.clock.now(), relocatesRuns });
+  /** Requests that a VM be emptied. With `isUrgent`, it does not wait for short tasks. */
+  request(
+    { vm, worker: workerId, listAgeMs }: ListedOnVm,
+    { isUrgent, relocatesRuns = false }: VacateOptions,
+  ): VacateStatus {
+    const { hasSeenAllRuns, clock } = this.#deps;
+    const now = clock.now();
+    const previous = this.#requests.get(vm);
+    const isSame = previous !== undefined && previous.worker === workerId;
+    if (!isSame) this.cancel(vm);
+    const request: VacateRequest = {
+      worker: workerId,
+      listedAt: now - listAgeMs - MAX_TRANSIT_MS,
+      at: now,
+      relocatesRuns,
+      possibleReplacements: isSame ? previous.possibleReplacements : new Set(),
+    };
+    this.#requests.set(vm, request);
+    this.#updateReplacements(request);
+    const worker = this.#workerOf(request);
+    if (worker) worker.isVacating = true;
     this.proceed();
-    const runs = [...worker.runs.values()];
-    const mayHaveUnseenRuns = !worker.isAdmitted && !this.#deps.hasSeenAllRuns();
+    const runs = [...(worker?.runs.values() ?? [])];
+    const replacementRuns = [...request.possibleReplacements].flatMap((its) => [
+      ...its.runs,
+    ]).length;
+    const mayHaveUnseenRuns = worker?.isAdmitted !== true && !hasSeenAllRuns();
     const isBlocked =
       mayHaveUnseenRuns ||
+      replacementRuns > 0 ||
       runs.some(
         (run) =>
           run.phase === RunPhase.Starting ||
           !this.#mayStopAll(run) ||
           !(isUrgent || isLasting(run)),
       );
-    if (isBlocked) this.#readyWorkers.delete(worker);
-    else this.#readyWorkers.add(worker);
-    return { isReady: !isBlocked, runs: runs.length };
+    if (worker && isBlocked) this.#readyWorkers.delete(worker);
+    else if (worker) this.#readyWorkers.add(worker);
+    return { isReady: !isBlocked, runs: runs.length + replacementRuns };
+  }
+
+  #workerOf({ worker }: VacateRequest): Worker | undefined {
+    return worker === undefined ? undefined : this.#deps.sessions.get(worker);
+  }
+
+  /** Handles a new worker, which may run on one of the VMs that are being emptied. */
+  handleAdded(worker: Worker): void {
+    for (const request of this.#requests.values()) {
+      if (request.worker === worker.record.id) worker.isVacating = true;
+      else this.#updateReplacements(request);
+    }
+  }
+
+  /**
+   * Holds back the workers that may run on the VM of a request: those that were added since it was listed,
+   * and since the worker that it was listed with last answered.
+   */
+  #updateReplacements(request: VacateRequest): void {
+    const { sessions, log } = this.#deps;
+    const listed = this.#workerOf(request);
+    const knownAt = Math.max(request.listedAt, listed?.aliveAt ?? -Infinity);
+    const earlier = request.possibleReplacements;
+    if (sessions.lastAddedAt <= knownAt && earlier.size === 0) return;
+    const present = [...sessions.all()].filter(
+      ({ record, addedAt }) => addedAt > knownAt && record.id !== request.worker,
+    );
+    request.possibleReplacements = new Set(present);
+    for (const worker of earlier)
+      if (!request.possibleReplacements.has(worker)) this.#release(worker);
+    for (const worker of present) {
+      worker.isVacating = true;
+      if (earlier.has(worker)) continue;
+      log.info('worker_held_back', { worker: worker.record.id, listed: request.worker });
+      if (listed?.unansweredCalls === 0) sessions.requestAnswer(listed.record.id);
+    }
+  }
+
+  /** Lets a worker receive runs again, unless another request is about it. */
+  #release(worker: Worker): void {
+    const { id } = worker.record;
+    const requests = [...this.#requests.values()];
+    worker.isVacating = requests.some(
+      (request) => request.worker === id || request.possibleReplacements.has(worker),
+    );
+    if (!worker.isVacating) this.#readyWorkers.delete(worker);
   }
 
-  /** Handles the notice that planned work has ended all runs on a worker. */
-  ended(workerId: string): void {
-    const worker = this.#deps.sessions.get(workerId);
+  /** Handles the notice that planned work has ended all runs on the worker of a VM. */
+  ended(vm: string, workerId: string | undefined): void {
+    const worker = workerId === undefined ? undefined : this.#deps.sessions.get(workerId);
     if (worker) this.#deps.runs.dropWorker(worker, 'planned_work');
-    this.cancel(workerId);
+    this.cancel(vm);
   }
 
-  /** Cancels the request, so that the worker receives runs again. */
-  cancel(workerId: string): void {
-    this.#requests.delete(workerId);
-    const worker = this.#deps.sessions.get(workerId);
-    if (!worker) return;
-    worker.isVacating = false;
-    this.#readyWorkers.delete(worker);
+  /** Cancels the request, so that the workers of the VM receive runs again. */
+  cancel(vm: string): void {
+    const request = this.#requests.get(vm);
+    if (!request) return;
+    this.#requests.delete(vm);
+    const worker = this.#workerOf(request);
+    if (worker) this.#release(worker);
+    for (const replacement of request.possibleReplacements) this.#release(replacement);
   }
 
   /** Expires old requests and stops long-running tasks where allowed; called periodically. */
   proceed(): void {
     const now = this.#deps.clock.now();
-    for (const [id, { at }] of this.#requests) if (now - at > REQUEST_TTL_MS) this.cancel(id);
-    for (const worker of this.#deps.sessions.all()) {
-      if (worker.isVacating || worker.record.isDraining) this.#stopLastingRuns(worker);
-      if (this.#requests.get(worker.record.id)?.relocatesRuns) this.#relocateShortRuns(worker);
+    for (const [vm, request] of this.#requests) {
+      if (now - request.at > REQUEST_TTL_MS) this.cancel(vm);
+      else if (request.possibleReplacements.size > 0) this.#updateReplacements(request);
+    }
+    for (const request of this.#requests.values()) {
+      const worker = this.#workerOf(request);
+      if (!worker) continue;
+      this.#stopLastingRuns(worker);
+      if (request.relocatesRuns) this.#relocateShortRuns(worker);
     }
+    for (const worker of this.#deps.sessions.all())
+      if (worker.record.isDraining) this.#stopLastingRuns(worker);
   }
 
   #stopLastingRuns(worker: Worker): void {
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -9,9 +9,9 @@
 import type { DecisionLog } from './decisionLog.js';
 import { HOLDER_CALL_TIMEOUT_MS, type FleetView } from './fleetView.js';
 import type { HolderDirectory } from './holderDirectory.js';
-import { NodeCallKind } from './nodeCalls.js';
 import { VmOrderAnswer, VmState, type VmClient } from './ports.js';
 import type { Service } from './types.js';
+import { VmEmptying, type EmptiedVm } from './vmEmptying.js';
 
 /** Time after which a move is cancelled if the VM's worker has not become empty. */
 const VACATE_TIMEOUT_MS = 800;
@@ -54,6 +54,7 @@
 /** Moves VMs between pools. A VM is emptied before it is moved. */
 export class VmMover {
   readonly #deps: VmMoverDeps;
+  readonly #emptying: VmEmptying;
   readonly #moves = new Map<string, Move>();
   /** Monotonic time since which each VM has been empty, in milliseconds. */
   readonly #emptySince = new Map<string, number>();
@@ -63,6 +64,7 @@
 
   constructor(deps: VmMoverDeps) {
     this.#deps = deps;
+    this.#emptying = new VmEmptying({ ...deps, callTimeoutMs: HOLDER_CALL_TIMEOUT_MS });
   }
 
   /** Whether a VM is being moved. */
@@ -163,10 +165,11 @@
       const isListedSince = view.listedAt > (move.orderedAt ?? Infinity);
       if (hasBegun && isListedSince && !move.isHolderNotified) {
         move.isHolderNotified = true;
-        await this.#notifyHolder(move, NodeCallKind.RunsEnded);
+        await this.#emptying.reportEnded(emptiedVm(move));
       }
       return;
     }
+    if (move.orderedAt === undefined) move.worker = this.#emptying.workerOf(emptiedVm(move));
     if (move.orderedAt === undefined && !(await this.#isEmptied(move))) {
       const limitMs = move.hasRuns ? RELOCATE_TIMEOUT_MS : VACATE_TIMEOUT_MS;
       if (clock.now() - move.startedAt > limitMs) await this.#giveUp(move, 'not_empty');
@@ -191,24 +194,21 @@
     counters.count('moves_given_up', reason);
     this.#moves.delete(move.vm);
     this.#pausedUntil.set(move.vm, clock.now() + REFUSED_PAUSE_MS);
-    await this.#notifyHolder(move, NodeCallKind.Readmit);
+    await this.#emptying.readmit(emptiedVm(move));
   }
 
-  async #isEmptied({ from, worker, hasRuns }: Move): Promise<boolean> {
-    if (worker === undefined || this.#isStandby(from)) return true;
-    const how = { isUrgent: false, relocatesRuns: hasRuns };
-    const status = await this.#deps.holders.vacate(from, worker, how, HOLDER_CALL_TIMEOUT_MS);
+  async #isEmptied(move: Move): Promise<boolean> {
+    if (this.#isStandby(move.from)) return true;
+    const how = { isUrgent: false, relocatesRuns: move.hasRuns };
+    const status = await this.#emptying.request(emptiedVm(move), how);
     return status?.isReady === true && status.runs === 0;
   }
 
   #isStandby(service: string): boolean {
     return this.#deps.services().some(({ name, isStandby }) => name === service && isStandby);
   }
+}
 
-  #notifyHolder(
-    { from, worker }: Move,
-    kind: NodeCallKind.Readmit | NodeCallKind.RunsEnded,
-  ): Promise<void> {
-    return this.#deps.holders.notify(kind, from, worker, HOLDER_CALL_TIMEOUT_MS);
-  }
+function emptiedVm({ vm, from, worker }: Move): EmptiedVm {
+  return { vm, pool: from, worker };
 }
--- a/src/batch/worker.ts
+++ b/src/batch/worker.ts
@@ -118,8 +118,12 @@
   hasRestarted = false;
   /** Whether it is permanently gone. */
   isGone = false;
-  /** Whether it is being emptied for planned work. */
+  /** Whether it is being emptied for planned work, or may run on a VM that is. */
   isVacating = false;
+  /** Monotonic time at which this holder learned of it, in milliseconds. */
+  addedAt = 0;
+  /** Monotonic time at which the last list that it answered with was requested, in milliseconds. */
+  aliveAt = -Infinity;
   /** Highest number of a processed end. */
   processedUpto = 0;
   /** Highest number of an end whose effects are durable, so that it may be acknowledged. */
--- a/src/batch/workerSessions.spec.ts
+++ b/src/batch/workerSessions.spec.ts
@@ -152,6 +152,7 @@
       await rig.deliver(holder.name, {
         kind: NodeCallKind.RunsEnded,
         service: 'motions',
+        vm: 'motions-0',
         worker: 'motions-0',
       });
       await rig.advance(1_000);
--- a/src/batch/workerSessions.ts
+++ b/src/batch/workerSessions.ts
@@ -67,6 +67,10 @@
   worker: Worker;
   /** Ends the wait for the answer to the call that is outstanding, if there is one. */
   interruptHold?: () => void;
+  /** Whether the worker may delay its answer to the call that is outstanding. */
+  mayWait: boolean;
+  /** Whether the next call is to be answered at once. */
+  isAnswerNeeded: boolean;
   /** Monotonic time since which the registration has been missing, in milliseconds. */
   missingSince?: number;
 }
@@ -83,6 +87,9 @@
   /** Workers that left and may still be registered, by id. */
   readonly #departed = new Map<string, DepartedWorker>();
   #envelope = new WorkerEnvelope();
+  #lastAddedAt = -Infinity;
+  /** Called with each new worker, before it can get any runs. */
+  onAdded: (worker: Worker) => void = () => undefined;
   #signal: AbortSignal | undefined;
 
   constructor(deps: WorkerSessionsDeps) {
@@ -103,6 +110,19 @@
     return this.#sessions.get(id)?.worker;
   }
 
+  /** Monotonic time at which the newest worker was added, in milliseconds. */
+  get lastAddedAt(): number {
+    return this.#lastAddedAt;
+  }
+
+  /** Asks a worker that may be waiting with its answer to answer at once, to learn whether it runs. */
+  requestAnswer(id: string): void {
+    const session = this.#sessions.get(id);
+    if (!session) return;
+    session.isAnswerNeeded = true;
+    if (session.mayWait) session.interruptHold?.();
+  }
+
   /** Whether some worker may still run tasks that this holder does not track. */
   hasOrphans(): boolean {
     const now = this.#deps.clock.now();
@@ -189,12 +209,15 @@
   }
 
   #add(record: WorkerRecord): void {
-    const { leases } = this.#deps;
+    const { leases, clock } = this.#deps;
     const worker = new Worker(record, (id, expiresBy) => leases.grant(id, expiresBy));
+    worker.addedAt = clock.now();
     // A worker that is cut off from this holder may still have runs under leases of an earlier one.
     worker.leasesExpireBy = leases.endOf(record.id);
-    const session: Session = { worker };
+    const session: Session = { worker, mayWait: false, isAnswerNeeded: false };
+    this.#lastAddedAt = worker.addedAt;
     this.#sessions.set(record.id, session);
+    this.onAdded(worker);
     if (this.#signal) void this.#runSession(session, this.#signal);
   }
 
@@ -252,7 +275,9 @@
       const hasUnacknowledged = worker.processedUpto > worker.durableUpto;
       const isResponsive = worker.isAdmitted && worker.unansweredCalls === 0;
       const leaseEndMs = isResponsive ? worker.lease(LEASE_MS, clock.now()) : undefined;
-      const waitMs = isResponsive && !hasUnacknowledged ? holdWaitMs(worker) : 0;
+      session.mayWait = isResponsive && !hasUnacknowledged && !session.isAnswerNeeded;
+      session.isAnswerNeeded = false;
+      const waitMs = session.mayWait ? holdWaitMs(worker) : 0;
       // After a call without an answer, the ends may be those of a new process, which start anew.
       const lastAcknowledgedEnd = worker.unansweredCalls > 0 ? 0 : worker.durableUpto;
       const order = { fencingToken: epoch, lastAcknowledgedEnd, leaseEndMs, waitMs };
@@ -320,6 +345,7 @@
   ): Promise<void> {
     const { clock, log, runs, place } = this.#deps;
     if (reply.bornMs > worker.record.bornMs) this.#handleRestart(worker, reply.bornMs);
+    worker.aliveAt = reply.requestedAt;
     const hasNewEnds = this.#applyEnds(worker, reply.ended);
     if (worker.hasRestarted && !reply.hasMoreEnds) runs.handleRestart(worker, reply);
     worker.recordClock(reply.workerTimeMs, clock.now());
--- a/src/pools/relocation.spec.ts
+++ b/src/pools/relocation.spec.ts
@@ -114,7 +114,8 @@
     t.true(await rig.until(() => rig.fleet.runs().length === 2));
     await rig.advance(1_200);
     const worker = required(rig.fleet.runs()[0]).worker;
-    const call = { kind: NodeCallKind.Vacate, service: 'motions', worker, isUrgent: false };
+    const listed = { vm: worker, worker, listAgeMs: 0 };
+    const call = { kind: NodeCallKind.Vacate, service: 'motions', ...listed, isUrgent: false };
     await rig.deliver(holder.name, { ...call, relocatesRuns });
     await rig.advance(2_000);
     const here = rig.fleet.runs().filter((run) => run.worker === worker);
