Empty a VM again before an order that got no answer is repeated

Cause: waves and moves asked whether a VM is empty before the first order only. They now ask before each one, and a VM that has been listed with another worker since its order stands for that worker.

--- a/src/batch/upkeep.ts
+++ b/src/batch/upkeep.ts
@@ -254,12 +254,17 @@
   }
 
   /**
-   * Turns to the worker with which a VM is listed now, unless its maintenance has been ordered: the vendor
-   * then says whether it took place.
+   * Turns to the worker with which a VM is listed now. An order that got no answer may not have been carried
+   * out, so its VM may have a new worker for another reason.
    */
   #followWorker(maintenance: VmMaintenance): void {
-    if (maintenance.isOrdered) return;
-    maintenance.worker = this.#emptying.workerOf(maintenance);
+    const { isOrdered, isConfirmed, orderedAt } = maintenance;
+    const isListedBeforeOrder = isOrdered && this.#deps.view.listedAt <= orderedAt;
+    if (isConfirmed || isListedBeforeOrder) return;
+    const worker = this.#emptying.workerOf(maintenance);
+    if (worker === maintenance.worker) return;
+    maintenance.worker = worker;
+    maintenance.isHolderNotified = false;
   }
 
   /**
@@ -326,10 +331,9 @@
     isUrgent: boolean,
   ): Promise<void> {
     if (maintenance.isConfirmed) return;
-    if (!maintenance.isOrdered) {
-      const status = await this.#emptying.request(maintenance, { isUrgent });
-      if (!status?.isReady) return;
-    }
+    // Also before an order is repeated, as the VM may have runs again.
+    const status = await this.#emptying.request(maintenance, { isUrgent });
+    if (!status?.isReady) return;
     const { vms, claim, log, counters, canStart } = this.#deps;
     if (!canStart()) return;
     maintenance.isOrdered = true;
--- a/src/batch/vacating.spec.ts
+++ b/src/batch/vacating.spec.ts
@@ -122,6 +122,47 @@
       t.true(rig.isFinished('1'));
     },
   },
+  {
+    // Guards against an order without an answer that is sent again although its VM has tasks by now.
+    title: 'a wave empties a VM again before it repeats an order that got no answer',
+    run: async (t, rig) => {
+      rig.isVendorSilent = true;
+      const vms = [...rig.fleet.executors.keys()];
+      rig.requestWave({ id: '1', vms, timeLimitS: 26, maxDown: 2 });
+      t.true(await rig.until(() => rig.maintenanceOrders.length === 2));
+      rig.isVmListDown = true;
+      rig.fleet.script = (task) => ({ runMs: isLasting(task) ? Infinity : 4_000 });
+      await submit(rig, { ...SHORT, count: WORKERS - 2, cpuMillis: 3_000 });
+      await rig.advance(4_000);
+      await submit(rig, LASTING);
+      await rig.until(() => rig.fleet.runs().length === WORKERS + 1);
+      await rig.advance(1_000);
+      rig.isVendorSilent = false;
+      rig.isVmListDown = false;
+      await rig.advance(40_000);
+      t.true(rig.isFinished('1'));
+    },
+  },
+  {
+    title: 'a wave empties the replacement of a worker whose VM got an order without an answer',
+    run: async (t, rig) => {
+      rig.isVendorSilent = true;
+      const vms = [...rig.fleet.executors.keys()];
+      rig.requestWave({ id: '1', vms, timeLimitS: 26, maxDown: 2 });
+      t.true(await rig.until(() => rig.maintenanceOrders.length === 2));
+      rig.isVmListDown = true;
+      const how = { downMs: 500, staysRegistered: false, reusesAddress: true };
+      for (const vm of vms) replace(rig, executorOf(rig, vm), how);
+      rig.fleet.script = () => ({ runMs: Infinity });
+      await rig.advance(1_000);
+      await submit(rig, LASTING);
+      await rig.advance(4_000);
+      rig.isVendorSilent = false;
+      rig.isVmListDown = false;
+      await rig.advance(40_000);
+      t.true(rig.isFinished('1'));
+    },
+  },
   {
     // Guards against capacity that is held back for longer than it takes to learn that it may be used.
     title: 'a worker that is new in a pool gets tasks as soon as those of the wave have answered',
--- a/src/batch/vmMover.spec.ts
+++ b/src/batch/vmMover.spec.ts
@@ -34,7 +34,11 @@
   );
   const calls: NodeCall[] = [];
   const orders: string[] = [];
-  const state = { status: { isReady: false, runs: 1 } as VacateStatus, listedAt: 0 };
+  const state = {
+    status: { isReady: false, runs: 1 } as VacateStatus,
+    answer: VmOrderAnswer.Done,
+    listedAt: 0,
+  };
   const view = {
     byName: () => listed,
     get listedAt() {
@@ -59,7 +63,7 @@
       upkeep: () => Promise.resolve(VmOrderAnswer.Refused),
       move: ({ vm: name }) => {
         orders.push(name);
-        return Promise.resolve(VmOrderAnswer.Done);
+        return Promise.resolve(state.answer);
       },
     },
     view: view as unknown as FleetView,
@@ -75,6 +79,22 @@
   return { mover, clock, listed, calls, orders, state };
 }
 
+// Guards against a move whose order got no answer and that then ends the tasks that were placed meanwhile.
+test('a move empties its VM again before it repeats an order that got no answer', async (t) => {
+  const { mover, clock, orders, state } = createMover();
+  state.answer = VmOrderAnswer.NoAnswer;
+  state.status = { isReady: true, runs: 0 };
+  await mover.round(new Set());
+  t.deepEqual(orders, [VM]);
+  state.status = { isReady: true, runs: 1 };
+  await clock.advance(120);
+  await mover.round(new Set());
+  t.deepEqual(orders, [VM]);
+  state.status = { isReady: true, runs: 0 };
+  await mover.round(new Set());
+  t.true(orders.length > 1);
+});
+
 // Guards against a move that ends the tasks of a worker that has taken the place of the empty one.
 test('a move empties the worker that has replaced the one of its plan', async (t) => {
   const { mover, clock, listed, calls, orders, state } = createMover();
--- a/src/batch/vmMover.ts
+++ b/src/batch/vmMover.ts
@@ -169,10 +169,14 @@
       }
       return;
     }
-    if (move.orderedAt === undefined) move.worker = this.#emptying.workerOf(emptiedVm(move));
-    if (move.orderedAt === undefined && !(await this.#isEmptied(move))) {
+    if (view.listedAt > (move.orderedAt ?? -Infinity))
+      move.worker = this.#emptying.workerOf(emptiedVm(move));
+    // Also before an order is repeated, as the VM may have runs again.
+    if (!(await this.#isEmptied(move))) {
       const limitMs = move.hasRuns ? RELOCATE_TIMEOUT_MS : VACATE_TIMEOUT_MS;
-      if (clock.now() - move.startedAt > limitMs) await this.#giveUp(move, 'not_empty');
+      const isOverdue = clock.now() - move.startedAt > limitMs;
+      // An order that got no answer may still be carried out.
+      if (isOverdue && move.orderedAt === undefined) await this.#giveUp(move, 'not_empty');
       return;
     }
     if (!canStart()) return;
--- a/src/testing/batchRig/batchRig.ts
+++ b/src/testing/batchRig/batchRig.ts
@@ -40,6 +40,8 @@
 const ADVICE_DELAY_MS = 10;
 /** Time after the acknowledgement of an end within which another run of the task may start. */
 const MAX_START_DELAY_MS = 1_000;
+/** Time after which an order to the vendor counts as not answered. */
+const VENDOR_TIMEOUT_MS = 600;
 /** Latency of a call between nodes. */
 const LINK_LATENCY_MS = 1;
 
@@ -108,6 +110,8 @@
   maxDown = 0;
   /** Whether calls for the vendor's VM list fail. */
   isVmListDown = false;
+  /** Whether orders to the vendor have no effect and are not answered. */
+  isVendorSilent = false;
   /** Time until the vendor answers an order. */
   vendorDelayMs = 0;
   /** Orders for maintenance that the vendor received, as `wave/vm`. */
@@ -425,7 +429,8 @@
       move: () => Promise.resolve(VmOrderAnswer.Refused),
       upkeep: async ({ vm, wave }) => {
         this.maintenanceOrders.push(`${wave}/${vm}`);
-        await this.clock.sleep(this.vendorDelayMs);
+        await this.clock.sleep(this.isVendorSilent ? VENDOR_TIMEOUT_MS : this.vendorDelayMs);
+        if (this.isVendorSilent) return VmOrderAnswer.NoAnswer;
         if (this.#acceptedMaintenance.has(`${wave}/${vm}`)) return VmOrderAnswer.Done;
         if (this.#vmsDown.has(vm)) return VmOrderAnswer.Busy;
         this.#acceptedMaintenance.add(`${wave}/${vm}`);
