Split and rename parts of what empties VMs and finds a queue's services

VmListing in place of ListedOnVm, #servicesWithJobsOf and #allServices in place of #servicesOf and #servicesFor; the readiness of a VM is a method of its own, and two test cases share their steps.

--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -369,7 +369,7 @@
    * @param account - account of the caller; undefined if the queue needs no key
    */
   async status(queue: Queue, job: string, account?: string): Promise<CallAnswer> {
-    for (const service of this.#servicesFor(queue)) {
+    for (const service of this.#allServices(queue)) {
       const call = { kind: NodeCallKind.Status, service, job } as const;
       const res = await this.#deps.holders.call(call, HOLDER_TIMEOUT_MS);
       const { state, account: owner } = res.isOk ? res.value : {};
@@ -384,7 +384,7 @@
   /** State and account of a job that a holder knows, of the services that may have it. */
   async #findAtHolders(queue: Queue, job: string): Promise<NodeAnswer | undefined> {
     const answers = await Promise.all(
-      this.#servicesOf(queue).map((service) => {
+      this.#servicesWithJobsOf(queue).map((service) => {
         const call = { kind: NodeCallKind.Status, service, job } as const;
         return this.#deps.holders.call(call, LOOKUP_TIMEOUT_MS);
       }),
@@ -397,8 +397,8 @@
    * The queue's service first, then those that may have jobs of it from before it moved. These are all
    * others as long as the assignments of the queue have not been read.
    */
-  #servicesOf(queue: Queue): string[] {
-    const all = this.#servicesFor(queue);
+  #servicesWithJobsOf(queue: Queue): string[] {
+    const all = this.#allServices(queue);
     const known = this.#deps.assignments.known(queue);
     return known ? all.filter((name) => name === queue.service || known.includes(name)) : all;
   }
@@ -407,7 +407,7 @@
    * The queue's service first, then all others, because the queue may have been assigned to another
    * service since the job was submitted.
    */
-  #servicesFor(queue: Queue): string[] {
+  #allServices(queue: Queue): string[] {
     const names = this.#deps.config()?.services.map(({ name }) => name) ?? [];
     return [queue.service, ...names.filter((name) => name !== queue.service)];
   }
@@ -468,7 +468,7 @@
    */
   async cancel(queue: Queue, job: string, account?: string): Promise<CallAnswer> {
     const { holders, log } = this.#deps;
-    for (const service of this.#servicesFor(queue)) {
+    for (const service of this.#allServices(queue)) {
       const caller = account === undefined ? {} : { account };
       const call = { kind: NodeCallKind.Cancel, service, job, ...caller } as const;
       const res = await holders.call(call, HOLDER_TIMEOUT_MS);
@@ -506,7 +506,7 @@
    */
   async pending(queue: Queue): Promise<CallAnswer> {
     const counts = await Promise.all(
-      this.#servicesOf(queue).map((service) => this.#countPending(service, queue)),
+      this.#servicesWithJobsOf(queue).map((service) => this.#countPending(service, queue)),
     );
     let pending = 0;
     for (const count of counts) {
--- a/src/batch/holder.ts
+++ b/src/batch/holder.ts
@@ -61,7 +61,7 @@
   type SubmitOutcome,
   type WorkerRecord,
 } from './types.js';
-import { Vacating, type ListedOnVm, type VacateOptions, type VacateStatus } from './vacating.js';
+import { Vacating, type VmListing, type VacateOptions, type VacateStatus } from './vacating.js';
 import { isPoolMember } from './worker.js';
 import { WorkerSessions } from './workerSessions.js';
 
@@ -513,7 +513,7 @@
    * Empties a VM for planned work. Must be repeated until the work has begun, as requests expire and the
    * worker of the VM may change.
    */
-  vacate(vm: ListedOnVm, how: VacateOptions): VacateStatus {
+  vacate(vm: VmListing, how: VacateOptions): VacateStatus {
     return this.#vacating.request(vm, how);
   }
 
--- a/src/batch/nodeCalls.ts
+++ b/src/batch/nodeCalls.ts
@@ -23,7 +23,7 @@
   type QueuePath,
   type SubmitOutcome,
 } from './types.js';
-import type { ListedOnVm, VacateOptions, VacateStatus } from './vacating.js';
+import type { VmListing, VacateOptions, VacateStatus } from './vacating.js';
 
 /** Codes of {@link NodeCallError}. */
 export enum NodeCallErrorCode {
@@ -57,7 +57,7 @@
   | { kind: NodeCallKind.Status; job: string }
   | { kind: NodeCallKind.Cancel; job: string; account?: string }
   | { kind: NodeCallKind.Pending; queue: string; path?: QueuePath }
-  | ({ kind: NodeCallKind.Vacate } & ListedOnVm & VacateOptions)
+  | ({ kind: NodeCallKind.Vacate } & VmListing & VacateOptions)
   | { kind: NodeCallKind.Readmit; vm: string }
   | { kind: NodeCallKind.RunsEnded; vm: string; worker?: string }
   | { kind: NodeCallKind.WorkerGone; worker: string; bornMs: number }
--- a/src/batch/vacating.spec.ts
+++ b/src/batch/vacating.spec.ts
@@ -56,6 +56,24 @@
   await rig.advance(2_000);
 }
 
+/** Requests a wave whose first two orders get no answer, and makes the VM list unavailable. */
+async function startUnansweredWave(t: ExecutionContext, rig: BatchRig): Promise<string[]> {
+  const vms = [...rig.fleet.executors.keys()];
+  rig.isVendorSilent = true;
+  rig.requestWave({ id: '1', vms, timeLimitS: 26, maxDown: 2 });
+  t.true(await rig.until(() => rig.maintenanceOrders.length === 2));
+  rig.isVmListDown = true;
+  return vms;
+}
+
+/** Makes the vendor answer again, and waits until the wave has finished. */
+async function endWave(t: ExecutionContext, rig: BatchRig): Promise<void> {
+  rig.isVendorSilent = false;
+  rig.isVmListDown = false;
+  await rig.advance(40_000);
+  t.true(rig.isFinished('1'));
+}
+
 /** The first job is the one of short tasks. */
 const isLasting = (task: string) => !task.startsWith('0000000000000001.');
 
@@ -99,9 +117,7 @@
       await rig.advance(900);
       await submit(rig, LASTING);
       await rig.advance(2_000);
-      rig.isVmListDown = false;
-      await rig.advance(40_000);
-      t.true(rig.isFinished('1'));
+      await endWave(t, rig);
     },
   },
   {
@@ -126,41 +142,27 @@
     // Guards against an order without an answer that is sent again although its VM has tasks by now.
     title: 'a wave empties a VM again before it repeats an order that got no answer',
     run: async (t, rig) => {
-      rig.isVendorSilent = true;
-      const vms = [...rig.fleet.executors.keys()];
-      rig.requestWave({ id: '1', vms, timeLimitS: 26, maxDown: 2 });
-      t.true(await rig.until(() => rig.maintenanceOrders.length === 2));
-      rig.isVmListDown = true;
+      await startUnansweredWave(t, rig);
       rig.fleet.script = (task) => ({ runMs: isLasting(task) ? Infinity : 4_000 });
       await submit(rig, { ...SHORT, count: WORKERS - 2, cpuMillis: 3_000 });
       await rig.advance(4_000);
       await submit(rig, LASTING);
       await rig.until(() => rig.fleet.runs().length === WORKERS + 1);
       await rig.advance(1_000);
-      rig.isVendorSilent = false;
-      rig.isVmListDown = false;
-      await rig.advance(40_000);
-      t.true(rig.isFinished('1'));
+      await endWave(t, rig);
     },
   },
   {
     title: 'a wave empties the replacement of a worker whose VM got an order without an answer',
     run: async (t, rig) => {
-      rig.isVendorSilent = true;
-      const vms = [...rig.fleet.executors.keys()];
-      rig.requestWave({ id: '1', vms, timeLimitS: 26, maxDown: 2 });
-      t.true(await rig.until(() => rig.maintenanceOrders.length === 2));
-      rig.isVmListDown = true;
+      const vms = await startUnansweredWave(t, rig);
       const how = { downMs: 500, staysRegistered: false, reusesAddress: true };
       for (const vm of vms) replace(rig, executorOf(rig, vm), how);
       rig.fleet.script = () => ({ runMs: Infinity });
       await rig.advance(1_000);
       await submit(rig, LASTING);
       await rig.advance(4_000);
-      rig.isVendorSilent = false;
-      rig.isVmListDown = false;
-      await rig.advance(40_000);
-      t.true(rig.isFinished('1'));
+      await endWave(t, rig);
     },
   },
   {
--- a/src/batch/vacating.ts
+++ b/src/batch/vacating.ts
@@ -19,7 +19,7 @@
 const NEARLY_DONE_PERCENT = 75;
 
 /** A VM that is to be emptied, as its vendor last listed it. */
-export interface ListedOnVm {
+export interface VmListing {
   vm: string;
   /** Id of the worker that runs on it; undefined if none does. */
   worker?: string;
@@ -87,11 +87,10 @@
 
   /** Requests that a VM be emptied. With `isUrgent`, it does not wait for short tasks. */
   request(
-    { vm, worker: workerId, listAgeMs }: ListedOnVm,
+    { vm, worker: workerId, listAgeMs }: VmListing,
     { isUrgent, relocatesRuns = false }: VacateOptions,
   ): VacateStatus {
-    const { hasSeenAllRuns, clock } = this.#deps;
-    const now = clock.now();
+    const now = this.#deps.clock.now();
     const previous = this.#requests.get(vm);
     const isSame = previous !== undefined && previous.worker === workerId;
     if (!isSame) this.cancel(vm);
@@ -107,23 +106,21 @@
     const worker = this.#workerOf(request);
     if (worker) worker.isVacating = true;
     this.proceed();
-    const runs = [...(worker?.runs.values() ?? [])];
-    const replacementRuns = [...request.possibleReplacements].flatMap((its) => [
-      ...its.runs,
-    ]).length;
-    const mayHaveUnseenRuns = worker?.isAdmitted !== true && !hasSeenAllRuns();
-    const isBlocked =
-      mayHaveUnseenRuns ||
-      replacementRuns > 0 ||
-      runs.some(
-        (run) =>
-          run.phase === RunPhase.Starting ||
-          !this.#mayStopAll(run) ||
-          !(isUrgent || isLasting(run)),
-      );
-    if (worker && isBlocked) this.#readyWorkers.delete(worker);
-    else if (worker) this.#readyWorkers.add(worker);
-    return { isReady: !isBlocked, runs: runs.length + replacementRuns };
+    const isReady = this.#isReady(request, isUrgent);
+    if (worker && isReady) this.#readyWorkers.add(worker);
+    else if (worker) this.#readyWorkers.delete(worker);
+    const runs = (worker?.runs.size ?? 0) + countRuns(request.possibleReplacements);
+    return { isReady, runs };
+  }
+
+  /** Whether planned work may end what still runs on the VM of a request. */
+  #isReady(request: VacateRequest, isUrgent: boolean): boolean {
+    const worker = this.#workerOf(request);
+    if (worker?.isAdmitted !== true && !this.#deps.hasSeenAllRuns()) return false;
+    if (countRuns(request.possibleReplacements) > 0) return false;
+    const mayEnd = (run: Run) =>
+      run.phase !== RunPhase.Starting && this.#mayStopAll(run) && (isUrgent || isLasting(run));
+    return [...(worker?.runs.values() ?? [])].every(mayEnd);
   }
 
   #workerOf({ worker }: VacateRequest): Worker | undefined {
@@ -272,3 +269,9 @@
 function isLasting({ task }: Run): boolean {
   return task.step.spec.isLasting;
 }
+
+function countRuns(workers: Iterable<Worker>): number {
+  let count = 0;
+  for (const { runs } of workers) count += runs.size;
+  return count;
+}
