--- a/src/batch/gateway.ts
+++ b/src/batch/gateway.ts
@@ -213,8 +213,8 @@
       return this.#reportRefused(spec, refusal.reason, refusal.retryAfterMs);
     }
     let mayBeAccepted = false;
+    let current = queue;
     do {
-      const current = this.#currentQueue(queue);
       const { service } = current;
       const call = { kind: NodeCallKind.Submit, service, spec } as const;
       const res = await holders.call(
@@ -251,6 +251,7 @@
       // Nothing can be accepted while the store is unavailable, so the caller should retry later.
       if (this.#deps.store.isSuspect() && !mayBeAccepted) break;
       await clock.sleep(RETRY_MS);
+      current = this.#currentQueue(queue);
     } while (remainingMs() > ANSWER_RESERVE_MS);
     if (!mayBeAccepted)
       return this.#reportRefused(spec, RefusalReason.StoreUnavailable, UNAVAILABLE_RETRY_MS);
--- a/src/batch/jobTable.ts
+++ b/src/batch/jobTable.ts
@@ -183,8 +183,8 @@
    */
   countQueued(name: string, path?: QueuePath): number {
     let count = 0;
-    for (const { spec, state } of this.open())
-      if (state === JobState.Queued && isOfQueue(spec, name, path)) count++;
+    for (const job of this.open())
+      if (isOfQueue(job.spec, name, path) && job.state === JobState.Queued) count++;
     return count;
   }
 
