Parse one request of a connection at a time

Callers saw a node end and their requests unanswered while others sent requests ahead.

Cause: the HTTP server of Node.js parses a whole read of 64 KB at once and creates a request, a response and a running handler for each request in it; its only brake is the size of unread responses. 60 connections with 2,500 requests each filled the heap of 160 MB. Requests without a host were answered by the server itself, out of sight of the ingress. Logs showed no more than the end of the process.

Change: src/httpListener reads the sockets itself. A connection passes its bytes to the HTTP parser through a stream, up to the next blank line or the end of a declared body, and nothing more until the response to the request in progress is sent. What was read ahead is counted, and the connection is closed where all of it exceeds 8% of the memory. Hosts and expectations are checked by the listener. The same stream bounds the time for headers, idle time, unread responses and the bytes on the wire for one request. After the last response, input is discarded for up to a second, so that a caller that is still sending receives it.

--- /dev/null
+++ b/src/httpListener/defaults.ts
@@ -0,0 +1,38 @@
+import type { ListenerLimits } from './types.js';
+
+const MIB = 1_048_576;
+
+/** What a process may use, in so far as it bounds its listeners. */
+export interface ListenerResources {
+  /** Memory of the process, in bytes. */
+  memoryBytes: number;
+  /** Maximum number of open descriptors of the process. */
+  maxDescriptors: number;
+}
+
+/** Resources of the smallest entry VM. */
+export const smallestResources: ListenerResources = {
+  memoryBytes: 250 * MIB,
+  maxDescriptors: 4_100,
+};
+
+const READ_AHEAD_SHARE = 0.08;
+
+/** Limits of a listener for jobs, from the resources of its process. */
+export function jobListenerLimits({ memoryBytes }: ListenerResources): ListenerLimits {
+  return {
+    maxConnections: Infinity,
+    maxInFlight: Infinity,
+    maxHeaderBytes: 65_536,
+    maxTotalHeaderBytes: Infinity,
+    maxBodyBytes: 262_144,
+    maxTotalBodyBytes: Infinity,
+    memoryPerBodyByte: 1,
+    maxReadAheadBytes: memoryBytes * READ_AHEAD_SHARE,
+    headerTimeoutMs: 3_000,
+    bodyTimeoutMs: 60_000,
+    bodyIdleTimeoutMs: 10_000,
+    answerTimeoutMs: 60_000,
+    idleTimeoutMs: 15_000,
+  };
+}
--- /dev/null
+++ b/src/httpListener/index.ts
@@ -0,0 +1,10 @@
+export {
+  CloseReason,
+  EarlyRefusal,
+  Holding,
+  type ListenerLimits,
+  type RefusalHandler,
+  type RequestHandler,
+} from './types.js';
+export { jobListenerLimits, smallestResources, type ListenerResources } from './defaults.js';
+export { HttpListener, type HttpListenerDeps, type ListenerReport } from './httpListener.js';
