Collect a body in one buffer instead of a list of its pieces

Callers saw a node end while others sent bodies in chunks of one byte.

Cause: the ingress kept each piece that the parser returns until the body was complete. A piece of one byte is an object of about a hundred bytes, and it keeps the read of 64 KB of which it is a part. Twelve bodies below the limit of 262,144 bytes filled the heap. The limit counts bytes, not objects.

Change: readBody of src/httpListener copies the pieces into one buffer that grows by doubling, never beyond the declared length.

--- a/src/httpListener/index.ts
+++ b/src/httpListener/index.ts
@@ -1,4 +1,6 @@
 export {
+  BodyError,
+  BodyErrorCode,
   CloseReason,
   EarlyRefusal,
   Holding,
@@ -8,3 +10,4 @@
 } from './types.js';
 export { jobListenerLimits, smallestResources, type ListenerResources } from './defaults.js';
 export { HttpListener, type HttpListenerDeps, type ListenerReport } from './httpListener.js';
+export { readBody, type BodyReaderDeps } from './bodyReader.js';
--- a/src/httpListener/types.ts
+++ b/src/httpListener/types.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BaseError } from '../errors/index.js';
 
 /** Bounds on what the callers of a listener can make the process hold. */
 export interface ListenerLimits {
@@ -58,6 +59,19 @@
   RequestTooLong = 'request_too_long',
 }
 
+/** Reason why a body was not received. */
+export enum BodyErrorCode {
+  /** It is larger than one body may be. */
+  TooLarge = 'too_large',
+  /** The bodies of all requests together are larger than they may be. */
+  NoMemory = 'no_memory',
+  /** The connection was closed, or a timeout expired. */
+  Incomplete = 'incomplete',
+}
+
+/** A request body was not received. */
+export class BodyError extends BaseError<BodyErrorCode> {}
+
 /** Answers a request. The request is in progress until the returned promise settles. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>;
 
