Bound the bodies of all callers together

Callers saw a node beyond its memory, or end, while others sent bodies that stop a byte short, or left while the store did not answer.

Cause: the limit on bodies holds for each body. Nothing bounds their sum, and nothing counts a body whose caller has left while its request goes on.

Change: all bodies together hold at most 10% of the memory of the VM; a body in service counts 16 times, since its job is decoded, until its handler has ended, whether its caller is connected or not.

--- a/src/httpListener/defaults.ts
+++ b/src/httpListener/defaults.ts
@@ -16,7 +16,11 @@
   maxDescriptors: 4_100,
 };
 
+/** Memory shares; together with the connections, callers hold about a third of a small VM. */
+const BODY_SHARE = 0.1;
 const READ_AHEAD_SHARE = 0.08;
+/** A parsed job takes up to this many times the size of its body. */
+const JOB_BYTES_PER_BODY_BYTE = 16;
 
 /** Limits of a listener for jobs, from the resources of its process. */
 export function jobListenerLimits({ memoryBytes }: ListenerResources): ListenerLimits {
@@ -26,8 +30,8 @@
     maxHeaderBytes: 65_536,
     maxTotalHeaderBytes: Infinity,
     maxBodyBytes: 262_144,
-    maxTotalBodyBytes: Infinity,
-    memoryPerBodyByte: 1,
+    maxTotalBodyBytes: memoryBytes * BODY_SHARE,
+    memoryPerBodyByte: JOB_BYTES_PER_BODY_BYTE,
     maxReadAheadBytes: memoryBytes * READ_AHEAD_SHARE,
     headerTimeoutMs: 3_000,
     bodyTimeoutMs: 60_000,
