Bound the headers of all callers before a handler runs

Callers saw a node end while others sent headers that do not end.

Cause: the parser accepts 64 KB of headers, above any configured limit, and keeps each name and value as a string until the request is complete: about 87 KB for 62 KB of headers. The configured limit was checked when a handler ran, which never happened. 1,811 such connections filled the heap.

One request may have the configured limit and a request line of 8 KB, then it is refused with 431. All requests that are received or in progress may have 1% of the memory of the VM; then the headers that have waited longest are closed.

--- a/src/httpListener/defaults.ts
+++ b/src/httpListener/defaults.ts
@@ -19,6 +19,8 @@
 /** Memory shares; together with the connections, callers hold about a third of a small VM. */
 const BODY_SHARE = 0.1;
 const READ_AHEAD_SHARE = 0.08;
+/** Smaller than the others, since parsed headers take about ten times their size. */
+const HEADER_SHARE = 0.01;
 /** A parsed job takes up to this many times the size of its body. */
 const JOB_BYTES_PER_BODY_BYTE = 16;
 
@@ -27,8 +29,8 @@
   return {
     maxConnections: Infinity,
     maxInFlight: Infinity,
-    maxHeaderBytes: 65_536,
-    maxTotalHeaderBytes: Infinity,
+    maxHeaderBytes: 16_384,
+    maxTotalHeaderBytes: memoryBytes * HEADER_SHARE,
     maxBodyBytes: 262_144,
     maxTotalBodyBytes: memoryBytes * BODY_SHARE,
     memoryPerBodyByte: JOB_BYTES_PER_BODY_BYTE,
