Bound the connections and the requests in progress of all callers

Callers would find the descriptors of a node used up by others, and with them its way to the store, the links and the readiness check.

Cause: the ingress accepts connections without a limit, and a request goes on after its caller has left without being counted.

Change: at most 0.4 of the descriptors, and at most 12% of the memory at 16 KB each, are for connections of callers.

--- a/src/httpListener/defaults.ts
+++ b/src/httpListener/defaults.ts
@@ -16,19 +16,31 @@
   maxDescriptors: 4_100,
 };
 
+/** Share of the descriptors for callers; the others are for files, the store, links and workers. */
+const CONNECTION_SHARE = 0.4;
 /** Memory shares; together with the connections, callers hold about a third of a small VM. */
 const BODY_SHARE = 0.1;
 const READ_AHEAD_SHARE = 0.08;
 /** Smaller than the others, since parsed headers take about ten times their size. */
 const HEADER_SHARE = 0.01;
+/** Memory of an open connection, rounded up; see docs/design/client-limits.md. */
+const CONNECTION_BYTES = 16_384;
+const CONNECTION_MEMORY_SHARE = 0.12;
 /** A parsed job takes up to this many times the size of its body. */
 const JOB_BYTES_PER_BODY_BYTE = 16;
 
 /** Limits of a listener for jobs, from the resources of its process. */
-export function jobListenerLimits({ memoryBytes }: ListenerResources): ListenerLimits {
+export function jobListenerLimits({
+  memoryBytes,
+  maxDescriptors,
+}: ListenerResources): ListenerLimits {
+  const connectionsInMemory = (memoryBytes * CONNECTION_MEMORY_SHARE) / CONNECTION_BYTES;
+  const maxConnections = Math.floor(
+    Math.min(maxDescriptors * CONNECTION_SHARE, connectionsInMemory),
+  );
   return {
-    maxConnections: Infinity,
-    maxInFlight: Infinity,
+    maxConnections,
+    maxInFlight: maxConnections,
     maxHeaderBytes: 16_384,
     maxTotalHeaderBytes: memoryBytes * HEADER_SHARE,
     maxBodyBytes: 262_144,
