Bound the readiness and metrics listeners like those of callers

The balancer would find no node ready, and the node no descriptors, while connections to the readiness listener pile up.

Cause: both listeners were plain HTTP servers without a limit on connections, requests sent ahead or bodies of all questions together.

--- a/src/httpListener/defaults.ts
+++ b/src/httpListener/defaults.ts
@@ -54,3 +54,14 @@
     idleTimeoutMs: 15_000,
   };
 }
+
+/** Limits of a listener that answers status checks, which have no body. */
+export const statusListenerLimits: ListenerLimits = {
+  ...jobListenerLimits(smallestResources),
+  maxConnections: 64,
+  maxInFlight: 64,
+  maxBodyBytes: 0,
+  maxTotalBodyBytes: 0,
+  memoryPerBodyByte: 1,
+  maxReadAheadBytes: 2 * MIB,
+};
--- a/src/httpListener/index.ts
+++ b/src/httpListener/index.ts
@@ -8,6 +8,11 @@
   type RefusalHandler,
   type RequestHandler,
 } from './types.js';
-export { jobListenerLimits, smallestResources, type ListenerResources } from './defaults.js';
+export {
+  jobListenerLimits,
+  smallestResources,
+  statusListenerLimits,
+  type ListenerResources,
+} from './defaults.js';
 export { HttpListener, type HttpListenerDeps, type ListenerReport } from './httpListener.js';
 export { readBody, type BodyReaderDeps } from './bodyReader.js';
