Use the bounded HTTP listener for the entry process as well

Callers of the entry process would meet the same faults as those of the users' platform.

Cause: the caller listener bounds bodies, unread responses and connections, but it gives the socket to the HTTP server of Node.js: requests that are sent ahead all run at once, pieces of a body are kept one by one, headers of all callers and chunk extensions are not bounded, and where a limit is reached the newest caller is refused, so that callers that stall keep others out.

Change: it uses src/httpListener with the limits of its settings, and both listeners run the same cases (platform/boundedListeners.spec.ts). New settings maxTotalHeaderBytes and maxReadAheadBytes; counter caller_connections_closed_total by reason. BodyReader moves into the shared module; the time to read a response is kept by the connection. Requests whose callers have left count until their handler has ended.

Two tests of the listener asserted what has changed, and are replaced by stricter ones. A malformed request that is sent ahead is now parsed after the response to the one before it, so the test expects 200 and then 400 in place of a connection that is closed without a response. The connection limit closes a connection that has no request for the new one, so the test of dropped connections has a request in service, and a new test expects the idle connection to be closed and counted.

--- a/src/requests/answerWriter.ts
+++ b/src/requests/answerWriter.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from 'node:http';
-import type { Clock } from '../clock/index.js';
 import { Outcome } from '../peers/index.js';
 import { checkAnswer, sendAnswer } from './callerResponse.js';
 import type { RequestsSettings } from './defaults.js';
@@ -8,12 +7,10 @@
 
 /** Writes responses and bounds the bytes that slow callers have not yet read. */
 export class AnswerWriter {
-  readonly #clock: Clock;
   readonly #settings: RequestsSettings;
   #unreadBytes = 0;
 
-  constructor(clock: Clock, settings: RequestsSettings) {
-    this.#clock = clock;
+  constructor(settings: RequestsSettings) {
     this.#settings = settings;
   }
 
@@ -23,7 +20,7 @@
   }
 
   /**
-   * Writes a response. The connection is closed if the caller does not read it in time.
+   * Writes a response. The listener closes the connection if the caller does not read it in time.
    *
    * @returns the reason why the response cannot be sent; undefined if it was written
    */
@@ -32,11 +29,7 @@
     if (rejected) return rejected;
     const size = answer.body.byteLength;
     this.#unreadBytes += size;
-    const timer = this.#clock.setTimer(this.#settings.answerTimeoutMs, () => {
-      res.destroy();
-    });
     res.once('close', () => {
-      timer.cancel();
       this.#unreadBytes -= size;
     });
     sendAnswer(res, method, answer);
--- a/src/requests/defaults.ts
+++ b/src/requests/defaults.ts
@@ -61,6 +61,14 @@
   ),
   backoffMaxMs: positiveInt(1_000, 'Upper bound of the delay before any retry, in milliseconds.'),
   maxHeaderBytes: positiveInt(16_384, 'Maximum size of the request line and headers, in bytes.'),
+  maxTotalHeaderBytes: positiveInt(
+    4 * MIB,
+    'Maximum total size of the headers of all requests being received or in progress, in bytes.',
+  ),
+  maxReadAheadBytes: positiveInt(
+    32 * MIB,
+    'Maximum total size of what callers send ahead of their requests in progress, in bytes.',
+  ),
   maxBodyBytes: positiveInt(MIB, 'Maximum size of a request body, in bytes.'),
   maxBufferedBytes: positiveInt(
     64 * MIB,
@@ -71,7 +79,10 @@
     'Maximum total size of the responses that callers have not yet read, in bytes.',
   ),
   answerTimeoutMs: positiveInt(60_000, 'Time for a caller to read a response, in milliseconds.'),
-  maxConnections: positiveInt(2_000, 'Maximum number of connections from callers.'),
+  maxConnections: positiveInt(
+    2_000,
+    'Maximum number of connections from callers. The one that has waited longest for a request is closed for a new one.',
+  ),
   headerTimeoutMs: positiveInt(
     10_000,
     'Time to receive the headers of a request, in milliseconds.',
--- a/src/requests/listener.ts
+++ b/src/requests/listener.ts
@@ -1,6 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import express, {
   type ErrorRequestHandler,
   type Express,
@@ -11,13 +9,20 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { Clock } from '../clock/index.js';
-import { BaseError, toError } from '../errors/index.js';
+import { BaseError, messageOf, toError } from '../errors/index.js';
+import {
+  BodyErrorCode,
+  CloseReason,
+  EarlyRefusal,
+  HttpListener,
+  readBody,
+  type ListenerLimits,
+} from '../httpListener/index.js';
 import type { Lifecycle } from '../lifecycle/index.js';
 import type { Logger } from '../logger/index.js';
 import type { Metrics } from '../metrics/index.js';
 import { Outcome } from '../peers/index.js';
 import { AnswerWriter } from './answerWriter.js';
-import { BodyReader } from './bodyReader.js';
 import { CALLER_METHODS, readAttemptIdentity, parseHead, parseTeam } from './callerRequest.js';
 import { renderRawRefusal, sendRefusal } from './callerResponse.js';
 import type { RequestsSettings } from './defaults.js';
@@ -61,8 +66,24 @@
 
 const idsRequestSchema = z.strictObject({ count: z.number().int().min(1).default(1) });
 
-/** Number of checks for timed-out connections during the header timeout, the shortest timeout. */
-const CHECKS_PER_TIMEOUT = 4;
+const bodyErrorReasons: Record<BodyErrorCode, RequestReason> = {
+  [BodyErrorCode.TooLarge]: RequestReason.BodyTooLarge,
+  [BodyErrorCode.NoMemory]: RequestReason.Overloaded,
+  [BodyErrorCode.Incomplete]: RequestReason.ReceiveTimeout,
+};
+
+const earlyRefusalReasons: Record<EarlyRefusal, RequestReason> = {
+  [EarlyRefusal.Overloaded]: RequestReason.Overloaded,
+  [EarlyRefusal.MissingHost]: RequestReason.BadRequest,
+  [EarlyRefusal.ExpectationFailed]: RequestReason.BadRequest,
+};
+
+/** What is wrong with a request that is refused before its handler runs. */
+const earlyRefusalMessages: Record<EarlyRefusal, string> = {
+  [EarlyRefusal.Overloaded]: 'too many requests are in progress',
+  [EarlyRefusal.MissingHost]: 'header host: found nothing, expected a host',
+  [EarlyRefusal.ExpectationFailed]: 'header expect: expected 100-continue or nothing',
+};
 
 /**
  * Starts the HTTP listener for callers.
@@ -72,50 +93,49 @@
 export async function createCallerListener(
   deps: CallerListenerDeps,
 ): Promise<Result<CallerListener, ListenerError>> {
-  const listener = new HttpListener(deps);
+  const listener = new ExpressListener(deps);
   const started = await listener.listen();
   if (started.isErr) return Result.err(started.error);
   deps.lifecycle.own('caller listener', () => listener.close());
   return Result.ok(listener);
 }
 
-class HttpListener implements CallerListener {
+class ExpressListener implements CallerListener {
   readonly #deps: CallerListenerDeps;
-  readonly #server: Server;
-  readonly #bodyReader: BodyReader;
+  readonly #listener: HttpListener;
+  readonly #limits: ListenerLimits;
   readonly #answerWriter: AnswerWriter;
   readonly #countRefusal: (reason: RequestReason, outcome: string) => void;
-  /** Responses that are not yet completely written, with their connections. */
-  readonly #active = new Map<ServerResponse, Duplex>();
+  /** Responses that are not yet completely written. */
+  readonly #active = new Set<ServerResponse>();
+  /** The handlers that go on after their caller has disconnected. */
+  readonly #handlers = new WeakMap<ServerResponse, Promise<void>>();
   #closing: Promise<void> | undefined;
-  #onIdle: () => void = () => undefined;
 
   constructor(deps: CallerListenerDeps) {
     this.#deps = deps;
-    this.#bodyReader = new BodyReader(deps.clock, deps.settings);
-    this.#answerWriter = new AnswerWriter(deps.clock, deps.settings);
+    this.#limits = limitsOf(deps.settings);
+    this.#answerWriter = new AnswerWriter(deps.settings);
     const metrics = createRequestMetrics(deps.metrics);
     this.#countRefusal = (reason, outcome) => {
       metrics.countRefusal(reason, outcome);
     };
-    this.#server = this.#createServer();
+    this.#listener = this.#createListener();
   }
 
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return this.#listener.port;
   }
 
-  listen(): Promise<Result<void, ListenerError>> {
+  async listen(): Promise<Result<void, ListenerError>> {
     const { host, port } = this.#deps;
-    return new Promise((resolve) => {
-      this.#server.once('error', (err) => {
-        const message = `cannot listen on ${host}:${port}: ${err.message}`;
-        resolve(Result.err(new ListenerError(ListenerErrorCode.CannotListen, message, err)));
-      });
-      this.#server.listen(port, host, () => {
-        resolve(Result.ok(undefined));
-      });
-    });
+    try {
+      await this.#listener.listen(host, port);
+      return Result.ok(undefined);
+    } catch (err) {
+      const message = `cannot listen on ${host}:${port}: ${messageOf(err)}`;
+      return Result.err(new ListenerError(ListenerErrorCode.CannotListen, message, err));
+    }
   }
 
   close(): Promise<void> {
@@ -124,59 +144,62 @@
   }
 
   async #drain(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-    });
-    for (const res of this.#active.keys()) {
+    const drained = this.#listener.drain();
+    for (const res of this.#active) {
       if (!res.headersSent) res.setHeader('Connection', 'close');
     }
-    if (this.#active.size > 0) {
-      await new Promise<void>((resolve) => {
-        this.#onIdle = resolve;
-      });
-    }
-    this.#server.closeAllConnections();
-    await closed;
+    await drained;
+    this.#listener.close();
   }
 
-  #createServer(): Server {
-    const { settings, metrics } = this.#deps;
-    const { headerTimeoutMs, bodyTimeoutMs, idleTimeoutMs } = settings;
-    const server = createServer(
-      {
-        maxHeaderSize: settings.maxHeaderBytes,
-        headersTimeout: headerTimeoutMs,
-        requestTimeout: headerTimeoutMs + bodyTimeoutMs,
-        keepAliveTimeout: idleTimeoutMs,
-        connectionsCheckingInterval: Math.ceil(headerTimeoutMs / CHECKS_PER_TIMEOUT),
-      },
-      this.#createApp(),
-    );
-    server.maxConnections = settings.maxConnections;
+  #createListener(): HttpListener {
+    const { clock, logger, metrics } = this.#deps;
     const dropped = metrics.counter(
       'caller_connections_dropped_total',
       'Connections dropped because of the connection limit.',
     );
-    server.on('drop', () => {
-      dropped.inc();
-    });
-    server.prependListener('request', (req, res) => {
-      this.#track(req.socket, res);
-    });
-    server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      this.#onClientError(err, socket);
+    const closed = metrics.counter(
+      'caller_connections_closed_total',
+      'Connections closed because of a bound.',
+      ['reason'],
+    );
+    const app = this.#createApp();
+    return new HttpListener({
+      clock,
+      limits: () => this.#limits,
+      handle: async (req, res) => {
+        this.#track(res);
+        app(req, res);
+        await this.#handlers.get(res);
+      },
+      refuse: (req, res, refusal) => {
+        const reason = earlyRefusalReasons[refusal];
+        const message = earlyRefusalMessages[refusal];
+        res.setHeader('Connection', 'close');
+        this.#refuse(res, refuseBeforeLookup(readAttemptIdentity(req), reason, message));
+      },
+      renderParseError: (err) => this.#renderParseError(err),
+      onClosed: (reason) => {
+        closed.inc({ reason });
+        if (reason === CloseReason.ConnectionRefused) dropped.inc();
+      },
+      onReport: ({ openConnections, requestsInProgress, closed: reasons }) => {
+        const counts = Object.fromEntries(reasons);
+        logger.warn({
+          event: 'connections_closed',
+          open: openConnections,
+          inProgress: requestsInProgress,
+          ...counts,
+        });
+      },
     });
-    return server;
   }
 
-  #track(socket: Socket, res: ServerResponse): void {
-    this.#active.set(res, socket);
+  #track(res: ServerResponse): void {
+    this.#active.add(res);
     if (this.#closing) res.setHeader('Connection', 'close');
     res.once('close', () => {
       this.#active.delete(res);
-      if (this.#active.size === 0) this.#onIdle();
     });
   }
 
@@ -185,8 +208,8 @@
     app.disable('x-powered-by');
     app.disable('etag');
     app.set('query parser', false);
-    app.post('/v1/request-ids', (req, res) => this.#issueIds(req, res));
-    app.use('/v1/services/:service', (req, res) => this.#serve(req, res));
+    app.post('/v1/request-ids', (req, res) => this.#await(res, this.#issueIds(req, res)));
+    app.use('/v1/services/:service', (req, res) => this.#await(res, this.#serve(req, res)));
     if (this.#deps.routes) app.use(this.#deps.routes);
     app.use((req, res) => {
       const message = `no route for ${req.method} ${req.path}`;
@@ -199,6 +222,15 @@
     return app;
   }
 
+  /** Keeps a request in progress until its handler has ended. */
+  #await(res: ServerResponse, handler: Promise<void>): Promise<void> {
+    this.#handlers.set(
+      res,
+      handler.catch(() => undefined),
+    );
+    return handler;
+  }
+
   async #serve(req: Request<{ service: string }>, res: Response): Promise<void> {
     const { router, clock, settings } = this.#deps;
     const arrivedAt = clock.now();
@@ -217,7 +249,6 @@
     if (!body) return;
     const signal = abortOnDisconnect(res);
     const result = await router.handle({ ...head.value, body, signal });
-    this.#bodyReader.release(body);
     // The router has counted the result, including that of a request whose caller disconnected.
     if (res.destroyed) return;
     if (result.isErr) {
@@ -237,7 +268,6 @@
     }
     const body = await this.#receiveBody(req, res);
     if (!body) return;
-    this.#bodyReader.release(body);
     const count = parseIdCount(body);
     if (count.isErr) {
       this.#refuse(res, count.error);
@@ -256,14 +286,15 @@
 
   /** Receives the body; refuses the request and returns undefined on failure. */
   async #receiveBody(req: IncomingMessage, res: ServerResponse): Promise<Uint8Array | undefined> {
-    const body = await this.#bodyReader.read(req);
+    const body = await readBody(req, { clock: this.#deps.clock, limits: this.#limits });
     if (body.isOk) return body.value;
     const { code, message } = body.error;
     res.setHeader('Connection', 'close');
-    const isTooLarge = code === RequestReason.BodyTooLarge;
-    const refusal = isTooLarge
-      ? body.error
-      : refuseBeforeLookup(readAttemptIdentity(req), code, message);
+    const reason = bodyErrorReasons[code];
+    const refusal =
+      code === BodyErrorCode.TooLarge
+        ? new RequestError(reason, message)
+        : refuseBeforeLookup(readAttemptIdentity(req), reason, message);
     this.#refuse(res, refusal);
     return undefined;
   }
@@ -290,19 +321,17 @@
     this.#refuse(res, new RequestError(reason, err.message, { cause: err }));
   }
 
-  #onClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
-    // The caller would take a refusal for the response to the request in progress.
-    const hasActiveRequest = [...this.#active.values()].includes(socket);
-    if (hasActiveRequest || !socket.writable || err.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
+  #renderParseError(err: NodeJS.ErrnoException): string {
     const refusal = new RequestError(reasonOfClientError(err), err.message);
     this.#countRefusal(refusal.code, refusal.outcome);
-    socket.end(renderRawRefusal(refusal, this.#deps.router.newRequestId()));
+    return renderRawRefusal(refusal, this.#deps.router.newRequestId());
   }
 }
 
+function limitsOf(settings: RequestsSettings): ListenerLimits {
+  return { ...settings, maxTotalBodyBytes: settings.maxBufferedBytes, memoryPerBodyByte: 1 };
+}
+
 function reasonOfClientError(err: NodeJS.ErrnoException): RequestReason {
   if (err.code === 'HPE_HEADER_OVERFLOW') return RequestReason.HeaderTooLarge;
   if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') return RequestReason.ReceiveTimeout;
