--- a/src/httpListener/defaults.ts
+++ b/src/httpListener/defaults.ts
@@ -23,7 +23,7 @@
 const READ_AHEAD_SHARE = 0.08;
 /** Smaller than the others, since parsed headers take about ten times their size. */
 const HEADER_SHARE = 0.01;
-/** Memory of an open connection, rounded up; see docs/design/client-limits.md. */
+/** Memory of an open connection, rounded up. */
 const CONNECTION_BYTES = 16_384;
 const CONNECTION_MEMORY_SHARE = 0.12;
 /** A parsed job takes up to this many times the size of its body. */
