--- a/src/httpListener/bodyReader.ts
+++ b/src/httpListener/bodyReader.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth';
 import type { Clock, Timer } from '../clock/index.js';
 import type { CallerConnection } from './callerConnection.js';
-import { ConnectionStream } from './connectionStream.js';
+import { connectionOf } from './connectionStream.js';
 import { BodyError, BodyErrorCode, type ListenerLimits } from './types.js';
 
 /** Dependencies of {@link readBody}. */
@@ -24,7 +24,7 @@
   deps: BodyReaderDeps,
 ): Promise<Result<Buffer, BodyError>> {
   const { maxBodyBytes, memoryPerBodyByte } = deps.limits;
-  const { connection } = req.socket as unknown as ConnectionStream;
+  const connection = connectionOf(req);
   const declared = req.headers['content-length'];
   if (Number(declared ?? 0) > maxBodyBytes) return Result.err(bodyTooLarge(maxBodyBytes));
   const buffer = new BodyBuffer(connection, declared === undefined ? undefined : Number(declared));
--- a/src/httpListener/connectionStream.ts
+++ b/src/httpListener/connectionStream.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import type { CallerConnection } from './callerConnection.js';
@@ -60,3 +61,8 @@
     this.connection.closeAfterResponse();
   }
 }
+
+/** The connection on which a request of an `HttpListener` arrived. */
+export function connectionOf(req: IncomingMessage): CallerConnection {
+  return (req.socket as unknown as ConnectionStream).connection;
+}
--- a/src/httpListener/httpListener.ts
+++ b/src/httpListener/httpListener.ts
@@ -1,9 +1,13 @@
-import { createServer as createHttpServer, type Server as HttpServer } from 'node:http';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type Server as HttpServer,
+  type ServerResponse,
+} from 'node:http';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { Clock } from '../clock/index.js';
 import { CallerConnection, HeaderErrorCode } from './callerConnection.js';
-import { ConnectionStream } from './connectionStream.js';
+import { connectionOf, type ConnectionStream } from './connectionStream.js';
 import { HeldByteTable } from './heldBytes.js';
 import {
   CloseReason,
@@ -182,7 +186,7 @@
   }
 
   #startRequest(req: IncomingMessage, res: ServerResponse, early?: EarlyRefusal): void {
-    const { connection } = req.socket as unknown as ConnectionStream;
+    const connection = connectionOf(req);
     connection.startRequest(req, res);
     const isFull = this.#requestsInProgress >= this.#deps.limits().maxInFlight;
     const refusal = early ?? (isFull ? EarlyRefusal.Overloaded : undefined);
