--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -86,8 +86,13 @@
   }
 
   /** Starts the platform and the nodes, and waits until all nodes are ready. */
-  async start({ nodes, machines, config }) {
+  async start({ nodes, machines, config, advice }) {
     await this.store.start();
+    if (advice) {
+      this.advice = advice;
+      advice.record = (event) => this.log(event);
+      await advice.start();
+    }
     await this.#cloud.listen('127.0.0.1');
     for (const machine of machines) await this.startExecutor(machine);
     this.#heartbeats = setInterval(() => {
@@ -122,7 +127,13 @@
       if (this.events.length <= MAX_RUN_LINES) this.log(event);
       else this.#count(event);
     };
-    const executor = new Executor({ ...machine, id, record, gangs: this.#gangs });
+    const executor = new Executor({
+      ...machine,
+      id,
+      record,
+      gangs: this.#gangs,
+      advice: this.advice,
+    });
     await executor.start();
     this.machines.set(machine.machine, executor);
     this.log({ event: 'executor_up', machine: machine.machine, executor: id });
@@ -215,6 +226,7 @@
         'sharing',
       ],
       orders: 'call',
+      advice: this.advice?.address ?? '',
       zones: { 'zone-a': 'region-a' },
       listen: { front: `${ip}:${PORTS.front}`, ready: `${ip}:${PORTS.ready}` },
       limits: {
@@ -272,6 +284,7 @@
     }
     for (const executor of this.machines.values()) if (executor.isUp) await executor.crash();
     await this.#cloud.close();
+    await this.advice?.stop();
     await this.store.stop();
     rmSync(this.#dir, { recursive: true, force: true });
   }
@@ -314,7 +327,7 @@
 }
 
 /** Configuration with one queue, at `/draws/` of `league.example`, and one service. */
-export function oneQueue({ maxAttempts = 3 } = {}) {
+export function oneQueue({ maxAttempts = 3, advice } = {}) {
   return {
     version: 1,
     routes: [
@@ -327,6 +340,7 @@
         priority: 0,
         maxAttempts,
         stretch: 1.6,
+        ...(advice && { advice }),
       },
     ],
     services: [{ name: 'motions', admissionControl: true, standby: false }],
--- a/review/standins-3/executor.mjs
+++ b/review/standins-3/executor.mjs
@@ -60,8 +60,8 @@
   /** Number of stop orders that have arrived. */
   stopOrders = 0;
 
-  constructor({ id, machine, service, zone, capacity, labels, record, gangs }) {
-    Object.assign(this, { id, machine, service, zone, capacity, labels, gangs });
+  constructor({ id, machine, service, zone, capacity, labels, record, gangs, advice }) {
+    Object.assign(this, { id, machine, service, zone, capacity, labels, gangs, advice });
     this.record = record;
     this.bornMs = Date.now();
   }
@@ -165,7 +165,7 @@
     return { status: 404 };
   }
 
-  #startRun({ task, run, spec, untilMs, checkpoint = '' }) {
+  #startRun({ task, run, spec, untilMs, checkpoint = '', ticket }) {
     if (untilMs <= this.clockMs) return this.#refuse('late');
     this.#extendLease(untilMs);
     const present = this.#runs.get(task);
@@ -173,6 +173,9 @@
     if (present || run <= (this.#highestEnded.get(task) ?? 0)) return this.#refuse('old');
     const [job, occurrence, step] = task.split('.');
     const { ms, cpu, memMb, gang, saves } = JSON.parse(spec).steps[Number(step)];
+    const stepName = `${job}.${occurrence}.${step}`;
+    if (this.advice && !this.advice.isValid(ticket, stepName, this.id))
+      return this.#refuse('ticket');
     if (!this.#hasRoom(cpu, memMb)) return this.#refuse('room');
     const entry = { task, run, cpu, memMb, saves, checkpoint, ms };
     this.#runs.set(task, entry);
@@ -181,7 +184,7 @@
       this.#begin(entry);
     };
     if (!gang) entry.begin();
-    else this.#joinGang(entry, `${job}.${occurrence}.${step}/${run}`, gang);
+    else this.#joinGang(entry, `${stepName}/${run}`, gang);
     return { status: 200, body: { clockMs: this.clockMs } };
   }
 
--- a/review/standins-3/http.mjs
+++ b/review/standins-3/http.mjs
@@ -32,7 +32,8 @@
     const body = (await readJson(req).catch(() => undefined)) ?? {};
     const url = new URL(req.url ?? '', 'http://standin');
     const call = { method: req.method, path: url.pathname, query: url.searchParams, body };
-    const answer = await handler({ ...call, headers: req.headers });
+    const isAbandoned = () => res.destroyed || res.closed;
+    const answer = await handler({ ...call, headers: req.headers, isAbandoned });
     // A handler that returns nothing leaves the request unanswered.
     if (!answer || res.destroyed) return;
     const text = answer.body === undefined ? '' : JSON.stringify(answer.body);
