--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -27,7 +27,11 @@
 
 const idOf = (number) => (0xb600 + number).toString(16).padStart(16, '0');
 
-await runCase(async (deployment, hasTrouble) => {
+/** Whether the case has its disruption; with TROUBLE=0 it does the same without it. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+await runCase(async (deployment) => {
+  deployment.log({ event: 'case', disruption: hasTrouble ? 'on' : 'off' });
   const config = oneQueue({ maxAttempts: 3, advice: TERMS });
   const advice = new Advice(TERMS, process.env.DROPS_ABANDONED === '1');
   await deployment.start({ nodes: 3, machines, config, advice });
--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { BROKEN, HELD, NOT_RUN, oneQueue, runCase } from '../standins-3/deployment.mjs';
 
@@ -38,7 +39,11 @@
   return config;
 }
 
-await runCase(async (deployment, hasTrouble) => {
+/** Whether the case has its disruption; with TROUBLE=0 it does the same without it. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+await runCase(async (deployment) => {
+  deployment.log({ event: 'case', disruption: hasTrouble ? 'on' : 'off' });
   await deployment.start({ nodes: NODES, machines, config: manyQueues() });
   await sleep(4_000);
   const owners = () => {
--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -357,7 +357,6 @@
 export async function runCase(main) {
   const recordFile = process.argv[2];
   if (!recordFile) throw new Error('the path of the record is missing');
-  const hasTrouble = process.env.TROUBLE !== '0';
   const deployment = new Deployment(recordFile);
   let code = NOT_RUN;
   const timer = globalThis.setTimeout(() => {
@@ -365,7 +364,7 @@
     void deployment.stop().then(() => process.exit(NOT_RUN));
   }, 110_000);
   try {
-    code = await main(deployment, hasTrouble);
+    code = await main(deployment);
   } catch (err) {
     deployment.log({ event: 'case_failed', error: JSON.stringify(String(err?.stack ?? err)) });
   }
